Frame: Set up the workspace, its style and the core library

Cause: nothing stood yet; every later part needs one build, one style and shared words for errors, identifiers, endpoints, clocks and logs.

--- /dev/null
+++ b/Source/Core/NameTable.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <optional>
+#include <string_view>
+#include <utility>
+
+namespace wisteriadock {
+
+// Maps the values of an enum to the names that files, logs and metrics show, in both directions.
+// Tables are small and constant, so look-ups are linear.
+template <typename Enum, std::size_t Size>
+class NameTable {
+public:
+    using Row = std::pair<Enum, std::string_view>;
+
+    constexpr explicit NameTable(const Row (&rows)[Size])
+    {
+        for (std::size_t i = 0; i < Size; ++i)
+            rows_[i] = rows[i];
+    }
+
+    // The name of a value, or "unlisted" for one that is missing from the table.
+    constexpr std::string_view name(Enum value) const
+    {
+        for (const Row& row : rows_) {
+            if (row.first == value)
+                return row.second;
+        }
+        return "unlisted";
+    }
+
+    constexpr std::optional<Enum> value(std::string_view name) const
+    {
+        for (const Row& row : rows_) {
+            if (row.second == name)
+                return row.first;
+        }
+        return std::nullopt;
+    }
+
+    constexpr const std::array<Row, Size>& rows() const { return rows_; }
+
+private:
+    std::array<Row, Size> rows_ {};
+};
+
+// Lets the compiler count the rows: makeNameTable<Color>({ { Color::Red, "red" }, … }).
+template <typename Enum, std::size_t Size>
+constexpr NameTable<Enum, Size> makeNameTable(const std::pair<Enum, std::string_view> (&rows)[Size])
+{
+    return NameTable<Enum, Size>(rows);
+}
+
+}
