--- /dev/null
+++ b/Source/Net/Http2Client.cpp
@@ -0,0 +1,196 @@
+#include "Net/Http2Client.h"
+
+#include "Core/NameTable.h"
+#include "Net/Http2ClientSession.h"
+
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+#include <deque>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace wisteriadock {
+
+namespace {
+
+    constexpr auto failureKindNames = makeNameTable<HttpFailureKind>({
+        { HttpFailureKind::NotSent, "not_sent" },
+        { HttpFailureKind::Refused, "refused" },
+        { HttpFailureKind::Lost, "lost" },
+        { HttpFailureKind::DeadlineExceeded, "deadline_exceeded" },
+        { HttpFailureKind::Cancelled, "cancelled" },
+        { HttpFailureKind::Incomplete, "incomplete" },
+    });
+
+}
+
+std::string_view nameOf(HttpFailureKind kind) { return failureKindNames.name(kind); }
+
+// Keeps the open requests and the sessions. Callbacks run from a queue of their own, so that no session or engine is at
+// work while one of them destroys the client.
+class Http2Client::Implementation final : public Http2ClientSession::Owner,
+                                          public std::enable_shared_from_this<Implementation> {
+public:
+    using RequestPointer = Http2ClientSession::RequestPointer;
+
+    Implementation(boost::asio::io_context& context, Endpoint server, const Http2Limits& limits)
+        : context_(context)
+        , server_(server)
+        , limits_(limits)
+    {
+    }
+
+    RequestId send(HttpRequest, TimePoint deadline, Callback);
+    void cancel(RequestId);
+    void stop();
+
+    std::size_t openRequests() const { return open_.size(); }
+    std::uint64_t bytesTransferred() const { return *bytes_; }
+
+private:
+    struct Ended {
+        Callback callback;
+        HttpOutcome outcome;
+    };
+
+    void onRequestEnded(const RequestPointer&, HttpOutcome) override;
+    void onSessionEnded(const Http2ClientSession&) override;
+    void submit(const RequestPointer&, HttpRequest);
+    void openSession();
+    void giveUp(const RequestPointer&, HttpFailureKind, const std::string& detail);
+    void scheduleDelivery();
+    void deliver();
+
+    boost::asio::io_context& context_;
+    Endpoint server_;
+    Http2Limits limits_;
+    RequestId lastId_ = 0;
+    std::shared_ptr<std::uint64_t> bytes_ = std::make_shared<std::uint64_t>(0);
+    std::unordered_map<RequestId, RequestPointer> open_;
+    std::deque<Ended> ended_;
+    // The last one takes new requests; those before it only finish what they carry.
+    std::vector<std::shared_ptr<Http2ClientSession>> sessions_;
+    bool deliveryScheduled_ = false;
+    bool stopped_ = false;
+};
+
+Http2Client::RequestId Http2Client::Implementation::send(HttpRequest message, TimePoint deadline, Callback callback)
+{
+    const auto request = std::make_shared<Http2ClientRequest>(context_);
+    request->id = ++lastId_;
+    request->callback = std::move(callback);
+    open_.emplace(request->id, request);
+    request->deadline.expires_at(deadline);
+    request->deadline.async_wait(
+        [self = weak_from_this(), weak = std::weak_ptr(request)](const boost::system::error_code& error) {
+            const auto client = self.lock();
+            const auto expired = weak.lock();
+            if (!error && client && expired)
+                client->giveUp(expired, HttpFailureKind::DeadlineExceeded, "the deadline passed");
+        });
+    submit(request, std::move(message));
+    return request->id;
+}
+
+void Http2Client::Implementation::submit(const RequestPointer& request, HttpRequest message)
+{
+    if (stopped_) {
+        onRequestEnded(request, HttpFailure { HttpFailureKind::NotSent, "the client is being destroyed" });
+        return;
+    }
+    if (sessions_.empty() || !sessions_.back()->canTakeRequest())
+        openSession();
+    if (!sessions_.back()->submit(request, std::move(message)))
+        onRequestEnded(request, HttpFailure { HttpFailureKind::NotSent, "the connection takes no new stream" });
+}
+
+void Http2Client::Implementation::openSession()
+{
+    sessions_.push_back(std::make_shared<Http2ClientSession>(context_, limits_, bytes_, weak_from_this()));
+    sessions_.back()->connect(server_);
+}
+
+void Http2Client::Implementation::cancel(RequestId id)
+{
+    const auto found = open_.find(id);
+    if (found != open_.end())
+        giveUp(RequestPointer(found->second), HttpFailureKind::Cancelled, "the request was cancelled");
+}
+
+void Http2Client::Implementation::giveUp(const RequestPointer& request, HttpFailureKind kind, const std::string& detail)
+{
+    // A timer that ran out while the answer arrived finds the request ended.
+    if (!open_.contains(request->id))
+        return;
+    if (const auto session = request->session.lock())
+        session->giveUp(request, kind, detail);
+}
+
+void Http2Client::Implementation::stop()
+{
+    stopped_ = true;
+    const auto requests = open_;
+    for (const auto& [id, request] : requests)
+        giveUp(request, HttpFailureKind::Cancelled, "the client was destroyed");
+    for (const auto& session : std::vector(sessions_))
+        session->abort("the client was destroyed");
+    deliver();
+}
+
+void Http2Client::Implementation::onRequestEnded(const RequestPointer& request, HttpOutcome outcome)
+{
+    if (open_.erase(request->id) == 0)
+        return;
+    request->deadline.cancel();
+    ended_.push_back({ std::move(request->callback), std::move(outcome) });
+    scheduleDelivery();
+}
+
+void Http2Client::Implementation::onSessionEnded(const Http2ClientSession& session)
+{
+    std::erase_if(sessions_, [&](const auto& candidate) { return candidate.get() == &session; });
+}
+
+void Http2Client::Implementation::scheduleDelivery()
+{
+    if (std::exchange(deliveryScheduled_, true))
+        return;
+    boost::asio::post(context_, [self = shared_from_this()] { self->deliver(); });
+}
+
+// Takes one at a time: when a callback destroys the client, the destructor runs those that are left.
+void Http2Client::Implementation::deliver()
+{
+    deliveryScheduled_ = false;
+    // What the callbacks themselves bring to an end waits for the next round, so that a caller who retries at once
+    // can't hold the thread.
+    for (std::size_t left = ended_.size(); left > 0 && !ended_.empty(); --left) {
+        Ended ended = std::move(ended_.front());
+        ended_.pop_front();
+        ended.callback(std::move(ended.outcome));
+    }
+    if (!ended_.empty())
+        scheduleDelivery();
+}
+
+Http2Client::Http2Client(boost::asio::io_context& context, Endpoint server, Http2Limits limits)
+    : implementation_(std::make_shared<Implementation>(context, server, limits))
+{
+}
+
+Http2Client::~Http2Client() { implementation_->stop(); }
+
+Http2Client::RequestId Http2Client::send(HttpRequest request, TimePoint deadline, Callback callback)
+{
+    return implementation_->send(std::move(request), deadline, std::move(callback));
+}
+
+void Http2Client::cancel(RequestId id) { implementation_->cancel(id); }
+
+std::size_t Http2Client::openRequests() const { return implementation_->openRequests(); }
+
+std::uint64_t Http2Client::bytesTransferred() const { return implementation_->bytesTransferred(); }
+
+}
--- /dev/null
+++ b/Source/Net/Http2ClientSession.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "Net/Http2ClientRequest.h"
+#include "Net/Http2Session.h"
+
+#include "Core/Endpoint.h"
+
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace wisteriadock {
+
+// The client's side of one connection: connects, carries requests as streams and decides how each of them ended.
+class Http2ClientSession final : public Http2Session {
+public:
+    using RequestPointer = std::shared_ptr<Http2ClientRequest>;
+
+    // The client that the session works for. Both calls may come from anywhere but send().
+    class Owner {
+    public:
+        virtual ~Owner() = default;
+        virtual void onRequestEnded(const RequestPointer&, HttpOutcome) = 0;
+        virtual void onSessionEnded(const Http2ClientSession&) = 0;
+    };
+
+    Http2ClientSession(boost::asio::io_context&, const Http2Limits&, ByteCounter, std::weak_ptr<Owner>);
+
+    void connect(const Endpoint& server);
+
+    // Whether a new request may go this way; if not, the client opens another connection.
+    bool canTakeRequest() const;
+    // Queues the request; false when it has to go another way.
+    bool submit(const RequestPointer&, HttpRequest);
+
+    // Ends a request as told, or with NotSent when nothing of it has left, and resets its stream.
+    void giveUp(const RequestPointer&, HttpFailureKind, const std::string& detail);
+
+private:
+    void onHeadersBegun(StreamId) override;
+    void onHeader(StreamId, std::string_view name, std::string_view value) override;
+    void onHeadersEnded(StreamId) override;
+    void onBody(StreamId, std::string_view bytes) override;
+    void onMessageEnded(StreamId) override;
+    void onHeadersLeaving(StreamId) override;
+    void onHeadersNotSent(StreamId, std::string_view reason) override;
+    void onStreamClosed(StreamId, std::uint32_t errorCode) override;
+    void onGoAwayReceived() override;
+    void onPingAnswered() override { }
+    void onProtocolError() override { }
+    void onEnded(const std::string& reason) override;
+
+    void onConnected(const boost::system::error_code&);
+    Http2ClientRequest* find(StreamId) const;
+    RequestPointer take(StreamId);
+    void fail(StreamId, HttpFailureKind, const std::string& detail);
+    void failIncomplete(StreamId, const std::string& detail);
+
+    std::weak_ptr<Owner> owner_;
+    Endpoint server_;
+    boost::asio::steady_timer connectTimer_;
+    std::unordered_map<StreamId, RequestPointer> streams_;
+    bool goingAway_ = false;
+};
+
+}
--- a/Source/Net/Http2Server.h
+++ b/Source/Net/Http2Server.h
@@ -39,8 +39,7 @@
     using Handler = std::function<void(std::shared_ptr<Http2Exchange>)>;
 
     // Listens at once; a port of 0 takes an ephemeral one. Fails with Unavailable when the address can't be bound.
-    static Result<std::unique_ptr<Http2Server>> listen(
-        boost::asio::io_context&, Endpoint, Handler, Http2Limits = {});
+    static Result<std::unique_ptr<Http2Server>> listen(boost::asio::io_context&, Endpoint, Handler, Http2Limits = {});
     virtual ~Http2Server() = default;
 
     virtual Endpoint address() const = 0;
--- /dev/null
+++ b/Tests/Net/Http2Fixture.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include "Net/Http2Client.h"
+#include "Net/Http2Server.h"
+
+#include <boost/asio/io_context.hpp>
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace wisteriadock {
+
+// A server on an ephemeral port and a client of it, on one io_context that the test turns until a condition holds.
+class Http2Fixture : public testing::Test {
+protected:
+    using Exchange = std::shared_ptr<Http2Exchange>;
+
+    // What became of one request.
+    struct Call {
+        std::optional<HttpOutcome> outcome;
+        Http2Client::RequestId id = 0;
+
+        bool hasEnded() const { return outcome.has_value(); }
+        bool hasAnswer() const { return hasEnded() && outcome->has_value(); }
+        HttpFailureKind failure() const { return outcome->error().kind; }
+        const HttpResponse& answer() const { return outcome->value(); }
+    };
+
+    static constexpr Endpoint loopback { 0x7F000001, 0 };
+
+    // Listens with a handler that keeps every exchange in `exchanges`.
+    void listen(Http2Limits limits = {})
+    {
+        auto listening = Http2Server::listen(
+            context, loopback, [this](Exchange exchange) { exchanges.push_back(std::move(exchange)); }, limits);
+        ASSERT_TRUE(listening);
+        server = std::move(listening).value();
+        client = std::make_unique<Http2Client>(context, server->address());
+    }
+
+    std::shared_ptr<Call> send(HttpRequest request, Duration patience = std::chrono::minutes(1))
+    {
+        return sendBy(*client, std::move(request), patience);
+    }
+
+    static std::shared_ptr<Call> sendBy(
+        Http2Client& sender, HttpRequest request, Duration patience = std::chrono::minutes(1))
+    {
+        auto call = std::make_shared<Call>();
+        call->id = sender.send(std::move(request), Clock::now() + patience,
+            [call](HttpOutcome outcome) { call->outcome = std::move(outcome); });
+        return call;
+    }
+
+    static HttpRequest post(std::string path, std::string body)
+    {
+        HttpRequest request;
+        request.method = "POST";
+        request.path = std::move(path);
+        request.authority = "tryon";
+        request.body = std::move(body);
+        return request;
+    }
+
+    static HttpResponse answer(std::string body)
+    {
+        HttpResponse response;
+        response.body = std::move(body);
+        return response;
+    }
+
+    // Turns the loop until the condition holds. CTest's time-out ends a test whose condition never comes.
+    template <typename Condition> void runUntil(Condition condition)
+    {
+        context.restart();
+        while (!condition())
+            context.run_one();
+    }
+
+    // Turns the loop until the handler has so many exchanges.
+    void runUntilExchanges(std::size_t count)
+    {
+        runUntil([&] { return exchanges.size() >= count; });
+    }
+
+    void runUntilEnded(const std::vector<std::shared_ptr<Call>>& calls)
+    {
+        runUntil(
+            [&] { return std::all_of(calls.begin(), calls.end(), [](const auto& call) { return call->hasEnded(); }); });
+    }
+
+    boost::asio::io_context context;
+    std::vector<Exchange> exchanges;
+    std::unique_ptr<Http2Server> server;
+    std::unique_ptr<Http2Client> client;
+};
+
+}
