--- /dev/null
+++ b/Source/Request/Admission.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include "Configuration/Configuration.h"
+#include "Core/Clock.h"
+#include "Membership/Member.h"
+#include "Request/ClaimMessages.h"
+#include "Request/RequestTypes.h"
+#include "Request/ServiceQueue.h"
+#include "Request/SlotLoans.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
+#include <vector>
+
+namespace wisteriadock {
+
+// A slot was given: the work may be sent to this server.
+struct SlotGrant {
+    WorkId work = 0;
+    BackendServerId server;
+};
+
+// The work gets no slot in time.
+struct SlotRefusal {
+    WorkId work = 0;
+    RefusalReason reason = RefusalReason::Overloaded;
+    std::chrono::milliseconds comeBackIn { 0 };
+};
+
+struct AdmissionLimits {
+    std::size_t queueLength = 1000;
+    // How long a lent slot is waited for when its borrower vanishes; at least the longest deadline.
+    std::chrono::milliseconds longestLoan { 65'000 };
+};
+
+// Gives the slots of backend servers to work. Every balancer has a fixed share of each server's slots (SlotShares.h)
+// and borrows free ones from others while its own queue waits. Work that can't make its deadline is refused at once,
+// when it comes or when waiting has made it hopeless. Called by the RequestRunner, which takes grants, refusals and
+// messages after each call.
+class Admission {
+public:
+    Admission(const Holder& self, const AdmissionLimits& limits, std::uint64_t seed);
+
+    void configure(const Configuration&, const MembersView&, TimePoint now);
+
+    void request(WorkId, ServiceId, TimePoint deadline, TimePoint now);
+    // Forgets work that waits; its slot, if it has one, is given back.
+    void withdraw(WorkId, TimePoint now);
+    // The work ended and its slot is free. Only work that a server answered teaches how long work takes.
+    void release(WorkId, bool isAnswered, TimePoint now);
+    // The server said that it has no room: nothing is sent to it for a while.
+    void shed(BackendServerId, std::chrono::milliseconds retryAfter, TimePoint now);
+    void tick(TimePoint now);
+
+    void handle(const Holder& from, const BorrowSlot&, TimePoint now);
+    void handle(const Holder& from, const SlotReply&, TimePoint now);
+    void handle(const Holder& from, const ReturnSlot&, TimePoint now);
+
+    std::vector<SlotGrant> takeGrants();
+    std::vector<SlotRefusal> takeRefusals();
+    std::vector<OutgoingMessage> takeMessages();
+
+    std::size_t queued(ServiceId) const;
+    std::uint32_t slotsInUse(BackendServerId) const;
+    std::uint32_t shareOf(BackendServerId) const;
+
+private:
+    struct Server {
+        BackendServer settings;
+        std::uint32_t share = 0;
+        // By own work and by balancers that borrowed.
+        std::uint32_t inUse = 0;
+        TimePoint addedAt;
+        TimePoint closedUntil;
+        std::chrono::milliseconds backOff {};
+        bool isConfigured = true;
+    };
+
+    struct Running {
+        ServiceId service;
+        BackendServerId server;
+        TimePoint startedAt;
+        // Set when the slot was borrowed: from whom, and under which number.
+        std::optional<Holder> lender;
+        std::uint64_t nonce = 0;
+    };
+
+    std::uint32_t openSlots(const Server&, TimePoint now) const;
+    std::uint32_t openSlots(ServiceId, TimePoint now) const;
+    Server* freeServer(ServiceId, TimePoint now);
+    bool hasServer(ServiceId) const;
+    void grant(WorkId, ServiceId, BackendServerId, TimePoint now);
+    void refuse(WorkId, ServiceId, RefusalReason, TimePoint now);
+    void dispatch(ServiceId, TimePoint now);
+    void giveBack(const Running&);
+
+    Holder self_;
+    AdmissionLimits limits_;
+    std::mt19937_64 random_;
+    std::map<BackendServerId, Server> servers_;
+    std::map<ServiceId, ServiceQueue> queues_;
+    absl::flat_hash_map<WorkId, Running> running_;
+    SlotLoans loans_;
+    bool isFirstConfiguration_ = true;
+    std::vector<SlotGrant> grants_;
+    std::vector<SlotRefusal> refusals_;
+    std::vector<OutgoingMessage> messages_;
+};
+
+}
--- /dev/null
+++ b/Source/Request/AnswerBook.cpp
@@ -0,0 +1,94 @@
+#include "Request/AnswerBook.h"
+
+namespace wisteriadock {
+
+AnswerBook::AnswerBook(const Holder& self, std::chrono::milliseconds acknowledgeTimeout)
+    : self_(self)
+    , acknowledgeTimeout_(acknowledgeTimeout)
+{
+}
+
+ForwardToken AnswerBook::open(TryId id, const KeyDigest& key, const Holder& owner, TimePoint deadline, TimePoint now)
+{
+    const std::uint64_t number = ++lastNumber_;
+    entries_[number] = { id, key, owner, deadline, now + acknowledgeTimeout_, false };
+    return { self_, number };
+}
+
+std::map<std::uint64_t, AnswerBook::Entry>::iterator AnswerBook::find(const Holder& from, const ForwardToken& token)
+{
+    const auto found = token.entry == self_ ? entries_.find(token.number) : entries_.end();
+    const bool isOwners = found != entries_.end() && found->second.owner == from;
+    return isOwners ? found : entries_.end();
+}
+
+void AnswerBook::acknowledge(const Holder& from, const ForwardToken& token)
+{
+    const auto found = find(from, token);
+    if (found != entries_.end())
+        found->second.isAcknowledged = true;
+}
+
+AnswerBook::Settled AnswerBook::settle(const Holder& from, const ForwardedAnswer& answer)
+{
+    const auto found = find(from, answer.token);
+    if (found == entries_.end() || found->second.key != answer.key) {
+        ++dropped_;
+        return {};
+    }
+    const TryId id = found->second.id;
+    entries_.erase(found);
+    const bool isWhole = answer.declaredBytes == answer.receivedBytes;
+    return { isWhole ? Delivery::Deliver : Delivery::Incomplete, id };
+}
+
+std::optional<TryId> AnswerBook::redirect(const Holder& from, const ForwardToken& token)
+{
+    const auto found = find(from, token);
+    if (found == entries_.end())
+        return std::nullopt;
+    const TryId id = found->second.id;
+    entries_.erase(found);
+    return id;
+}
+
+std::optional<AnswerBook::Forward> AnswerBook::cancel(TryId id)
+{
+    for (auto entry = entries_.begin(); entry != entries_.end(); ++entry) {
+        if (entry->second.id != id)
+            continue;
+        const Forward forward { entry->second.owner, { self_, entry->first } };
+        entries_.erase(entry);
+        return forward;
+    }
+    return std::nullopt;
+}
+
+std::vector<AbandonedForward> AnswerBook::loseOwner(const Holder& owner)
+{
+    std::vector<AbandonedForward> abandoned;
+    std::erase_if(entries_, [&](const auto& item) {
+        if (item.second.owner != owner)
+            return false;
+        abandoned.push_back({ item.second.id, RefusalReason::HomeUnreachable });
+        return true;
+    });
+    return abandoned;
+}
+
+std::vector<AbandonedForward> AnswerBook::expire(TimePoint now)
+{
+    std::vector<AbandonedForward> abandoned;
+    std::erase_if(entries_, [&](const auto& item) {
+        const Entry& entry = item.second;
+        const bool isSilent = !entry.isAcknowledged && now >= entry.acknowledgeUntil;
+        const bool isLate = now >= entry.deadline;
+        if (!isSilent && !isLate)
+            return false;
+        abandoned.push_back({ entry.id, isLate ? RefusalReason::DeadlinePassed : RefusalReason::HomeUnreachable });
+        return true;
+    });
+    return abandoned;
+}
+
+}
--- /dev/null
+++ b/Source/Request/AnswerBook.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include "Core/Clock.h"
+#include "Request/RequestKey.h"
+#include "Request/RequestTypes.h"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace wisteriadock {
+
+// Names one forwarded try to the owner, which repeats it in everything that it says about the try. A balancer that
+// starts again has another incarnation, so an answer to its earlier life matches nothing.
+struct ForwardToken {
+    Holder entry;
+    std::uint64_t number = 0;
+
+    auto operator<=>(const ForwardToken&) const = default;
+};
+
+// What is said of a forwarded try, without its body.
+struct ForwardedAnswer {
+    ForwardToken token;
+    KeyDigest key;
+    // What the answer was declared to hold, and what arrived.
+    std::uint64_t declaredBytes = 0;
+    std::uint64_t receivedBytes = 0;
+};
+
+enum class Delivery {
+    Deliver,
+    Drop, // Late, repeated, or somebody else's: nobody gets it.
+    Incomplete, // Cut short: the caller gets an error that says "unknown", never a short success.
+};
+
+// A try that ends without the owner's answer. The work may have run: these are refused as unknown.
+struct AbandonedForward {
+    TryId id = 0;
+    RefusalReason reason = RefusalReason::HomeUnreachable;
+};
+
+// Tries that one balancer forwarded to the owners of their keys, and who gets which answer.
+// Called by the shell of the balancer that took the requests in. The owner acknowledges a forwarded try at once, so
+// that one that is dead or paused is noticed after the timeout and not at the request's deadline.
+class AnswerBook {
+public:
+    AnswerBook(const Holder& self, std::chrono::milliseconds acknowledgeTimeout);
+
+    ForwardToken open(TryId, const KeyDigest&, const Holder& owner, TimePoint deadline, TimePoint now);
+    void acknowledge(const Holder& from, const ForwardToken&);
+
+    // Finds out whose answer this is; try id is set for Deliver and Incomplete. The try is closed then.
+    struct Settled {
+        Delivery delivery = Delivery::Drop;
+        TryId id = 0;
+    };
+    Settled settle(const Holder& from, const ForwardedAnswer&);
+    // The owner refused to own the key: the try is open again for another open().
+    std::optional<TryId> redirect(const Holder& from, const ForwardToken&);
+
+    // The caller left. Returns whom to tell.
+    struct Forward {
+        Holder owner;
+        ForwardToken token;
+    };
+    std::optional<Forward> cancel(TryId);
+
+    // The owner is dead as far as the members' view goes; all it had is given up at once.
+    std::vector<AbandonedForward> loseOwner(const Holder&);
+    // Gives up what was not acknowledged in time or is past its deadline.
+    std::vector<AbandonedForward> expire(TimePoint now);
+
+    std::size_t open() const { return entries_.size(); }
+    std::uint64_t dropped() const { return dropped_; }
+
+private:
+    struct Entry {
+        TryId id = 0;
+        KeyDigest key;
+        Holder owner;
+        TimePoint deadline;
+        TimePoint acknowledgeUntil;
+        bool isAcknowledged = false;
+    };
+
+    std::map<std::uint64_t, Entry>::iterator find(const Holder& from, const ForwardToken&);
+
+    Holder self_;
+    std::chrono::milliseconds acknowledgeTimeout_;
+    std::map<std::uint64_t, Entry> entries_;
+    std::uint64_t lastNumber_ = 0;
+    std::uint64_t dropped_ = 0;
+};
+
+}
--- /dev/null
+++ b/Source/Request/BucketKeeper.cpp
@@ -0,0 +1,365 @@
+#include "Request/BucketKeeper.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace wisteriadock {
+
+namespace {
+
+    constexpr std::chrono::milliseconds resendInterval { 100 };
+    // Lost claims are asked for at leisure: whoever has them was not there when it mattered.
+    constexpr std::chrono::milliseconds healInterval { 1000 };
+
+}
+
+BucketKeeper::BucketKeeper(const Holder& self, const ClaimLimits& limits, Duration maxDeadline)
+    : self_(self)
+    , maxDeadline_(maxDeadline)
+    , table_(limits)
+    , buckets_(claimBucketCount)
+{
+}
+
+void BucketKeeper::learnTerm(const ClaimTerm& term, TimePoint now)
+{
+    if (term_ && term.epoch <= term_->epoch)
+        return;
+    term_ = term;
+    newestEpoch_ = std::max(newestEpoch_, term.epoch);
+    hasOwnershipChanged_ = true;
+    for (std::uint32_t index = 0; index < claimBucketCount; ++index) {
+        Bucket& bucket = buckets_[index];
+        bucket.pair = term.pairOf(index);
+        bucket.ownership = Ownership::NotOwner;
+        bucket.recovery = BucketRecovery();
+        if (bucket.pair && bucket.pair->owner == self_)
+            startOwning(index, now);
+    }
+}
+
+void BucketKeeper::startOwning(std::uint32_t index, TimePoint now)
+{
+    Bucket& bucket = buckets_[index];
+    bucket.ownership = Ownership::Recovering;
+    bucket.recovery = BucketRecovery(term_->pastPairsOf(index), term_->isHistoryWhole, term_->epoch, now);
+    // The contents stay in the table; only what they are worth is needed here.
+    bucket.recovery.add(self_, { term_->epoch, index, bucket.installedEpoch, {} });
+    bucket.sendAt = now;
+    advance(index, now);
+}
+
+void BucketKeeper::tick(TimePoint now)
+{
+    if (!term_)
+        return;
+    for (std::uint32_t index = 0; index < claimBucketCount; ++index)
+        advance(index, now);
+    table_.forget(term_->epoch, now);
+}
+
+void BucketKeeper::advance(std::uint32_t index, TimePoint now)
+{
+    Bucket& bucket = buckets_[index];
+    if (bucket.lostUntil && now >= *bucket.lostUntil)
+        setLoss(bucket, std::nullopt, now);
+    if (!mayAct())
+        return;
+    if (bucket.ownership == Ownership::Recovering)
+        recover(index, now);
+    if (bucket.ownership == Ownership::Installing)
+        install(index, now);
+    if (bucket.ownership == Ownership::Active && bucket.lost)
+        tryToHeal(index, now);
+}
+
+void BucketKeeper::recover(std::uint32_t index, TimePoint now)
+{
+    const RecoveryState state = buckets_[index].recovery.decide(gone_, now);
+    if (state == RecoveryState::Waiting)
+        return askEarlierHolders(index, now);
+    takeIn(index, state, now);
+}
+
+void BucketKeeper::askEarlierHolders(std::uint32_t index, TimePoint now)
+{
+    Bucket& bucket = buckets_[index];
+    if (now < bucket.sendAt)
+        return;
+    bucket.sendAt = now + (bucket.lost ? Duration(healInterval) : Duration(resendInterval));
+    for (const Holder& holder : bucket.recovery.unanswered(gone_))
+        send(holder, RecoverBucket { term_->epoch, index });
+}
+
+void BucketKeeper::takeIn(std::uint32_t index, RecoveryState state, TimePoint now)
+{
+    Bucket& bucket = buckets_[index];
+    const bool isWhole = state == RecoveryState::Whole;
+    const BucketSnapshot* source = bucket.recovery.source();
+    const bool isOwnCopy = source && *bucket.recovery.sourceHolder() == self_;
+    const std::optional<LostClaims> inherited
+        = isOwnCopy ? contentsOf(index, false, now).lost : (source ? source->contents.lost : std::nullopt);
+    bucket.baseEpoch = source && isWhole ? source->installedEpoch : 0;
+    if (!isOwnCopy)
+        mergeSource(index, isWhole, now);
+    noteLoss(bucket, state, inherited, now);
+    bucket.installedEpoch = term_->epoch;
+    bucket.sendsWhole = bucket.baseEpoch == 0;
+    bucket.sendAt = now;
+    setOwnership(bucket, bucket.pair->backup ? Ownership::Installing : Ownership::Active);
+}
+
+void BucketKeeper::mergeSource(std::uint32_t index, bool isWhole, TimePoint now)
+{
+    const BucketSnapshot* source = buckets_[index].recovery.source();
+    const BucketContents contents = source ? source->contents : BucketContents();
+    if (isWhole)
+        replaceContents(index, contents, now);
+    else
+        table_.merge(index, contents, now);
+}
+
+// A whole copy replaces what is held here from earlier times, except how this balancer's own work went.
+void BucketKeeper::replaceContents(std::uint32_t index, const BucketContents& contents, TimePoint now)
+{
+    BucketContents own { table_.copy(index, now), 0, std::nullopt };
+    std::erase_if(own.claims,
+        [&](const ClaimCopy& copy) { return copy.record.runner != self_ || copy.record.state < ClaimState::Sent; });
+    table_.clear(index);
+    table_.merge(index, contents, now);
+    table_.merge(index, own, now);
+}
+
+void BucketKeeper::noteLoss(
+    Bucket& bucket, RecoveryState state, const std::optional<LostClaims>& inherited, TimePoint now)
+{
+    if (state == RecoveryState::Whole) {
+        setLoss(bucket, inherited, now);
+        if (inherited) {
+            bucket.recovery = BucketRecovery(inherited->pairs, inherited->isHistoryWhole, inherited->floorEpoch, now);
+            bucket.recovery.add(self_, { term_->epoch, 0, term_->epoch, {} });
+        }
+        return;
+    }
+    LostClaims lost { term_->epoch, bucket.recovery.lostPairs(), bucket.recovery.isHistoryWhole(), std::nullopt };
+    if (!inherited)
+        return setLoss(bucket, lost, now);
+    lost.pairs.insert(lost.pairs.end(), inherited->pairs.begin(), inherited->pairs.end());
+    lost.isHistoryWhole = inherited->isHistoryWhole;
+    setLoss(bucket, lost, now);
+    bucket.recovery = BucketRecovery(lost.pairs, lost.isHistoryWhole, inherited->floorEpoch, now);
+    bucket.recovery.add(self_, { term_->epoch, 0, term_->epoch, {} });
+}
+
+void BucketKeeper::setLoss(Bucket& bucket, const std::optional<LostClaims>& lost, TimePoint now)
+{
+    bucket.lost = lost;
+    bucket.lostUntil.reset();
+    if (lost && lost->remaining)
+        bucket.lostUntil = now + *lost->remaining;
+}
+
+void BucketKeeper::tryToHeal(std::uint32_t index, TimePoint now)
+{
+    Bucket& bucket = buckets_[index];
+    const RecoveryState state = bucket.recovery.decide(gone_, now);
+    if (state == RecoveryState::Whole) {
+        const BucketSnapshot* source = bucket.recovery.source();
+        if (source)
+            table_.merge(index, source->contents, now);
+        const std::optional<LostClaims> inherited = source ? source->contents.lost : std::nullopt;
+        noteLoss(bucket, state, inherited, now);
+        bucket.sendsWhole = true;
+        bucket.sendAt = now;
+        setOwnership(bucket, bucket.pair->backup ? Ownership::Installing : Ownership::Active);
+        return;
+    }
+    const bool canStartClock = state == RecoveryState::Lost && bucket.recovery.allStopped();
+    if (!bucket.lostUntil && canStartClock)
+        bucket.lostUntil = now + table_.limits().rememberFor + maxDeadline_;
+    askEarlierHolders(index, now);
+}
+
+void BucketKeeper::install(std::uint32_t index, TimePoint now)
+{
+    Bucket& bucket = buckets_[index];
+    if (now < bucket.sendAt)
+        return;
+    bucket.sendAt = now + resendInterval;
+    send(*bucket.pair->backup,
+        InstallBucket {
+            term_->epoch, index, bucket.baseEpoch, bucket.sendsWhole, contentsOf(index, bucket.sendsWhole, now) });
+}
+
+BucketContents BucketKeeper::contentsOf(std::uint32_t index, bool withClaims, TimePoint now) const
+{
+    const Bucket& bucket = buckets_[index];
+    BucketContents contents;
+    if (withClaims)
+        contents.claims = table_.copy(index, now);
+    contents.forgottenEpoch = table_.forgottenEpoch(index);
+    contents.lost = bucket.lost;
+    if (contents.lost)
+        contents.lost->remaining = bucket.lostUntil ? std::optional<Duration>(*bucket.lostUntil - now) : std::nullopt;
+    return contents;
+}
+
+void BucketKeeper::hearOf(std::uint64_t epoch)
+{
+    if (epoch <= newestEpoch_)
+        return;
+    newestEpoch_ = epoch;
+    isTermWanted_ = true;
+    hasOwnershipChanged_ = true;
+}
+
+bool BucketKeeper::isPresent(const Holder& from, std::uint64_t epoch)
+{
+    hearOf(epoch);
+    if (term_ && epoch < term_->epoch)
+        send(from, TermNews { *term_ });
+    return mayAct() && epoch == newestEpoch_;
+}
+
+void BucketKeeper::handle(const Holder& from, const RecoverBucket& message, TimePoint now)
+{
+    hearOf(message.epoch);
+    if (message.epoch < newestEpoch_) {
+        if (term_ && term_->epoch > message.epoch)
+            send(from, TermNews { *term_ });
+        return;
+    }
+    // From here on nothing of an older epoch is accepted, so the copy that goes out is the last word on it.
+    send(from,
+        BucketSnapshot { message.epoch, message.bucket, buckets_[message.bucket].installedEpoch,
+            contentsOf(message.bucket, true, now) });
+}
+
+void BucketKeeper::handle(const Holder& from, const BucketSnapshot& message, TimePoint now)
+{
+    if (!isPresent(from, message.epoch))
+        return;
+    Bucket& bucket = buckets_[message.bucket];
+    if (bucket.ownership == Ownership::NotOwner)
+        return;
+    bucket.recovery.add(from, message);
+    advance(message.bucket, now);
+}
+
+void BucketKeeper::handle(const Holder& from, const InstallBucket& message, TimePoint now)
+{
+    if (!isPresent(from, message.epoch))
+        return;
+    Bucket& bucket = buckets_[message.bucket];
+    if (!bucket.pair || bucket.pair->owner != from || bucket.pair->backup != self_)
+        return;
+    const bool isInstalled = bucket.installedEpoch == message.epoch;
+    const bool hasBase = bucket.installedEpoch != 0 && bucket.installedEpoch == message.baseEpoch;
+    if (!isInstalled && !hasBase && !message.isWhole)
+        return send(from, BucketInstalled { message.epoch, message.bucket, false });
+    // The owner could not reach this balancer when it looked for claims: it gets them now, before they are mixed.
+    if (message.contents.lost && bucket.installedEpoch != 0 && !isInstalled)
+        send(from,
+            BucketSnapshot {
+                message.epoch, message.bucket, bucket.installedEpoch, contentsOf(message.bucket, true, now) });
+    // A repeated message must not wipe out claims that were made since.
+    if (message.isWhole && !isInstalled && !message.contents.lost)
+        replaceContents(message.bucket, message.contents, now);
+    else
+        table_.merge(message.bucket, message.contents, now);
+    setLoss(bucket, message.contents.lost, now);
+    bucket.installedEpoch = message.epoch;
+    send(from, BucketInstalled { message.epoch, message.bucket, true });
+}
+
+void BucketKeeper::handle(const Holder& from, const BucketInstalled& message, TimePoint now)
+{
+    if (!isPresent(from, message.epoch))
+        return;
+    Bucket& bucket = buckets_[message.bucket];
+    if (bucket.ownership != Ownership::Installing || bucket.pair->backup != from)
+        return;
+    if (message.accepted)
+        return setOwnership(bucket, Ownership::Active);
+    bucket.sendsWhole = true;
+    bucket.sendAt = now;
+    install(message.bucket, now);
+}
+
+void BucketKeeper::handle(const Holder& from, const ClaimKey& message, TimePoint now)
+{
+    const Bucket& bucket = buckets_[message.bucket];
+    bool accepted = isPresent(from, message.epoch) && bucket.pair && bucket.pair->owner == from
+        && bucket.pair->backup == self_ && bucket.installedEpoch == message.epoch;
+    if (accepted) {
+        const ClaimRecord* known = table_.find(message.bucket, message.digest);
+        const bool mayHaveRun = known && known->state > ClaimState::Claimed;
+        ClaimRecord record { message.fingerprint, message.issuedEpoch, message.sequence, from, now, ClaimState::Claimed,
+            nullptr };
+        accepted = !mayHaveRun && table_.put(message.bucket, message.digest, std::move(record));
+    }
+    send(from, ClaimReply { newestEpoch_, message.sequence, accepted });
+}
+
+void BucketKeeper::handle(const Holder& from, const WithdrawClaim& message, TimePoint)
+{
+    const ClaimRecord* known = table_.find(message.bucket, message.digest);
+    const bool isThisClaim = known && known->runner == from && known->sequence == message.sequence;
+    if (isThisClaim && known->state == ClaimState::Claimed)
+        table_.erase(message.bucket, message.digest);
+}
+
+void BucketKeeper::handle(const Holder& from, const ClaimOutcome& message, TimePoint now)
+{
+    const ClaimRecord* known = table_.find(message.bucket, message.digest);
+    if (!known || known->runner != from || known->sequence != message.sequence)
+        return;
+    ClaimRecord record = *known;
+    record.state = message.isAnswered ? ClaimState::Answered : ClaimState::Unknown;
+    record.answer = message.answer;
+    record.since = now;
+    table_.put(message.bucket, message.digest, std::move(record));
+}
+
+void BucketKeeper::handle(const Holder& from, const CheckEpoch& message, TimePoint)
+{
+    const bool accepted = isPresent(from, message.epoch);
+    send(from, EpochChecked { message.epoch, message.nonce, accepted });
+}
+
+Ownership BucketKeeper::ownership(std::uint32_t bucket) const
+{
+    return mayAct() ? buckets_[bucket].ownership : Ownership::NotOwner;
+}
+
+KeyKnowledge BucketKeeper::knowledgeOf(std::uint32_t bucket, const RequestKey& key) const
+{
+    if (table_.mayHaveForgotten(bucket, key))
+        return KeyKnowledge::TooOld;
+    const std::optional<LostClaims>& lost = buckets_[bucket].lost;
+    if (lost && key.issuedEpoch < lost->floorEpoch)
+        return KeyKnowledge::Lost;
+    return KeyKnowledge::Fresh;
+}
+
+std::size_t BucketKeeper::lostBuckets() const
+{
+    return std::count_if(buckets_.begin(), buckets_.end(),
+        [](const Bucket& bucket) { return bucket.ownership != Ownership::NotOwner && bucket.lost; });
+}
+
+void BucketKeeper::setOwnership(Bucket& bucket, Ownership ownership)
+{
+    bucket.ownership = ownership;
+    hasOwnershipChanged_ = true;
+}
+
+void BucketKeeper::send(const Holder& to, RequestMessage message) { messages_.push_back({ to, std::move(message) }); }
+
+std::vector<OutgoingMessage> BucketKeeper::takeMessages() { return std::exchange(messages_, {}); }
+
+bool BucketKeeper::takeTermWanted() { return std::exchange(isTermWanted_, false); }
+
+bool BucketKeeper::takeOwnershipChanged() { return std::exchange(hasOwnershipChanged_, false); }
+
+}
--- /dev/null
+++ b/Source/Request/BucketRecovery.cpp
@@ -0,0 +1,107 @@
+#include "Request/BucketRecovery.h"
+
+#include <algorithm>
+
+namespace wisteriadock {
+
+namespace {
+
+    std::vector<Holder> membersOf(const ClaimPair& pair)
+    {
+        std::vector<Holder> members = { pair.owner };
+        if (pair.backup)
+            members.push_back(*pair.backup);
+        return members;
+    }
+
+}
+
+BucketRecovery::BucketRecovery(
+    std::vector<ClaimPair> pairs, bool isHistoryWhole, std::uint64_t ceilingEpoch, TimePoint start)
+    : pairs_(std::move(pairs))
+    , isHistoryWhole_(isHistoryWhole)
+    , ceilingEpoch_(ceilingEpoch)
+    , start_(start)
+{
+}
+
+void BucketRecovery::add(const Holder& from, BucketSnapshot snapshot)
+{
+    // The first answer counts: it was given when the holder stopped acting, and nothing was claimed there since.
+    answers_.try_emplace(from, std::move(snapshot));
+}
+
+const BucketRecovery::Answers::value_type* BucketRecovery::wholeCopyOf(const ClaimPair& pair) const
+{
+    for (const Holder& member : membersOf(pair)) {
+        const auto answer = answers_.find(member);
+        if (answer == answers_.end())
+            continue;
+        const std::uint64_t epoch = answer->second.installedEpoch;
+        if (epoch >= pair.epoch && epoch < ceilingEpoch_)
+            return &*answer;
+    }
+    return nullptr;
+}
+
+bool BucketRecovery::wasNeverActive(const ClaimPair& pair) const
+{
+    const std::vector<Holder> members = membersOf(pair);
+    return std::any_of(members.begin(), members.end(), [&](const Holder& member) {
+        const auto answer = answers_.find(member);
+        return answer != answers_.end() && answer->second.installedEpoch < pair.epoch;
+    });
+}
+
+bool BucketRecovery::mayStillAnswer(const ClaimPair& pair, const GoneHolders& gone) const
+{
+    const std::vector<Holder> members = membersOf(pair);
+    return std::any_of(members.begin(), members.end(),
+        [&](const Holder& member) { return !hasAnswered(member) && !gone.contains(member); });
+}
+
+bool BucketRecovery::isStopped(const ClaimPair& pair, const GoneHolders& gone) const
+{
+    const std::vector<Holder> members = membersOf(pair);
+    return std::any_of(members.begin(), members.end(),
+        [&](const Holder& member) { return hasAnswered(member) || gone.contains(member); });
+}
+
+RecoveryState BucketRecovery::decide(const GoneHolders& gone, TimePoint now)
+{
+    source_ = nullptr;
+    lostPairs_.clear();
+    allStopped_ = true;
+    for (const ClaimPair& pair : pairs_) {
+        if (const auto* copy = wholeCopyOf(pair)) {
+            const bool ownerMayAnswer = !hasAnswered(pair.owner) && !gone.contains(pair.owner);
+            if (ownerMayAnswer && now - start_ < ownerPreference)
+                return RecoveryState::Waiting;
+            source_ = copy;
+            return lostPairs_.empty() ? RecoveryState::Whole : RecoveryState::Lost;
+        }
+        if (wasNeverActive(pair))
+            continue;
+        if (mayStillAnswer(pair, gone) && now - start_ < patience)
+            return RecoveryState::Waiting;
+        lostPairs_.push_back(pair);
+        allStopped_ = allStopped_ && isStopped(pair, gone);
+    }
+    allStopped_ = allStopped_ && isHistoryWhole_;
+    return lostPairs_.empty() && isHistoryWhole_ ? RecoveryState::Whole : RecoveryState::Lost;
+}
+
+std::vector<Holder> BucketRecovery::unanswered(const GoneHolders& gone) const
+{
+    std::vector<Holder> holders;
+    for (const ClaimPair& pair : pairs_) {
+        for (const Holder& member : membersOf(pair)) {
+            const bool isListed = std::find(holders.begin(), holders.end(), member) != holders.end();
+            if (!isListed && !hasAnswered(member) && !gone.contains(member))
+                holders.push_back(member);
+        }
+    }
+    return holders;
+}
+
+}
--- /dev/null
+++ b/Source/Request/KeyDecision.cpp
@@ -0,0 +1,84 @@
+#include "Request/KeyDecision.h"
+
+namespace wisteriadock {
+
+namespace {
+
+    constexpr std::chrono::milliseconds inProgressWait { 1000 };
+
+    KeyDecision refuseUnknown(RefusalReason reason, std::chrono::milliseconds comeBackIn = {})
+    {
+        return { KeyStep::RefuseUnknown, reason, comeBackIn, nullptr };
+    }
+
+    KeyDecision refuseNotRun(RefusalReason reason, std::chrono::milliseconds comeBackIn = {})
+    {
+        return { KeyStep::RefuseNotRun, reason, comeBackIn, nullptr };
+    }
+
+    KeyDecision decideJoin(const KeyedTry& attempt, const Work& work)
+    {
+        if (attempt.fingerprint != work.fingerprint)
+            return refuseUnknown(RefusalReason::KeyReused);
+        if (attempt.problem)
+            return refuseUnknown(*attempt.problem);
+        return { KeyStep::Join, {}, {}, nullptr };
+    }
+
+    KeyDecision decideFresh(const KeyedTry& attempt, const BucketKeeper& keeper)
+    {
+        switch (keeper.knowledgeOf(claimBucketOf(attempt.key.digest), attempt.key)) {
+        case KeyKnowledge::TooOld:
+            return refuseUnknown(RefusalReason::KeyTooOld);
+        case KeyKnowledge::Lost:
+            return refuseUnknown(RefusalReason::ClaimsLost, inProgressWait);
+        case KeyKnowledge::Fresh:
+            break;
+        }
+        if (attempt.problem)
+            return refuseNotRun(*attempt.problem);
+        return { KeyStep::Start, {}, {}, nullptr };
+    }
+
+    KeyDecision decideKnown(const KeyedTry& attempt, const ClaimRecord& record)
+    {
+        if (attempt.fingerprint != record.fingerprint)
+            return refuseUnknown(RefusalReason::KeyReused);
+        if (record.state == ClaimState::Unknown)
+            return refuseUnknown(RefusalReason::OutcomeUnknown);
+        // Claimed or sent by another balancer, or by an earlier owner of the bucket.
+        if (record.state != ClaimState::Answered)
+            return refuseUnknown(RefusalReason::InProgress, inProgressWait);
+        if (!record.answer)
+            return refuseUnknown(RefusalReason::AnswerNotKept);
+        return { KeyStep::Answer, {}, {}, record.answer };
+    }
+
+}
+
+KeyDecision decideKey(const KeyedTry& attempt, const BucketKeeper& keeper, const WorkTable& works, TimePoint now)
+{
+    const bool isBehind = !keeper.mayAct() || attempt.key.issuedEpoch > keeper.newestEpoch();
+    if (isBehind)
+        return { KeyStep::Park, {}, {}, nullptr };
+    const std::uint32_t bucket = claimBucketOf(attempt.key.digest);
+    const Ownership ownership = keeper.ownership(bucket);
+    if (ownership == Ownership::NotOwner)
+        return { KeyStep::Redirect, {}, {}, nullptr };
+    if (ownership != Ownership::Active)
+        return { KeyStep::Park, {}, {}, nullptr };
+    if (const Work* work = works.findByKey(attempt.key.digest))
+        return decideJoin(attempt, *work);
+    const ClaimRecord* record = keeper.table().find(bucket, attempt.key.digest);
+    if (!record)
+        return decideFresh(attempt, keeper);
+    if (record->state != ClaimState::Refused)
+        return decideKnown(attempt, *record);
+    if (now >= record->since)
+        return decideFresh(attempt, keeper);
+    // A try of the same key that was on its way when the key was refused must not make that refusal false.
+    return refuseNotRun(
+        RefusalReason::ComeBackLater, std::chrono::ceil<std::chrono::milliseconds>(record->since - now));
+}
+
+}
--- /dev/null
+++ b/Source/Request/ParkedTries.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "Core/Clock.h"
+#include "Request/RequestActions.h"
+
+#include <algorithm>
+#include <cstddef>
+#include <utility>
+#include <vector>
+
+namespace wisteriadock {
+
+// Tries that wait until the claims of their bucket have moved, for a short time and in bounded number.
+class ParkedTries {
+public:
+    ParkedTries(std::size_t capacity, Duration longestWait)
+        : capacity_(capacity)
+        , longestWait_(longestWait)
+    {
+    }
+
+    // False when there is no room.
+    bool add(const KeyedTry& attempt, TimePoint now)
+    {
+        if (tries_.size() >= capacity_)
+            return false;
+        tries_.push_back({ attempt, std::min(attempt.deadline, now + longestWait_) });
+        return true;
+    }
+
+    void remove(TryId id)
+    {
+        std::erase_if(tries_, [&](const Entry& entry) { return entry.attempt.id == id; });
+    }
+
+    std::vector<KeyedTry> takeAll()
+    {
+        std::vector<KeyedTry> attempts;
+        for (const Entry& entry : std::exchange(tries_, {}))
+            attempts.push_back(entry.attempt);
+        return attempts;
+    }
+
+    std::vector<TryId> takeExpired(TimePoint now)
+    {
+        std::vector<TryId> expired;
+        std::erase_if(tries_, [&](const Entry& entry) {
+            if (now < entry.until)
+                return false;
+            expired.push_back(entry.attempt.id);
+            return true;
+        });
+        return expired;
+    }
+
+    std::size_t size() const { return tries_.size(); }
+
+private:
+    struct Entry {
+        KeyedTry attempt;
+        TimePoint until;
+    };
+
+    std::size_t capacity_;
+    Duration longestWait_;
+    std::vector<Entry> tries_;
+};
+
+}
--- /dev/null
+++ b/Source/Request/RefusalFence.cpp
@@ -0,0 +1,77 @@
+#include "Request/RefusalFence.h"
+
+#include <utility>
+
+namespace wisteriadock {
+
+namespace {
+
+    void append(std::vector<FencedRefusal>& all, std::vector<FencedRefusal> more)
+    {
+        all.insert(all.end(), std::make_move_iterator(more.begin()), std::make_move_iterator(more.end()));
+    }
+
+}
+
+RefusalFence::RefusalFence(Duration timeout)
+    : timeout_(timeout)
+{
+}
+
+void RefusalFence::add(const Holder& backup, FencedRefusal refusal)
+{
+    lines_[backup].next.push_back(std::move(refusal));
+}
+
+std::vector<OutgoingMessage> RefusalFence::takeQuestions(std::uint64_t epoch, TimePoint now)
+{
+    std::vector<OutgoingMessage> questions;
+    for (auto& [backup, line] : lines_) {
+        if (!line.asked.empty() || line.next.empty())
+            continue;
+        line.asked = std::exchange(line.next, {});
+        line.nonce = ++lastNonce_;
+        line.until = now + timeout_;
+        questions.push_back({ backup, CheckEpoch { epoch, line.nonce } });
+    }
+    return questions;
+}
+
+std::vector<FencedRefusal> RefusalFence::takeAnswered(const Holder& from, const EpochChecked& answer)
+{
+    const auto line = lines_.find(from);
+    if (line == lines_.end() || line->second.asked.empty() || line->second.nonce != answer.nonce)
+        return {};
+    return std::exchange(line->second.asked, {});
+}
+
+std::vector<FencedRefusal> RefusalFence::takeExpired(TimePoint now)
+{
+    std::vector<FencedRefusal> expired;
+    for (auto& [backup, line] : lines_) {
+        if (!line.asked.empty() && now >= line.until)
+            append(expired, std::exchange(line.asked, {}));
+    }
+    return expired;
+}
+
+std::vector<FencedRefusal> RefusalFence::takeAll()
+{
+    std::vector<FencedRefusal> all;
+    for (auto& [backup, line] : lines_) {
+        append(all, std::move(line.asked));
+        append(all, std::move(line.next));
+    }
+    lines_.clear();
+    return all;
+}
+
+std::size_t RefusalFence::size() const
+{
+    std::size_t count = 0;
+    for (const auto& [backup, line] : lines_)
+        count += line.asked.size() + line.next.size();
+    return count;
+}
+
+}
--- /dev/null
+++ b/Source/Request/RefusalFence.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "Core/Clock.h"
+#include "Request/ClaimMessages.h"
+#include "Request/RequestTypes.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace wisteriadock {
+
+// A refusal that may say "not run" once the backup has confirmed that its sender still owns the key.
+struct FencedRefusal {
+    TryId id = 0;
+    RequestKey key;
+    RefusalReason reason = RefusalReason::Overloaded;
+    std::chrono::milliseconds comeBackIn { 0 };
+};
+
+// Holds refusals until the backup answered one question about the epoch.
+//
+// What goes wrong without it: an owner is replaced while it is paused; the new owner runs a key; the old one wakes and,
+// finding no record, tells a caller that the key was not run. All refusals that wait for one backup share a question,
+// so an overload costs one message a round trip and not one a refusal.
+class RefusalFence {
+public:
+    explicit RefusalFence(Duration timeout);
+
+    void add(const Holder& backup, FencedRefusal);
+    // Questions to send now: at most one open for each backup.
+    std::vector<OutgoingMessage> takeQuestions(std::uint64_t epoch, TimePoint now);
+
+    // Refusals that an answer settles; empty when the answer is to no open question.
+    std::vector<FencedRefusal> takeAnswered(const Holder& from, const EpochChecked&);
+    // Refusals whose backup was silent for too long.
+    std::vector<FencedRefusal> takeExpired(TimePoint now);
+    // All of them, because the epoch changed.
+    std::vector<FencedRefusal> takeAll();
+
+    std::size_t size() const;
+
+private:
+    struct Line {
+        // Asked about by the open question.
+        std::vector<FencedRefusal> asked;
+        std::uint64_t nonce = 0;
+        TimePoint until;
+        // Came since.
+        std::vector<FencedRefusal> next;
+    };
+
+    Duration timeout_;
+    std::map<Holder, Line> lines_;
+    std::uint64_t lastNonce_ = 0;
+};
+
+}
--- /dev/null
+++ b/Source/Request/RefusalWriter.cpp
@@ -0,0 +1,120 @@
+#include "Request/RefusalWriter.h"
+
+#include "Request/RetryAfter.h"
+
+#include <utility>
+
+namespace wisteriadock {
+
+namespace {
+
+    // Coming back with the same request at a later time can't help against these.
+    bool isFinal(RefusalReason reason)
+    {
+        switch (reason) {
+        case RefusalReason::MissingKey:
+        case RefusalReason::MalformedKey:
+        case RefusalReason::AbsurdDeadline:
+        case RefusalReason::OversizedHeaders:
+        case RefusalReason::OversizedBody:
+        case RefusalReason::KeyReused:
+        case RefusalReason::KeyTooOld:
+        case RefusalReason::AnswerNotKept:
+            return true;
+        default:
+            return false;
+        }
+    }
+
+}
+
+RefusalWriter::RefusalWriter(BucketKeeper& keeper, WorkTable& works, Duration backupTimeout, std::uint64_t seed)
+    : keeper_(keeper)
+    , works_(works)
+    , fence_(backupTimeout)
+    , random_(seed)
+{
+}
+
+void RefusalWriter::refuse(TryId id, RefusalReason reason, Executed executed, std::chrono::milliseconds comeBackIn)
+{
+    const auto retryAfter = isFinal(reason) ? std::chrono::seconds(0) : drawRetryAfter(comeBackIn, random_);
+    actions_.emplace_back(RefuseTry { id, { reason, executed, retryAfter } });
+}
+
+void RefusalWriter::refuseAll(const std::vector<WorkWaiter>& waiters, RefusalReason reason, Executed executed,
+    std::chrono::milliseconds comeBackIn)
+{
+    for (const WorkWaiter& waiter : waiters)
+        refuse(waiter.id, reason, executed, comeBackIn);
+}
+
+void RefusalWriter::refuseFenced(const FencedRefusal& refusal, TimePoint now)
+{
+    const std::uint32_t bucket = claimBucketOf(refusal.key.digest);
+    if (keeper_.ownership(bucket) != Ownership::Active)
+        return refuse(refusal.id, refusal.reason, Executed::Unknown, refusal.comeBackIn);
+    const std::optional<Holder>& backup = keeper_.pairOf(bucket)->backup;
+    if (backup)
+        fence_.add(*backup, refusal);
+    else
+        refuseOwn(refusal, now);
+}
+
+void RefusalWriter::refuseOwn(const FencedRefusal& refusal, TimePoint now)
+{
+    // Another try of the key may have started while the question was on its way.
+    const ClaimRecord* record = keeper_.table().find(claimBucketOf(refusal.key.digest), refusal.key.digest);
+    const bool mayRun = works_.findByKey(refusal.key.digest) || (record && record->state != ClaimState::Refused);
+    if (mayRun)
+        return refuse(refusal.id, RefusalReason::InProgress, Executed::Unknown, refusal.comeBackIn);
+    refuseNotRun(refusal, now);
+}
+
+void RefusalWriter::refuseNotRun(const FencedRefusal& refusal, TimePoint now)
+{
+    const bool isFinalReason = isFinal(refusal.reason);
+    const auto retryAfter = isFinalReason ? std::chrono::seconds(0) : drawRetryAfter(refusal.comeBackIn, random_);
+    actions_.emplace_back(RefuseTry { refusal.id, { refusal.reason, Executed::No, retryAfter } });
+
+    // Until the caller was told to come back, no other try of the key makes this answer false. Repeating the refusal
+    // does not put the time off. Refusals get at most half of the table.
+    const std::uint32_t bucket = claimBucketOf(refusal.key.digest);
+    ClaimTable& table = keeper_.table();
+    const bool hasRoom = table.size() < table.limits().claims / 2;
+    if (isFinalReason || refusal.reason == RefusalReason::ComeBackLater || !hasRoom)
+        return;
+    table.put(bucket, refusal.key.digest,
+        { 0, refusal.key.issuedEpoch, 0, Holder {}, now + retryAfter, ClaimState::Refused, nullptr });
+}
+
+void RefusalWriter::takeEpochChecked(const Holder& from, const EpochChecked& answer, TimePoint now)
+{
+    for (const FencedRefusal& refusal : fence_.takeAnswered(from, answer)) {
+        if (answer.accepted)
+            refuseOwn(refusal, now);
+        else
+            refuse(refusal.id, refusal.reason, Executed::Unknown, refusal.comeBackIn);
+    }
+}
+
+void RefusalWriter::abandonFenced()
+{
+    for (const FencedRefusal& refusal : fence_.takeAll())
+        refuse(refusal.id, refusal.reason, Executed::Unknown, refusal.comeBackIn);
+}
+
+void RefusalWriter::expireFenced(TimePoint now)
+{
+    for (const FencedRefusal& refusal : fence_.takeExpired(now))
+        refuse(refusal.id, RefusalReason::BackupUnreachable, Executed::Unknown, refusal.comeBackIn);
+}
+
+std::vector<RequestAction> RefusalWriter::takeActions(TimePoint now)
+{
+    for (OutgoingMessage& question : fence_.takeQuestions(keeper_.newestEpoch(), now))
+        actions_.emplace_back(std::move(question));
+    return std::exchange(actions_, {});
+}
+
+}
--- /dev/null
+++ b/Source/Request/RefusalWriter.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "Core/Clock.h"
+#include "Request/BucketKeeper.h"
+#include "Request/RefusalFence.h"
+#include "Request/RequestActions.h"
+#include "Request/WorkTable.h"
+
+#include <cstdint>
+#include <random>
+#include <vector>
+
+namespace wisteriadock {
+
+// Writes the refusals of one RequestRunner, whose parts it looks at, and makes sure that "not run" is true of the key.
+class RefusalWriter {
+public:
+    RefusalWriter(BucketKeeper&, WorkTable&, Duration backupTimeout, std::uint64_t seed);
+
+    void refuse(TryId, RefusalReason, Executed, std::chrono::milliseconds comeBackIn = {});
+    void refuseAll(const std::vector<WorkWaiter>&, RefusalReason, Executed, std::chrono::milliseconds comeBackIn = {});
+
+    // Refuses as not run after the bucket's backup confirmed that this balancer still owns the key.
+    void refuseFenced(const FencedRefusal&, TimePoint now);
+    // The same at once. For keys whose claim was held in this balancer's name: nobody else can have run them.
+    void refuseOwn(const FencedRefusal&, TimePoint now);
+
+    void takeEpochChecked(const Holder& from, const EpochChecked&, TimePoint now);
+    // The epoch has changed: what waits can't be confirmed any more.
+    void abandonFenced();
+    void expireFenced(TimePoint now);
+
+    // Refusals and questions to backups.
+    std::vector<RequestAction> takeActions(TimePoint now);
+    std::size_t waiting() const { return fence_.size(); }
+
+private:
+    void refuseNotRun(const FencedRefusal&, TimePoint now);
+
+    BucketKeeper& keeper_;
+    WorkTable& works_;
+    RefusalFence fence_;
+    std::mt19937_64 random_;
+    std::vector<RequestAction> actions_;
+};
+
+}
--- /dev/null
+++ b/Source/Request/RequestRunner.cpp
@@ -0,0 +1,404 @@
+#include "Request/RequestRunner.h"
+
+#include "Net/Http2Client.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace wisteriadock {
+
+namespace {
+
+    constexpr std::chrono::milliseconds shortWait { 1000 };
+    constexpr std::chrono::milliseconds wantTermInterval { 500 };
+
+    RefusalReason reasonFor(HttpFailureKind kind)
+    {
+        if (kind == HttpFailureKind::DeadlineExceeded)
+            return RefusalReason::DeadlinePassed;
+        return mayHaveRun(kind) ? RefusalReason::OutcomeUnknown : RefusalReason::Overloaded;
+    }
+
+}
+
+RequestRunner::RequestRunner(const RunnerSettings& settings)
+    : settings_(settings)
+    , keeper_(settings.self, settings.claims, settings.maxDeadline)
+    , admission_(settings.self, settings.admission, settings.seed)
+    , retries_(settings.retries)
+    , claims_(settings.self, keeper_, works_)
+    , refusals_(keeper_, works_, settings.backupTimeout, settings.seed + 1)
+    , parked_(settings.maxParked, settings.recoveryWait)
+{
+}
+
+void RequestRunner::learnTerm(const ClaimTerm& term, TimePoint now)
+{
+    if (keeper_.term() && term.epoch <= keeper_.term()->epoch)
+        return;
+    leaveEpoch(now);
+    keeper_.learnTerm(term, now);
+    collect(now);
+}
+
+void RequestRunner::configure(const Configuration& configuration, const MembersView& view, TimePoint now)
+{
+    for (const Member& member : view.members)
+        keeper_.learnStart({ member.id, member.incarnation });
+    admission_.configure(configuration, view, now);
+    collect(now);
+}
+
+void RequestRunner::arrive(const KeyedTry& attempt, TimePoint now)
+{
+    decide(attempt, now);
+    collect(now);
+}
+
+void RequestRunner::arrive(const PlainTry& attempt, TimePoint now)
+{
+    start(makeWork(attempt), now);
+    collect(now);
+}
+
+void RequestRunner::decide(const KeyedTry& attempt, TimePoint now)
+{
+    const KeyDecision decision = decideKey(attempt, keeper_, works_, now);
+    switch (decision.step) {
+    case KeyStep::Park:
+        return park(attempt, now);
+    case KeyStep::Redirect:
+        actions_.emplace_back(RedirectTry { attempt.id, keeper_.newestEpoch() });
+        return;
+    case KeyStep::Join:
+        return join(attempt);
+    case KeyStep::Answer:
+        actions_.emplace_back(AnswerTry { attempt.id, decision.answer });
+        return;
+    case KeyStep::RefuseUnknown:
+        return refusals_.refuse(attempt.id, decision.reason, Executed::Unknown, decision.comeBackIn);
+    case KeyStep::RefuseNotRun:
+        return refusals_.refuseFenced({ attempt.id, attempt.key, decision.reason, decision.comeBackIn }, now);
+    case KeyStep::Start:
+        return start(makeWork(attempt), now);
+    }
+}
+
+void RequestRunner::park(const KeyedTry& attempt, TimePoint now)
+{
+    if (!parked_.add(attempt, now))
+        return refusals_.refuse(attempt.id, RefusalReason::NotReady, Executed::Unknown, shortWait);
+    const bool isBehind = !keeper_.mayAct() || attempt.key.issuedEpoch > keeper_.newestEpoch();
+    // Anybody can write an epoch into a key; it must not become a storm of reads.
+    if (!isBehind || now < wantTermAt_)
+        return;
+    wantTermAt_ = now + wantTermInterval;
+    actions_.emplace_back(WantTerm {});
+}
+
+void RequestRunner::join(const KeyedTry& attempt)
+{
+    Work& work = *works_.findByKey(attempt.key.digest);
+    if (work.stage != WorkStage::Sent)
+        work.deadline = std::max(work.deadline, attempt.deadline);
+    works_.addWaiter(work, { attempt.id, attempt.deadline });
+}
+
+void RequestRunner::start(Work work, TimePoint now)
+{
+    retries_.countRequest();
+    const Work& started = works_.add(std::move(work));
+    admission_.request(started.id, started.service, started.deadline, now);
+}
+
+void RequestRunner::cancel(TryId id, TimePoint now)
+{
+    parked_.remove(id);
+    Work* work = works_.findByTry(id);
+    if (!work)
+        return;
+    works_.removeWaiter(*work, id);
+    if (work->waiters.empty()) {
+        if (work->stage != WorkStage::Sent)
+            drop(*work, now);
+        else if (!work->key)
+            actions_.emplace_back(CancelWork { work->id });
+    }
+    collect(now);
+}
+
+void RequestRunner::workAnswered(WorkId id, const WholeAnswer& answer, TimePoint now)
+{
+    const Work* work = works_.find(id);
+    if (!work)
+        return;
+    claims_.recordEnd(*work, true, answer, now);
+    for (const WorkWaiter& waiter : work->waiters)
+        actions_.emplace_back(AnswerTry { waiter.id, answer });
+    works_.erase(id);
+    admission_.release(id, true, now);
+    collect(now);
+}
+
+void RequestRunner::workFailed(WorkId id, HttpFailureKind kind, TimePoint now)
+{
+    Work* work = works_.find(id);
+    if (!work)
+        return;
+    work->mayHaveRun = work->mayHaveRun || mayHaveRun(kind);
+    admission_.release(id, false, now);
+    const bool isWanted = !work->waiters.empty() && now < work->deadline;
+    if (isWanted && retries_.takeRetry(kind, !work->key, work->attempts)) {
+        work->stage = WorkStage::Queued;
+        admission_.request(id, work->service, work->deadline, now);
+    } else
+        giveUp(*work, reasonFor(kind), shortWait, now);
+    collect(now);
+}
+
+// Ends work without an answer, whatever its stage, with what is known of it.
+void RequestRunner::giveUp(Work& work, RefusalReason reason, std::chrono::milliseconds comeBackIn, TimePoint now)
+{
+    const Work ended = work;
+    if (ended.mayHaveRun) {
+        claims_.recordEnd(ended, false, nullptr, now);
+        works_.erase(ended.id);
+        admission_.withdraw(ended.id, now);
+        return refusals_.refuseAll(ended.waiters, reason, Executed::Unknown, comeBackIn);
+    }
+    drop(work, now);
+    if (!ended.key)
+        return refusals_.refuseAll(ended.waiters, reason, Executed::No, comeBackIn);
+    for (const WorkWaiter& waiter : ended.waiters) {
+        const FencedRefusal refusal { waiter.id, *ended.key, reason, comeBackIn };
+        if (ended.isClaimHeld)
+            refusals_.refuseOwn(refusal, now);
+        else
+            refusals_.refuseFenced(refusal, now);
+    }
+}
+
+void RequestRunner::serverShed(BackendServerId server, std::chrono::milliseconds retryAfter, TimePoint now)
+{
+    admission_.shed(server, retryAfter, now);
+}
+
+// Carries out what the parts decided, until nothing more follows from it.
+void RequestRunner::collect(TimePoint now)
+{
+    for (bool isSettled = false; !isSettled;) {
+        if (keeper_.takeOwnershipChanged())
+            retryParked(now);
+        const std::vector<SlotGrant> grants = admission_.takeGrants();
+        const std::vector<SlotRefusal> slotRefusals = admission_.takeRefusals();
+        for (const SlotGrant& grant : grants)
+            takeSlot(grant, now);
+        for (const SlotRefusal& refusal : slotRefusals)
+            takeSlotRefusal(refusal, now);
+        isSettled = grants.empty() && slotRefusals.empty();
+    }
+    std::vector<RequestAction> refused = refusals_.takeActions(now);
+    actions_.insert(actions_.end(), std::make_move_iterator(refused.begin()), std::make_move_iterator(refused.end()));
+    addMessages(claims_.takeMessages());
+    addMessages(keeper_.takeMessages());
+    addMessages(admission_.takeMessages());
+    if (keeper_.takeTermWanted())
+        actions_.emplace_back(WantTerm {});
+}
+
+void RequestRunner::addMessages(std::vector<OutgoingMessage> messages)
+{
+    for (OutgoingMessage& message : messages)
+        actions_.emplace_back(std::move(message));
+}
+
+void RequestRunner::takeSlot(const SlotGrant& grant, TimePoint now)
+{
+    Work* work = works_.find(grant.work);
+    if (!work)
+        return admission_.withdraw(grant.work, now);
+    work->server = grant.server;
+    if (work->key && !work->isClaimHeld)
+        claim(*work, now);
+    else
+        send(*work, now);
+}
+
+void RequestRunner::takeSlotRefusal(const SlotRefusal& refusal, TimePoint now)
+{
+    if (Work* work = works_.find(refusal.work))
+        giveUp(*work, work->mayHaveRun ? RefusalReason::OutcomeUnknown : refusal.reason, refusal.comeBackIn, now);
+}
+
+void RequestRunner::claim(Work& work, TimePoint now)
+{
+    switch (claims_.begin(work, now)) {
+    case ClaimStart::Held:
+        work.isClaimHeld = true;
+        return send(work, now);
+    case ClaimStart::Asked:
+        work.stage = WorkStage::Claiming;
+        work.claimUntil = now + settings_.backupTimeout;
+        return;
+    case ClaimStart::NotOwner:
+        return parkWork(work, now);
+    case ClaimStart::NoRoom:
+        return giveUp(work, RefusalReason::TableFull, shortWait, now);
+    }
+}
+
+void RequestRunner::takeClaimReply(const ClaimReply& reply, TimePoint now)
+{
+    Work* work = works_.findByClaim(reply.sequence);
+    if (!work || work->stage != WorkStage::Claiming)
+        return;
+    if (reply.accepted) {
+        work->isClaimHeld = true;
+        return send(*work, now);
+    }
+    if (reply.epoch > keeper_.newestEpoch()) {
+        leaveEpoch(now);
+        return keeper_.hearOf(reply.epoch);
+    }
+    refuseUnclaimed(*work, now);
+}
+
+void RequestRunner::refuseUnclaimed(Work& work, TimePoint now)
+{
+    const std::vector<WorkWaiter> waiters = work.waiters;
+    drop(work, now);
+    refusals_.refuseAll(waiters, RefusalReason::BackupUnreachable, Executed::Unknown, shortWait);
+}
+
+void RequestRunner::send(Work& work, TimePoint now)
+{
+    if (work.waiters.empty())
+        return drop(work, now);
+    // The last look before the work leaves: a balancer that was paused here must not send what nobody waits for.
+    if (now >= work.deadline)
+        return giveUp(work, RefusalReason::DeadlinePassed, shortWait, now);
+    work.stage = WorkStage::Sent;
+    ++work.attempts;
+    claims_.recordSent(work, now);
+    actions_.emplace_back(StartWork { work.id, work.waiters.front().id, work.server, work.deadline });
+}
+
+void RequestRunner::drop(Work& work, TimePoint now)
+{
+    const WorkId id = work.id;
+    claims_.withdraw(work);
+    works_.erase(id);
+    admission_.withdraw(id, now);
+}
+
+// Work whose claim no backup holds yet goes back to where its tries came from, and its claim is withdrawn before the
+// bucket is handed on; otherwise the new owner would find a claim that nobody will ever use.
+void RequestRunner::leaveEpoch(TimePoint now)
+{
+    for (const WorkId id : works_.ids()) {
+        Work* work = works_.find(id);
+        if (work && work->key && !work->isClaimHeld)
+            parkWork(*work, now);
+    }
+    refusals_.abandonFenced();
+}
+
+void RequestRunner::parkWork(Work& work, TimePoint now)
+{
+    const Work parked = work;
+    drop(work, now);
+    for (const WorkWaiter& waiter : parked.waiters)
+        park({ waiter.id, *parked.key, parked.fingerprint, parked.service, waiter.deadline, std::nullopt }, now);
+}
+
+void RequestRunner::receive(const Holder& from, const RequestMessage& message, TimePoint now)
+{
+    if (const auto* recover = std::get_if<RecoverBucket>(&message)) {
+        if (recover->epoch > keeper_.newestEpoch())
+            leaveEpoch(now);
+    }
+    std::visit(
+        [&](const auto& content) {
+            using Content = std::decay_t<decltype(content)>;
+            if constexpr (requires { content.bucket; }) {
+                if (content.bucket >= claimBucketCount)
+                    return;
+            }
+            if constexpr (std::is_same_v<Content, ClaimReply>)
+                takeClaimReply(content, now);
+            else if constexpr (std::is_same_v<Content, EpochChecked>)
+                refusals_.takeEpochChecked(from, content, now);
+            else if constexpr (std::is_same_v<Content, TermNews>)
+                learnTerm(content.term, now);
+            else if constexpr (requires { admission_.handle(from, content, now); })
+                admission_.handle(from, content, now);
+            else
+                keeper_.handle(from, content, now);
+        },
+        message);
+    collect(now);
+}
+
+std::vector<RequestAction> RequestRunner::takeActions() { return std::exchange(actions_, {}); }
+
+std::optional<std::string> RequestRunner::issueTicket(std::uint64_t high, std::uint64_t low) const
+{
+    if (!keeper_.mayAct())
+        return std::nullopt;
+    return makeTicket(keeper_.term()->zone, keeper_.newestEpoch(), high, low);
+}
+
+void RequestRunner::tick(TimePoint now)
+{
+    keeper_.tick(now);
+    expireClaims(now);
+    expireWaiters(now);
+    for (const TryId id : parked_.takeExpired(now))
+        refusals_.refuse(id, RefusalReason::NotReady, Executed::Unknown, shortWait);
+    refusals_.expireFenced(now);
+    admission_.tick(now);
+    collect(now);
+}
+
+void RequestRunner::expireClaims(TimePoint now)
+{
+    for (const WorkId id : works_.ids()) {
+        Work* work = works_.find(id);
+        if (work && work->stage == WorkStage::Claiming && now >= work->claimUntil)
+            refuseUnclaimed(*work, now);
+    }
+}
+
+void RequestRunner::expireWaiters(TimePoint now)
+{
+    for (const WorkId id : works_.ids()) {
+        Work* work = works_.find(id);
+        if (!work)
+            continue;
+        const std::vector<WorkWaiter> waiters = work->waiters;
+        for (const WorkWaiter& waiter : waiters) {
+            Work* remaining = works_.find(id);
+            if (remaining && now >= waiter.deadline)
+                expireWaiter(*remaining, waiter.id, now);
+        }
+    }
+}
+
+void RequestRunner::expireWaiter(Work& work, TryId id, TimePoint now)
+{
+    const bool isLast = work.waiters.size() == 1;
+    if (isLast && work.stage != WorkStage::Sent)
+        return giveUp(work, RefusalReason::DeadlinePassed, shortWait, now);
+    works_.removeWaiter(work, id);
+    refusals_.refuse(id, RefusalReason::DeadlinePassed, Executed::Unknown, shortWait);
+    if (isLast && !work.key)
+        actions_.emplace_back(CancelWork { work.id });
+}
+
+void RequestRunner::retryParked(TimePoint now)
+{
+    for (const KeyedTry& attempt : parked_.takeAll())
+        decide(attempt, now);
+}
+
+}
--- /dev/null
+++ b/Source/Request/RequestRunner.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include "Core/Clock.h"
+#include "Request/Admission.h"
+#include "Request/BucketKeeper.h"
+#include "Request/KeyDecision.h"
+#include "Request/ParkedTries.h"
+#include "Request/RefusalWriter.h"
+#include "Request/RequestActions.h"
+#include "Request/RetryPolicy.h"
+#include "Request/WorkClaims.h"
+#include "Request/WorkTable.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace wisteriadock {
+
+// Everything that a runner is set up with.
+struct RunnerSettings {
+    Holder self;
+    ClaimLimits claims;
+    AdmissionLimits admission;
+    RetryLimits retries;
+    // How long a backup is waited for, and how long a request waits for claims to move to a new owner.
+    std::chrono::milliseconds backupTimeout { 300 };
+    std::chrono::milliseconds recoveryWait { 2000 };
+    std::chrono::milliseconds maxDeadline { 60'000 };
+    std::size_t maxParked = 1000;
+    std::uint64_t seed = 0;
+};
+
+// Decides about requests at one balancer: non-idempotent ones whose keys it owns, and idempotent ones that it took in.
+//
+// Keyed work goes: slot, claim at the backup, acknowledgement, last check, send. Tries with the same key join the work
+// that is under way. A refusal that says "not run" first asks the backup whether this balancer still owns the key.
+// The shell calls one of the functions below for each event and then carries out takeActions(). Not thread-safe.
+class RequestRunner {
+public:
+    explicit RequestRunner(const RunnerSettings& settings);
+    RequestRunner(const RequestRunner&) = delete;
+    RequestRunner& operator=(const RequestRunner&) = delete;
+
+    void learnTerm(const ClaimTerm&, TimePoint now);
+    // A holder that certainly runs no more: its VM is gone for good. Restarts are noticed from the members.
+    void learnGone(const Holder& holder) { keeper_.learnGone(holder); }
+    void configure(const Configuration&, const MembersView&, TimePoint now);
+
+    void arrive(const KeyedTry&, TimePoint now);
+    void arrive(const PlainTry&, TimePoint now);
+    // The caller left or its balancer is gone. Work of a key that was sent goes on, so that a retry finds its answer;
+    // idempotent work that nobody waits for is cancelled.
+    void cancel(TryId, TimePoint now);
+
+    void workAnswered(WorkId, const WholeAnswer&, TimePoint now);
+    void workFailed(WorkId, HttpFailureKind, TimePoint now);
+    // The server said that it has no room, with 503 or 429 or by refusing the stream. Call it before workFailed.
+    void serverShed(BackendServerId, std::chrono::milliseconds retryAfter, TimePoint now);
+
+    void receive(const Holder& from, const RequestMessage&, TimePoint now);
+    // To be called about every 20 ms.
+    void tick(TimePoint now);
+
+    std::vector<RequestAction> takeActions();
+
+    // The text of a fresh ticket; nothing while this balancer knows no ownership epoch of its zone.
+    std::optional<std::string> issueTicket(std::uint64_t high, std::uint64_t low) const;
+
+    // What a planned stop must wait for.
+    std::size_t workUnderWay() const { return works_.size() + parked_.size() + refusals_.waiting(); }
+    const BucketKeeper& keeper() const { return keeper_; }
+    const Admission& admission() const { return admission_; }
+
+private:
+    void decide(const KeyedTry&, TimePoint now);
+    void park(const KeyedTry&, TimePoint now);
+    void join(const KeyedTry&);
+    void start(Work, TimePoint now);
+
+    void collect(TimePoint now);
+    void addMessages(std::vector<OutgoingMessage>);
+    void takeSlot(const SlotGrant&, TimePoint now);
+    void takeSlotRefusal(const SlotRefusal&, TimePoint now);
+    void claim(Work&, TimePoint now);
+    void takeClaimReply(const ClaimReply&, TimePoint now);
+    void send(Work&, TimePoint now);
+
+    void giveUp(Work&, RefusalReason, std::chrono::milliseconds comeBackIn, TimePoint now);
+    // Forgets work that was not sent, with its slot and claim.
+    void drop(Work&, TimePoint now);
+    void parkWork(Work&, TimePoint now);
+    void refuseUnclaimed(Work&, TimePoint now);
+    // Before this balancer stops acting under an epoch.
+    void leaveEpoch(TimePoint now);
+
+    void expireWaiters(TimePoint now);
+    void expireWaiter(Work&, TryId, TimePoint now);
+    void expireClaims(TimePoint now);
+    void retryParked(TimePoint now);
+
+    RunnerSettings settings_;
+    BucketKeeper keeper_;
+    Admission admission_;
+    RetryPolicy retries_;
+    WorkTable works_;
+    WorkClaims claims_;
+    RefusalWriter refusals_;
+    ParkedTries parked_;
+    TimePoint wantTermAt_;
+    std::vector<RequestAction> actions_;
+};
+
+}
--- /dev/null
+++ b/Source/Request/SlotLoans.cpp
@@ -0,0 +1,76 @@
+#include "Request/SlotLoans.h"
+
+#include <algorithm>
+
+namespace wisteriadock {
+
+namespace {
+
+    constexpr std::chrono::milliseconds replyTimeout { 100 };
+    constexpr std::chrono::milliseconds shortestPause { 10 };
+    constexpr std::chrono::milliseconds longestPause { 640 };
+
+    // Doubles with each full round of refusals.
+    std::chrono::milliseconds pauseAfter(std::size_t refusals, std::size_t peers)
+    {
+        const std::size_t rounds = std::min<std::size_t>(refusals / std::max<std::size_t>(peers, 1), 10);
+        return std::min(longestPause, rounds == 0 ? std::chrono::milliseconds(0) : shortestPause * (1 << rounds));
+    }
+
+}
+
+void SlotLoans::setPeers(std::vector<Holder> peers) { peers_ = std::move(peers); }
+
+std::optional<SlotLoans::Question> SlotLoans::nextQuestion(ServiceId service, TimePoint now, std::mt19937_64& random)
+{
+    if (peers_.empty())
+        return std::nullopt;
+    const auto [entry, isNew] = asking_.try_emplace(service);
+    Asking& asking = entry->second;
+    if (isNew)
+        asking.nextPeer = random();
+    if (now < asking.askAgainAt)
+        return std::nullopt;
+    // A question whose answer never came counts as refused.
+    if (asking.isWaiting)
+        ++asking.refusals;
+    asking.nonce = ++lastNonce_;
+    asking.to = peers_[asking.nextPeer++ % peers_.size()];
+    asking.isWaiting = true;
+    asking.askAgainAt = now + replyTimeout;
+    return Question { asking.to, asking.nonce };
+}
+
+std::optional<ServiceId> SlotLoans::takeReply(const Holder& from, const SlotReply& reply, TimePoint now)
+{
+    for (auto& [service, asking] : asking_) {
+        if (!asking.isWaiting || asking.nonce != reply.nonce || asking.to != from)
+            continue;
+        asking.isWaiting = false;
+        asking.refusals = reply.isLent ? 0 : asking.refusals + 1;
+        asking.askAgainAt = now + pauseAfter(asking.refusals, peers_.size());
+        return service;
+    }
+    return std::nullopt;
+}
+
+void SlotLoans::lend(const Holder& to, std::uint64_t nonce, BackendServerId server, TimePoint expiry)
+{
+    loans_[{ to, nonce }] = { server, expiry };
+}
+
+bool SlotLoans::takeBack(const Holder& from, std::uint64_t nonce) { return loans_.erase({ from, nonce }) > 0; }
+
+std::vector<BackendServerId> SlotLoans::takeExpired(TimePoint now)
+{
+    std::vector<BackendServerId> expired;
+    std::erase_if(loans_, [&](const auto& entry) {
+        if (now < entry.second.expiry)
+            return false;
+        expired.push_back(entry.second.server);
+        return true;
+    });
+    return expired;
+}
+
+}
--- /dev/null
+++ b/Source/Request/TermKeeper.cpp
@@ -0,0 +1,123 @@
+#include "Request/TermKeeper.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace wisteriadock {
+
+TermKeeper::TermKeeper(std::string zone, BalancerId self, const TermTimes& times)
+    : zone_(std::move(zone))
+    , self_(self)
+    , times_(times)
+{
+}
+
+void TermKeeper::learnMembers(const MembersView& view, TimePoint now)
+{
+    view_ = view;
+    tick(now);
+}
+
+void TermKeeper::adopt(const ClaimTerm& term, TimePoint now)
+{
+    // A platform restored from an older copy shows epochs of the past: they are never taken up again, and the next
+    // write puts a newer one over them.
+    if (term_ && term.epoch <= term_->epoch)
+        return;
+    term_ = term;
+    adoptedAt_ = now;
+    wrongSince_.reset();
+    actions_.emplace_back(AdoptTerm { term });
+}
+
+void TermKeeper::learnRecord(const ClaimTerm& term, std::uint64_t revision, TimePoint now)
+{
+    isReading_ = false;
+    revision_ = revision;
+    adopt(term, now);
+    tick(now);
+}
+
+void TermKeeper::learnAbsent(TimePoint now)
+{
+    isReading_ = false;
+    revision_ = 0;
+    tick(now);
+}
+
+void TermKeeper::learnFromPeer(const ClaimTerm& term, TimePoint now)
+{
+    if (term_ && term.epoch <= term_->epoch)
+        return;
+    revision_.reset();
+    adopt(term, now);
+}
+
+void TermKeeper::writeEnded(TermWrite outcome, std::uint64_t newRevision, TimePoint now)
+{
+    const std::optional<ClaimTerm> written = std::exchange(writing_, std::nullopt);
+    nextCallAt_ = now + times_.retry;
+    if (outcome == TermWrite::Written && written) {
+        revision_ = newRevision;
+        adopt(*written, now);
+        return;
+    }
+    // A lost answer is not repeated blindly: the record is read, and tells what is in force.
+    if (outcome != TermWrite::Unreached)
+        read(now);
+}
+
+void TermKeeper::readFailed(TimePoint now)
+{
+    isReading_ = false;
+    nextCallAt_ = now + times_.retry;
+}
+
+void TermKeeper::read(TimePoint now)
+{
+    revision_.reset();
+    isReading_ = true;
+    nextCallAt_ = now + times_.retry;
+    actions_.emplace_back(ReadTerm {});
+}
+
+std::optional<ClaimTerm> TermKeeper::wanted(TimePoint now) const
+{
+    if (auto next = nextClaimTerm(term_, zone_, view_))
+        return next;
+    const bool isHolder = term_ && std::any_of(term_->holders.begin(), term_->holders.end(), [&](const Holder& holder) {
+        return holder.id == self_;
+    });
+    if (isHolder && !view_.isolated && now - adoptedAt_ >= times_.renewal)
+        return renewedClaimTerm(*term_);
+    return std::nullopt;
+}
+
+std::size_t TermKeeper::rankOf(const ClaimTerm& next) const
+{
+    const auto self = std::find_if(
+        next.holders.begin(), next.holders.end(), [&](const Holder& holder) { return holder.id == self_; });
+    return self - next.holders.begin();
+}
+
+void TermKeeper::tick(TimePoint now)
+{
+    const std::optional<ClaimTerm> next = wanted(now);
+    if (!next) {
+        wrongSince_.reset();
+        return;
+    }
+    if (!wrongSince_)
+        wrongSince_ = now;
+    const Duration wait = times_.settle + times_.perRank * static_cast<std::int64_t>(rankOf(*next));
+    if (writing_ || isReading_ || now < nextCallAt_ || now - *wrongSince_ < wait)
+        return;
+    if (!revision_)
+        return read(now);
+    writing_ = next;
+    actions_.emplace_back(WriteTerm { *next, *revision_ });
+}
+
+std::vector<TermAction> TermKeeper::takeActions() { return std::exchange(actions_, {}); }
+
+}
--- /dev/null
+++ b/Source/Request/WorkClaims.cpp
@@ -0,0 +1,79 @@
+#include "Request/WorkClaims.h"
+
+#include <utility>
+
+namespace wisteriadock {
+
+WorkClaims::WorkClaims(const Holder& self, BucketKeeper& keeper, WorkTable& works)
+    : self_(self)
+    , keeper_(keeper)
+    , works_(works)
+{
+}
+
+ClaimRecord WorkClaims::recordOf(const Work& work, ClaimState state, TimePoint now) const
+{
+    return { work.fingerprint, work.key->issuedEpoch, work.sequence, self_, now, state, nullptr };
+}
+
+ClaimStart WorkClaims::begin(Work& work, TimePoint now)
+{
+    const std::uint32_t bucket = claimBucketOf(work.key->digest);
+    if (keeper_.ownership(bucket) != Ownership::Active)
+        return ClaimStart::NotOwner;
+    works_.setClaim(work, ++lastSequence_);
+    if (!keeper_.table().put(bucket, work.key->digest, recordOf(work, ClaimState::Claimed, now)))
+        return ClaimStart::NoRoom;
+    const std::optional<Holder>& backup = keeper_.pairOf(bucket)->backup;
+    if (!backup)
+        return ClaimStart::Held;
+    const ClaimKey message { keeper_.newestEpoch(), bucket, work.sequence, work.key->digest, work.fingerprint,
+        work.key->issuedEpoch };
+    messages_.push_back({ *backup, message });
+    return ClaimStart::Asked;
+}
+
+void WorkClaims::recordSent(const Work& work, TimePoint now)
+{
+    if (work.key)
+        keeper_.table().put(claimBucketOf(work.key->digest), work.key->digest, recordOf(work, ClaimState::Sent, now));
+}
+
+void WorkClaims::recordEnd(const Work& work, bool isAnswered, const WholeAnswer& answer, TimePoint now)
+{
+    if (!work.key)
+        return;
+    const std::uint32_t bucket = claimBucketOf(work.key->digest);
+    ClaimRecord record = recordOf(work, isAnswered ? ClaimState::Answered : ClaimState::Unknown, now);
+    record.answer = answer;
+    keeper_.table().put(bucket, work.key->digest, std::move(record));
+    const ClaimRecord* kept = keeper_.table().find(bucket, work.key->digest);
+    const WholeAnswer keptAnswer = kept ? kept->answer : nullptr;
+    tellHolders(bucket, ClaimOutcome { bucket, work.key->digest, work.sequence, isAnswered, keptAnswer });
+}
+
+void WorkClaims::withdraw(const Work& work)
+{
+    if (!work.key || work.sequence == 0)
+        return;
+    const std::uint32_t bucket = claimBucketOf(work.key->digest);
+    const ClaimRecord* record = keeper_.table().find(bucket, work.key->digest);
+    if (record && record->runner == self_ && record->sequence == work.sequence)
+        keeper_.table().erase(bucket, work.key->digest);
+    tellHolders(bucket, WithdrawClaim { bucket, work.key->digest, work.sequence });
+}
+
+void WorkClaims::tellHolders(std::uint32_t bucket, const RequestMessage& message)
+{
+    const std::optional<ClaimPair>& pair = keeper_.pairOf(bucket);
+    if (!pair)
+        return;
+    if (pair->owner != self_)
+        messages_.push_back({ pair->owner, message });
+    if (pair->backup && *pair->backup != self_)
+        messages_.push_back({ *pair->backup, message });
+}
+
+std::vector<OutgoingMessage> WorkClaims::takeMessages() { return std::exchange(messages_, {}); }
+
+}
--- /dev/null
+++ b/Source/Request/WorkClaims.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "Core/Clock.h"
+#include "Request/BucketKeeper.h"
+#include "Request/ClaimMessages.h"
+#include "Request/WorkTable.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace wisteriadock {
+
+// What became of the wish to claim a key.
+enum class ClaimStart {
+    Held, // The zone has one holder: the claim is held.
+    Asked, // The backup has been asked.
+    NotOwner,
+    NoRoom,
+};
+
+// Writes the claims of one RequestRunner's own work into its table and tells the other holders. For idempotent work,
+// which has no key, nothing happens.
+class WorkClaims {
+public:
+    WorkClaims(const Holder& self, BucketKeeper&, WorkTable&);
+
+    ClaimStart begin(Work&, TimePoint now);
+    void recordSent(const Work&, TimePoint now);
+    void recordEnd(const Work&, bool isAnswered, const WholeAnswer&, TimePoint now);
+    // The claim will not be used (any more).
+    void withdraw(const Work&);
+
+    std::vector<OutgoingMessage> takeMessages();
+
+private:
+    ClaimRecord recordOf(const Work&, ClaimState, TimePoint now) const;
+    void tellHolders(std::uint32_t bucket, const RequestMessage&);
+
+    Holder self_;
+    BucketKeeper& keeper_;
+    WorkTable& works_;
+    std::uint64_t lastSequence_ = 0;
+    std::vector<OutgoingMessage> messages_;
+};
+
+}
--- /dev/null
+++ b/Source/Request/WorkTable.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "Core/Clock.h"
+#include "Request/RequestActions.h"
+#include "Request/RequestTypes.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace wisteriadock {
+
+// One try that waits for the end of some work.
+struct WorkWaiter {
+    TryId id = 0;
+    TimePoint deadline;
+};
+
+// How far work has come at the balancer that does it.
+enum class WorkStage {
+    Queued, // Waits for a slot.
+    Claiming, // Has a slot, waits for the backup's acknowledgement.
+    Sent,
+};
+
+// Work that a balancer does for one or more tries.
+struct Work {
+    WorkId id = 0;
+    // Absent for idempotent work.
+    std::optional<RequestKey> key;
+    std::uint64_t fingerprint = 0;
+    ServiceId service;
+    TimePoint deadline;
+    std::vector<WorkWaiter> waiters;
+    WorkStage stage = WorkStage::Queued;
+    BackendServerId server;
+    // Number of the claim; 0 before there is one.
+    std::uint64_t sequence = 0;
+    // The backup holds the claim. From then on nobody else runs the key, whatever becomes of the ownership.
+    bool isClaimHeld = false;
+    TimePoint claimUntil;
+    std::uint32_t attempts = 0;
+    // An attempt may have been acted on; then no refusal says "not run".
+    bool mayHaveRun = false;
+};
+
+// Work for one try, to be added to a table.
+Work makeWork(const KeyedTry&);
+Work makeWork(const PlainTry&);
+
+// The work of one balancer, found by number, key, try and claim.
+class WorkTable {
+public:
+    Work& add(Work);
+    void erase(WorkId);
+
+    Work* find(WorkId);
+    Work* findByKey(const KeyDigest&);
+    const Work* findByKey(const KeyDigest&) const;
+    Work* findByTry(TryId);
+    Work* findByClaim(std::uint64_t sequence);
+
+    void addWaiter(Work&, const WorkWaiter&);
+    void removeWaiter(Work&, TryId);
+    void setClaim(Work&, std::uint64_t sequence);
+
+    std::size_t size() const { return works_.size(); }
+    // Numbers of all work, oldest first.
+    std::vector<WorkId> ids() const;
+
+private:
+    std::map<WorkId, Work> works_;
+    absl::flat_hash_map<KeyDigest, WorkId> byKey_;
+    absl::flat_hash_map<TryId, WorkId> byTry_;
+    absl::flat_hash_map<std::uint64_t, WorkId> byClaim_;
+    WorkId last_ = 0;
+};
+
+}
--- /dev/null
+++ b/Tests/Request/FakeBackends.cpp
@@ -0,0 +1,61 @@
+#include "FakeBackends.h"
+
+#include <algorithm>
+
+namespace wisteriadock::testing {
+
+std::string answerBodyOf(const std::string& name)
+{
+    return "confirmed " + name + " end";
+}
+
+FakeBackends::FakeBackends(
+    FakeWorld& world, FakeCuts& cuts, std::vector<std::string> zones, std::uint32_t serversPerZone)
+    : world_(world)
+    , cuts_(cuts)
+{
+    Service service;
+    service.name = "tryon";
+    service.id = serviceIdOf(service.name);
+    configuration_.services = { service };
+    for (const std::string& zone : zones) {
+        for (std::uint32_t i = 0; i < serversPerZone; ++i) {
+            BackendServer server;
+            server.name = zone + "-server-" + std::to_string(i);
+            server.id = backendServerIdOf(server.name);
+            server.service = service.id;
+            server.availabilityZone = zone;
+            configuration_.backendServers.push_back(server);
+        }
+    }
+}
+
+void FakeBackends::send(const std::string& fromZone, BackendServerId id, const std::string& name, TimePoint deadline,
+    std::function<void(Reply)> reply)
+{
+    const auto server = std::find_if(configuration_.backendServers.begin(), configuration_.backendServers.end(),
+        [&](const BackendServer& candidate) { return candidate.id == id; });
+    world_.after(world_.between(microseconds(500), microseconds(1500)), [=, this, &settings = *server] {
+        if (cuts_.isCut(fromZone, settings.availabilityZone))
+            return reply({ nullptr, HttpFailureKind::NotSent });
+        if (busy_[id] >= settings.slots)
+            return reply({ nullptr, HttpFailureKind::Refused });
+        ++busy_[id];
+        runs[name].push_back(world_.now());
+        world_.after(world_.between(milliseconds(10), milliseconds(120)),
+            [=, this, &settings] { finish(fromZone, settings, name, deadline, reply); });
+    });
+}
+
+void FakeBackends::finish(const std::string& fromZone, const BackendServer& server, const std::string& name,
+    TimePoint deadline, const std::function<void(Reply)>& reply)
+{
+    --busy_[server.id];
+    if (world_.now() > deadline)
+        return reply({ nullptr, HttpFailureKind::DeadlineExceeded });
+    if (cuts_.isCut(server.availabilityZone, fromZone) || world_.chance(lostAnswers))
+        return reply({ nullptr, HttpFailureKind::Lost });
+    reply({ std::make_shared<HttpResponse>(HttpResponse { 200, {}, answerBodyOf(name) }), {} });
+}
+
+}
--- /dev/null
+++ b/Tests/Request/FakeBalancer.cpp
@@ -0,0 +1,401 @@
+#include "FakeBalancer.h"
+
+#include "Core/Hash.h"
+
+namespace wisteriadock::testing {
+
+namespace {
+
+    constexpr milliseconds heartbeatInterval { 100 };
+    constexpr milliseconds memberLease { 400 };
+    constexpr int maxHops = 4;
+
+}
+
+FakeCluster::FakeCluster(std::uint64_t seed, std::uint32_t balancersPerZone, std::uint32_t serversPerZone)
+    : world(seed)
+    , backends(world, cuts, zones, serversPerZone)
+    , platform(world, cuts)
+{
+    for (const std::string& zone : zones) {
+        for (std::uint32_t i = 0; i < balancersPerZone; ++i)
+            balancers.push_back(std::make_unique<FakeBalancer>(*this, zone + "-" + std::to_string(i), zone));
+    }
+    for (const auto& balancer : balancers)
+        byId[balancer->id()] = balancer.get();
+}
+
+FakeCluster::~FakeCluster() = default;
+
+void FakeCluster::start()
+{
+    for (const auto& balancer : balancers)
+        balancer->kill(milliseconds(0));
+    beat();
+    tick();
+}
+
+void FakeCluster::beat()
+{
+    for (const auto& from : balancers) {
+        for (const auto& to : balancers) {
+            const bool isHeard = from->isUp() && !from->isPaused() && to->isUp() && !to->isPaused()
+                && !cuts.isCut(from->zone(), to->zone());
+            if (isHeard)
+                to->hear(*from);
+        }
+    }
+    for (const auto& balancer : balancers) {
+        if (balancer->isUp() && !balancer->isPaused())
+            balancer->publishView();
+    }
+    world.after(heartbeatInterval, [this] { beat(); });
+}
+
+void FakeCluster::tick()
+{
+    for (const auto& balancer : balancers) {
+        if (balancer->isUp() && !balancer->isPaused())
+            balancer->tick();
+    }
+    world.after(milliseconds(20), [this] { tick(); });
+}
+
+void FakeCluster::carry(
+    const FakeBalancer& from, const Holder& to, std::function<void(FakeBalancer&)> event, bool isReliable)
+{
+    const std::string& fromZone = from.zone();
+    const int copies = isReliable ? 1 : (world.chance(lostMessages) ? 0 : (world.chance(lostMessages) ? 2 : 1));
+    for (int i = 0; i < copies; ++i) {
+        world.after(world.between(microseconds(300), microseconds(1500)), [=, this] {
+            FakeBalancer* balancer = byId.at(to.id);
+            if (!balancer->isUp() || balancer->holder() != to || cuts.isCut(fromZone, balancer->zone()))
+                return;
+            balancer->perform([=] { event(*balancer); });
+        });
+    }
+}
+
+FakeBalancer* FakeCluster::ownerOf(const RequestKey& key)
+{
+    const ClaimTerm* newest = nullptr;
+    for (const auto& balancer : balancers) {
+        const ClaimTerm* term = balancer->isUp() ? balancer->termOf(zones[key.homeZone]) : nullptr;
+        if (term && (!newest || term->epoch > newest->epoch))
+            newest = term;
+    }
+    const auto pair = newest ? newest->pairOf(claimBucketOf(key.digest)) : std::nullopt;
+    return pair ? byId.at(pair->owner.id) : nullptr;
+}
+
+FakeBalancer::FakeBalancer(FakeCluster& cluster, std::string name, std::string zone)
+    : cluster_(cluster)
+    , name_(std::move(name))
+    , zone_(std::move(zone))
+    , id_(balancerIdOf(name_))
+{
+}
+
+void FakeBalancer::start()
+{
+    ++incarnation_;
+    isUp_ = true;
+    isLeaving_ = false;
+    pausedUntil_ = TimePoint();
+    life_ = std::make_unique<Life>();
+    RunnerSettings settings;
+    settings.self = holder();
+    settings.retries.rule = cluster_.retryRule;
+    settings.seed = cluster_.world.draw(1'000'000);
+    life_->runner = std::make_unique<RequestRunner>(settings);
+    life_->router = std::make_unique<RequestRouter>(holder(), cluster_.zones);
+    life_->book = std::make_unique<AnswerBook>(holder(), milliseconds(300));
+    life_->terms = std::make_unique<TermKeeper>(zone_, id_, TermTimes {});
+    life_->lastBeat = cluster_.world.now();
+}
+
+void FakeBalancer::kill(Duration downTime)
+{
+    isUp_ = false;
+    const std::uint64_t killed = incarnation_;
+    cluster_.world.after(downTime, [this, killed] {
+        if (!isUp_ && incarnation_ == killed)
+            start();
+    });
+}
+
+void FakeBalancer::pause(Duration time)
+{
+    pausedUntil_ = std::max(pausedUntil_, cluster_.world.now() + time);
+}
+
+void FakeBalancer::leave()
+{
+    isLeaving_ = true;
+}
+
+void FakeBalancer::perform(std::function<void()> event)
+{
+    const std::uint64_t life = incarnation_;
+    if (!isUp_)
+        return;
+    if (!isPaused())
+        return event();
+    // A paused process finds all that reached it when it wakes.
+    cluster_.world.after(pausedUntil_ - cluster_.world.now(), [=, this] {
+        if (isUp_ && incarnation_ == life)
+            perform(event);
+    });
+}
+
+void FakeBalancer::hear(const FakeBalancer& other)
+{
+    Member member;
+    member.id = other.id_;
+    member.name = other.name_;
+    member.availabilityZone = other.zone_;
+    member.incarnation = other.incarnation_;
+    member.state = other.isLeaving_ ? MemberState::Leaving : MemberState::Serving;
+    life_->heard[other.id_] = { member, cluster_.world.now() };
+    // Records travel with heartbeats here; the daemon sends changes.
+    for (const std::string& zone : cluster_.zones) {
+        const ClaimTerm* term = other.termOf(zone);
+        if (!term || !life_->router->learnTerm(*term) || zone != zone_)
+            continue;
+        life_->terms->learnFromPeer(*term, cluster_.world.now());
+        life_->runner->learnTerm(*term, cluster_.world.now());
+    }
+}
+
+void FakeBalancer::publishView()
+{
+    const TimePoint now = cluster_.world.now();
+    MembersView& view = life_->view;
+    view.self = id_;
+    view.isolated = now - life_->lastBeat > memberLease;
+    life_->lastBeat = now;
+    std::vector<Member> members;
+    for (const auto& [id, heard] : life_->heard) {
+        Member member = heard.first;
+        if (now - heard.second > memberLease)
+            member.state = MemberState::Dead;
+        members.push_back(member);
+    }
+    if (members != view.members) {
+        view.members = std::move(members);
+        ++view.revision;
+        life_->runner->configure(cluster_.backends.configuration(), view, now);
+    }
+    for (const Member& member : view.members) {
+        if (member.state != MemberState::Dead)
+            continue;
+        for (const AbandonedForward& lost : life_->book->loseOwner({ member.id, member.incarnation }))
+            refuseUnknown(lost.id, lost.reason);
+    }
+    life_->terms->learnMembers(view, now);
+    act();
+}
+
+void FakeBalancer::tick()
+{
+    const TimePoint now = cluster_.world.now();
+    life_->terms->tick(now);
+    life_->runner->tick(now);
+    for (const AbandonedForward& lost : life_->book->expire(now))
+        refuseUnknown(lost.id, lost.reason);
+    act();
+    if (isLeaving_ && life_->runner->workUnderWay() == 0 && life_->tries.empty())
+        kill(milliseconds(300));
+}
+
+void FakeBalancer::request(const FakeRequest& request, const FakeReplyTo& reply)
+{
+    const TryId id = ++life_->lastTry;
+    life_->tries[id] = { request, reply, {}, {}, 0 };
+    route(id);
+}
+
+void FakeBalancer::route(TryId id)
+{
+    Local& local = life_->tries[id];
+    const TimePoint now = cluster_.world.now();
+    if (now >= local.request.deadline)
+        return refuseUnknown(id, RefusalReason::DeadlinePassed);
+    const Route found = life_->router->route(local.request.key, life_->view);
+    if (found.kind == RouteKind::Unreachable || ++local.hops > maxHops)
+        return refuseUnknown(id, RefusalReason::HomeUnreachable);
+    if (found.kind == RouteKind::Local) {
+        KeyedTry attempt { id, local.request.key, hashString(local.request.name),
+            cluster_.backends.configuration().services[0].id, local.request.deadline, std::nullopt };
+        life_->runner->arrive(attempt, now);
+        return act();
+    }
+    const ForwardToken token
+        = life_->book->open(id, local.request.key.digest, found.owner, local.request.deadline, now);
+    cluster_.carry(
+        *this, found.owner,
+        [entry = holder(), token, request = local.request](
+            FakeBalancer& owner) { owner.arriveForwarded(entry, token, request); },
+        true);
+}
+
+void FakeBalancer::arriveForwarded(const Holder& entry, const ForwardToken& token, const FakeRequest& request)
+{
+    const TimePoint now = cluster_.world.now();
+    cluster_.carry(*this, entry, [owner = holder(), token](FakeBalancer& balancer) {
+        balancer.life_->book->acknowledge(owner, token);
+    });
+    const TryId id = ++life_->lastTry;
+    life_->tries[id] = { request, {}, entry, token, 0 };
+    if (now >= request.deadline)
+        return refuseUnknown(id, RefusalReason::DeadlinePassed);
+    KeyedTry attempt { id, request.key, hashString(request.name), cluster_.backends.configuration().services[0].id,
+        request.deadline, std::nullopt };
+    life_->runner->arrive(attempt, now);
+    act();
+}
+
+void FakeBalancer::refuseUnknown(TryId id, RefusalReason reason)
+{
+    finish(id, { nullptr, { reason, Executed::Unknown, std::chrono::seconds(1) }, cluster_.world.now() });
+}
+
+void FakeBalancer::finish(TryId id, const FakeReply& reply)
+{
+    const auto found = life_->tries.find(id);
+    if (found == life_->tries.end())
+        return;
+    const Local local = found->second;
+    life_->tries.erase(found);
+    if (local.reply)
+        return local.reply(reply);
+    cluster_.carry(*this, local.entry,
+        [owner = holder(), token = local.token, key = local.request.key.digest, reply](FakeBalancer& balancer) {
+            balancer.settle(owner, token, key, reply);
+        });
+}
+
+void FakeBalancer::settle(const Holder& from, const ForwardToken& token, const KeyDigest& key, const FakeReply& reply)
+{
+    const std::uint64_t bytes = reply.answer ? reply.answer->body.size() : 0;
+    const AnswerBook::Settled settled = life_->book->settle(from, { token, key, bytes, bytes });
+    if (settled.delivery == Delivery::Deliver)
+        finish(settled.id, reply);
+}
+
+void FakeBalancer::settleRedirect(const Holder& from, const ForwardToken& token)
+{
+    const auto id = life_->book->redirect(from, token);
+    if (!id)
+        return;
+    // The newer record comes with the next heartbeat.
+    cluster_.world.after(milliseconds(110), [this, id = *id, life = incarnation_] {
+        perform([=, this] {
+            if (incarnation_ == life && life_->tries.contains(id))
+                route(id);
+        });
+    });
+}
+
+void FakeBalancer::receive(const Holder& from, const RequestMessage& message)
+{
+    life_->runner->receive(from, message, cluster_.world.now());
+    act();
+}
+
+void FakeBalancer::act()
+{
+    for (const RequestAction& action : life_->runner->takeActions())
+        act(action);
+    for (const TermAction& action : life_->terms->takeActions())
+        act(action);
+}
+
+void FakeBalancer::act(const RequestAction& action)
+{
+    const TimePoint now = cluster_.world.now();
+    if (const auto* message = std::get_if<OutgoingMessage>(&action))
+        cluster_.carry(*this, message->to, [from = holder(), content = message->message](FakeBalancer& balancer) {
+            balancer.receive(from, content);
+        });
+    else if (const auto* start = std::get_if<StartWork>(&action))
+        startWork(*start);
+    else if (const auto* answer = std::get_if<AnswerTry>(&action))
+        finish(answer->id, { answer->answer, {}, now });
+    else if (const auto* refusal = std::get_if<RefuseTry>(&action))
+        finish(refusal->id, { nullptr, refusal->refusal, now });
+    else if (const auto* redirect = std::get_if<RedirectTry>(&action)) {
+        const auto found = life_->tries.find(redirect->id);
+        if (found == life_->tries.end())
+            return;
+        const Local local = found->second;
+        if (local.reply)
+            return refuseUnknown(redirect->id, RefusalReason::HomeUnreachable);
+        life_->tries.erase(found);
+        cluster_.carry(*this, local.entry, [owner = holder(), token = local.token](FakeBalancer& balancer) {
+            balancer.settleRedirect(owner, token);
+        });
+    }
+}
+
+void FakeBalancer::startWork(const StartWork& start)
+{
+    const auto found = life_->tries.find(start.content);
+    if (found == life_->tries.end())
+        return;
+    // The moment between the decision and the socket, in which a pause may fall.
+    const FakeRequest request = found->second.request;
+    cluster_.world.after(microseconds(cluster_.world.draw(200)), [=, this, life = incarnation_] {
+        perform([=, this] {
+            if (incarnation_ != life)
+                return;
+            cluster_.backends.send(zone_, start.server, request.name, start.deadline, [=, this](const auto& reply) {
+                perform([=, this] {
+                    if (incarnation_ != life)
+                        return;
+                    const TimePoint now = cluster_.world.now();
+                    if (!reply.answer && reply.failure == HttpFailureKind::Refused)
+                        life_->runner->serverShed(start.server, milliseconds(0), now);
+                    if (reply.answer)
+                        life_->runner->workAnswered(start.work, reply.answer, now);
+                    else
+                        life_->runner->workFailed(start.work, reply.failure, now);
+                    act();
+                });
+            });
+        });
+    });
+}
+
+void FakeBalancer::act(const TermAction& action)
+{
+    const auto ifAlive = [this, life = incarnation_](std::function<void()> event) {
+        perform([=, this] {
+            if (incarnation_ != life)
+                return;
+            event();
+            act();
+        });
+    };
+    if (const auto* write = std::get_if<WriteTerm>(&action))
+        cluster_.platform.write(zone_, *write, [=, this](TermWrite outcome, std::uint64_t revision) {
+            ifAlive([=, this] { life_->terms->writeEnded(outcome, revision, cluster_.world.now()); });
+        });
+    else if (std::get_if<ReadTerm>(&action))
+        cluster_.platform.read(zone_, zone_, [=, this](const std::optional<FakePlatform::Record>& record) {
+            ifAlive([=, this] {
+                if (!record)
+                    life_->terms->readFailed(cluster_.world.now());
+                else if (record->term)
+                    life_->terms->learnRecord(*record->term, record->revision, cluster_.world.now());
+                else
+                    life_->terms->learnAbsent(cluster_.world.now());
+            });
+        });
+    else if (const auto* adopt = std::get_if<AdoptTerm>(&action)) {
+        life_->router->learnTerm(adopt->term);
+        life_->runner->learnTerm(adopt->term, cluster_.world.now());
+    }
+}
+
+}
--- /dev/null
+++ b/Tests/Request/FakeBalancer.h
@@ -0,0 +1,141 @@
+#pragma once
+
+#include "FakeBackends.h"
+#include "FakePlatform.h"
+#include "FakeWorld.h"
+
+#include "Request/AnswerBook.h"
+#include "Request/RequestRouter.h"
+#include "Request/RequestRunner.h"
+#include "Request/TermKeeper.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace wisteriadock::testing {
+
+// What callers get.
+struct FakeReply {
+    WholeAnswer answer; // Null for a refusal.
+    Refusal refusal;
+    // When the refusal was decided; what ran later doesn't make it false.
+    TimePoint decidedAt;
+};
+using FakeReplyTo = std::function<void(const FakeReply&)>;
+
+struct FakeRequest {
+    std::string name; // The key's text.
+    RequestKey key;
+    TimePoint deadline;
+};
+
+class FakeBalancer;
+
+// What tests share: the network, and all balancers by id.
+struct FakeCluster {
+    explicit FakeCluster(std::uint64_t seed, std::uint32_t balancersPerZone = 2, std::uint32_t serversPerZone = 3);
+    ~FakeCluster();
+
+    FakeWorld world;
+    FakeCuts cuts;
+    std::vector<std::string> zones { "walu", "laucala", "nabua" };
+    FakeBackends backends;
+    FakePlatform platform;
+    RetryRule retryRule = RetryRule::Safe;
+    double lostMessages = 0;
+    std::vector<std::unique_ptr<FakeBalancer>> balancers;
+    std::map<BalancerId, FakeBalancer*> byId;
+
+    // Heartbeats and views every 100 ms, ticks every 20 ms.
+    void start();
+    void run(Duration time) { world.runUntil(world.now() + time); }
+    // Carries a closure to a balancer's present life, if the network lets it.
+    void carry(const FakeBalancer& from, const Holder& to, std::function<void(FakeBalancer&)>, bool isReliable = false);
+    FakeBalancer& balancer(std::size_t index) { return *balancers[index]; }
+    // The balancer that owns the key by the newest record known to anybody; null when there is none.
+    FakeBalancer* ownerOf(const RequestKey&);
+
+private:
+    void beat();
+    void tick();
+};
+
+// The shell that a daemon is, in miniature.
+class FakeBalancer {
+public:
+    FakeBalancer(FakeCluster&, std::string name, std::string zone);
+
+    // Faults. A killed balancer comes back as a new incarnation with empty memory.
+    void kill(Duration downTime);
+    void pause(Duration time);
+    void leave();
+
+    bool isUp() const { return isUp_; }
+    bool isPaused() const { return cluster_.world.now() < pausedUntil_; }
+    bool isLeaving() const { return isLeaving_; }
+
+    // A caller's request; the reply is not called when this balancer dies first.
+    void request(const FakeRequest&, const FakeReplyTo&);
+
+    // Runs an event in this life, once it is not paused.
+    void perform(std::function<void()>);
+    void receive(const Holder& from, const RequestMessage&);
+    void hear(const FakeBalancer& other);
+    void publishView();
+    void tick();
+
+    Holder holder() const { return { id_, incarnation_ }; }
+    const std::string& zone() const { return zone_; }
+    BalancerId id() const { return id_; }
+    RequestRunner& runner() { return *life_->runner; }
+    const ClaimTerm* termOf(const std::string& zone) const { return life_->router->termOf(zone); }
+
+private:
+    struct Local {
+        FakeRequest request;
+        FakeReplyTo reply; // Of a caller here.
+        Holder entry; // Of another balancer, when token.number is set.
+        ForwardToken token;
+        int hops = 0;
+    };
+    // What a crash forgets.
+    struct Life {
+        std::unique_ptr<RequestRunner> runner;
+        std::unique_ptr<RequestRouter> router;
+        std::unique_ptr<AnswerBook> book;
+        std::unique_ptr<TermKeeper> terms;
+        std::map<TryId, Local> tries;
+        MembersView view;
+        std::map<BalancerId, std::pair<Member, TimePoint>> heard;
+        TimePoint lastBeat;
+        TryId lastTry = 0;
+    };
+
+    void start();
+    void route(TryId);
+    void arriveForwarded(const Holder& entry, const ForwardToken&, const FakeRequest&);
+    void finish(TryId, const FakeReply&);
+    void settle(const Holder& from, const ForwardToken&, const KeyDigest&, const FakeReply&);
+    void settleRedirect(const Holder& from, const ForwardToken&);
+    void refuseUnknown(TryId, RefusalReason);
+    void act();
+    void act(const RequestAction&);
+    void act(const TermAction&);
+    void startWork(const StartWork&);
+
+    FakeCluster& cluster_;
+    std::string name_;
+    std::string zone_;
+    BalancerId id_;
+    std::uint64_t incarnation_ = 0;
+    bool isUp_ = false;
+    bool isLeaving_ = false;
+    TimePoint pausedUntil_;
+    std::unique_ptr<Life> life_;
+};
+
+}
--- /dev/null
+++ b/Tests/Request/FakeCallers.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "FakeBalancer.h"
+
+#include <cstdint>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace wisteriadock::testing {
+
+// What callers and backend servers saw in one run.
+struct FakeTally {
+    std::uint64_t keys = 0;
+    std::uint64_t tries = 0;
+    std::uint64_t answered = 0;
+    std::uint64_t refusedNotRun = 0;
+    std::uint64_t refusedUnknown = 0;
+    std::uint64_t unheard = 0; // No reply before the caller gave up on the try.
+    std::uint64_t doubleRuns = 0;
+    // "Not run" although a server had begun the key when the refusal was decided.
+    std::uint64_t falseRefusals = 0;
+    // "Not run" as the caller's last word, although a server ran the key before or after.
+    std::uint64_t finallyFalse = 0;
+    std::uint64_t mixedAnswers = 0;
+    std::uint64_t incompleteAnswers = 0;
+    std::uint64_t faults = 0;
+
+    FakeTally& operator+=(const FakeTally&);
+};
+
+// Callers who ask any balancer and repeat the same key at another one until it is answered. Some are impatient and ask
+// again while the first try is still under way.
+class FakeCallers {
+public:
+    explicit FakeCallers(FakeCluster&);
+
+    // One new key, tried up to so many times.
+    void begin(int tries);
+    FakeTally tally();
+
+    double ticketShare = 0.5;
+    Duration patience = milliseconds(1500);
+
+private:
+    struct Caller {
+        FakeRequest request;
+        int triesLeft = 0;
+        int triesOpen = 0;
+        bool isDone = false;
+        bool isLastWordNotRun = false;
+    };
+
+    void attempt(const std::shared_ptr<Caller>&);
+    void hear(const std::shared_ptr<Caller>&, const FakeReply&);
+    void retryIn(const std::shared_ptr<Caller>&, Duration);
+    void checkAnswer(const Caller&, const WholeAnswer&);
+
+    FakeCluster& cluster_;
+    std::vector<std::shared_ptr<Caller>> callers_;
+    FakeTally tally_;
+};
+
+}
--- /dev/null
+++ b/Tests/Request/RandomFaultsTest.cpp
@@ -0,0 +1,118 @@
+#include "FakeCallers.h"
+
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+
+namespace wisteriadock::testing {
+
+namespace {
+
+    void breakSomething(FakeCluster& cluster)
+    {
+        FakeWorld& world = cluster.world;
+        FakeBalancer& victim = *cluster.balancers[world.draw(cluster.balancers.size())];
+        const std::string zone = cluster.zones[world.draw(cluster.zones.size())];
+        const std::string other = cluster.zones[world.draw(cluster.zones.size())];
+        const Duration time = world.between(milliseconds(50), milliseconds(3000));
+        const auto cut = [&](const std::string& from, const std::string& to) {
+            cluster.cuts.cut(from, to);
+            world.after(time, [&cluster, from, to] { cluster.cuts.heal(from, to); });
+        };
+        switch (world.draw(7)) {
+        case 0:
+            return victim.kill(time);
+        case 1:
+            return victim.pause(time);
+        case 2:
+            return victim.leave();
+        case 3:
+            cut(zone, other);
+            return cut(other, zone);
+        case 4: // One direction only; within one zone when both are the same.
+            return cut(zone, other);
+        case 5:
+            return cut(zone, "platform");
+        default:
+            cluster.platform.isOut = true;
+            world.after(time, [&cluster] { cluster.platform.isOut = false; });
+        }
+    }
+
+    // Twelve seconds of callers while something breaks about every 300 ms, then quiet until all have ended.
+    FakeTally runSchedule(std::uint64_t seed, RetryRule rule)
+    {
+        FakeCluster cluster(seed, 2 + seed % 2);
+        cluster.retryRule = rule;
+        cluster.lostMessages = 0.01;
+        cluster.start();
+        cluster.run(milliseconds(2000));
+        FakeCallers callers(cluster);
+        std::uint64_t faults = 0;
+        for (int step = 0; step < 600; ++step) {
+            if (cluster.world.chance(0.8))
+                callers.begin(6);
+            if (cluster.world.chance(0.06)) {
+                breakSomething(cluster);
+                ++faults;
+            }
+            cluster.run(milliseconds(20));
+        }
+        cluster.run(std::chrono::seconds(30));
+        FakeTally tally = callers.tally();
+        tally.faults = faults;
+        return tally;
+    }
+
+    int seedCount()
+    {
+        const char* wanted = std::getenv("WISTERIADOCK_REQUEST_SEEDS");
+        return wanted ? std::atoi(wanted) : 120;
+    }
+
+    void print(const char* name, const FakeTally& tally)
+    {
+        std::cout << name << ": keys " << tally.keys << ", tries " << tally.tries << ", answered " << tally.answered
+                  << ", not run " << tally.refusedNotRun << ", unknown " << tally.refusedUnknown << ", unheard "
+                  << tally.unheard << ", double runs " << tally.doubleRuns << ", false refusals "
+                  << tally.falseRefusals << ", finally false " << tally.finallyFalse << ", mixed "
+                  << tally.mixedAnswers << ", incomplete " << tally.incompleteAnswers << ", faults " << tally.faults
+                  << '\n';
+    }
+
+}
+
+// Symptom: a registration is made twice, or a caller is told "not run" of one that was made.
+// Sequence: balancers are killed, paused and stopped, zones and the platform cut off, messages lost and repeated, in any
+// order, while callers repeat the same key at other balancers.
+// Cause: whatever lets two balancers believe that a key is theirs, or one forget that it was sent.
+TEST(RandomFaults, RunNothingTwiceAndRefuseTruthfully)
+{
+    FakeTally total;
+    for (int seed = 1; seed <= seedCount(); ++seed) {
+        SCOPED_TRACE("seed " + std::to_string(seed));
+        const FakeTally tally = runSchedule(seed, RetryRule::Safe);
+        EXPECT_EQ(tally.doubleRuns, 0u);
+        EXPECT_EQ(tally.falseRefusals, 0u);
+        EXPECT_EQ(tally.finallyFalse, 0u);
+        EXPECT_EQ(tally.mixedAnswers, 0u);
+        EXPECT_EQ(tally.incompleteAnswers, 0u);
+        EXPECT_GT(tally.faults, 0u);
+        EXPECT_GT(tally.answered, tally.keys / 4);
+        total += tally;
+    }
+    print("safe", total);
+}
+
+// Symptom: work runs twice. Sequence: the answer of a server is lost after it acted. Cause: the balancer sends the work
+// again. The same schedules must show it, or the test above proves nothing.
+TEST(RandomFaults, BlindRetryRunsWorkTwice)
+{
+    FakeTally total;
+    for (int seed = 1; seed <= 20; ++seed)
+        total += runSchedule(seed, RetryRule::Blind);
+    print("blind", total);
+    EXPECT_GT(total.doubleRuns, 0u);
+}
+
+}
