FaultProxy: Carry links between processes and inject faults on them

The proofs need faults between real processes that no test double can play. One process carries any number of TCP and UDP links; delay, jitter, loss, duplication, reordering, cuts and freezes are set per link, source and direction while it runs. Loss, duplication and reordering stay off TCP links, where they would corrupt a stream that a real network delivers whole: a cut holds the bytes as a retransmission would, or resets when asked to.

A link per ordered pair of balancers was ruled out: a balancer advertises one address to all others. Rules match the source's address instead, so one link before each balancer serves one-way cuts and zone cuts.

--- /dev/null
+++ b/Source/FaultProxy/Channel.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "FaultProxy/DelayLine.h"
+#include "FaultProxy/LinkFaults.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace wisteriadock {
+
+using Bytes = std::vector<std::uint8_t>;
+
+// One direction of one session: takes what one side sent and hands it to the other when it is due.
+class Channel : public std::enable_shared_from_this<Channel> {
+public:
+    using Deliver = std::function<void(Bytes)>;
+
+    // The counters and the random source outlive the channel.
+    Channel(boost::asio::io_context&, LinkProtocol, FaultCounters&, Random&, Deliver);
+
+    void setSettings(const FaultSettings&);
+    void push(Bytes);
+    // Drops what waits and delivers nothing more.
+    void close();
+
+    bool isResetting() const { return faults_.isResetting(); }
+    bool isHolding() const { return faults_.isHolding(); }
+    std::size_t bytesWaiting() const { return line_.bytes(); }
+
+    static constexpr std::size_t capacityBytes = 4 << 20;
+
+private:
+    void deliverDue();
+    void enqueue(TimePoint due, Bytes);
+    void waitFor(TimePoint due);
+
+    FaultCounters& counters_;
+    Random& random_;
+    LinkFaults faults_;
+    DelayLine<Bytes> line_ { capacityBytes };
+    boost::asio::steady_timer timer_;
+    Deliver deliver_;
+};
+
+}
--- /dev/null
+++ b/Source/FaultProxy/FaultProxyAdmin.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "FaultProxy/FaultProxy.h"
+#include "Net/HttpMessage.h"
+
+namespace wisteriadock {
+
+// The HTTP interface by which an experiment steers a fault proxy (docs/operators/experiments.md).
+//   POST /links    {"name", "protocol", "listen", "target"}: opens a link, or changes the target of an open one.
+//   POST /faults   {"link", "source", "direction", "delay_ms", …}: replaces the faults of that scope and direction.
+//   GET  /counters what each link carried and what was done to it.
+// Anything malformed is answered 400 and changes nothing.
+class FaultProxyAdmin {
+public:
+    explicit FaultProxyAdmin(FaultProxy& proxy)
+        : proxy_(proxy)
+    {
+    }
+
+    HttpResponse answer(const HttpRequest&);
+
+private:
+    Result<std::string> postLink(const std::string& body);
+    Result<std::string> postFaults(const std::string& body);
+    std::string counters() const;
+
+    FaultProxy& proxy_;
+};
+
+// Reads "ADDRESS:PORT" where the port may be 0, for an ephemeral one.
+Result<Endpoint> parseListenAddress(const std::string& text);
+
+}
