Settings: Report problems by line, and broken headers outside of sections

Cause: a malformed header was reported as part of the section before it, and undeclared keys came after all other problems.

The order in the tests follows; they check the same lines as before.

Conclusion: problems are sorted by line when the reader finishes.

--- a/Source/Settings/IniDocument.cpp
+++ b/Source/Settings/IniDocument.cpp
@@ -142,9 +142,9 @@
         const std::string name = close == std::string_view::npos ? std::string() : joinWords(line.substr(1, close - 1));
         const std::string_view rest = close == std::string_view::npos ? "" : trim(line.substr(close + 1));
         if (name.empty() || !(rest.empty() || isComment(rest))) {
-            addProblem({}, line, "a section header such as [section], alone on its line");
             // The keys below belong to a section nobody can name; they are read so that their syntax is checked.
             isSkipping_ = true;
+            addProblem({}, line, "a section header such as [section], alone on its line");
             return;
         }
 
--- a/Source/Settings/SectionReader.cpp
+++ b/Source/Settings/SectionReader.cpp
@@ -176,7 +176,8 @@
     for (const IniEntry& entry : section_->entries) {
         if (std::find(declaredKeys_.begin(), declaredKeys_.end(), entry.key) != declaredKeys_.end())
             continue;
-        addValueProblem(entry, fmt::format("a known key; the nearest is '{}'", nearestName(entry.key, declaredKeys_)));
+        const std::string_view nearest = problems_->isFull() ? "" : nearestName(entry.key, declaredKeys_);
+        addValueProblem(entry, fmt::format("a known key; the nearest is '{}'", nearest));
     }
 }
 
--- a/Source/Settings/SettingsProblem.cpp
+++ b/Source/Settings/SettingsProblem.cpp
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace wisteriadock {
@@ -25,7 +26,7 @@
 
 void SettingsProblems::add(SettingsProblem problem)
 {
-    if (kept_.size() >= maxSettingsProblems) {
+    if (isFull()) {
         ++omitted_;
         return;
     }
@@ -39,6 +40,12 @@
     omitted_ += others.omitted_;
 }
 
+void SettingsProblems::sortByLine()
+{
+    std::stable_sort(
+        kept_.begin(), kept_.end(), [](const SettingsProblem& a, const SettingsProblem& b) { return a.line < b.line; });
+}
+
 std::string SettingsProblems::toString() const
 {
     std::string text;
--- a/Source/Settings/SettingsProblem.h
+++ b/Source/Settings/SettingsProblem.h
@@ -36,8 +36,11 @@
 public:
     void add(SettingsProblem);
     void addAll(const SettingsProblems&);
+    void sortByLine();
 
     bool isEmpty() const { return kept_.empty(); }
+    // Whether later problems are only counted, so that nobody needs to work their texts out.
+    bool isFull() const { return kept_.size() >= maxSettingsProblems; }
     // The first maxSettingsProblems problems, in the order in which they were added.
     const std::vector<SettingsProblem>& kept() const { return kept_; }
     std::size_t omitted() const { return omitted_; }
--- a/Source/Settings/SettingsReader.cpp
+++ b/Source/Settings/SettingsReader.cpp
@@ -80,6 +80,7 @@
         problems_.add({ document_.file(), section.line, section.name, {}, {},
             fmt::format("a known section; the nearest is '{}'", nearestName(kindOf(section.name), known)) });
     }
+    problems_.sortByLine();
     return std::move(problems_);
 }
 
--- a/Source/Settings/SettingsReader.h
+++ b/Source/Settings/SettingsReader.h
@@ -34,7 +34,8 @@
     // Reports a problem that belongs to no section of the file.
     void addProblem(std::string expected);
 
-    // All problems, those of the syntax and of undeclared sections and keys included. Call it once, after all reads.
+    // All problems by line, those of the syntax and of undeclared sections and keys included. Call it once, after all
+    // reads.
     SettingsProblems finish();
 
 private:
--- a/Tests/Settings/SettingsReaderTest.cpp
+++ b/Tests/Settings/SettingsReaderTest.cpp
@@ -114,10 +114,10 @@
             read("[paint]\ncoat = 3\n[brushes]\n[brush]\n[brush two words]\n");
             EXPECT_THAT(problems_,
                 testing::ElementsAre("f.ini:1: [paint]: expected the key 'shop'",
-                    testing::StartsWith("f.ini:4: [brush]: expected [brush NAME]"),
-                    testing::StartsWith("f.ini:5: [brush two words]: expected [brush NAME]"),
                     "f.ini:2: [paint] coat = 3: expected a known key; the nearest is 'coats'",
-                    "f.ini:3: [brushes]: expected a known section; the nearest is 'brush'"));
+                    "f.ini:3: [brushes]: expected a known section; the nearest is 'brush'",
+                    testing::StartsWith("f.ini:4: [brush]: expected [brush NAME]"),
+                    testing::StartsWith("f.ini:5: [brush two words]: expected [brush NAME]")));
         }
         {
             SCOPED_TRACE("missing section, reported once and not key by key");
