--- a/Source/Configuration/Configuration.h
+++ b/Source/Configuration/Configuration.h
@@ -2,6 +2,7 @@
 
 #include "Core/Endpoint.h"
 #include "Core/Identifiers.h"
+#include "Core/NameTable.h"
 
 #include <cstdint>
 #include <string>
@@ -18,6 +19,12 @@
 
 std::string_view nameOf(BackendServerState);
 
+// The names of the states in files.
+constexpr auto backendServerStateNames = makeNameTable<BackendServerState>({
+    { BackendServerState::Active, "active" },
+    { BackendServerState::Draining, "draining" },
+});
+
 // One service: the address its callers use and the rules by which its traffic is shared.
 struct Service {
     std::string name;
@@ -61,9 +68,11 @@
     std::vector<Service> services;
     std::vector<BackendServer> backendServers;
 
+    // Look-ups by name are binary searches, those by identifier linear ones. Null when there is no such entry.
     const Service* findService(std::string_view name) const;
     const Service* findService(ServiceId) const;
     const BackendServer* findBackendServer(std::string_view name) const;
+    const BackendServer* findBackendServer(BackendServerId) const;
 
     bool operator==(const Configuration&) const = default;
 };
--- /dev/null
+++ b/Source/Configuration/ConfigurationLimits.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+
+namespace wisteriadock {
+
+// Bounds on what a configuration may hold. They keep a mistaken file from filling every balancer's memory, and stand in
+// docs/operators/configuration-reference.md.
+constexpr std::size_t maxConfigurationBytes = 16'000'000;
+constexpr std::size_t maxServices = 10'000;
+constexpr std::size_t maxBackendServers = 50'000;
+
+constexpr std::uint32_t maxFlowIdleSeconds = 86'400;
+constexpr std::uint32_t maxSlots = 10'000;
+constexpr std::uint32_t maxConnections = 10'000'000;
+constexpr std::uint32_t maxWeight = 10'000;
+constexpr std::uint32_t maxSlowStartSeconds = 3'600;
+// An objective of 1 would leave no room for the burn rate, which divides by the share that may fail.
+constexpr double maxObjective = 0.999999;
+
+}
