--- /dev/null
+++ b/Source/Membership/Member.cpp
@@ -0,0 +1,29 @@
+#include "Membership/Member.h"
+
+#include "Core/NameTable.h"
+
+#include <algorithm>
+
+namespace wisteriadock {
+
+namespace {
+
+    constexpr auto memberStateNames = makeNameTable<MemberState>({
+        { MemberState::Joining, "joining" },
+        { MemberState::Serving, "serving" },
+        { MemberState::Leaving, "leaving" },
+        { MemberState::Dead, "dead" },
+    });
+
+}
+
+std::string_view nameOf(MemberState state) { return memberStateNames.name(state); }
+
+const Member* MembersView::find(BalancerId id) const
+{
+    const auto found = std::lower_bound(
+        members.begin(), members.end(), id, [](const Member& member, BalancerId wanted) { return member.id < wanted; });
+    return found != members.end() && found->id == id ? &*found : nullptr;
+}
+
+}
--- /dev/null
+++ b/Source/Membership/MemberTable.cpp
@@ -0,0 +1,408 @@
+#include "Membership/MemberTable.h"
+
+#include "Wire/PeerMessage.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace wisteriadock {
+
+namespace {
+
+    constexpr std::size_t longestName = 64;
+    // Upper bounds of what a row takes on the wire, in bytes.
+    constexpr std::size_t rowBytes = 34;
+    constexpr std::size_t detailsBytes = 32;
+    // What a message carries beside its rows.
+    constexpr std::size_t messageBytes = 32;
+    constexpr std::size_t fewestSends = 6;
+    constexpr std::size_t sendsPerMagnitude = 3;
+
+    bool isGone(const MemberRow& row)
+    {
+        return row.status == static_cast<std::uint8_t>(RowStatus::Dead)
+            || row.status == static_cast<std::uint8_t>(RowStatus::Left);
+    }
+
+    bool isWellFormed(const MemberRow& row)
+    {
+        if (row.id == 0 || row.status > static_cast<std::uint8_t>(RowStatus::Left) || row.details.size() > 1)
+            return false;
+        return row.details.empty()
+            || (row.details[0].name.size() <= longestName && row.details[0].availabilityZone.size() <= longestName);
+    }
+
+    MemberState stateOf(const MemberRow& row)
+    {
+        switch (static_cast<RowStatus>(row.status)) {
+        case RowStatus::Joining:
+            return MemberState::Joining;
+        case RowStatus::Serving:
+            return MemberState::Serving;
+        case RowStatus::Leaving:
+            return MemberState::Leaving;
+        case RowStatus::Dead:
+        case RowStatus::Left:
+            break;
+        }
+        return MemberState::Dead;
+    }
+
+    RowStatus statusOf(const MemberRecord& record)
+    {
+        switch (record.member.state) {
+        case MemberState::Joining:
+            return RowStatus::Joining;
+        case MemberState::Serving:
+            return RowStatus::Serving;
+        case MemberState::Leaving:
+            return RowStatus::Leaving;
+        case MemberState::Dead:
+            break;
+        }
+        return record.left ? RowStatus::Left : RowStatus::Dead;
+    }
+
+    std::size_t bytesOf(const Member& member, bool withDetails)
+    {
+        return rowBytes + (withDetails ? detailsBytes + member.name.size() + member.availabilityZone.size() : 0);
+    }
+
+}
+
+MemberTable::MemberTable(const MembershipSettings& settings, const Member& self, TimePoint now)
+    : settings_(settings)
+    , self_(&records_[self.id])
+{
+    self_->member = self;
+    self_->changedAt = now;
+}
+
+MemberRecord* MemberTable::find(BalancerId id)
+{
+    const auto found = records_.find(id);
+    return found == records_.end() ? nullptr : &found->second;
+}
+
+std::vector<Endpoint> MemberTable::addressesOfAlive() const
+{
+    std::vector<Endpoint> addresses;
+    for (const auto& [id, record] : records_) {
+        if (record.isAlive())
+            addresses.push_back(record.member.peerAddress);
+    }
+    return addresses;
+}
+
+MergeOutcome MemberTable::merge(const MemberRow& row, TimePoint now, bool passOn)
+{
+    if (!isWellFormed(row))
+        return MergeOutcome::Ignored;
+    MemberRecord* const record = find(BalancerId { row.id });
+    if (record == self_)
+        return MergeOutcome::AboutSelf;
+    const bool isNew = !record || row.incarnation > record->member.incarnation;
+    const MergeOutcome outcome = isNew ? arrive(row, record, now) : mergeKnown(*record, row, now);
+    if (outcome == MergeOutcome::Applied && passOn)
+        spread(*find(BalancerId { row.id }), isNew);
+    return outcome;
+}
+
+MergeOutcome MemberTable::mergeKnown(MemberRecord& record, const MemberRow& row, TimePoint now)
+{
+    if (row.incarnation < record.member.incarnation)
+        return MergeOutcome::Ignored;
+    if (row.configurationVersion > record.member.configurationVersion) {
+        record.member.configurationVersion = row.configurationVersion;
+        versionsChanged_ = true;
+    }
+    return row.suspected || isGone(row) ? mergeClaim(record, row, now) : mergeLife(record, row);
+}
+
+MergeOutcome MemberTable::arrive(const MemberRow& row, MemberRecord* old, TimePoint now)
+{
+    if (isGone(row)) {
+        // The next incarnation has come and gone unseen, so the one known here is gone too.
+        if (!old)
+            return MergeOutcome::Ignored;
+        old->member.incarnation = row.incarnation;
+        old->sequence = row.sequence;
+        if (old->isAlive())
+            bury(*old, now);
+        return MergeOutcome::Applied;
+    }
+    if (row.details.empty())
+        return MergeOutcome::NeedsDetails;
+    if (old)
+        erase(old->member.id);
+    const MemberDetails& details = row.details[0];
+    MemberRecord& record = records_[BalancerId { row.id }];
+    record.member = { BalancerId { row.id }, details.name, details.availabilityZone,
+        { details.peerHost, details.peerPort }, { details.flowHost, details.flowPort },
+        { details.requestHost, details.requestPort }, row.incarnation, stateOf(row), row.configurationVersion };
+    record.sequence = row.sequence;
+    record.suspected = row.suspected;
+    record.changedAt = now;
+    if (row.suspected)
+        watched_.insert(record.member.id);
+    ++othersAlive_;
+    arrivals_.push_back(record.member.id);
+    membersChanged_ = true;
+    return MergeOutcome::Applied;
+}
+
+MergeOutcome MemberTable::mergeLife(MemberRecord& record, const MemberRow& row)
+{
+    if (row.sequence <= record.sequence)
+        return MergeOutcome::Ignored;
+    if (!record.isAlive()) {
+        std::erase(tombstones_, record.member.id);
+        ++othersAlive_;
+        arrivals_.push_back(record.member.id);
+    }
+    record.sequence = row.sequence;
+    record.member.state = stateOf(row);
+    record.left = false;
+    clearSuspicion(record);
+    membersChanged_ = true;
+    return MergeOutcome::Applied;
+}
+
+MergeOutcome MemberTable::mergeClaim(MemberRecord& record, const MemberRow& row, TimePoint now)
+{
+    if (row.sequence < record.sequence)
+        return MergeOutcome::Ignored;
+    const bool isKnown = row.sequence == record.sequence && record.suspected;
+    record.sequence = row.sequence;
+    if (!record.isAlive())
+        return MergeOutcome::Ignored;
+    if (!isGone(row) && record.member.state != stateOf(row)) {
+        record.member.state = stateOf(row);
+        membersChanged_ = true;
+    }
+    // A death is taken over only from a member that was already suspected and has not answered since. Else a
+    // balancer that comes out of a cut, or has just woken, would bury everybody with the dead of its old view.
+    const bool isConfirmed = record.suspected && !record.disputed && record.lastProof < record.changedAt;
+    if (isGone(row) && isConfirmed) {
+        bury(record, now);
+        return MergeOutcome::Applied;
+    }
+    if (isKnown)
+        return MergeOutcome::Ignored;
+    record.suspected = true;
+    record.disputed = isGone(row);
+    record.changedAt = now;
+    watched_.insert(record.member.id);
+    // A disputed death is not passed on: others would take it for a suspicion and bury the member on the next claim.
+    return record.disputed ? MergeOutcome::Ignored : MergeOutcome::Applied;
+}
+
+void MemberTable::setSelfState(MemberState state)
+{
+    if (self_->member.state == state)
+        return;
+    self_->member.state = state;
+    ++self_->sequence;
+    membersChanged_ = true;
+}
+
+void MemberTable::setConfigurationVersion(std::uint64_t version)
+{
+    self_->member.configurationVersion = version;
+    membersChanged_ = true;
+}
+
+void MemberTable::raiseSelf(std::uint64_t incarnation, std::uint32_t sequence)
+{
+    membersChanged_ = membersChanged_ || self_->member.incarnation != incarnation;
+    self_->member.incarnation = incarnation;
+    self_->sequence = sequence;
+    spread(*self_, false);
+}
+
+void MemberTable::suspect(MemberRecord& record, TimePoint now)
+{
+    record.suspectedHere = true;
+    record.disputed = false;
+    record.suspected = true;
+    record.changedAt = now;
+    watched_.insert(record.member.id);
+    spread(record, false);
+}
+
+void MemberTable::clearSuspicion(MemberRecord& record)
+{
+    record.suspected = false;
+    record.suspectedHere = false;
+    record.disputed = false;
+    if (!record.awaitingSince)
+        watched_.erase(record.member.id);
+}
+
+void MemberTable::declareDead(MemberRecord& record, TimePoint now)
+{
+    bury(record, now);
+    spread(record, false);
+}
+
+void MemberTable::restartSuspicions(TimePoint now)
+{
+    for (const BalancerId id : watched_) {
+        MemberRecord& record = records_.at(id);
+        if (record.suspected)
+            record.changedAt = now;
+    }
+}
+
+void MemberTable::bury(MemberRecord& record, TimePoint now)
+{
+    record.left = record.member.state == MemberState::Leaving;
+    record.member.state = MemberState::Dead;
+    record.awaitingSince.reset();
+    clearSuspicion(record);
+    record.changedAt = now;
+    tombstones_.push_back(record.member.id);
+    --othersAlive_;
+    membersChanged_ = true;
+}
+
+void MemberTable::spread(MemberRecord& record, bool withDetails)
+{
+    record.newsHasDetails = withDetails || (record.newsHasDetails && news_.contains(record.member.id));
+    const double magnitude = std::ceil(std::log10(static_cast<double>(records_.size() + 1)));
+    news_.push(record.member.id, std::max(fewestSends, sendsPerMagnitude * static_cast<std::size_t>(magnitude)));
+}
+
+void MemberTable::erase(BalancerId id)
+{
+    const auto found = records_.find(id);
+    if (found->second.isAlive())
+        --othersAlive_;
+    else
+        std::erase(tombstones_, id);
+    watched_.erase(id);
+    news_.erase(id);
+    records_.erase(found);
+    membersChanged_ = true;
+}
+
+Duration MemberTable::suspicionTime() const
+{
+    const double factor = std::max(1.0, std::log2(static_cast<double>(othersAlive_ + 1)) / 3);
+    return std::chrono::duration_cast<Duration>(settings_.suspicion * factor);
+}
+
+std::vector<BalancerId> MemberTable::takeArrivals() { return std::exchange(arrivals_, {}); }
+
+std::optional<BalancerId> MemberTable::anyDead(std::mt19937_64& random) const
+{
+    if (tombstones_.empty())
+        return std::nullopt;
+    const std::size_t start = random() % tombstones_.size();
+    for (std::size_t i = 0; i < tombstones_.size(); ++i) {
+        const BalancerId id = tombstones_[(start + i) % tombstones_.size()];
+        if (!records_.at(id).left)
+            return id;
+    }
+    return std::nullopt;
+}
+
+void MemberTable::dropOldTombstones(TimePoint now)
+{
+    while (!tombstones_.empty()) {
+        const BalancerId oldest = tombstones_.front();
+        const bool isOld = now - records_.at(oldest).changedAt > settings_.tombstoneLifetime;
+        if (!isOld && tombstones_.size() <= settings_.tombstoneLimit)
+            return;
+        erase(oldest);
+    }
+}
+
+MemberRow MemberTable::rowOf(const MemberRecord& record, bool withDetails)
+{
+    const Member& member = record.member;
+    MemberRow row { member.id.value, member.incarnation, record.sequence, static_cast<std::uint8_t>(statusOf(record)),
+        record.suspected, member.configurationVersion, {} };
+    if (withDetails) {
+        row.details.push_back({ member.name, member.availabilityZone, member.peerAddress.address,
+            member.peerAddress.port, member.flowAddress.address, member.flowAddress.port, member.requestAddress.address,
+            member.requestAddress.port });
+    }
+    return row;
+}
+
+std::vector<MemberRow> MemberTable::takeNews(std::size_t& bytes)
+{
+    std::vector<MemberRow> rows;
+    for (std::size_t left = news_.size(); left > 0 && bytes >= rowBytes; --left) {
+        const auto id = news_.pop();
+        const MemberRecord& record = records_.at(*id);
+        bytes -= std::min(bytes, bytesOf(record.member, record.newsHasDetails));
+        rows.push_back(rowOf(record, record.newsHasDetails));
+    }
+    return rows;
+}
+
+std::vector<MemberRow> MemberTable::takeRotation(std::size_t count)
+{
+    std::vector<MemberRow> rows;
+    for (std::size_t i = 0; i < std::min(count, records_.size()); ++i) {
+        auto next = records_.upper_bound(rotation_);
+        if (next == records_.end())
+            next = records_.begin();
+        rotation_ = next->first;
+        rows.push_back(rowOf(next->second, false));
+    }
+    return rows;
+}
+
+std::vector<MemberRow> MemberTable::page(std::uint32_t after, bool& isLast) const
+{
+    std::vector<MemberRow> rows;
+    std::size_t used = messageBytes;
+    auto next = records_.upper_bound(BalancerId { after });
+    for (; next != records_.end(); ++next) {
+        const bool withDetails = next->second.isAlive();
+        used += bytesOf(next->second.member, withDetails);
+        if (used > largestPeerPayload)
+            break;
+        rows.push_back(rowOf(next->second, withDetails));
+    }
+    isLast = next == records_.end();
+    return rows;
+}
+
+std::vector<MemberRow> MemberTable::rowsOf(const std::vector<std::uint32_t>& ids) const
+{
+    std::vector<MemberRow> rows;
+    std::size_t used = messageBytes;
+    for (const std::uint32_t id : ids) {
+        const auto found = records_.find(BalancerId { id });
+        if (found == records_.end())
+            continue;
+        used += bytesOf(found->second.member, true);
+        if (used > largestPeerPayload)
+            break;
+        rows.push_back(rowOf(found->second, true));
+    }
+    return rows;
+}
+
+std::shared_ptr<const MembersView> MemberTable::publish(std::uint64_t revision, bool isolated)
+{
+    auto view = std::make_shared<MembersView>();
+    view->revision = revision;
+    view->self = self_->member.id;
+    view->isolated = isolated;
+    view->members.reserve(records_.size());
+    for (const auto& [id, record] : records_) {
+        // Who left by plan is no loss to be shown.
+        if (!record.left)
+            view->members.push_back(record.member);
+    }
+    membersChanged_ = false;
+    versionsChanged_ = false;
+    return view;
+}
+
+}
--- /dev/null
+++ b/Source/Membership/MemberTable.h
@@ -0,0 +1,128 @@
+#pragma once
+
+#include "Core/Clock.h"
+#include "Membership/Member.h"
+#include "Membership/MembershipMessages.h"
+#include "Membership/MembershipSettings.h"
+#include "Membership/RumorQueue.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <vector>
+
+namespace wisteriadock {
+
+// What a balancer knows of one member, itself included.
+struct MemberRecord {
+    // Its state is what the member said last, or Dead.
+    Member member;
+    std::uint32_t sequence = 0;
+    // Somebody got no answer from it; views go on showing the state it said last.
+    bool suspected = false;
+    // This balancer itself got no answer from it.
+    bool suspectedHere = false;
+    // Somebody holds it dead who may be wrong, so only a probe of this balancer's own settles it.
+    bool disputed = false;
+    // Dead after it had said that it leaves.
+    bool left = false;
+    // Since when it is suspected or dead.
+    TimePoint changedAt;
+    // When the latest nonce was sent that the member answered.
+    TimePoint lastProof = TimePoint::min();
+    // When the oldest probe was sent that it has not answered; see FailureDetector.
+    std::optional<TimePoint> awaitingSince;
+    bool askedOthers = false;
+    // Its latest nonce, to be echoed.
+    std::uint32_t lastNonce = 0;
+    bool newsHasDetails = false;
+
+    bool isAlive() const { return member.state != MemberState::Dead; }
+};
+
+// What came of a row that another balancer sent.
+enum class MergeOutcome {
+    Ignored, // Old, malformed or known, or a death to be looked into first.
+    Applied,
+    NeedsDetails, // A member or an incarnation that is not known yet; ask for its details.
+    AboutSelf, // Left to the caller, who may have to refute it.
+};
+
+// The rows of all members, how rows of other balancers are merged into them, and the news to pass on.
+class MemberTable {
+public:
+    MemberTable(const MembershipSettings&, const Member& self, TimePoint now);
+
+    // What a row changes is passed on as news, unless the row was read in a catch-up and so is news to nobody else.
+    MergeOutcome merge(const MemberRow&, TimePoint now, bool passOn = true);
+
+    MemberRecord& self() { return *self_; }
+    const MemberRecord& self() const { return *self_; }
+    MemberRecord* find(BalancerId);
+    std::size_t othersAlive() const { return othersAlive_; }
+    std::vector<Endpoint> addressesOfAlive() const;
+
+    // Changes of this balancer's own row. Raising the sequence overrides whatever others say of it.
+    void setSelfState(MemberState);
+    void setConfigurationVersion(std::uint64_t);
+    void raiseSelf(std::uint64_t incarnation, std::uint32_t sequence);
+
+    void suspect(MemberRecord&, TimePoint now);
+    void clearSuspicion(MemberRecord&);
+    void declareDead(MemberRecord&, TimePoint now);
+    // Gives all suspected members their full time again.
+    void restartSuspicions(TimePoint now);
+    // Members that are suspected or owe an answer.
+    std::set<BalancerId>& watched() { return watched_; }
+    // How long a suspected member of a fleet of this size has to refute.
+    Duration suspicionTime() const;
+
+    // Members that are alive since the last call and were not before.
+    std::vector<BalancerId> takeArrivals();
+    // A dead member to be tried again, at random.
+    std::optional<BalancerId> anyDead(std::mt19937_64&) const;
+    void dropOldTombstones(TimePoint now);
+
+    static MemberRow rowOf(const MemberRecord&, bool withDetails);
+    // News for a message, worth about the bytes given. Leaves there what it did not use.
+    std::vector<MemberRow> takeNews(std::size_t& bytes);
+    // The next members in the order of ids.
+    std::vector<MemberRow> takeRotation(std::size_t rows);
+    // Rows with details above an id, as many as fit one datagram. Sets whether these are the last.
+    std::vector<MemberRow> page(std::uint32_t after, bool& isLast) const;
+    std::vector<MemberRow> rowsOf(const std::vector<std::uint32_t>& ids) const;
+
+    // True when a view published now would differ in more than configuration versions.
+    bool membersChanged() const { return membersChanged_; }
+    bool versionsChanged() const { return versionsChanged_; }
+    std::shared_ptr<const MembersView> publish(std::uint64_t revision, bool isolated);
+
+private:
+    MergeOutcome arrive(const MemberRow&, MemberRecord* old, TimePoint now);
+    MergeOutcome mergeKnown(MemberRecord&, const MemberRow&, TimePoint now);
+    MergeOutcome mergeLife(MemberRecord&, const MemberRow&);
+    MergeOutcome mergeClaim(MemberRecord&, const MemberRow&, TimePoint now);
+    void bury(MemberRecord&, TimePoint now);
+    void spread(MemberRecord&, bool withDetails);
+    void erase(BalancerId);
+
+    const MembershipSettings& settings_;
+    std::map<BalancerId, MemberRecord> records_;
+    MemberRecord* self_;
+    std::size_t othersAlive_ = 0;
+    std::set<BalancerId> watched_;
+    std::vector<BalancerId> arrivals_;
+    // Oldest first.
+    std::deque<BalancerId> tombstones_;
+    RumorQueue news_;
+    BalancerId rotation_;
+    bool membersChanged_ = true;
+    bool versionsChanged_ = false;
+};
+
+}
--- /dev/null
+++ b/Source/Membership/Membership.cpp
@@ -0,0 +1,256 @@
+#include "Membership/Membership.h"
+
+#include <algorithm>
+
+namespace wisteriadock {
+
+namespace {
+
+    constexpr std::size_t mostRelays = 32;
+    // Ids named in one request for details.
+    constexpr std::size_t mostNamedIds = 8;
+
+    // Nonces count milliseconds, so all times inside do.
+    TimePoint wholeMilliseconds(TimePoint now) { return std::chrono::floor<std::chrono::milliseconds>(now); }
+
+}
+
+Membership::Membership(const MembershipSettings& settings, const Member& self, std::uint64_t seed, TimePoint now)
+    : settings_(settings)
+    , random_(seed)
+    , table_(settings_, self, wholeMilliseconds(now))
+    , detector_(settings_, table_)
+    , nonces_(self.incarnation, wholeMilliseconds(now))
+    , observation_(settings_, wholeMilliseconds(now))
+    , nextInterval_(wholeMilliseconds(now))
+    , view_(table_.publish(1, true))
+{
+}
+
+MembershipActions Membership::handle(const PeerMessageReceived& event, TimePoint time)
+{
+    const TimePoint now = wholeMilliseconds(time);
+    wakeIfPaused(now);
+    const PeerEnvelope& envelope = event.envelope;
+    if (envelope.sender == table_.self().member.id)
+        return finish(now, false);
+    if (envelope.kind == PeerMessageKind::Heartbeat) {
+        if (const auto message = decodeMessage<HeartbeatMessage>(envelope.payload))
+            onHeartbeat(event.from, envelope, message.value(), now);
+        return finish(now, false);
+    }
+    // All else counts only from members whose heartbeat came before.
+    const MemberRecord* const sender = table_.find(envelope.sender);
+    if (!sender || !sender->isAlive() || sender->member.incarnation != envelope.senderIncarnation)
+        return finish(now, false);
+    if (envelope.kind == PeerMessageKind::ProbeRequest) {
+        if (const auto message = decodeMessage<ProbeRequestMessage>(envelope.payload))
+            onProbeRequest(*sender, message.value(), now);
+    } else if (envelope.kind == PeerMessageKind::ProbeResult) {
+        if (const auto message = decodeMessage<ProbeResultMessage>(envelope.payload))
+            onProbeResult(message.value(), now);
+    } else if (envelope.kind == PeerMessageKind::MembersRequest) {
+        if (const auto message = decodeMessage<MembersRequestMessage>(envelope.payload))
+            onMembersRequest(*sender, message.value());
+    } else if (envelope.kind == PeerMessageKind::MembersPage) {
+        if (const auto message = decodeMessage<MembersPageMessage>(envelope.payload))
+            onMembersPage(*sender, message.value(), now);
+    }
+    return finish(now, false);
+}
+
+MembershipActions Membership::handle(const VmListReceived& event, TimePoint time)
+{
+    const TimePoint now = wholeMilliseconds(time);
+    wakeIfPaused(now);
+    std::vector<Endpoint> known = table_.addressesOfAlive();
+    std::sort(known.begin(), known.end());
+    std::vector<Endpoint> leaving;
+    unknownAddresses_.clear();
+    for (const VmAdvice& vm : event.vms) {
+        if (vm.peerAddress.isSet() && !std::binary_search(known.begin(), known.end(), vm.peerAddress))
+            (vm.isLeaving ? leaving : unknownAddresses_).push_back(vm.peerAddress);
+    }
+    // The list may be wrong about who leaves, so these are better than nobody.
+    if (unknownAddresses_.empty())
+        unknownAddresses_ = std::move(leaving);
+    return finish(now, false);
+}
+
+MembershipActions Membership::tick(TimePoint time)
+{
+    const TimePoint now = wholeMilliseconds(time);
+    wakeIfPaused(now);
+    observation_.ticked(now);
+    for (const ProbeFinding& finding : detector_.tick(now))
+        act(finding, now);
+    const bool isIntervalDue = now >= nextInterval_;
+    if (isIntervalDue)
+        beginInterval(now);
+    return finish(now, isIntervalDue);
+}
+
+MembershipActions Membership::setSelfState(MemberState state, TimePoint now)
+{
+    table_.setSelfState(state);
+    return finish(wholeMilliseconds(now), false);
+}
+
+MembershipActions Membership::setConfigurationVersion(std::uint64_t version, TimePoint now)
+{
+    table_.setConfigurationVersion(version);
+    return finish(wholeMilliseconds(now), false);
+}
+
+MembershipActions Membership::leave(TimePoint time)
+{
+    const TimePoint now = wholeMilliseconds(time);
+    table_.setSelfState(MemberState::Leaving);
+    for (const BalancerId id : sampleAlive(std::max(settings_.leaveFanOut, settings_.meshLimit))) {
+        const MemberRecord* const peer = table_.find(id);
+        sendHeartbeat(peer->member.peerAddress, peer, {}, now);
+    }
+    return finish(now, false);
+}
+
+void Membership::onHeartbeat(
+    const Endpoint& from, const PeerEnvelope& envelope, const HeartbeatMessage& message, TimePoint now)
+{
+    const MemberRecord* const known = table_.find(envelope.sender);
+    if (known && envelope.senderIncarnation < known->member.incarnation) {
+        // Either an old datagram, or a member whose wall clock was set back before it restarted: nobody would take its
+        // messages, so it is told the incarnation that it has to exceed.
+        answer(from, known, { .withPeerRow = true }, now);
+        return;
+    }
+    const MemberRow senderRow { envelope.sender.value, envelope.senderIncarnation, message.sequence, message.status,
+        false, message.configurationVersion, message.details };
+    const bool wasDead = known && !known->isAlive();
+    const MergeOutcome outcome = table_.merge(senderRow, now);
+    mergeRows(message.rows, from, true, now);
+    MemberRecord* const sender = table_.find(envelope.sender);
+    if (outcome == MergeOutcome::NeedsDetails) {
+        answer(from, nullptr, { .wantsAnswer = true, .wantsDetails = true, .withDetails = true }, now);
+        return;
+    }
+    if (!sender || sender->member.incarnation != envelope.senderIncarnation)
+        return;
+    // A cut has healed: a small fleet reads what it missed at once, a large one learns it from rows in rotation.
+    if (wasDead && sender->isAlive() && isMesh() && !catchUp_.isRunning())
+        catchUp_.start();
+    sender->lastNonce = message.nonce;
+    noteAnswer(*sender, message.echo, now);
+    // A sender that is dead here has to hear so, or it never refutes.
+    if (message.wantsAnswer || !sender->isAlive()) {
+        answer(sender->member.peerAddress, sender,
+            { .wantsAnswer = !sender->isAlive(), .withDetails = message.wantsDetails }, now);
+    }
+    requestPage();
+}
+
+void Membership::noteAnswer(MemberRecord& sender, std::uint32_t echo, TimePoint now)
+{
+    const auto sentAt = echo == 0 ? std::nullopt : nonces_.sentAt(echo, now);
+    if (!sentAt)
+        return;
+    observation_.answered(*sentAt);
+    if (!sender.isAlive())
+        return;
+    detector_.answered(sender, *sentAt);
+    settleRelays(sender, *sentAt);
+}
+
+void Membership::settleRelays(const MemberRecord& target, TimePoint nonceSentAt)
+{
+    std::erase_if(relays_, [&](const Relay& relay) {
+        if (relay.target != target.member.id || nonceSentAt < relay.since)
+            return false;
+        const ProbeResultMessage result { target.member.id.value, target.member.incarnation, relay.nonce };
+        send(relay.requester, PeerMessageKind::ProbeResult, encodeMessage(result));
+        return true;
+    });
+}
+
+void Membership::onProbeRequest(const MemberRecord& sender, const ProbeRequestMessage& message, TimePoint now)
+{
+    const MemberRecord* const target = table_.find(BalancerId { message.target });
+    if (!target || target == &table_.self() || indirectProbesLeft_ == 0 || relays_.size() >= mostRelays)
+        return;
+    --indirectProbesLeft_;
+    relays_.push_back({ target->member.id, sender.member.peerAddress, message.nonce, now });
+    sendHeartbeat(target->member.peerAddress, target, { .wantsAnswer = true }, now);
+}
+
+void Membership::onProbeResult(const ProbeResultMessage& message, TimePoint now)
+{
+    MemberRecord* const target = table_.find(BalancerId { message.target });
+    const auto sentAt = nonces_.sentAt(message.nonce, now);
+    if (!target || !target->isAlive() || target->member.incarnation != message.targetIncarnation || !sentAt)
+        return;
+    observation_.answered(*sentAt);
+    detector_.answered(*target, *sentAt);
+}
+
+void Membership::onMembersRequest(const MemberRecord& sender, const MembersRequestMessage& message)
+{
+    if (pagesLeft_ == 0)
+        return;
+    --pagesLeft_;
+    MembersPageMessage page { message.after, !message.ids.empty(), false, {} };
+    page.rows = page.named ? table_.rowsOf(message.ids) : table_.page(message.after, page.last);
+    send(sender.member.peerAddress, PeerMessageKind::MembersPage, encodeMessage(page));
+}
+
+void Membership::onMembersPage(const MemberRecord& sender, const MembersPageMessage& message, TimePoint now)
+{
+    mergeRows(message.rows, sender.member.peerAddress, message.named, now);
+    if (message.named)
+        return;
+    const auto lastId = message.rows.empty() ? std::nullopt : std::optional(message.rows.back().id);
+    catchUp_.received(message.after, lastId, message.last);
+    requestPage();
+}
+
+void Membership::mergeRows(const std::vector<MemberRow>& rows, const Endpoint& source, bool passOn, TimePoint now)
+{
+    MembersRequestMessage request;
+    for (const MemberRow& row : rows) {
+        const MergeOutcome outcome = table_.merge(row, now, passOn);
+        if (outcome == MergeOutcome::AboutSelf)
+            refute(row, now);
+        else if (outcome == MergeOutcome::NeedsDetails && request.ids.size() < mostNamedIds)
+            request.ids.push_back(row.id);
+    }
+    if (request.ids.empty() || catchUp_.isRunning() || detailRequestsLeft_ == 0)
+        return;
+    --detailRequestsLeft_;
+    send(source, PeerMessageKind::MembersRequest, encodeMessage(request));
+}
+
+void Membership::refute(const MemberRow& row, TimePoint now)
+{
+    const MemberRecord& self = table_.self();
+    const bool isAlive = row.status <= static_cast<std::uint8_t>(RowStatus::Leaving) && !row.suspected;
+    if (row.incarnation == self.member.incarnation && row.sequence >= self.sequence && !isAlive) {
+        table_.raiseSelf(row.incarnation, row.sequence + 1);
+    } else if (row.incarnation > self.member.incarnation
+        && (lastRaise_ == TimePoint::min() || now - lastRaise_ > settings_.failAfter)) {
+        // The pace bounds the damage when two processes run under one name by mistake.
+        lastRaise_ = now;
+        table_.raiseSelf(row.incarnation + 1, 0);
+    }
+}
+
+void Membership::wakeIfPaused(TimePoint now)
+{
+    if (!observation_.wokeUp(now))
+        return;
+    // Symptom without this: a balancer that slept for 30 s buries everybody, since nobody has answered for 30 s, and
+    // acts on what datagrams from before the pause say. The clock went on while nothing was listened to.
+    detector_.reset(now);
+    relays_.clear();
+    catchUp_.start();
+    nextInterval_ = now;
+}
+
+}
--- /dev/null
+++ b/Source/Membership/MembershipRounds.cpp
@@ -0,0 +1,218 @@
+// The rounds of class Membership: what it sends of its own accord, and how messages leave.
+#include "Membership/Membership.h"
+
+#include <algorithm>
+
+namespace wisteriadock {
+
+void Membership::beginInterval(TimePoint now)
+{
+    ++round_;
+    // A fixed beat, unless the shell fell behind.
+    nextInterval_ = std::max(nextInterval_ + settings_.interval, now + settings_.interval / 2);
+    answersLeft_ = settings_.answersPerInterval;
+    verificationsLeft_ = settings_.verificationsPerInterval;
+    indirectProbesLeft_ = settings_.indirectProbesPerInterval;
+    pagesLeft_ = settings_.pagesPerInterval;
+    newsBytesLeft_ = settings_.newsBytesPerInterval;
+    rotationRowsLeft_ = settings_.rotationRowsPerInterval;
+    detailRequestsLeft_ = settings_.detailRequestsPerInterval;
+    catchUp_.beginInterval(settings_.catchUpPagesPerInterval);
+    std::erase_if(relays_, [&](const Relay& relay) { return now - relay.since > settings_.failAfter; });
+    table_.dropOldTombstones(now);
+    if (!catchUp_.isDone() && !catchUp_.isRunning() && table_.othersAlive() > 0)
+        catchUp_.start();
+    isMesh() ? probeAll(now) : probeSome(now);
+    retryDead(now);
+    contactUnknown(now);
+    requestPage();
+}
+
+void Membership::probeAll(TimePoint now)
+{
+    // The other side sends as often, and its next heartbeat answers this one; only silence needs an answer at once.
+    const bool isSearching = observation_.isSearching(now);
+    for (const BalancerId id : allOrder_.takeAll(aliveFilter())) {
+        MemberRecord& peer = *table_.find(id);
+        const bool isSilent = peer.awaitingSince && now - *peer.awaitingSince >= settings_.indirectAfter;
+        const bool wantsAnswer = isSearching || isSilent;
+        detector_.probed(peer, now);
+        sendHeartbeat(peer.member.peerAddress, &peer, { .wantsAnswer = wantsAnswer }, now);
+    }
+}
+
+void Membership::probeSome(TimePoint now)
+{
+    // Every other probe stays in the own availability zone: when most of the fleet is cut off, a balancer still hears
+    // soon enough from those it can reach to know that it is not alone.
+    auto target = round_ % 2 == 0 ? zoneOrder_.next(aliveFilter(), random_) : std::nullopt;
+    if (!target)
+        target = allOrder_.next(aliveFilter(), random_);
+    if (target)
+        probe(*table_.find(*target), now);
+    if (!observation_.isSearching(now))
+        return;
+    for (const BalancerId id : zoneOrder_.sample(settings_.searchFanOut / 2, aliveFilter(), random_))
+        probe(*table_.find(id), now);
+    for (const BalancerId id : sampleAlive(settings_.searchFanOut / 2))
+        probe(*table_.find(id), now);
+}
+
+void Membership::probe(MemberRecord& peer, TimePoint now)
+{
+    detector_.probed(peer, now);
+    sendHeartbeat(peer.member.peerAddress, &peer, { .wantsAnswer = true }, now);
+}
+
+void Membership::act(const ProbeFinding& finding, TimePoint now)
+{
+    MemberRecord& member = *table_.find(finding.member);
+    switch (finding.verdict) {
+    case ProbeVerdict::ProbeIndirectly:
+        probeIndirectly(member, now);
+        break;
+    case ProbeVerdict::Suspected:
+        probe(member, now);
+        break;
+    case ProbeVerdict::Verify:
+        if (verificationsLeft_ > 0) {
+            --verificationsLeft_;
+            probe(member, now);
+        }
+        break;
+    case ProbeVerdict::Died:
+        break;
+    }
+}
+
+void Membership::probeIndirectly(MemberRecord& target, TimePoint now)
+{
+    sendHeartbeat(target.member.peerAddress, &target, { .wantsAnswer = true }, now);
+    const ProbeRequestMessage request { target.member.id.value, nonces_.nonceAt(now) };
+    for (const BalancerId id : sampleAlive(settings_.indirectProbes)) {
+        if (id == target.member.id || indirectProbesLeft_ == 0)
+            continue;
+        --indirectProbesLeft_;
+        send(table_.find(id)->member.peerAddress, PeerMessageKind::ProbeRequest, encodeMessage(request));
+    }
+}
+
+void Membership::retryDead(TimePoint now)
+{
+    // Two sides of a cut hold each other dead; somebody has to try, or they stay apart after it has healed.
+    if (!isMesh() && round_ % settings_.retryEvery != 0)
+        return;
+    if (const auto id = table_.anyDead(random_)) {
+        const MemberRecord* const dead = table_.find(*id);
+        sendHeartbeat(dead->member.peerAddress, dead, { .wantsAnswer = true }, now);
+    }
+}
+
+void Membership::contactUnknown(TimePoint now)
+{
+    const bool isAlone = table_.othersAlive() == 0;
+    if (unknownAddresses_.empty() || (!isAlone && round_ % settings_.retryEvery != 0))
+        return;
+    const std::size_t count = std::min(isAlone ? settings_.searchFanOut : 1, unknownAddresses_.size());
+    // The first ones of a shuffle that goes no further than needed.
+    for (std::size_t i = 0; i < count; ++i) {
+        std::swap(unknownAddresses_[i], unknownAddresses_[i + random_() % (unknownAddresses_.size() - i)]);
+        sendHeartbeat(unknownAddresses_[i], nullptr, { .wantsAnswer = true, .withDetails = true }, now);
+    }
+}
+
+void Membership::requestPage()
+{
+    if (!catchUp_.isRunning())
+        return;
+    const std::vector<BalancerId> peer = sampleAlive(1);
+    if (peer.empty())
+        return;
+    if (const auto after = catchUp_.nextRequest()) {
+        send(table_.find(peer[0])->member.peerAddress, PeerMessageKind::MembersRequest,
+            encodeMessage(MembersRequestMessage { *after, {} }));
+    }
+}
+
+void Membership::answer(const Endpoint& to, const MemberRecord* peer, HeartbeatOptions options, TimePoint now)
+{
+    if (answersLeft_ == 0)
+        return;
+    --answersLeft_;
+    sendHeartbeat(to, peer, options, now);
+}
+
+void Membership::sendHeartbeat(const Endpoint& to, const MemberRecord* peer, HeartbeatOptions options, TimePoint now)
+{
+    MemberRow own = MemberTable::rowOf(table_.self(), options.withDetails);
+    HeartbeatMessage message { nonces_.nonceAt(now), peer ? peer->lastNonce : 0, options.wantsAnswer,
+        options.wantsDetails, own.sequence, own.status, own.configurationVersion, std::move(own.details), {} };
+    // First what the peer can refute.
+    if (peer && (options.withPeerRow || peer->suspected || !peer->isAlive()))
+        message.rows.push_back(MemberTable::rowOf(*peer, false));
+    appendNews(message.rows);
+    send(to, PeerMessageKind::Heartbeat, encodeMessage(message));
+}
+
+void Membership::appendNews(std::vector<MemberRow>& rows)
+{
+    const std::size_t allowance = std::min(settings_.newsBytes, newsBytesLeft_);
+    std::size_t unused = allowance;
+    const std::vector<MemberRow> news = table_.takeNews(unused);
+    newsBytesLeft_ -= allowance - unused;
+    rows.insert(rows.end(), news.begin(), news.end());
+    std::size_t rotationRows = std::min(settings_.rotationRows, rotationRowsLeft_);
+    if (isMesh())
+        rotationRows = round_ % settings_.retryEvery == 0 ? 1 : 0;
+    const std::vector<MemberRow> rotation = table_.takeRotation(rotationRows);
+    rotationRowsLeft_ -= std::min(rotationRowsLeft_, rotation.size());
+    rows.insert(rows.end(), rotation.begin(), rotation.end());
+}
+
+void Membership::send(const Endpoint& to, PeerMessageKind kind, std::vector<std::uint8_t> payload)
+{
+    const Member& self = table_.self().member;
+    actions_.push_back(SendPeerMessage { to, { self.id, self.incarnation, kind, std::move(payload) } });
+}
+
+void Membership::admitArrivals()
+{
+    for (const BalancerId id : table_.takeArrivals()) {
+        allOrder_.insert(id, random_);
+        const MemberRecord* const record = table_.find(id);
+        if (record && record->member.availabilityZone == table_.self().member.availabilityZone)
+            zoneOrder_.insert(id, random_);
+    }
+}
+
+MembershipActions Membership::finish(TimePoint now, bool endsInterval)
+{
+    admitArrivals();
+    const bool isIsolated = observation_.isIsolated(table_.othersAlive() > 0, now);
+    // A view of a large fleet is costly to copy, so changes of versions alone, and pages of a catch-up, are collected
+    // over an interval.
+    const bool mayCollect = !isMesh() && !endsInterval;
+    const bool isDue = isIsolated != view_->isolated
+        || (table_.membersChanged() && !(mayCollect && catchUp_.isRunning()))
+        || (table_.versionsChanged() && !mayCollect);
+    if (isDue) {
+        view_ = table_.publish(view_->revision + 1, isIsolated);
+        actions_.push_back(MembersViewChanged { view_ });
+    }
+    return std::exchange(actions_, {});
+}
+
+ProbeOrder::Filter Membership::aliveFilter()
+{
+    return [this](BalancerId id) {
+        const MemberRecord* const record = table_.find(id);
+        return record && record->isAlive();
+    };
+}
+
+std::vector<BalancerId> Membership::sampleAlive(std::size_t count)
+{
+    return allOrder_.sample(count, aliveFilter(), random_);
+}
+
+}
--- /dev/null
+++ b/Source/Membership/MembershipSettings.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+
+namespace wisteriadock {
+
+// Times, fan-outs and budgets of the membership protocol. All balancers of a fleet use the same.
+struct MembershipSettings {
+    // One round of the protocol.
+    std::chrono::milliseconds interval { 500 };
+    // A probe that is unanswered for this long is repeated, directly and through others.
+    std::chrono::milliseconds indirectAfter { 600 };
+    // A member whose probe is unanswered for this long is suspected.
+    std::chrono::milliseconds failAfter { 1000 };
+    // A suspected member has this long to refute before it is declared dead; large fleets, where news takes longer,
+    // multiply it by a third of the binary logarithm of their size.
+    std::chrono::milliseconds suspicion { 1000 };
+    // A longer gap between two calls of tick means that the process was paused. Above the shell's tick period.
+    std::chrono::milliseconds pauseThreshold { 1000 };
+    // While nobody answers for this long, the view is isolated.
+    std::chrono::milliseconds isolationAfter { 2000 };
+    // How long a starting balancer waits for an answer before it takes itself for alone.
+    std::chrono::milliseconds startObservation { 4000 };
+
+    // With so many others or fewer, each is probed each interval; above, one.
+    std::size_t meshLimit = 8;
+    std::size_t indirectProbes = 3;
+    // How many known members, or addresses of the VM list, a balancer that hears from nobody tries each interval.
+    std::size_t searchFanOut = 6;
+    // How many members hear of a planned stop at once.
+    std::size_t leaveFanOut = 16;
+
+    // Budgets for each interval, whatever happens.
+    std::size_t verificationsPerInterval = 3;
+    std::size_t answersPerInterval = 24;
+    std::size_t indirectProbesPerInterval = 9;
+    std::size_t pagesPerInterval = 2;
+    std::size_t detailRequestsPerInterval = 4;
+    std::size_t catchUpPagesPerInterval = 4;
+    // A healthy fleet tries one dead member and one unknown address of the VM list every so many intervals.
+    std::size_t retryEvery = 4;
+    // Bytes of news in one heartbeat, and in all of an interval.
+    std::size_t newsBytes = 400;
+    std::size_t newsBytesPerInterval = 800;
+    // Rows beside the news, all members in turn, so that lost news is made good; a small fleet needs few.
+    std::size_t rotationRows = 4;
+    std::size_t rotationRowsPerInterval = 12;
+
+    // Dead members are remembered so that old news does not revive them and a cut that heals is noticed.
+    std::chrono::minutes tombstoneLifetime { 120 };
+    std::size_t tombstoneLimit = 2048;
+};
+
+}
--- /dev/null
+++ b/Source/Membership/RumorQueue.cpp
@@ -0,0 +1,32 @@
+#include "Membership/RumorQueue.h"
+
+namespace wisteriadock {
+
+void RumorQueue::push(BalancerId id, std::size_t sends)
+{
+    const bool isNew = sendsLeft_.insert_or_assign(id, sends).second;
+    if (isNew)
+        order_.push_front(id);
+}
+
+void RumorQueue::erase(BalancerId id)
+{
+    if (sendsLeft_.erase(id))
+        std::erase(order_, id);
+}
+
+std::optional<BalancerId> RumorQueue::pop()
+{
+    if (order_.empty())
+        return std::nullopt;
+    const BalancerId id = order_.front();
+    order_.pop_front();
+    const auto left = sendsLeft_.find(id);
+    if (--left->second == 0)
+        sendsLeft_.erase(left);
+    else
+        order_.push_back(id);
+    return id;
+}
+
+}
--- /dev/null
+++ b/Tests/Membership/MembershipFaultTest.cpp
@@ -0,0 +1,194 @@
+#include "Support/MembershipNetwork.h"
+
+#include <gtest/gtest.h>
+
+#include <set>
+
+namespace wisteriadock {
+namespace {
+
+    using namespace std::chrono_literals;
+
+    class MembershipFaultTest : public testing::Test {
+    protected:
+        void startFleet(std::size_t count, std::size_t zones)
+        {
+            for (std::size_t i = 0; i < count; ++i)
+                network_.add("zone" + std::to_string(i % zones));
+            ASSERT_TRUE(network_.runUntil([&] { return allSeeOnly({}); }, 60s));
+        }
+
+        // True when all running balancers outside a set hold exactly that set dead, and none is isolated.
+        bool allSeeOnly(const std::set<std::size_t>& dead)
+        {
+            for (std::size_t by = 0; by < network_.nodes().size(); ++by) {
+                if (network_.isRunning(by) && !dead.contains(by) && (network_.view(by).isolated || !sees(by, dead)))
+                    return false;
+            }
+            return true;
+        }
+
+        bool sees(std::size_t by, const std::set<std::size_t>& dead)
+        {
+            for (std::size_t who = 0; who < network_.nodes().size(); ++who) {
+                const Member* const member = network_.seen(by, who);
+                if (!member || (member->state == MemberState::Dead) != dead.contains(who))
+                    return false;
+            }
+            return true;
+        }
+
+        std::size_t countDead(std::size_t by)
+        {
+            const auto& members = network_.view(by).members;
+            return std::count_if(
+                members.begin(), members.end(), [](const Member& member) { return member.state == MemberState::Dead; });
+        }
+
+        MembershipNetwork network_ { 5 };
+    };
+
+    TEST_F(MembershipFaultTest, killedBalancerIsDeadEverywhereWithinSeconds)
+    {
+        startFleet(7, 3);
+        network_.loss = 0.05;
+        network_.kill(3);
+        EXPECT_TRUE(network_.runUntil([&] { return allSeeOnly({ 3 }); }, 4s));
+        network_.run(60s);
+        EXPECT_TRUE(allSeeOnly({ 3 }));
+    }
+
+    // Symptom: a balancer acts on an old view after a pause, or buries everybody. Sequence: it is paused for 30 s and
+    // declared dead; it wakes to datagrams from before and during the pause. Cause: its clock went on while it did not
+    // listen, so that silence and echoes look like news.
+    TEST_F(MembershipFaultTest, pausedBalancerNoticesBeforeItDecides)
+    {
+        startFleet(7, 3);
+        network_.pause(0);
+        ASSERT_TRUE(network_.runUntil([&] { return allSeeOnly({ 0 }); }, 5s));
+        network_.run(25s);
+
+        SCOPED_TRACE("waking to old datagrams");
+        ASSERT_FALSE(network_.nodes()[0].inbox.empty());
+        network_.resume(0);
+        EXPECT_TRUE(network_.view(0).isolated);
+        EXPECT_EQ(countDead(0), 0U);
+
+        SCOPED_TRACE("fresh answers");
+        EXPECT_TRUE(network_.runUntil([&] { return !network_.view(0).isolated; }, 500ms));
+        EXPECT_TRUE(network_.runUntil([&] { return allSeeOnly({}); }, 3s));
+    }
+
+    // As before, but the others died or were cut off meanwhile: only silence while it runs may tell.
+    TEST_F(MembershipFaultTest, soleSurvivorGoesOnServingAfterItHasObservedTheSilence)
+    {
+        startFleet(7, 3);
+        network_.pause(0);
+        network_.run(30s);
+        network_.isCut = [](std::size_t from, std::size_t to) { return from == 0 || to == 0; };
+        network_.resume(0);
+        network_.run(1s);
+        EXPECT_TRUE(network_.view(0).isolated);
+        EXPECT_EQ(countDead(0), 0U);
+        EXPECT_TRUE(network_.runUntil([&] { return !network_.view(0).isolated; }, 5s));
+        EXPECT_EQ(countDead(0), 6U);
+        network_.isCut = nullptr;
+        EXPECT_TRUE(network_.runUntil([&] { return allSeeOnly({}); }, 5s));
+    }
+
+    // Symptom: a member dies and revives every few seconds. Sequence: packets from A to B are lost, those from B to A
+    // arrive. Cause: one counts the other's messages as life, the other its silence as death, and both tell everybody.
+    TEST_F(MembershipFaultTest, oneWayCutSettlesInOneView)
+    {
+        SCOPED_TRACE("with others around, both stay alive through them");
+        startFleet(7, 3);
+        network_.isCut = [](std::size_t from, std::size_t to) { return from == 0 && to == 1; };
+        const std::uint64_t revision = network_.view(4).revision;
+        network_.run(120s);
+        EXPECT_TRUE(allSeeOnly({}));
+        EXPECT_EQ(network_.view(4).revision, revision);
+    }
+
+    TEST_F(MembershipFaultTest, oneWayCutOfTwoIsACutForBoth)
+    {
+        startFleet(2, 2);
+        network_.isCut = [](std::size_t from, std::size_t to) { return from == 0 && to == 1; };
+        network_.run(15s);
+        const std::uint64_t revisions[] = { network_.view(0).revision, network_.view(1).revision };
+        network_.run(60s);
+        EXPECT_TRUE(sees(0, { 1 }) && sees(1, { 0 }));
+        EXPECT_EQ(network_.view(0).revision, revisions[0]);
+        EXPECT_EQ(network_.view(1).revision, revisions[1]);
+        network_.isCut = nullptr;
+        EXPECT_TRUE(network_.runUntil([&] { return allSeeOnly({}); }, 5s));
+    }
+
+    TEST_F(MembershipFaultTest, cutOffAvailabilityZoneGoesOnAloneAndRejoins)
+    {
+        startFleet(7, 3);
+        const auto isInside = [](std::size_t index) { return index % 3 == 0; };
+        network_.isCut = [&](std::size_t from, std::size_t to) { return isInside(from) != isInside(to); };
+        const std::set<std::size_t> inside { 0, 3, 6 };
+        const std::set<std::size_t> outside { 1, 2, 4, 5 };
+        const auto hasSplit = [&] {
+            for (std::size_t by = 0; by < 7; ++by) {
+                if (network_.view(by).isolated || !sees(by, inside.contains(by) ? outside : inside))
+                    return false;
+            }
+            return true;
+        };
+        EXPECT_TRUE(network_.runUntil(hasSplit, 5s));
+        network_.run(600s);
+        EXPECT_TRUE(hasSplit());
+        network_.isCut = nullptr;
+        EXPECT_TRUE(network_.runUntil([&] { return allSeeOnly({}); }, 5s));
+    }
+
+    // Symptom: a lost rack takes the network of the others with it. Sequence: 40 of 200 balancers go silent at one
+    // moment. Cause: everybody tells everybody about each of them.
+    TEST_F(MembershipFaultTest, lostRackIsNoticedWithoutAStorm)
+    {
+        startFleet(200, 4);
+        network_.run(30s);
+        for (auto& node : network_.nodes())
+            node.mostBytesInSecond = 0;
+        std::set<std::size_t> rack;
+        for (std::size_t i = 40; i < 80; ++i) {
+            network_.kill(i);
+            rack.insert(i);
+        }
+        EXPECT_TRUE(network_.runUntil([&] { return allSeeOnly(rack); }, 60s));
+        network_.run(20s);
+        EXPECT_TRUE(allSeeOnly(rack));
+        std::uint64_t most = 0;
+        for (const auto& node : network_.nodes())
+            most = std::max(most, node.mostBytesInSecond);
+        EXPECT_LT(most, 8192U);
+        RecordProperty("mostBytesInSecond", std::to_string(most));
+    }
+
+    TEST_F(MembershipFaultTest, garbageNeitherStopsItNorMakesItShout)
+    {
+        startFleet(7, 3);
+        std::mt19937_64 random(9);
+        std::size_t answers = 0;
+        Membership& target = *network_.nodes()[0].membership;
+        for (int i = 0; i < 20000; ++i) {
+            const auto kind = static_cast<PeerMessageKind>(1 + random() % 8);
+            PeerEnvelope envelope { network_.nodes()[random() % 7].self.id, random(), kind, {} };
+            if (random() % 2 == 0)
+                envelope.senderIncarnation = network_.nodes()[1].self.incarnation;
+            envelope.payload.resize(random() % 100);
+            for (auto& byte : envelope.payload)
+                byte = static_cast<std::uint8_t>(random());
+            // An array of the right size reaches further into the decoder.
+            if (!envelope.payload.empty())
+                envelope.payload[0] = static_cast<std::uint8_t>(0x90 + random() % 10);
+            answers += target.handle(PeerMessageReceived { { 1, 2 }, envelope }, network_.now).size();
+        }
+        EXPECT_LE(answers, 60U) << "the budgets of one interval";
+        EXPECT_TRUE(network_.runUntil([&] { return allSeeOnly({}); }, 5s));
+    }
+
+}
+}
--- /dev/null
+++ b/Tests/Membership/MembershipTest.cpp
@@ -0,0 +1,136 @@
+#include "Core/Hash.h"
+#include "Support/MembershipNetwork.h"
+
+#include <gtest/gtest.h>
+
+namespace wisteriadock {
+namespace {
+
+    using namespace std::chrono_literals;
+
+    class MembershipTest : public testing::Test {
+    protected:
+        MembershipTest()
+        {
+            network_.loss = 0.02;
+            for (const char* zone : { "walu", "laucala", "nabua", "walu", "laucala", "nabua", "walu" })
+                network_.add(zone);
+        }
+
+        // True when all running balancers but who itself hold it in that state; nullopt stands for not in the view.
+        bool allSee(std::size_t who, std::optional<MemberState> state)
+        {
+            for (std::size_t by = 0; by < network_.nodes().size(); ++by) {
+                if (by == who || !network_.isRunning(by))
+                    continue;
+                const Member* const member = network_.seen(by, who);
+                if ((member ? std::optional(member->state) : std::nullopt) != state)
+                    return false;
+            }
+            return true;
+        }
+
+        bool allAgree()
+        {
+            for (std::size_t who = 0; who < network_.nodes().size(); ++who) {
+                if (!allSee(who, MemberState::Serving) || network_.view(who).isolated)
+                    return false;
+            }
+            return true;
+        }
+
+        MembershipNetwork network_ { 1 };
+    };
+
+    TEST_F(MembershipTest, sevenJoinAndHearOfEachOthersConfiguration)
+    {
+        EXPECT_TRUE(network_.view(0).isolated) << "nobody has answered yet";
+        ASSERT_TRUE(network_.runUntil([&] { return allAgree(); }, 3s));
+        const auto allCaughtUp = [&] {
+            const auto& nodes = network_.nodes();
+            return std::all_of(
+                nodes.begin(), nodes.end(), [](const auto& node) { return node.membership->hasCaughtUp(); });
+        };
+        EXPECT_TRUE(network_.runUntil(allCaughtUp, 3s));
+
+        SCOPED_TRACE("a new version shows everywhere");
+        network_.perform(3, network_.nodes()[3].membership->setConfigurationVersion(12, network_.now));
+        const auto allKnowVersion = [&] {
+            for (std::size_t by = 0; by < 7; ++by) {
+                if (network_.seen(by, 3)->configurationVersion != 12)
+                    return false;
+            }
+            return true;
+        };
+        EXPECT_TRUE(network_.runUntil(allKnowVersion, 2s));
+
+        SCOPED_TRACE("loss and quiet change nothing");
+        const std::uint64_t revision = network_.view(0).revision;
+        network_.run(120s);
+        EXPECT_TRUE(allAgree());
+        EXPECT_EQ(network_.view(0).revision, revision);
+    }
+
+    TEST_F(MembershipTest, balancerThatIsAloneServesAfterItHasLookedAround)
+    {
+        MembershipNetwork alone(2);
+        alone.add("walu");
+        alone.run(1s);
+        EXPECT_TRUE(alone.view(0).isolated);
+        alone.run(4s);
+        EXPECT_FALSE(alone.view(0).isolated);
+    }
+
+    TEST_F(MembershipTest, plannedStopIsLeavingUntilSilentAndThenGone)
+    {
+        ASSERT_TRUE(network_.runUntil([&] { return allAgree(); }, 3s));
+        network_.perform(2, network_.nodes()[2].membership->leave(network_.now));
+        EXPECT_TRUE(network_.runUntil([&] { return allSee(2, MemberState::Leaving); }, 1s));
+        network_.run(20s);
+        EXPECT_TRUE(allSee(2, MemberState::Leaving)) << "while it still finishes its work";
+        network_.kill(2);
+        EXPECT_TRUE(network_.runUntil([&] { return allSee(2, std::nullopt); }, 5s));
+    }
+
+    TEST_F(MembershipTest, restartUnderTheSameNameReplacesTheOldRowAtOnce)
+    {
+        ASSERT_TRUE(network_.runUntil([&] { return allAgree(); }, 3s));
+        const std::uint64_t first = network_.nodes()[4].self.incarnation;
+        const auto allSeeIncarnationAbove = [&](std::uint64_t old) {
+            for (std::size_t by = 0; by < 7; ++by) {
+                if (network_.seen(by, 4)->incarnation <= old || network_.seen(by, 4)->state != MemberState::Serving)
+                    return false;
+            }
+            return true;
+        };
+        SCOPED_TRACE("clock ahead");
+        network_.restart(4, first + 5000);
+        EXPECT_TRUE(network_.runUntil([&] { return allSeeIncarnationAbove(first); }, 1500ms));
+
+        // Symptom: a balancer comes back and nobody takes its messages. Sequence: its VM's wall clock is set back
+        // before it restarts. Cause: its incarnation is lower than that of its last start.
+        SCOPED_TRACE("clock set back");
+        network_.restart(4, first - 5000);
+        EXPECT_TRUE(network_.runUntil([&] { return allSeeIncarnationAbove(first + 5000); }, 3s));
+        EXPECT_GT(network_.nodes()[4].membership->selfIncarnation(), first + 5000);
+    }
+
+    TEST_F(MembershipTest, sameSeedAndEventsGiveTheSameActions)
+    {
+        std::vector<std::uint64_t> totals;
+        for (int i = 0; i < 2; ++i) {
+            MembershipNetwork network(77);
+            network.loss = 0.1;
+            for (int n = 0; n < 12; ++n)
+                network.add(n % 2 == 0 ? "walu" : "nabua");
+            network.run(30s);
+            std::uint64_t total = 0;
+            for (const auto& node : network.nodes())
+                total = hashPair(total, node.bytesSent);
+            totals.push_back(total);
+        }
+        EXPECT_EQ(totals[0], totals[1]);
+    }
+
+}
+}
--- /dev/null
+++ b/Tests/Support/MembershipNetwork.h
@@ -0,0 +1,185 @@
+#pragma once
+
+#include "Membership/Membership.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <queue>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace wisteriadock {
+
+// Carries datagrams between instances of Membership in virtual time, with seeded loss, delay and cuts.
+class MembershipNetwork {
+public:
+    struct Node {
+        Member self;
+        std::unique_ptr<Membership> membership;
+        bool isPaused = false;
+        std::vector<PeerMessageReceived> inbox; // Waits while the node is paused.
+        std::uint64_t bytesSent = 0;
+        std::uint64_t datagramsSent = 0;
+        std::uint64_t mostBytesInSecond = 0;
+        std::uint64_t bytesAtSecond = 0;
+    };
+
+    // Adds the IPv4 and UDP headers to each datagram's size.
+    static constexpr std::size_t headerBytes = 28;
+    static constexpr std::chrono::milliseconds tickPeriod { 100 };
+
+    explicit MembershipNetwork(std::uint64_t seed)
+        : random_(seed)
+    {
+    }
+
+    // Starts a new balancer that reads a VM list of all balancers so far.
+    std::size_t add(const std::string& availabilityZone)
+    {
+        const std::size_t index = nodes_.size();
+        const auto host = static_cast<std::uint32_t>(0x0A000001 + index);
+        const std::string name = fmt::format("{}-{}", availabilityZone, index);
+        nodes_.emplace_back();
+        nodes_.back().self = { balancerIdOf(name), name, availabilityZone, { host, 7000 }, { host, 7001 },
+            { host, 7002 }, firstIncarnation + index, MemberState::Serving, 0 };
+        start(index);
+        return index;
+    }
+
+    void start(std::size_t index)
+    {
+        Node& node = nodes_[index];
+        node.membership = std::make_unique<Membership>(settings, node.self, random_(), now);
+        node.inbox.clear();
+        publishVmList(index);
+    }
+
+    void restart(std::size_t index, std::uint64_t incarnation)
+    {
+        nodes_[index].self.incarnation = incarnation;
+        start(index);
+    }
+
+    void publishVmList(std::size_t index)
+    {
+        VmListReceived list;
+        for (const Node& node : nodes_)
+            list.vms.push_back({ node.self.peerAddress, false });
+        std::erase_if(list.vms, [&](const VmAdvice& vm) { return vm.peerAddress == nodes_[index].self.peerAddress; });
+        perform(index, nodes_[index].membership->handle(list, now));
+    }
+
+    void kill(std::size_t index) { nodes_[index].membership.reset(); }
+    void pause(std::size_t index) { nodes_[index].isPaused = true; }
+    // The datagrams that waited are handled before the first tick, as a socket would give them.
+    void resume(std::size_t index)
+    {
+        nodes_[index].isPaused = false;
+        for (const auto& message : std::exchange(nodes_[index].inbox, {}))
+            perform(index, nodes_[index].membership->handle(message, now));
+    }
+
+    void perform(std::size_t index, const MembershipActions& actions)
+    {
+        for (const MembershipAction& action : actions) {
+            const auto* const message = std::get_if<SendPeerMessage>(&action);
+            if (!message)
+                continue;
+            auto datagram = encodePeerEnvelope(message->envelope).value();
+            nodes_[index].bytesSent += datagram.size() + headerBytes;
+            ++nodes_[index].datagramsSent;
+            const std::size_t to = message->to.address - 0x0A000001;
+            const bool isLost = static_cast<double>(random_() % 10000) < loss * 10000;
+            if (to >= nodes_.size() || isLost || (isCut && isCut(index, to)))
+                continue;
+            const auto delay = std::chrono::microseconds(500 + random_() % 1500);
+            flying_.push({ now + delay, ++sent_, index, to, std::move(datagram) });
+        }
+    }
+
+    void run(Duration span)
+    {
+        runUntil([] { return false; }, span);
+    }
+
+    // Runs until the condition holds, looking at every tick; false when it never did.
+    bool runUntil(const std::function<bool()>& condition, Duration limit)
+    {
+        const TimePoint end = now + limit;
+        while (!condition()) {
+            if (now >= end)
+                return false;
+            deliverUntil(now + tickPeriod);
+            now += tickPeriod;
+            for (std::size_t i = 0; i < nodes_.size(); ++i) {
+                if (nodes_[i].membership && !nodes_[i].isPaused)
+                    perform(i, nodes_[i].membership->tick(now));
+            }
+            if (++ticks_ % 10 == 0)
+                closeSecond();
+        }
+        return true;
+    }
+
+    std::vector<Node>& nodes() { return nodes_; }
+    bool isRunning(std::size_t index) const { return nodes_[index].membership && !nodes_[index].isPaused; }
+    const MembersView& view(std::size_t index) const { return *nodes_[index].membership->view(); }
+    const Member* seen(std::size_t by, std::size_t who) const { return view(by).find(nodes_[who].self.id); }
+
+    MembershipSettings settings;
+    double loss = 0;
+    std::function<bool(std::size_t from, std::size_t to)> isCut;
+    TimePoint now = ManualClock().now();
+
+private:
+    struct Flying {
+        TimePoint at;
+        std::uint64_t order = 0;
+        std::size_t from = 0;
+        std::size_t to = 0;
+        std::vector<std::uint8_t> bytes;
+        bool operator<(const Flying& other) const { return std::tie(at, order) > std::tie(other.at, other.order); }
+    };
+
+    static constexpr std::uint64_t firstIncarnation = 1'790'000'000'000;
+
+    void deliverUntil(TimePoint end)
+    {
+        for (; !flying_.empty() && flying_.top().at <= end; flying_.pop()) {
+            const Flying& datagram = flying_.top();
+            Node& node = nodes_[datagram.to];
+            if (!node.membership)
+                continue;
+            now = datagram.at;
+            const PeerMessageReceived message { nodes_[datagram.from].self.peerAddress,
+                decodePeerEnvelope(datagram.bytes).value() };
+            if (node.isPaused)
+                node.inbox.push_back(message);
+            else
+                perform(datagram.to, node.membership->handle(message, now));
+        }
+        now = end - tickPeriod;
+    }
+
+    void closeSecond()
+    {
+        for (Node& node : nodes_) {
+            node.mostBytesInSecond = std::max(node.mostBytesInSecond, node.bytesSent - node.bytesAtSecond);
+            node.bytesAtSecond = node.bytesSent;
+        }
+    }
+
+    std::mt19937_64 random_;
+    std::vector<Node> nodes_;
+    std::priority_queue<Flying> flying_;
+    std::uint64_t sent_ = 0;
+    std::uint64_t ticks_ = 0;
+};
+
+}
