Configuration: Write versions by one deciding write and read them verified

Cause: a version must be accepted whole or not at all, one of two operators must win, and an answer lost after its write took effect must not be told as a refusal.

Ruled out: repeating the head's compare-and-swap blindly (it loses against itself); a lock by lease (a paused holder writes after it lapsed, and the compare-and-swap decides anyway); one value for all (over the platform's megabyte at about 4,300 backend servers); version numbers from the wall clock (one operator's wrong clock moves all later ones).

--- /dev/null
+++ b/Source/Configuration/ApplyOperation.cpp
@@ -0,0 +1,335 @@
+#include "Configuration/ApplyOperation.h"
+
+#include "Configuration/ConfigurationContent.h"
+#include "Configuration/ConfigurationWriter.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace wisteriadock {
+
+namespace {
+
+    constexpr Duration firstRetryDelay = std::chrono::milliseconds(50);
+    constexpr Duration longestRetryDelay = std::chrono::milliseconds(1600);
+
+    std::uint64_t versionOf(const std::optional<ConfigurationHead>& head) { return head ? head->applied.version : 0; }
+
+    // Errors that the same call can't get over.
+    bool isPermanent(ErrorCode code)
+    {
+        return code == ErrorCode::InvalidArgument || code == ErrorCode::ResourceExhausted;
+    }
+
+}
+
+ApplyOperation::ApplyOperation(ApplyRequest request)
+    : request_(std::move(request))
+{
+    const std::string text = writeConfiguration(request_.configuration);
+    contentHash_ = contentHashOf(text);
+    parts_ = splitContent(text);
+}
+
+ApplyAction ApplyOperation::start(TimePoint now)
+{
+    now_ = now;
+    // Every key written out can make the canonical text longer than the operator's file.
+    if (parts_.size() > maxContentParts)
+        return refuse(RefusalReason::BadStore,
+            { fmt::format("the canonical text is longer than {} bytes", maxConfigurationBytes) });
+    return goTo(Step::ReadHead);
+}
+
+ApplyAction ApplyOperation::handle(const ApplyEvent& event, TimePoint now)
+{
+    now_ = now;
+    if (const auto* got = std::get_if<GetEnded>(&event))
+        return handleGet(got->result);
+    if (const auto* swapped = std::get_if<SwapEnded>(&event))
+        return handleSwap(swapped->result);
+    return callOf(step_);
+}
+
+ApplyAction ApplyOperation::callOf(Step step)
+{
+    switch (step) {
+    case Step::ReadHead:
+    case Step::FindOut:
+        return GetKey { std::string(configurationHeadKey) };
+    case Step::ReadBase:
+        return GetKey { baseReader_->nextKey() };
+    case Step::WritePart:
+        return SwapKey { contentPartKey(contentHash_, partsWritten_), 0, parts_[partsWritten_] };
+    case Step::ComparePart:
+        return GetKey { contentPartKey(contentHash_, partsWritten_) };
+    case Step::SwapHead:
+        return SwapKey { std::string(configurationHeadKey), headRevision_, newHead_->toJson() };
+    }
+    return remainUnknown("the operation is in no step");
+}
+
+ApplyAction ApplyOperation::goTo(Step step)
+{
+    step_ = step;
+    failures_ = 0;
+    return callOf(step);
+}
+
+ApplyAction ApplyOperation::retry(const Error& error)
+{
+    lastFailure_ = error.toString();
+    const Duration delay = std::min(longestRetryDelay, firstRetryDelay * (1U << std::min(failures_, 10U)));
+    ++failures_;
+    if (now_ + delay >= request_.deadline)
+        return giveUp();
+    return WaitForRetry { delay };
+}
+
+ApplyAction ApplyOperation::giveUp()
+{
+    if (mayBeApplied_)
+        return remainUnknown(lastFailure_);
+    ApplyOutcome outcome;
+    outcome.status = ApplyStatus::Unavailable;
+    outcome.applyId = request_.applyId;
+    outcome.baseVersion = versionOf(base_);
+    outcome.details = { "nothing was applied: " + lastFailure_ };
+    return outcome;
+}
+
+ApplyAction ApplyOperation::handleGet(const Result<StoredValue>& result)
+{
+    const bool isMissing = !result && result.error().code == ErrorCode::NotFound;
+    if (!result && !isMissing)
+        return retry(result.error());
+    const StoredValue* value = result ? &result.value() : nullptr;
+    switch (step_) {
+    case Step::ReadHead:
+        return useHead(value);
+    case Step::ReadBase:
+        return useBasePart(value);
+    case Step::ComparePart:
+        return useStoredPart(value);
+    case Step::FindOut:
+        return useHeadFoundOut(value);
+    case Step::WritePart:
+    case Step::SwapHead:
+        break;
+    }
+    return remainUnknown("a read was answered that nobody sent");
+}
+
+ApplyAction ApplyOperation::handleSwap(const Result<std::uint64_t>& result)
+{
+    if (!result && isPermanent(result.error().code)) {
+        if (mayBeApplied_)
+            return remainUnknown(result.error().toString());
+        return refuse(RefusalReason::BadStore, { result.error().toString() });
+    }
+    return step_ == Step::WritePart ? handlePartSwap(result) : handleHeadSwap(result);
+}
+
+ApplyAction ApplyOperation::useHead(const StoredValue* stored)
+{
+    if (stored) {
+        auto head = ConfigurationHead::parse(stored->value);
+        if (!head)
+            return refuse(RefusalReason::UnreadableBase, { head.error().detail });
+        base_ = std::move(head).value();
+        headRevision_ = stored->revision;
+        // An earlier run of this apply got through.
+        if (const AppliedVersion* mine = base_->findApply(request_.applyId))
+            return recognise(*mine);
+    }
+    if (request_.baseVersion && *request_.baseVersion != versionOf(base_)) {
+        if (base_)
+            return refuseForWinner(RefusalReason::WrongBase, *base_);
+        return refuse(RefusalReason::WrongBase,
+            { fmt::format("base version {} does not exist; there is no version yet", *request_.baseVersion) });
+    }
+    if (!base_)
+        return checkAgainst(Configuration());
+
+    isUnchanged_ = base_->applied.contentHash == contentHash_ && request_.aboveVersion < base_->applied.version;
+    // The parts are written all the same: should one be missing, this mends it.
+    if (isUnchanged_)
+        return goTo(Step::WritePart);
+    baseReader_.emplace(*base_);
+    return goTo(Step::ReadBase);
+}
+
+ApplyAction ApplyOperation::useBasePart(const StoredValue* part)
+{
+    if (!part)
+        return skipUnreadableBase(fmt::format("{} is missing", baseReader_->nextKey()));
+    baseReader_->addPart(part->value);
+    if (!baseReader_->isComplete())
+        return goTo(Step::ReadBase);
+    const auto version = baseReader_->finish();
+    if (!version)
+        return skipUnreadableBase(version.error().detail);
+    return checkAgainst(version.value().configuration);
+}
+
+ApplyAction ApplyOperation::skipUnreadableBase(const std::string& why)
+{
+    if (!request_.allowUnreadableBase)
+        return refuse(RefusalReason::UnreadableBase,
+            { why, "the change can't be checked against the version in force; --allow_unreadable_base skips that" });
+    return checkAgainst(Configuration());
+}
+
+ApplyAction ApplyOperation::checkAgainst(const Configuration& base)
+{
+    auto broken = checkChange(base, request_.configuration, request_.allowed);
+    if (!broken.empty())
+        return refuse(RefusalReason::BrokenRule, std::move(broken));
+    prepareHead();
+    return goTo(Step::WritePart);
+}
+
+void ApplyOperation::prepareHead()
+{
+    ConfigurationHead head;
+    head.applied
+        = { std::max(versionOf(base_), request_.aboveVersion) + 1, request_.applyId, contentHash_, request_.author };
+    head.baseVersion = versionOf(base_);
+    head.contentParts = parts_.size();
+    for (const std::string& part : parts_)
+        head.contentBytes += part.size();
+    if (base_)
+        head.previousApplies = base_->appliesForNext();
+    newHead_ = std::move(head);
+}
+
+// Content never changes, so writing a part twice is harmless: the second write finds the first.
+ApplyAction ApplyOperation::handlePartSwap(const Result<std::uint64_t>& result)
+{
+    if (result)
+        return writeNextPart();
+    if (result.error().code == ErrorCode::Conflict)
+        return goTo(Step::ComparePart);
+    return retry(result.error());
+}
+
+ApplyAction ApplyOperation::useStoredPart(const StoredValue* part)
+{
+    if (part && part->value == parts_[partsWritten_])
+        return writeNextPart();
+    return refuse(RefusalReason::BadStore,
+        { fmt::format("{} holds another text than the one that its name stands for",
+            contentPartKey(contentHash_, partsWritten_)) });
+}
+
+ApplyAction ApplyOperation::writeNextPart()
+{
+    ++partsWritten_;
+    if (partsWritten_ < parts_.size())
+        return goTo(Step::WritePart);
+    if (isUnchanged_)
+        return accept(base_->applied.version, true);
+    return goTo(Step::SwapHead);
+}
+
+ApplyAction ApplyOperation::handleHeadSwap(const Result<std::uint64_t>& result)
+{
+    if (result)
+        return accept(newHead_->applied.version);
+    if (result.error().code == ErrorCode::Unavailable)
+        return retry(result.error());
+    if (result.error().code != ErrorCode::Conflict)
+        mayBeApplied_ = true;
+    lastFailure_ = result.error().toString();
+    // Not goTo(): writing and finding out may take turns, and their delays should go on growing.
+    step_ = Step::FindOut;
+    return callOf(step_);
+}
+
+ApplyAction ApplyOperation::useHeadFoundOut(const StoredValue* stored)
+{
+    const std::uint64_t revision = stored ? stored->revision : 0;
+    if (revision == headRevision_) {
+        // Our write has not taken effect, or not yet. It may go out again: both carry the same revision, so the
+        // platform takes one of them at most.
+        step_ = Step::SwapHead;
+        return retry({ ErrorCode::Unknown, "the head was still the old one after: " + lastFailure_ });
+    }
+    if (!stored)
+        return remainUnknown("the head is gone");
+    const auto head = ConfigurationHead::parse(stored->value);
+    if (!head)
+        return remainUnknown(head.error().detail);
+    if (const AppliedVersion* mine = head.value().findApply(request_.applyId))
+        return recognise(*mine);
+    if (!mayBeApplied_)
+        return refuseForWinner(RefusalReason::LostRace, head.value());
+    // Absent from a head that remembers everything since our base: another version took its place, and the write's
+    // revision is gone for good. Any other head proves nothing.
+    if (head.value().applied.version > versionOf(base_) && head.value().remembersSince(versionOf(base_)))
+        return refuseForWinner(RefusalReason::LostRace, head.value());
+    return remainUnknown(fmt::format("the head, now version {}, does not reach back to base version {}",
+        head.value().applied.version, versionOf(base_)));
+}
+
+ApplyAction ApplyOperation::recognise(const AppliedVersion& mine)
+{
+    if (mine.contentHash == contentHash_)
+        return accept(mine.version);
+    return refuse(RefusalReason::ReusedApplyId,
+        { fmt::format(
+            "apply id {} was used for version {} already, which has other content", mine.applyId, mine.version) });
+}
+
+ApplyAction ApplyOperation::accept(std::uint64_t version, bool isUnchanged)
+{
+    ApplyOutcome outcome;
+    outcome.status = ApplyStatus::Accepted;
+    outcome.applyId = request_.applyId;
+    outcome.version = version;
+    outcome.baseVersion = versionOf(base_);
+    outcome.isUnchanged = isUnchanged;
+    return outcome;
+}
+
+ApplyAction ApplyOperation::refuse(RefusalReason reason, std::vector<std::string> details)
+{
+    ApplyOutcome outcome;
+    outcome.status = ApplyStatus::Refused;
+    outcome.reason = reason;
+    outcome.applyId = request_.applyId;
+    outcome.baseVersion = versionOf(base_);
+    outcome.details = std::move(details);
+    return outcome;
+}
+
+ApplyAction ApplyOperation::refuseForWinner(RefusalReason reason, const ConfigurationHead& head)
+{
+    const std::uint64_t base = request_.baseVersion.value_or(versionOf(base_));
+    const AppliedVersion* successor = head.successorOf(base);
+    const AppliedVersion& winner = successor ? *successor : head.applied;
+    ApplyAction action = refuse(reason,
+        { fmt::format("against base version {}, version {} of {} (apply id {}) was accepted first; the newest version "
+                      "is {}",
+            base, winner.version, winner.author, winner.applyId, head.applied.version) });
+    std::get<ApplyOutcome>(action).winner = winner;
+    std::get<ApplyOutcome>(action).baseVersion = base;
+    return action;
+}
+
+ApplyAction ApplyOperation::remainUnknown(const std::string& why)
+{
+    ApplyOutcome outcome;
+    outcome.status = ApplyStatus::Unknown;
+    outcome.applyId = request_.applyId;
+    outcome.baseVersion = versionOf(base_);
+    outcome.details = { "the version may be accepted or not: " + why,
+        fmt::format("to find out, run the same command again with --apply_id {} --base_version {}; it never applies "
+                    "twice",
+            request_.applyId, versionOf(base_)) };
+    return outcome;
+}
+
+}
--- /dev/null
+++ b/Source/Configuration/ContentReader.cpp
@@ -0,0 +1,43 @@
+#include "Configuration/ContentReader.h"
+
+#include "Configuration/ConfigurationContent.h"
+#include "Configuration/ConfigurationParser.h"
+
+#include <fmt/format.h>
+
+#include <utility>
+
+namespace wisteriadock {
+
+ContentReader::ContentReader(ConfigurationHead head)
+    : head_(std::move(head))
+{
+}
+
+std::string ContentReader::nextKey() const { return contentPartKey(head_.applied.contentHash, partsRead_); }
+
+void ContentReader::addPart(std::string_view part)
+{
+    ++partsRead_;
+    // A text that is too long is refused by its hash in the end; it need not be kept until then.
+    if (text_.size() <= head_.contentBytes)
+        text_ += part;
+}
+
+// A part may be torn, or belong to another content: without the hash, a balancer would put half a file in force, which
+// an operator would notice as services that vanish.
+Result<ConfigurationVersion> ContentReader::finish()
+{
+    const std::string place = fmt::format("configuration version {}", head_.applied.version);
+    const std::string hash = contentHashOf(text_);
+    if (text_.size() != head_.contentBytes || hash != head_.applied.contentHash)
+        return Error { ErrorCode::InvalidArgument,
+            fmt::format("{}: its stored content of {} bytes has the hash {}; expected {} bytes with {}", place,
+                text_.size(), hash, head_.contentBytes, head_.applied.contentHash) };
+    auto configuration = parseConfiguration(place, text_);
+    if (!configuration)
+        return configuration.error().toError();
+    return ConfigurationVersion { std::move(head_), std::move(configuration).value(), std::move(text_) };
+}
+
+}
