Flow: Carry established flows through every change of a table

Cause: any packet may reach any balancer, and balancers learn of changes at different times, so that two of them may answer differently for one flow.

Each balancer decides by its settled table; buckets in which a later table differs go to one arbiter per service, which collects everybody's flows in them, switches, and hands out the exceptions.

Ruled out: replicating each flow (over the control budget at 140,000 new flows a second) and switching at a set time (skew between balancers splits flows).

--- /dev/null
+++ b/Source/Flow/ExceptionDeliveries.cpp
@@ -0,0 +1,56 @@
+#include "Flow/ExceptionDeliveries.h"
+
+#include <utility>
+
+namespace wisteriadock {
+
+void ExceptionDeliveries::start(
+    BalancerId to, std::uint64_t generation, std::shared_ptr<const FlowParts> parts, TimePoint now)
+{
+    const auto running = deliveries_.find(to);
+    if (running != deliveries_.end() && running->second.generation == generation)
+        return;
+    deliveries_.insert_or_assign(to, Delivery { generation, PartSender(std::move(parts), now), now });
+}
+
+bool ExceptionDeliveries::acknowledge(BalancerId from, const FlowMessage& ack)
+{
+    const auto delivery = deliveries_.find(from);
+    if (delivery == deliveries_.end() || delivery->second.generation != ack.targetGeneration)
+        return false;
+    delivery->second.parts.acknowledge(ack.list, ack.part);
+    if (!delivery->second.parts.isComplete())
+        return false;
+    deliveries_.erase(delivery);
+    return true;
+}
+
+void ExceptionDeliveries::sendDue(const FlowMessage& header, const ChangeContext& context)
+{
+    for (auto& [to, delivery] : deliveries_) {
+        FlowMessage message = header;
+        message.targetGeneration = delivery.generation;
+        const bool announceAgain = !delivery.parts.anyAcknowledged()
+            && context.now - delivery.switchAnnouncedAt >= context.settings.retryInterval;
+        if (announceAgain) {
+            delivery.switchAnnouncedAt = context.now;
+            message.kind = static_cast<std::uint8_t>(FlowMessageKind::Switch);
+            context.send(to, message);
+        }
+        message.kind = static_cast<std::uint8_t>(FlowMessageKind::Exceptions);
+        while (const auto part = delivery.parts.nextDue(context.now, context.settings.retryInterval)) {
+            delivery.parts.fill(message, *part);
+            if (!context.budget.take(estimatedBytes(message.groups)))
+                return;
+            context.send(to, message);
+            delivery.parts.markSent(*part, context.now);
+        }
+    }
+}
+
+void ExceptionDeliveries::dropDead(const ChangeContext& context)
+{
+    std::erase_if(deliveries_, [&](const auto& delivery) { return !context.isAlive(delivery.first); });
+}
+
+}
--- /dev/null
+++ b/Source/Flow/FlowEngine.cpp
@@ -0,0 +1,337 @@
+#include "Flow/FlowEngine.h"
+
+#include "Flow/BucketTable.h"
+#include "Flow/ChangeContext.h"
+#include "Flow/ServiceChange.h"
+#include "Flow/ServiceIndex.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
+
+#include <algorithm>
+#include <atomic>
+#include <map>
+#include <utility>
+
+namespace wisteriadock {
+
+namespace {
+
+    // Bounds of the search for idle flows in one tick, so that a tick stays short whatever the number of flows.
+    constexpr std::size_t entriesSweptPerTick = 8192;
+    constexpr std::size_t shardsSweptPerTick = 64;
+
+    // What a service's table is made from; an equal input gives an equal table.
+    struct TableSource {
+        double evenness = 0;
+        std::vector<std::pair<std::uint32_t, std::uint32_t>> weights;
+
+        bool operator==(const TableSource&) const = default;
+    };
+
+    TableSource tableSourceOf(const Configuration& configuration, const Service& service)
+    {
+        TableSource source { service.evenness, {} };
+        for (const BackendServer& server : configuration.backendServers) {
+            if (server.service == service.id && server.state == BackendServerState::Active)
+                source.weights.emplace_back(server.id.value, server.weight);
+        }
+        std::sort(source.weights.begin(), source.weights.end());
+        return source;
+    }
+
+    std::shared_ptr<const BucketTable> buildTable(FlowPolicy policy, ServiceId service, const TableSource& source)
+    {
+        std::vector<ServerShare> shares;
+        for (const auto& [server, weight] : source.weights)
+            shares.push_back({ { server }, weight });
+        return BucketTable::build(policy, source.evenness, service, shares);
+    }
+
+}
+
+struct FlowEngine::Implementation {
+    struct ServiceControl {
+        std::shared_ptr<ServiceFlows> flows;
+        std::unique_ptr<ServiceChange> change;
+        TableSource tableSource;
+        std::shared_ptr<const BucketTable> table;
+        std::shared_ptr<const ServerDirectory> directory;
+        std::chrono::seconds flowIdle { 0 };
+    };
+
+    Implementation(FlowSettings settingsToUse, BalancerId selfId)
+        : settings(settingsToUse)
+        , view(std::make_shared<MembersView>())
+        , tracking(std::make_shared<TrackingBudget>(settingsToUse.trackedFlows))
+        , budget(settingsToUse.transitionBytesPerSecond, TimePoint())
+    {
+        auto alone = std::make_shared<MembersView>();
+        alone->self = selfId;
+        view = std::move(alone);
+    }
+
+    ChangeContext context(TimePoint now, FlowActions& actions) { return { *view, settings, budget, now, actions }; }
+
+    void applyConfiguration(const Configuration&, std::uint64_t version, const ChangeContext&);
+    ServiceControl& controlOf(const Service&, const ChangeContext&);
+    std::shared_ptr<const ServerDirectory> directoryOf(const Configuration&, const Service&,
+        const std::shared_ptr<const ServerDirectory>& previous, TimePoint now) const;
+    void publishIndex(const Configuration&);
+    void considerBootstrap(const ChangeContext&);
+    bool mayBootstrap() const;
+    void reviewSynchronization();
+    void sweepIdleFlows(TimePoint now);
+
+    const FlowSettings settings;
+    std::shared_ptr<const MembersView> view;
+    std::shared_ptr<TrackingBudget> tracking;
+    SendBudget budget;
+    ServiceIndex index;
+    std::map<ServiceId, ServiceControl> services;
+    std::uint64_t version = 0;
+    bool synchronized = false;
+    std::optional<TimePoint> withoutServingSince;
+    std::atomic<TimePoint> lastTick { TimePoint() };
+    std::atomic<bool> awaitsContact { false };
+    // The shard that the search for idle flows comes to next.
+    ServiceId sweptService;
+    std::size_t sweptShard = 0;
+};
+
+FlowEngine::FlowEngine(FlowSettings settings, BalancerId self, std::uint64_t)
+    : implementation_(std::make_unique<Implementation>(settings, self))
+{
+}
+
+FlowEngine::~FlowEngine() = default;
+
+RouteDecision FlowEngine::route(const FlowPacket& packet, TimePoint now)
+{
+    Implementation& engine = *implementation_;
+    // A process that was stopped for a while wakes with packets in its socket and an old view of everything. Deciding
+    // by that view could send a flow to a server that the others have moved it from, or that was given away.
+    const bool wasPaused = now - engine.lastTick.load(std::memory_order_relaxed) > engine.settings.pauseThreshold;
+    if (wasPaused || engine.awaitsContact.load(std::memory_order_relaxed))
+        return { RouteKind::Drop, DropReason::AwaitingContact, {}, {}, {} };
+    return engine.index.withService(packet.serviceAddress, [&](ServiceFlows* service) -> RouteDecision {
+        if (!service)
+            return { RouteKind::Drop, DropReason::UnknownAddress, {}, {}, {} };
+        const FlowKey key = flowKeyOf(service->id, packet.client, packet.serviceAddress);
+        return service->table.route(key, packet, now);
+    });
+}
+
+FlowActions FlowEngine::applyConfiguration(
+    std::shared_ptr<const Configuration> configuration, std::uint64_t version, TimePoint now)
+{
+    FlowActions actions;
+    if (version <= implementation_->version)
+        return actions;
+    implementation_->version = version;
+    implementation_->applyConfiguration(*configuration, version, implementation_->context(now, actions));
+    implementation_->reviewSynchronization();
+    return actions;
+}
+
+FlowActions FlowEngine::applyMembers(std::shared_ptr<const MembersView> view, TimePoint now)
+{
+    FlowActions actions;
+    Implementation& engine = *implementation_;
+    const bool wasIsolated = engine.view->isolated;
+    engine.view = std::move(view);
+    engine.awaitsContact = engine.view->isolated;
+    const ChangeContext context = engine.context(now, actions);
+    const bool isBack = wasIsolated && !engine.view->isolated;
+    if (isBack && protectsFlows(engine.settings.policy))
+        engine.synchronized = false;
+    for (auto& [id, service] : engine.services) {
+        if (isBack && protectsFlows(engine.settings.policy))
+            service.change->desynchronize(context);
+        service.change->handleMembers(context);
+    }
+    return actions;
+}
+
+FlowActions FlowEngine::handle(BalancerId from, const FlowMessage& message, TimePoint now)
+{
+    FlowActions actions;
+    const auto service = implementation_->services.find(ServiceId { message.service });
+    if (service != implementation_->services.end())
+        service->second.change->handle(from, message, implementation_->context(now, actions));
+    implementation_->reviewSynchronization();
+    return actions;
+}
+
+FlowActions FlowEngine::tick(TimePoint now)
+{
+    FlowActions actions;
+    Implementation& engine = *implementation_;
+    engine.lastTick.store(now, std::memory_order_relaxed);
+    if (engine.view->isolated)
+        return actions;
+    engine.budget.refill(now);
+    const ChangeContext context = engine.context(now, actions);
+    engine.considerBootstrap(context);
+    for (auto& [id, service] : engine.services)
+        service.change->tick(context);
+    engine.reviewSynchronization();
+    engine.sweepIdleFlows(now);
+    return actions;
+}
+
+bool FlowEngine::isSynchronized() const { return implementation_->synchronized; }
+
+bool FlowEngine::mayLeave() const
+{
+    return std::none_of(implementation_->services.begin(), implementation_->services.end(),
+        [](const auto& service) { return service.second.change->owesExceptions(); });
+}
+
+BackendServerId FlowEngine::serverOfBucket(ServiceId id, std::uint32_t bucket) const
+{
+    const auto service = implementation_->services.find(id);
+    if (service == implementation_->services.end())
+        return {};
+    const auto table = service->second.change->settledTable();
+    return table ? table->at(bucket) : BackendServerId {};
+}
+
+FlowCounters FlowEngine::counters() const
+{
+    const TrackingBudget& tracking = *implementation_->tracking;
+    FlowCounters counters;
+    counters.trackedFlows = tracking.tracked;
+    counters.newFlows = tracking.newFlows;
+    counters.untrackedNewFlows = tracking.untrackedNewFlows;
+    counters.forwardedPackets = tracking.forwardedPackets;
+    for (const auto& [id, service] : implementation_->services) {
+        counters.transitionsStarted += service.change->startedCount();
+        counters.transitionsSettled += service.change->settledCount();
+        counters.transitionsForced += service.change->forcedCount();
+        counters.unsettledServices += service.change->isSettled() ? 0 : 1;
+    }
+    return counters;
+}
+
+void FlowEngine::Implementation::applyConfiguration(
+    const Configuration& configuration, std::uint64_t newVersion, const ChangeContext& context)
+{
+    std::erase_if(services, [&](const auto& service) { return configuration.findService(service.first) == nullptr; });
+    for (const Service& service : configuration.services) {
+        ServiceControl& control = controlOf(service, context);
+        TableSource source = tableSourceOf(configuration, service);
+        if (!control.table || source != control.tableSource) {
+            control.table = buildTable(settings.policy, service.id, source);
+            control.tableSource = std::move(source);
+        }
+        control.directory = directoryOf(configuration, service, control.directory, context.now);
+        control.flowIdle = std::chrono::seconds(service.flowIdleSeconds);
+        control.change->setTarget(newVersion, control.table, control.directory, context);
+    }
+    publishIndex(configuration);
+}
+
+FlowEngine::Implementation::ServiceControl& FlowEngine::Implementation::controlOf(
+    const Service& service, const ChangeContext&)
+{
+    ServiceControl& control = services[service.id];
+    if (!control.flows) {
+        const bool protects = protectsFlows(settings.policy);
+        control.flows = std::make_shared<ServiceFlows>(service.id, settings.shardsPerService, tracking, protects);
+        control.change = std::make_unique<ServiceChange>(service.id, control.flows->table, protects);
+    }
+    return control;
+}
+
+std::shared_ptr<const ServerDirectory> FlowEngine::Implementation::directoryOf(const Configuration& configuration,
+    const Service& service, const std::shared_ptr<const ServerDirectory>& previous, TimePoint now) const
+{
+    auto directory = std::make_shared<ServerDirectory>();
+    absl::flat_hash_set<Endpoint> used;
+    for (const BackendServer& server : configuration.backendServers) {
+        used.insert(server.flowAddress);
+        if (server.service == service.id)
+            directory->emplace(server.id, ServerRecord { server.flowAddress, server.state, std::nullopt });
+    }
+    if (!previous)
+        return directory;
+    for (const auto& [id, record] : *previous) {
+        const TimePoint retiredAt = record.retiredAt.value_or(now);
+        // A removed server keeps its established flows, unless its address now belongs to another: then its old flows
+        // would reach a server, perhaps of another service, that knows nothing of them.
+        const bool keep = !directory->contains(id) && !used.contains(record.flowAddress)
+            && now - retiredAt < settings.retiredServerRetention;
+        if (keep)
+            directory->emplace(id, ServerRecord { record.flowAddress, BackendServerState::Draining, retiredAt });
+    }
+    return directory;
+}
+
+void FlowEngine::Implementation::publishIndex(const Configuration& configuration)
+{
+    auto map = std::make_shared<ServiceIndex::Map>();
+    for (const Service& service : configuration.services)
+        map->emplace(service.address, services.at(service.id).flows);
+    index.publish(std::move(map));
+}
+
+void FlowEngine::Implementation::considerBootstrap(const ChangeContext& context)
+{
+    if (synchronized || services.empty() || !mayBootstrap()) {
+        withoutServingSince.reset();
+        return;
+    }
+    if (!withoutServingSince)
+        withoutServingSince = context.now;
+    if (context.now - *withoutServingSince < settings.bootstrapWait)
+        return;
+    for (auto& [id, service] : services)
+        service.change->settleAlone(context);
+}
+
+// Nobody who serves is in sight, and this balancer is the first of those that could begin.
+bool FlowEngine::Implementation::mayBootstrap() const
+{
+    // Before the first view nothing is known about the others; taking silence for solitude would contradict them.
+    if (!protectsFlows(settings.policy) || !view->findSelf())
+        return false;
+    for (const Member& member : view->members) {
+        if (member.state == MemberState::Serving && member.id != view->self)
+            return false;
+        if (member.state == MemberState::Joining && member.id < view->self)
+            return false;
+    }
+    return true;
+}
+
+void FlowEngine::Implementation::reviewSynchronization()
+{
+    // Services that come later do not make this balancer a newcomer again.
+    if (synchronized || services.empty())
+        return;
+    synchronized = std::all_of(
+        services.begin(), services.end(), [](const auto& service) { return service.second.change->isSynchronized(); });
+}
+
+void FlowEngine::Implementation::sweepIdleFlows(TimePoint now)
+{
+    if (services.empty())
+        return;
+    std::size_t entries = 0;
+    for (std::size_t step = 0; step < shardsSweptPerTick && entries < entriesSweptPerTick; ++step) {
+        auto service = services.lower_bound(sweptService);
+        if (service == services.end() || service->first != sweptService)
+            sweptShard = 0;
+        if (service == services.end())
+            service = services.begin();
+        sweptService = service->first;
+        entries += service->second.flows->table.expire(sweptShard, service->second.flowIdle, now);
+        if (++sweptShard < settings.shardsPerService)
+            continue;
+        sweptShard = 0;
+        sweptService = ServiceId { sweptService.value + 1 };
+    }
+}
+
+}
--- a/Source/Flow/FlowEngine.h
+++ b/Source/Flow/FlowEngine.h
@@ -50,6 +50,8 @@
 
     // A configuration came into force. Versions that are not above the present one are ignored.
     FlowActions applyConfiguration(std::shared_ptr<const Configuration>, std::uint64_t version, TimePoint now);
+    // The first view must not be applied before the seeds have answered or been silent for a lease: a balancer that
+    // takes itself for the only one begins by its own tables.
     FlowActions applyMembers(std::shared_ptr<const MembersView>, TimePoint now);
     FlowActions handle(BalancerId from, const FlowMessage&, TimePoint now);
     // Call it every 50 to 100 ms.
--- a/Source/Flow/FlowKey.h
+++ b/Source/Flow/FlowKey.h
@@ -20,9 +20,6 @@
 
 using BucketIndex = std::uint32_t;
 
-constexpr BucketIndex bucketOf(FlowKey key)
-{
-    return static_cast<BucketIndex>(key >> (64 - bucketCountLog2));
-}
+constexpr BucketIndex bucketOf(FlowKey key) { return static_cast<BucketIndex>(key >> (64 - bucketCountLog2)); }
 
 }
--- a/Source/Flow/FlowMessage.h
+++ b/Source/Flow/FlowMessage.h
@@ -13,15 +13,15 @@
 
 // What flow engines say to each other while the table of a service changes (docs/design/flows.md has the sequence).
 enum class FlowMessageKind : std::uint8_t {
-    Report = 1, // Member to arbiter: a part of the flows that the change would move, as far as the member knows them.
+    ReportRequest = 1, // Arbiter to member: stop deciding for the buckets that change, and tell me your flows in them.
+    Report, // Member to arbiter: a part of those flows.
     ReportAck, // Arbiter to member: that part arrived.
-    Switch, // Arbiter to members: from now on unknown flows get the new table's answer.
-    Exceptions, // Arbiter to member: a part of the flows that stay where they are.
+    Switch, // Arbiter to member: from now on unknown flows get the new table's answer.
+    Exceptions, // Arbiter to member: a part of the flows that stay where they are. Whoever holds all parts is settled.
     ExceptionsAck, // Member to arbiter: that part arrived.
-    Settle, // Arbiter to member: you hold all exceptions; decide by the new table on your own.
-    SettleAck, // Member to arbiter: done.
-    Release, // Arbiter to members: I am not the arbiter of this change; ask your view again.
-    SyncRequest, // Member to arbiter: I do not know this service's exceptions; send them.
+    Busy, // Member to arbiter: I am bound to an earlier change, or others wait for exceptions that I hold; keep asking.
+    Release, // Arbiter to member: I no longer lead this change; ask your view again.
+    SyncRequest, // Member to arbiter: I lack the exceptions of this service's newest table; send them.
 };
 
 std::string_view nameOf(FlowMessageKind);
@@ -39,22 +39,29 @@
 struct FlowMessage {
     std::uint8_t kind = 0;
     std::uint32_t service = 0;
-    // The table that the change starts from, 0 if the sender holds none, and the one it leads to.
+    // The table by which the sender decides on its own, 0 if it holds none.
     std::uint64_t settledGeneration = 0;
+    // The newest table that, as far as the sender knows, an arbiter has switched to.
+    std::uint64_t answerGeneration = 0;
+    // The table that the change leads to.
     std::uint64_t targetGeneration = 0;
+    // Tells apart the lists that one sender cut at different times; it rises. Parts of two lists must never be mixed,
+    // since each list is cut at other places.
+    std::uint64_t list = 0;
     // Parts are numbered from 0; an empty list is one empty part.
     std::uint32_t part = 0;
     std::uint32_t partCount = 0;
-    // In reports: whether the sender knows that an arbiter has switched this change already.
-    bool switched = false;
     std::vector<FlowGroup> groups;
 
     FlowMessageKind messageKind() const { return static_cast<FlowMessageKind>(kind); }
     bool operator==(const FlowMessage&) const = default;
-    MSGPACK_DEFINE_ARRAY(kind, service, settledGeneration, targetGeneration, part, partCount, switched, groups)
+    MSGPACK_DEFINE_ARRAY(
+        kind, service, settledGeneration, answerGeneration, targetGeneration, list, part, partCount, groups)
 };
 
 // The most flows in one message, so that it fits a datagram of 1200 bytes.
 inline constexpr std::size_t flowsPerMessage = 100;
+// The most parts that one list may have; more is refused as garbage.
+inline constexpr std::uint32_t mostParts = 1U << 16;
 
 }
--- a/Source/Flow/FlowPolicy.h
+++ b/Source/Flow/FlowPolicy.h
@@ -18,9 +18,6 @@
 Result<FlowPolicy> parseFlowPolicy(std::string_view);
 
 // Whether changes of the table pass through an arbiter and flows are tracked.
-constexpr bool protectsFlows(FlowPolicy policy)
-{
-    return policy == FlowPolicy::Protected;
-}
+constexpr bool protectsFlows(FlowPolicy policy) { return policy == FlowPolicy::Protected; }
 
 }
--- /dev/null
+++ b/Source/Flow/FlowTable.cpp
@@ -0,0 +1,188 @@
+#include "Flow/FlowTable.h"
+
+#include <utility>
+
+namespace wisteriadock {
+
+namespace {
+
+    // Two balancers that take each other for the arbiter would pass a packet back and forth for ever. One hop reaches
+    // the arbiter; a second one serves the moment in which the arbiter's role moves on. Further ones are dropped.
+    constexpr std::uint8_t mostHops = 2;
+
+    // An exception lives this many times longer than other idle flows.
+    constexpr std::uint32_t exceptionIdleFactor = 4;
+
+    std::uint32_t secondsOf(TimePoint now)
+    {
+        return static_cast<std::uint32_t>(
+            std::chrono::duration_cast<std::chrono::seconds>(now.time_since_epoch()).count());
+    }
+
+    RouteDecision drop(DropReason reason, ServiceId service) { return { RouteKind::Drop, reason, {}, service, {} }; }
+
+    RouteDecision handToArbiter(const RoutingState& routing, const FlowPacket& packet)
+    {
+        if (!routing.arbiterFlowAddress.isSet())
+            return drop(DropReason::NoArbiter, routing.service);
+        if (packet.hops >= mostHops)
+            return drop(DropReason::TooManyHops, routing.service);
+        return { RouteKind::ToBalancer, DropReason::None, routing.arbiterFlowAddress, routing.service, {} };
+    }
+
+    // The table by which this balancer itself may decide for an unknown flow of the bucket, or null.
+    const BucketTable* tableFor(const RoutingState& routing, BucketIndex bucket)
+    {
+        if (!routing.arbitrated.test(bucket))
+            return routing.settled.get();
+        return routing.isArbiter ? routing.answer.get() : nullptr;
+    }
+
+}
+
+FlowTable::FlowTable(std::uint32_t shardCount, std::shared_ptr<TrackingBudget> budget, bool tracksFlows)
+    : budget_(std::move(budget))
+    , tracksFlows_(tracksFlows)
+{
+    for (std::uint32_t i = 0; i < shardCount; ++i) {
+        shards_.push_back(std::make_unique<Shard>());
+        shards_.back()->routing = std::make_shared<RoutingState>();
+    }
+}
+
+FlowTable::~FlowTable() { budget_->tracked -= size(); }
+
+RouteDecision FlowTable::route(FlowKey key, const FlowPacket& packet, TimePoint now)
+{
+    Shard& shard = shardOf(key);
+    const std::lock_guard lock(shard.mutex);
+    const RoutingState& routing = *shard.routing;
+    if (!routing.directory)
+        return drop(DropReason::NoBackendServer, routing.service);
+
+    const auto known = shard.flows.find(key);
+    if (known != shard.flows.end()) {
+        const auto server = routing.directory->find(known->second.server);
+        const bool present = server != routing.directory->end();
+        // A client port may be used again soon. Where the packet itself says that a flow starts, an entry that leads to
+        // a server without new work is the old flow's; following it would give a draining server new flows.
+        const bool isOldFlow = packet.startsFlow && present && server->second.state != BackendServerState::Active;
+        if (present && !isOldFlow) {
+            known->second.lastSeenSeconds = secondsOf(now);
+            return { RouteKind::ToBackendServer, DropReason::None, server->second.flowAddress, routing.service,
+                known->second.server };
+        }
+        shard.flows.erase(known);
+        --budget_->tracked;
+    }
+
+    const BucketIndex bucket = bucketOf(key);
+    const BucketTable* table = tableFor(routing, bucket);
+    if (!table) {
+        const RouteDecision decision
+            = routing.isArbiter ? drop(DropReason::NoArbiter, routing.service) : handToArbiter(routing, packet);
+        if (decision.kind == RouteKind::ToBalancer)
+            budget_->forwardedPackets.fetch_add(1, std::memory_order_relaxed);
+        return decision;
+    }
+    const auto server = routing.directory->find(table->at(bucket));
+    if (server == routing.directory->end())
+        return drop(DropReason::NoBackendServer, routing.service);
+    track(shard, key, server->first, now);
+    return { RouteKind::ToBackendServer, DropReason::None, server->second.flowAddress, routing.service, server->first };
+}
+
+void FlowTable::track(Shard& shard, FlowKey key, BackendServerId server, TimePoint now)
+{
+    if (!tracksFlows_)
+        return;
+    budget_->newFlows.fetch_add(1, std::memory_order_relaxed);
+    // Memory is bounded: a flow beyond the limit is served by the table alone. It breaks only if its bucket changes
+    // while it lives; the counter tells operators that this may happen.
+    if (budget_->tracked.load(std::memory_order_relaxed) >= budget_->capacity) {
+        budget_->untrackedNewFlows.fetch_add(1, std::memory_order_relaxed);
+        return;
+    }
+    budget_->tracked.fetch_add(1, std::memory_order_relaxed);
+    shard.flows.emplace(key, Entry { server, secondsOf(now) });
+}
+
+void FlowTable::install(std::shared_ptr<const RoutingState> routing)
+{
+    for (const auto& shard : shards_) {
+        const std::lock_guard lock(shard->mutex);
+        shard->routing = routing;
+    }
+}
+
+std::vector<KnownFlow> FlowTable::installAndCollect(
+    std::shared_ptr<const RoutingState> routing, const BucketSet& buckets, const BucketTable& table)
+{
+    std::vector<KnownFlow> flows;
+    for (const auto& shard : shards_) {
+        const std::lock_guard lock(shard->mutex);
+        shard->routing = routing;
+        collectFrom(*shard, buckets, table, flows);
+    }
+    return flows;
+}
+
+std::vector<KnownFlow> FlowTable::collect(const BucketSet& buckets, const BucketTable& table)
+{
+    std::vector<KnownFlow> flows;
+    for (const auto& shard : shards_) {
+        const std::lock_guard lock(shard->mutex);
+        collectFrom(*shard, buckets, table, flows);
+    }
+    return flows;
+}
+
+void FlowTable::collectFrom(
+    const Shard& shard, const BucketSet& buckets, const BucketTable& table, std::vector<KnownFlow>& flows)
+{
+    for (const auto& [key, entry] : shard.flows) {
+        const BucketIndex bucket = bucketOf(key);
+        if (buckets.test(bucket) && table.at(bucket) != entry.server)
+            flows.push_back({ key, entry.server });
+    }
+}
+
+void FlowTable::learn(const std::vector<KnownFlow>& flows, TimePoint now)
+{
+    for (const KnownFlow& flow : flows) {
+        Shard& shard = shardOf(flow.key);
+        const std::lock_guard lock(shard.mutex);
+        // Learned flows are exceptions, which no table finds again: they are kept even when the budget is spent.
+        const bool isNew = shard.flows.try_emplace(flow.key, Entry { flow.server, secondsOf(now) }).second;
+        if (isNew)
+            ++budget_->tracked;
+    }
+}
+
+std::size_t FlowTable::expire(std::size_t shardIndex, std::chrono::seconds idle, TimePoint now)
+{
+    Shard& shard = *shards_[shardIndex];
+    const std::lock_guard lock(shard.mutex);
+    const std::size_t looked = shard.flows.size();
+    const std::uint32_t nowSeconds = secondsOf(now);
+    const auto idleSeconds = static_cast<std::uint32_t>(idle.count());
+    const BucketTable* settled = shard.routing->settled.get();
+    budget_->tracked -= absl::erase_if(shard.flows, [&](const auto& flow) {
+        const bool isException = settled && settled->at(bucketOf(flow.first)) != flow.second.server;
+        const std::uint32_t limit = isException ? idleSeconds * exceptionIdleFactor : idleSeconds;
+        return nowSeconds - flow.second.lastSeenSeconds > limit;
+    });
+    return looked;
+}
+
+std::size_t FlowTable::size() const
+{
+    std::size_t size = 0;
+    for (const auto& shard : shards_) {
+        const std::lock_guard lock(shard->mutex);
+        size += shard->flows.size();
+    }
+    return size;
+}
+
+}
--- /dev/null
+++ b/Source/Flow/ReportCollection.cpp
@@ -0,0 +1,48 @@
+#include "Flow/ReportCollection.h"
+
+namespace wisteriadock {
+
+void ReportCollection::sendRequests(const FlowMessage& request, const ChangeContext& context)
+{
+    context.forEachOther([&](const Member& member) {
+        MemberReport& report = reports_[member.id];
+        if (report.parts.isComplete())
+            return;
+        if (report.requestedAt && context.now - *report.requestedAt < context.settings.retryInterval)
+            return;
+        report.requestedAt = context.now;
+        context.send(member.id, request);
+    });
+}
+
+bool ReportCollection::accept(BalancerId from, const FlowMessage& message)
+{
+    MemberReport& report = reports_[from];
+    report.settledGeneration = message.settledGeneration;
+    return report.parts.accept(message);
+}
+
+bool ReportCollection::isComplete(const ChangeContext& context) const
+{
+    bool complete = true;
+    context.forEachOther([&](const Member& member) {
+        const auto report = reports_.find(member.id);
+        complete = complete && report != reports_.end() && report->second.parts.isComplete();
+    });
+    return complete;
+}
+
+bool ReportCollection::patienceIsOver(const ChangeContext& context) const
+{
+    return context.now - patientSince_ >= context.settings.reportPatience;
+}
+
+std::optional<std::uint64_t> ReportCollection::settledGenerationOf(BalancerId id) const
+{
+    const auto report = reports_.find(id);
+    if (report == reports_.end() || !report->second.parts.isComplete())
+        return std::nullopt;
+    return report->second.settledGeneration;
+}
+
+}
--- /dev/null
+++ b/Source/Flow/RoutingState.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "Configuration/Configuration.h"
+#include "Core/Clock.h"
+#include "Core/Endpoint.h"
+#include "Core/Identifiers.h"
+#include "Flow/BucketTable.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <memory>
+#include <optional>
+
+namespace wisteriadock {
+
+// Where a backend server takes flow packets, and whether new flows may go there.
+struct ServerRecord {
+    Endpoint flowAddress;
+    BackendServerState state = BackendServerState::Active;
+    // Set when the server is gone from the configuration; it is kept for the flows that it still has.
+    std::optional<TimePoint> retiredAt;
+};
+
+using ServerDirectory = absl::flat_hash_map<BackendServerId, ServerRecord>;
+
+// What the packet path of one service goes by. Immutable; a change installs a new one in every shard.
+struct RoutingState {
+    ServiceId service;
+    std::shared_ptr<const ServerDirectory> directory;
+    // Decides for unknown flows, except in arbitrated buckets. Null while nothing was learned yet.
+    std::shared_ptr<const BucketTable> settled;
+    // Buckets whose unknown flows only the arbiter may decide, since balancers may disagree on them.
+    BucketSet arbitrated;
+    // Set on the arbiter: its answer for unknown flows in arbitrated buckets. Null while it must not answer.
+    std::shared_ptr<const BucketTable> answer;
+    bool isArbiter = false;
+    // Where other balancers hand unknown flows in arbitrated buckets; not set when no arbiter is known.
+    Endpoint arbiterFlowAddress;
+};
+
+}
--- /dev/null
+++ b/Source/Flow/ServiceChange.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include "Flow/ChangeContext.h"
+#include "Flow/ExceptionDeliveries.h"
+#include "Flow/FlowTable.h"
+#include "Flow/ReportCollection.h"
+#include "Flow/TableHistory.h"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+
+namespace wisteriadock {
+
+// Carries one service's table from generation to generation, together with the other balancers.
+//
+// A generation is the version of the configuration that brought the table. Each balancer decides by its settled table;
+// for buckets in which a later table differs it hands unknown flows to the service's arbiter. The arbiter collects
+// everybody's flows in those buckets, switches, and gives everybody the exceptions; whoever holds them all is settled
+// at the new generation. docs/design/flows.md has the whole sequence and what each step guards against.
+class ServiceChange {
+public:
+    ServiceChange(ServiceId, FlowTable&, bool protectsFlows);
+
+    // A configuration with a newer table, or the same table under a newer generation, came into force.
+    void setTarget(std::uint64_t generation, std::shared_ptr<const BucketTable>, std::shared_ptr<const ServerDirectory>,
+        const ChangeContext&);
+    void handleMembers(const ChangeContext&);
+    void handle(BalancerId from, const FlowMessage&, const ChangeContext&);
+    void tick(const ChangeContext&);
+
+    // Takes the target table as settled: there is nobody whose flows it could contradict.
+    void settleAlone(const ChangeContext&);
+    // Forgets what was agreed, as after a pause in which the others may have moved on; known flows stay.
+    void desynchronize(const ChangeContext&);
+
+    bool isSynchronized() const { return settled_ != 0; }
+    bool isSettled() const { return settled_ != 0 && settled_ == target_; }
+    // Whether others still wait for exceptions that this balancer holds for them.
+    bool owesExceptions() const { return !deliveries_.isEmpty(); }
+
+    std::uint64_t startedCount() const { return startedCount_; }
+    std::uint64_t settledCount() const { return settledCount_; }
+    std::uint64_t forcedCount() const { return forcedCount_; }
+    std::shared_ptr<const BucketTable> settledTable() const { return tables_.find(settled_); }
+
+private:
+    // This balancer's word to follow one arbiter through one change. It keeps two arbiters from both switching.
+    struct Promise {
+        BalancerId arbiter;
+        std::uint64_t generation = 0;
+        std::optional<PartSender> report;
+        TimePoint heardAt;
+        bool switched = false;
+    };
+    struct Intake {
+        BalancerId from;
+        std::uint64_t generation = 0;
+        PartReceiver parts;
+    };
+
+    void handleReportRequest(BalancerId from, const FlowMessage&, const ChangeContext&);
+    void handleReport(BalancerId from, const FlowMessage&, const ChangeContext&);
+    void handleReportAck(BalancerId from, const FlowMessage&);
+    void handleSwitch(BalancerId from, const FlowMessage&, const ChangeContext&);
+    void handleExceptions(BalancerId from, const FlowMessage&, const ChangeContext&);
+    void handleExceptionsAck(BalancerId from, const FlowMessage&);
+    void handleBusy(const FlowMessage&, const ChangeContext&);
+    void handleRelease(BalancerId from, const FlowMessage&, const ChangeContext&);
+    void handleSyncRequest(BalancerId from, const FlowMessage&, const ChangeContext&);
+
+    void reviewPromise(const ChangeContext&);
+    void reviewLead(const ChangeContext&);
+    void startLead(const ChangeContext&);
+    void abandonLead(const ChangeContext&);
+    void switchOver(const ChangeContext&);
+    void deliverAfterSwitch(
+        const ReportCollection&, std::uint64_t previouslySettled, const std::vector<KnownFlow>&, const ChangeContext&);
+    void sendReport(const ChangeContext&);
+    void requestSync(const ChangeContext&);
+    void settleAt(std::uint64_t generation, const ChangeContext&);
+
+    std::shared_ptr<const RoutingState> routingFor(const ChangeContext&) const;
+    void publish(const ChangeContext&);
+    FlowMessage message(FlowMessageKind, std::uint64_t targetGeneration) const;
+
+    const ServiceId service_;
+    FlowTable& flows_;
+    const bool protectsFlows_;
+
+    TableHistory tables_;
+    std::shared_ptr<const ServerDirectory> directory_;
+    // By which this balancer decides on its own; 0 while it does not know the exceptions of any table.
+    std::uint64_t settled_ = 0;
+    // The newest table that some arbiter is known to have switched to.
+    std::uint64_t answer_ = 0;
+    // The table of the newest configuration.
+    std::uint64_t target_ = 0;
+
+    std::optional<Promise> promise_;
+    std::optional<Intake> intake_;
+    // Set on the arbiter from the start of a change to its switch.
+    std::optional<ReportCollection> lead_;
+    ExceptionDeliveries deliveries_;
+    std::optional<TimePoint> syncRequestedAt_;
+
+    std::uint64_t startedCount_ = 0;
+    std::uint64_t settledCount_ = 0;
+    std::uint64_t forcedCount_ = 0;
+};
+
+}
--- /dev/null
+++ b/Tests/Flow/BaselineTest.cpp
@@ -0,0 +1,31 @@
+#include "Support/FlowFleet.h"
+
+#include <gtest/gtest.h>
+
+namespace wisteriadock {
+namespace {
+
+    using namespace std::chrono_literals;
+
+    // A schedule that breaks nobody proves nothing: the baselines must break flows where the default does not.
+    TEST(BaselineTest, breaksFlowsWhereTheDefaultDoesNot)
+    {
+        for (const FlowPolicy policy : { FlowPolicy::Modulo, FlowPolicy::ConsistentHash, FlowPolicy::BoundedLoads }) {
+            SCOPED_TRACE(nameOf(policy));
+            FlowFleet::Options options;
+            options.settings.policy = policy;
+            FlowFleet fleet(options);
+            Configuration configuration = makeConfiguration({ { "tryon", 15 }, { "scanintake", 4 } });
+            fleet.apply(configuration);
+            fleet.run(4s, 200);
+            serverNamed(configuration, "tryon-3").state = BackendServerState::Draining;
+            fleet.apply(configuration);
+            fleet.run(4s, 200);
+            EXPECT_GT(fleet.outcome().flows, 500);
+            EXPECT_GT(fleet.outcome().brokenFlows, 0);
+            EXPECT_EQ(fleet.outcome().wrongServicePackets, 0);
+        }
+    }
+
+}
+}
