Configuration: Tell a head from another that got its revision again

Cause: a platform restored from an older copy gives revisions again for other values, so a lost write could be sent again over a version that it was never checked against. A restored head that balancers are at the same number with is also no reason for a new version of the same content.

Conclusion: the head is compared by value too before the write is repeated.

--- a/Source/Configuration/ApplyOperation.cpp
+++ b/Source/Configuration/ApplyOperation.cpp
@@ -153,7 +153,7 @@
     if (!base_)
         return checkAgainst(Configuration());
 
-    isUnchanged_ = base_->applied.contentHash == contentHash_ && request_.aboveVersion < base_->applied.version;
+    isUnchanged_ = base_->applied.contentHash == contentHash_ && request_.aboveVersion <= base_->applied.version;
     // The parts are written all the same: should one be missing, this mends it.
     if (isUnchanged_)
         return goTo(Step::WritePart);
@@ -251,27 +251,32 @@
 ApplyAction ApplyOperation::useHeadFoundOut(const StoredValue* stored)
 {
     const std::uint64_t revision = stored ? stored->revision : 0;
-    if (revision == headRevision_) {
+    std::optional<ConfigurationHead> head;
+    if (stored) {
+        auto parsed = ConfigurationHead::parse(stored->value);
+        if (!parsed)
+            return remainUnknown(parsed.error().detail);
+        head = std::move(parsed).value();
+    }
+    // Both are compared, because a platform restored from an older copy gives revisions again for other values.
+    if (revision == headRevision_ && head == base_) {
         // Our write has not taken effect, or not yet. It may go out again: both carry the same revision, so the
         // platform takes one of them at most.
         step_ = Step::SwapHead;
         return retry({ ErrorCode::Unknown, "the head was still the old one after: " + lastFailure_ });
     }
-    if (!stored)
-        return remainUnknown("the head is gone");
-    const auto head = ConfigurationHead::parse(stored->value);
     if (!head)
-        return remainUnknown(head.error().detail);
-    if (const AppliedVersion* mine = head.value().findApply(request_.applyId))
+        return remainUnknown("the head is gone");
+    if (const AppliedVersion* mine = head->findApply(request_.applyId))
         return recognise(*mine);
     if (!mayBeApplied_)
-        return refuseForWinner(RefusalReason::LostRace, head.value());
+        return refuseForWinner(RefusalReason::LostRace, *head);
     // Absent from a head that remembers everything since our base: another version took its place, and the write's
     // revision is gone for good. Any other head proves nothing.
-    if (head.value().applied.version > versionOf(base_) && head.value().remembersSince(versionOf(base_)))
-        return refuseForWinner(RefusalReason::LostRace, head.value());
+    if (head->applied.version > versionOf(base_) && head->remembersSince(versionOf(base_)))
+        return refuseForWinner(RefusalReason::LostRace, *head);
     return remainUnknown(fmt::format("the head, now version {}, does not reach back to base version {}",
-        head.value().applied.version, versionOf(base_)));
+        head->applied.version, versionOf(base_)));
 }
 
 ApplyAction ApplyOperation::recognise(const AppliedVersion& mine)
@@ -314,6 +319,9 @@
         { fmt::format("against base version {}, version {} of {} (apply id {}) was accepted first; the newest version "
                       "is {}",
             base, winner.version, winner.author, winner.applyId, head.applied.version) });
+    if (!head.remembersSince(base))
+        std::get<ApplyOutcome>(action).details.push_back(fmt::format(
+            "the head no longer remembers whether an earlier run with apply id {} was accepted", request_.applyId));
     std::get<ApplyOutcome>(action).winner = winner;
     std::get<ApplyOutcome>(action).baseVersion = base;
     return action;
--- a/Tests/Configuration/ApplyOperationTest.cpp
+++ b/Tests/Configuration/ApplyOperationTest.cpp
@@ -165,6 +165,22 @@
         }
     }
 
+    // Symptom: a version vanished that nobody had replaced knowingly. Sequence: an answer was lost, the platform was
+    // restored from an older copy, and another operator's write got the revision that the first had read. Cause: the
+    // revision alone was taken for the head.
+    TEST_F(ApplyOperationTest, doesNotTakeARevisionThatCameAgainForTheSameHead)
+    {
+        const std::string key(configurationHeadKey);
+        ConfigurationHead other = driver_.head();
+        other.applied.applyId = "other";
+        driver_.fates = { SwapFate::LostAfterEffect };
+        driver_.afterHeadSwap = [&, revision = driver_.values.at(key).revision] {
+            driver_.values[key] = { other.toJson(), revision };
+        };
+        EXPECT_EQ(apply(variant(2), "second").status, ApplyStatus::Unknown);
+        EXPECT_EQ(driver_.head().applied.applyId, "other");
+    }
+
     TEST_F(ApplyOperationTest, splitsContentThatThePlatformCanNotHold)
     {
         Configuration large = example_;
