Request: Release a balancer that stops only after its claims moved

Ruled out: waiting for the work alone; a shorter settle time only narrows the gap. Conclusion: mayStop() waits until the record names other holders and these had time to fetch the claims.

--- a/Source/Request/BucketKeeper.cpp
+++ b/Source/Request/BucketKeeper.cpp
@@ -10,6 +10,7 @@
     constexpr std::chrono::milliseconds resendInterval { 100 };
     // Lost claims are asked for at leisure: whoever has them was not there when it mattered.
     constexpr std::chrono::milliseconds healInterval { 1000 };
+    constexpr std::chrono::milliseconds handOverTime { 1000 };
 
 }
 
@@ -26,6 +27,7 @@
     if (term_ && term.epoch <= term_->epoch)
         return;
     term_ = term;
+    termLearnedAt_ = now;
     newestEpoch_ = std::max(newestEpoch_, term.epoch);
     hasOwnershipChanged_ = true;
     for (std::uint32_t index = 0; index < claimBucketCount; ++index) {
@@ -342,6 +344,14 @@
     return KeyKnowledge::Fresh;
 }
 
+bool BucketKeeper::isReleased(TimePoint now) const
+{
+    if (!term_)
+        return true;
+    const bool isHolder = std::find(term_->holders.begin(), term_->holders.end(), self_) != term_->holders.end();
+    return !isHolder && now - termLearnedAt_ >= handOverTime;
+}
+
 std::size_t BucketKeeper::lostBuckets() const
 {
     return std::count_if(buckets_.begin(), buckets_.end(),
--- a/Source/Request/BucketKeeper.h
+++ b/Source/Request/BucketKeeper.h
@@ -59,6 +59,8 @@
     Ownership ownership(std::uint32_t bucket) const;
     const std::optional<ClaimPair>& pairOf(std::uint32_t bucket) const { return buckets_[bucket].pair; }
     KeyKnowledge knowledgeOf(std::uint32_t bucket, const RequestKey&) const;
+    // Whether the newest term names other holders only, and these have had time to fetch what this balancer holds.
+    bool isReleased(TimePoint now) const;
     ClaimTable& table() { return table_; }
     const ClaimTable& table() const { return table_; }
 
@@ -107,6 +109,7 @@
     Duration maxDeadline_;
     ClaimTable table_;
     std::optional<ClaimTerm> term_;
+    TimePoint termLearnedAt_;
     std::uint64_t newestEpoch_ = 0;
     std::vector<Bucket> buckets_;
     GoneHolders gone_;
--- a/Source/Request/RequestRouter.cpp
+++ b/Source/Request/RequestRouter.cpp
@@ -9,8 +9,11 @@
     bool isReachable(const Holder& holder, const MembersView& view)
     {
         return std::any_of(view.members.begin(), view.members.end(), [&](const Member& member) {
-            return member.id == holder.id && member.incarnation == holder.incarnation
-                && member.state != MemberState::Dead;
+            if (member.id != holder.id)
+                return false;
+            // A record that names a later start than the view knows is the newer word on that balancer.
+            const bool isViewBehind = member.incarnation < holder.incarnation;
+            return isViewBehind || (member.incarnation == holder.incarnation && member.state != MemberState::Dead);
         });
     }
 
--- a/Source/Request/RequestRunner.h
+++ b/Source/Request/RequestRunner.h
@@ -68,7 +68,10 @@
     // The text of a fresh ticket; nothing while this balancer knows no ownership epoch of its zone.
     std::optional<std::string> issueTicket(std::uint64_t high, std::uint64_t low) const;
 
-    // What a planned stop must wait for.
+    // A planned stop: first let the members know that this balancer leaves, then wait until this is true. While the
+    // platform is out, the second condition can't come true; a stop after workUnderWay() is zero then costs its claims
+    // their second copy, not their first.
+    bool mayStop(TimePoint now) const { return workUnderWay() == 0 && keeper_.isReleased(now); }
     std::size_t workUnderWay() const { return works_.size() + parked_.size() + refusals_.waiting(); }
     const BucketKeeper& keeper() const { return keeper_; }
     const Admission& admission() const { return admission_; }
--- a/Source/Request/TermKeeper.h
+++ b/Source/Request/TermKeeper.h
@@ -39,9 +39,9 @@
 
 struct TermTimes {
     // How long the holders must look wrong before the record is written, so that one that flickers moves nothing.
-    std::chrono::milliseconds settle { 500 };
+    std::chrono::milliseconds settle { 300 };
     // Added for each balancer of the zone that comes earlier in the order, so that one writes and the others see it.
-    std::chrono::milliseconds perRank { 300 };
+    std::chrono::milliseconds perRank { 200 };
     std::chrono::milliseconds retry { 1000 };
     // A record is renewed at this age, so that tickets carry an epoch of about their age.
     std::chrono::minutes renewal { 30 };
--- a/Tests/Request/FakeBackends.cpp
+++ b/Tests/Request/FakeBackends.cpp
@@ -4,10 +4,7 @@
 
 namespace wisteriadock::testing {
 
-std::string answerBodyOf(const std::string& name)
-{
-    return "confirmed " + name + " end";
-}
+std::string answerBodyOf(const std::string& name) { return "confirmed " + name + " end"; }
 
 FakeBackends::FakeBackends(
     FakeWorld& world, FakeCuts& cuts, std::vector<std::string> zones, std::uint32_t serversPerZone)
--- a/Tests/Request/FakeBalancer.cpp
+++ b/Tests/Request/FakeBalancer.cpp
@@ -124,15 +124,9 @@
     });
 }
 
-void FakeBalancer::pause(Duration time)
-{
-    pausedUntil_ = std::max(pausedUntil_, cluster_.world.now() + time);
-}
+void FakeBalancer::pause(Duration time) { pausedUntil_ = std::max(pausedUntil_, cluster_.world.now() + time); }
 
-void FakeBalancer::leave()
-{
-    isLeaving_ = true;
-}
+void FakeBalancer::leave() { isLeaving_ = true; }
 
 void FakeBalancer::perform(std::function<void()> event)
 {
@@ -204,7 +198,7 @@
     for (const AbandonedForward& lost : life_->book->expire(now))
         refuseUnknown(lost.id, lost.reason);
     act();
-    if (isLeaving_ && life_->runner->workUnderWay() == 0 && life_->tries.empty())
+    if (isLeaving_ && life_->runner->mayStop(now) && life_->tries.empty())
         kill(milliseconds(300));
 }
 
@@ -242,9 +236,8 @@
 void FakeBalancer::arriveForwarded(const Holder& entry, const ForwardToken& token, const FakeRequest& request)
 {
     const TimePoint now = cluster_.world.now();
-    cluster_.carry(*this, entry, [owner = holder(), token](FakeBalancer& balancer) {
-        balancer.life_->book->acknowledge(owner, token);
-    });
+    cluster_.carry(*this, entry,
+        [owner = holder(), token](FakeBalancer& balancer) { balancer.life_->book->acknowledge(owner, token); });
     const TryId id = ++life_->lastTry;
     life_->tries[id] = { request, {}, entry, token, 0 };
     if (now >= request.deadline)
@@ -270,9 +263,8 @@
     if (local.reply)
         return local.reply(reply);
     cluster_.carry(*this, local.entry,
-        [owner = holder(), token = local.token, key = local.request.key.digest, reply](FakeBalancer& balancer) {
-            balancer.settle(owner, token, key, reply);
-        });
+        [owner = holder(), token = local.token, key = local.request.key.digest, reply](
+            FakeBalancer& balancer) { balancer.settle(owner, token, key, reply); });
 }
 
 void FakeBalancer::settle(const Holder& from, const ForwardToken& token, const KeyDigest& key, const FakeReply& reply)
@@ -285,11 +277,14 @@
 
 void FakeBalancer::settleRedirect(const Holder& from, const ForwardToken& token)
 {
-    const auto id = life_->book->redirect(from, token);
-    if (!id)
-        return;
+    if (const auto id = life_->book->redirect(from, token))
+        routeLater(*id);
+}
+
+void FakeBalancer::routeLater(TryId id)
+{
     // The newer record comes with the next heartbeat.
-    cluster_.world.after(milliseconds(110), [this, id = *id, life = incarnation_] {
+    cluster_.world.after(milliseconds(110), [this, id, life = incarnation_] {
         perform([=, this] {
             if (incarnation_ == life && life_->tries.contains(id))
                 route(id);
@@ -315,9 +310,8 @@
 {
     const TimePoint now = cluster_.world.now();
     if (const auto* message = std::get_if<OutgoingMessage>(&action))
-        cluster_.carry(*this, message->to, [from = holder(), content = message->message](FakeBalancer& balancer) {
-            balancer.receive(from, content);
-        });
+        cluster_.carry(*this, message->to,
+            [from = holder(), content = message->message](FakeBalancer& balancer) { balancer.receive(from, content); });
     else if (const auto* start = std::get_if<StartWork>(&action))
         startWork(*start);
     else if (const auto* answer = std::get_if<AnswerTry>(&action))
@@ -330,11 +324,10 @@
             return;
         const Local local = found->second;
         if (local.reply)
-            return refuseUnknown(redirect->id, RefusalReason::HomeUnreachable);
+            return routeLater(redirect->id);
         life_->tries.erase(found);
-        cluster_.carry(*this, local.entry, [owner = holder(), token = local.token](FakeBalancer& balancer) {
-            balancer.settleRedirect(owner, token);
-        });
+        cluster_.carry(*this, local.entry,
+            [owner = holder(), token = local.token](FakeBalancer& balancer) { balancer.settleRedirect(owner, token); });
     }
 }
 
--- a/Tests/Request/FakeBalancer.h
+++ b/Tests/Request/FakeBalancer.h
@@ -75,6 +75,8 @@
     void leave();
 
     bool isUp() const { return isUp_; }
+    // Takes callers: one that has just started knows nobody yet and listens later.
+    bool isListening() const { return isUp_ && !life_->view.members.empty(); }
     bool isPaused() const { return cluster_.world.now() < pausedUntil_; }
     bool isLeaving() const { return isLeaving_; }
 
@@ -117,6 +119,7 @@
 
     void start();
     void route(TryId);
+    void routeLater(TryId);
     void arriveForwarded(const Holder& entry, const ForwardToken&, const FakeRequest&);
     void finish(TryId, const FakeReply&);
     void settle(const Holder& from, const ForwardToken&, const KeyDigest&, const FakeReply&);
--- a/Tests/Request/FakeCallers.cpp
+++ b/Tests/Request/FakeCallers.cpp
@@ -58,6 +58,11 @@
         return true;
     };
     cluster_.world.after(milliseconds(1), [=, this, &entry] {
+        // Nobody accepts the connection: the caller knows that the try went nowhere, and takes another balancer.
+        if (!entry.isListening() && close()) {
+            ++caller->triesLeft;
+            return retryIn(caller, milliseconds(20));
+        }
         entry.perform([=, this, &entry] {
             entry.request(caller->request, [=, this](const FakeReply& reply) {
                 cluster_.world.after(milliseconds(1), [=, this] {
--- a/Tests/Request/FakePlatform.h
+++ b/Tests/Request/FakePlatform.h
@@ -34,8 +34,8 @@
         });
     }
 
-    void write(const std::string& fromZone, const WriteTerm& request,
-        std::function<void(TermWrite, std::uint64_t)> reply)
+    void write(
+        const std::string& fromZone, const WriteTerm& request, std::function<void(TermWrite, std::uint64_t)> reply)
     {
         world_.after(milliseconds(2), [=, this] {
             if (isAway(fromZone))
