Flow: Group backend servers once per configuration

Cause: each service scanned all backend servers and built a set of all used addresses of its own, so that one change cost services times servers.

Ruled out: the tables themselves (0.56 ms for five servers, built only for the service that changed).

--- a/Source/Flow/FlowEngine.cpp
+++ b/Source/Flow/FlowEngine.cpp
@@ -29,12 +29,26 @@
         bool operator==(const TableSource&) const = default;
     };
 
-    TableSource tableSourceOf(const Configuration& configuration, const Service& service)
+    // A configuration grouped for a look at one service after the other.
+    struct GroupedServers {
+        explicit GroupedServers(const Configuration& configuration)
+        {
+            for (const BackendServer& server : configuration.backendServers) {
+                byService[server.service].push_back(&server);
+                usedAddresses.insert(server.flowAddress);
+            }
+        }
+
+        absl::flat_hash_map<ServiceId, std::vector<const BackendServer*>> byService;
+        absl::flat_hash_set<Endpoint> usedAddresses;
+    };
+
+    TableSource tableSourceOf(const Service& service, const std::vector<const BackendServer*>& servers)
     {
         TableSource source { service.evenness, {} };
-        for (const BackendServer& server : configuration.backendServers) {
-            if (server.service == service.id && server.state == BackendServerState::Active)
-                source.weights.emplace_back(server.id.value, server.weight);
+        for (const BackendServer* server : servers) {
+            if (server->state == BackendServerState::Active)
+                source.weights.emplace_back(server->id.value, server->weight);
         }
         std::sort(source.weights.begin(), source.weights.end());
         return source;
@@ -74,9 +88,10 @@
     ChangeContext context(TimePoint now, FlowActions& actions) { return { *view, settings, budget, now, actions }; }
 
     void applyConfiguration(const Configuration&, std::uint64_t version, const ChangeContext&);
-    ServiceControl& controlOf(const Service&, const ChangeContext&);
-    std::shared_ptr<const ServerDirectory> directoryOf(const Configuration&, const Service&,
-        const std::shared_ptr<const ServerDirectory>& previous, TimePoint now) const;
+    ServiceControl& controlOf(const Service&);
+    std::shared_ptr<const ServerDirectory> directoryOf(const std::vector<const BackendServer*>&,
+        const absl::flat_hash_set<Endpoint>& usedAddresses, const std::shared_ptr<const ServerDirectory>& previous,
+        TimePoint now) const;
     void publishIndex(const Configuration&);
     void considerBootstrap(const ChangeContext&);
     bool mayBootstrap() const;
@@ -217,23 +232,28 @@
 void FlowEngine::Implementation::applyConfiguration(
     const Configuration& configuration, std::uint64_t newVersion, const ChangeContext& context)
 {
-    std::erase_if(services, [&](const auto& service) { return configuration.findService(service.first) == nullptr; });
+    absl::flat_hash_set<ServiceId> present;
+    for (const Service& service : configuration.services)
+        present.insert(service.id);
+    std::erase_if(services, [&](const auto& service) { return !present.contains(service.first); });
+
+    GroupedServers grouped(configuration);
     for (const Service& service : configuration.services) {
-        ServiceControl& control = controlOf(service, context);
-        TableSource source = tableSourceOf(configuration, service);
+        const std::vector<const BackendServer*>& servers = grouped.byService[service.id];
+        ServiceControl& control = controlOf(service);
+        TableSource source = tableSourceOf(service, servers);
         if (!control.table || source != control.tableSource) {
             control.table = buildTable(settings.policy, service.id, source);
             control.tableSource = std::move(source);
         }
-        control.directory = directoryOf(configuration, service, control.directory, context.now);
+        control.directory = directoryOf(servers, grouped.usedAddresses, control.directory, context.now);
         control.flowIdle = std::chrono::seconds(service.flowIdleSeconds);
         control.change->setTarget(newVersion, control.table, control.directory, context);
     }
     publishIndex(configuration);
 }
 
-FlowEngine::Implementation::ServiceControl& FlowEngine::Implementation::controlOf(
-    const Service& service, const ChangeContext&)
+FlowEngine::Implementation::ServiceControl& FlowEngine::Implementation::controlOf(const Service& service)
 {
     ServiceControl& control = services[service.id];
     if (!control.flows) {
@@ -244,28 +264,25 @@
     return control;
 }
 
-std::shared_ptr<const ServerDirectory> FlowEngine::Implementation::directoryOf(const Configuration& configuration,
-    const Service& service, const std::shared_ptr<const ServerDirectory>& previous, TimePoint now) const
+std::shared_ptr<const ServerDirectory> FlowEngine::Implementation::directoryOf(
+    const std::vector<const BackendServer*>& servers, const absl::flat_hash_set<Endpoint>& usedAddresses,
+    const std::shared_ptr<const ServerDirectory>& previous, TimePoint now) const
 {
     auto directory = std::make_shared<ServerDirectory>();
-    absl::flat_hash_set<Endpoint> used;
-    for (const BackendServer& server : configuration.backendServers) {
-        used.insert(server.flowAddress);
-        if (server.service == service.id)
-            directory->emplace(server.id, ServerRecord { server.flowAddress, server.state, std::nullopt });
-    }
+    for (const BackendServer* server : servers)
+        directory->emplace(server->id, ServerRecord { server->flowAddress, server->state, std::nullopt });
     if (!previous)
         return directory;
     for (const auto& [id, record] : *previous) {
         const TimePoint retiredAt = record.retiredAt.value_or(now);
         // A removed server keeps its established flows, unless its address now belongs to another: then its old flows
         // would reach a server, perhaps of another service, that knows nothing of them.
-        const bool keep = !directory->contains(id) && !used.contains(record.flowAddress)
+        const bool keep = !directory->contains(id) && !usedAddresses.contains(record.flowAddress)
             && now - retiredAt < settings.retiredServerRetention;
         if (keep)
             directory->emplace(id, ServerRecord { record.flowAddress, BackendServerState::Draining, retiredAt });
     }
-    return directory;
+    return *directory == *previous ? previous : directory;
 }
 
 void FlowEngine::Implementation::publishIndex(const Configuration& configuration)
--- a/Source/Flow/RoutingState.h
+++ b/Source/Flow/RoutingState.h
@@ -19,6 +19,8 @@
     BackendServerState state = BackendServerState::Active;
     // Set when the server is gone from the configuration; it is kept for the flows that it still has.
     std::optional<TimePoint> retiredAt;
+
+    bool operator==(const ServerRecord&) const = default;
 };
 
 using ServerDirectory = absl::flat_hash_map<BackendServerId, ServerRecord>;
--- a/Source/Flow/ServiceChange.cpp
+++ b/Source/Flow/ServiceChange.cpp
@@ -28,15 +28,18 @@
     std::shared_ptr<const ServerDirectory> directory, const ChangeContext& context)
 {
     // Most configurations do not touch this service; for them nothing has to be agreed.
-    const bool unchanged = isSettled() && !lead_ && !promise_ && tables_.find(settled_) == table;
+    const bool sameTable = isSettled() && !lead_ && !promise_ && tables_.find(settled_) == table;
+    const bool sameDirectory = directory_ == directory;
     tables_.add(generation, std::move(table));
     target_ = generation;
     directory_ = std::move(directory);
-    if (unchanged || !protectsFlows_) {
+    if (sameTable || !protectsFlows_) {
         settled_ = generation;
         answer_ = generation;
         tables_.forgetBelow(generation);
     }
+    if (sameTable && sameDirectory)
+        return;
     publish(context);
 }
 
@@ -75,6 +78,9 @@
 
 void ServiceChange::tick(const ChangeContext& context)
 {
+    const bool isIdle = isSettled() && !promise_ && !lead_ && deliveries_.isEmpty();
+    if (isIdle)
+        return;
     reviewPromise(context);
     reviewLead(context);
     sendReport(context);
