Platform: Add the client, its outcome rules and a stand-in

Balancers and the ctl need the platform's key-value service, and its answers can be lost after a write took effect. The client therefore says Unavailable of a write only when the platform provably did not act, and Unknown whenever there is doubt; it sends each call once.

Ruled out: trusting any 503 or 404, as another server on that address could then say "not done"; only a refusal with the platform's own body counts. Keys in paths, as the calls then need percent encoding and queries; each call is a POST of one JSON object instead. A second store inside FakePlatform; fake and stand-in share PlatformStore.

Found on the way: a watch that was given up while the stand-in played slowness began afterwards and stayed counted as waiting; reads that were given up are now let go, and a test holds it.

Not run: the thread sanitizer.

The interface stands in docs/design/platform.md.

--- a/Source/Platform/Platform.h
+++ b/Source/Platform/Platform.h
@@ -14,7 +14,8 @@
 concept PlatformService = requires(T& platform, std::string key, std::string value, std::uint64_t revision,
     std::optional<std::uint64_t> lease, std::chrono::milliseconds time, TimePoint deadline,
     std::function<void(Result<PlatformEntry>)> onEntry, std::function<void(Result<std::uint64_t>)> onRevision,
-    std::function<void(Result<PlatformLease>)> onLease, std::function<void(Result<std::vector<Vm>>)> onVms) {
+    std::function<void(Result<PlatformLease>)> onLease, std::function<void(Result<std::vector<Vm>>)> onVms)
+{
     platform.get(key, deadline, onEntry);
     // Writes if the key's revision is still the given one; 0 means that the key must not exist.
     platform.compareAndSwap(key, revision, value, lease, deadline, onRevision);
--- /dev/null
+++ b/Source/Platform/PlatformClient.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "Core/Endpoint.h"
+#include "Net/Http2Client.h"
+#include "Platform/Platform.h"
+#include "Platform/PlatformCall.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace wisteriadock {
+
+// The platform over HTTP/2 and JSON (docs/design/platform.md), for balancers and the operators' ctl. It sends every
+// call once and never again on its own: whether a write of unknown outcome may be repeated only its caller can tell.
+// Not thread-safe: all calls and callbacks happen on the one thread that runs the io_context. Callbacks run exactly
+// once, never inside the call, and at the latest when the client is destroyed.
+class PlatformClient {
+public:
+    template <typename Value> using Callback = std::function<void(Result<Value>)>;
+
+    PlatformClient(boost::asio::io_context&, Endpoint platform, Http2Limits = {});
+    ~PlatformClient();
+    PlatformClient(const PlatformClient&) = delete;
+    PlatformClient& operator=(const PlatformClient&) = delete;
+
+    void get(const std::string& key, TimePoint deadline, Callback<PlatformEntry>);
+    // A value over platformValueLimit ends with ResourceExhausted, one that is not UTF-8 with InvalidArgument; neither
+    // is sent. A lease that has lapsed ends with NotFound. No lease unties the key from the one that it had.
+    void compareAndSwap(const std::string& key, std::uint64_t revision, const std::string& value,
+        std::optional<std::uint64_t> lease, TimePoint deadline, Callback<std::uint64_t>);
+    // NotFound is the platform's word that the key has no newer value; DeadlineExceeded means that it said nothing.
+    // A key that is deleted ends the watch with NotFound at once.
+    void watch(const std::string& key, std::uint64_t revision, TimePoint deadline, Callback<PlatformEntry>);
+    void grantLease(std::chrono::milliseconds timeToLive, TimePoint deadline, Callback<PlatformLease>);
+    // NotFound when the lease has lapsed.
+    void keepAlive(std::uint64_t lease, TimePoint deadline, Callback<PlatformLease>);
+    void listVms(TimePoint deadline, Callback<std::vector<Vm>>);
+
+    // For the control-traffic metrics.
+    std::uint64_t bytesTransferred() const { return http_.bytesTransferred(); }
+
+private:
+    // Callbacks of calls that end unsent, waiting for the io_context's next turn.
+    using Refusals = std::vector<std::function<void()>>;
+
+    struct Call {
+        PlatformCall kind;
+        Result<std::string> body;
+        TimePoint deadline;
+    };
+
+    template <typename Value, typename Decode> void send(Call, Decode, Callback<Value>);
+    void refuseLater(std::function<void()>);
+    static void run(Refusals&);
+
+    boost::asio::io_context& context_;
+    std::string authority_;
+    std::shared_ptr<Refusals> refusals_ = std::make_shared<Refusals>();
+    Http2Client http_;
+};
+
+static_assert(PlatformService<PlatformClient>);
+
+}
--- a/Source/Platform/PlatformTypes.h
+++ b/Source/Platform/PlatformTypes.h
@@ -3,6 +3,8 @@
 #include "Core/Clock.h"
 #include "Core/Error.h"
 
+#include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -12,7 +14,15 @@
 
 namespace wisteriadock {
 
-// A stored value. Revisions are per store and rise with every write.
+// The largest value that the platform holds, in bytes.
+inline constexpr std::size_t platformValueLimit = 1'000'000;
+
+// The error of a compare-and-swap that lost, and the revision that such an error reports as the current one
+// (none for any other error).
+Error conflictError(std::string_view key, std::uint64_t expected, std::uint64_t current);
+std::optional<std::uint64_t> currentRevisionOf(const Error&);
+
+// A stored value; key and value are UTF-8 text. Revisions are per store and rise with every write.
 struct PlatformEntry {
     std::string key;
     std::string value;
@@ -30,6 +40,7 @@
 };
 
 std::string_view nameOf(VmState);
+std::optional<VmState> vmStateOf(std::string_view name);
 
 // One line of the platform's list of VMs. The list lags: treat it as advice.
 struct Vm {
--- /dev/null
+++ b/Source/StandIns/Platform/PlatformStandIn.cpp
@@ -0,0 +1,209 @@
+#include "StandIns/Platform/PlatformStandIn.h"
+
+#include "Platform/PlatformOutcome.h"
+
+#include <fmt/format.h>
+
+namespace wisteriadock {
+
+namespace {
+
+    template <typename Value> Result<Json> toJsonResult(const Result<Value>& result)
+    {
+        if (!result)
+            return result.error();
+        return toJson(result.value());
+    }
+
+}
+
+Result<std::shared_ptr<PlatformStandIn>> PlatformStandIn::listen(boost::asio::io_context& context, Endpoint address)
+{
+    const std::shared_ptr<PlatformStandIn> standIn(new PlatformStandIn(context));
+    const auto handler = [weak = standIn->weak_from_this()](const Exchange& exchange) {
+        if (const auto self = weak.lock())
+            self->handle(exchange);
+    };
+    BOOST_OUTCOME_TRY(server, Http2Server::listen(context, address, handler));
+    standIn->server_ = std::move(server);
+    return standIn;
+}
+
+PlatformStandIn::PlatformStandIn(boost::asio::io_context& context)
+    : context_(context)
+    , admin_(store_, faults_)
+    , timer_(context)
+{
+}
+
+void PlatformStandIn::handle(const Exchange& exchange)
+{
+    if (PlatformStandInAdmin::owns(exchange->request().path))
+        handleAdmin(exchange);
+    else
+        handleCall(exchange);
+    answerEndedWatches();
+}
+
+void PlatformStandIn::handleAdmin(const Exchange& exchange)
+{
+    exchange->respond(admin_.handle(exchange->request(), Clock::now()));
+    if (faults_.down == DownMode::Up)
+        return;
+    for (const auto& [id, watcher] : std::exchange(watchers_, {})) {
+        store_.cancelWatch(id);
+        failByFault(watcher);
+    }
+}
+
+void PlatformStandIn::handleCall(const Exchange& exchange)
+{
+    const auto call = platformCallOfPath(exchange->request().path);
+    if (!call || exchange->request().method != "POST") {
+        const auto& request = exchange->request();
+        exchange->respond(refusalOf({ ErrorCode::InvalidArgument,
+            fmt::format("{} {}: expected POST and the path of a call", request.method, request.path) }));
+        return;
+    }
+    if (faults_.down == DownMode::Up && faults_.slow.count() > 0)
+        handleLater(*call, exchange);
+    else
+        perform(*call, exchange);
+}
+
+// A read whose caller has given up is let go: a watch begun then would wait for nobody, and be counted as waiting,
+// until its time is up. Writes go on, as a platform that is slow acts on what it has received.
+void PlatformStandIn::handleLater(PlatformCall call, const Exchange& exchange)
+{
+    const auto givenUp = std::make_shared<bool>(false);
+    exchange->onCancelled([givenUp] { *givenUp = true; });
+    const auto delay = std::make_shared<boost::asio::steady_timer>(context_, faults_.slow);
+    delay->async_wait([delay, givenUp, call, exchange, weak = weak_from_this()](const boost::system::error_code&) {
+        const auto self = weak.lock();
+        if (!self || (*givenUp && !isWrite(call)))
+            return;
+        self->perform(call, exchange);
+        self->answerEndedWatches();
+    });
+}
+
+void PlatformStandIn::perform(PlatformCall call, const Exchange& exchange)
+{
+    if (faults_.down != DownMode::Up) {
+        failByFault(exchange);
+        return;
+    }
+    const TimePoint now = Clock::now();
+    const auto arguments = parseJsonObject(exchange->request().body);
+    if (!arguments) {
+        answer(call, exchange, arguments.error());
+    } else if (call == PlatformCall::Watch) {
+        if (const auto started = startWatch(arguments.value(), now, exchange); !started)
+            answer(call, exchange, started.error());
+    } else {
+        answer(call, exchange, execute(call, arguments.value(), now));
+    }
+}
+
+void PlatformStandIn::failByFault(const Exchange& exchange)
+{
+    ++faults_.callsFailed;
+    if (faults_.down == DownMode::Unavailable)
+        exchange->respond(refusalOf({ ErrorCode::Unavailable, "the stand-in plays an outage" }));
+    else if (faults_.down == DownMode::Refuse)
+        exchange->refuse();
+    // DownMode::Reset: letting the exchange go unanswered resets its stream.
+}
+
+Result<Json> PlatformStandIn::execute(PlatformCall call, const Json& arguments, TimePoint now)
+{
+    switch (call) {
+    case PlatformCall::Get: {
+        BOOST_OUTCOME_TRY(key, textField(arguments, "key"));
+        return toJsonResult(store_.get(key, now));
+    }
+    case PlatformCall::CompareAndSwap:
+        return executeCompareAndSwap(arguments, now);
+    case PlatformCall::GrantLease: {
+        BOOST_OUTCOME_TRY(timeToLive, millisecondsField(arguments, "time_to_live_ms"));
+        return toJsonResult(store_.grantLease(timeToLive, now));
+    }
+    case PlatformCall::KeepAlive: {
+        BOOST_OUTCOME_TRY(lease, unsignedField(arguments, "lease"));
+        return toJsonResult(store_.keepAlive(lease, now));
+    }
+    case PlatformCall::ListVms:
+        return toJson(store_.listVms(now));
+    case PlatformCall::Watch:
+        break;
+    }
+    return Error { ErrorCode::InvalidArgument, fmt::format("call {} has no direct answer", nameOf(call)) };
+}
+
+Result<Json> PlatformStandIn::executeCompareAndSwap(const Json& arguments, TimePoint now)
+{
+    BOOST_OUTCOME_TRY(key, textField(arguments, "key"));
+    BOOST_OUTCOME_TRY(expected, unsignedField(arguments, "expected_revision"));
+    BOOST_OUTCOME_TRY(value, textField(arguments, "value"));
+    BOOST_OUTCOME_TRY(lease, optionalUnsignedField(arguments, "lease"));
+    const PlatformStore::CompareAndSwap write { std::move(key), expected, std::move(value), lease };
+    BOOST_OUTCOME_TRY(revision, store_.compareAndSwap(write, now));
+    return revisionToJson(revision);
+}
+
+Result<void> PlatformStandIn::startWatch(const Json& arguments, TimePoint now, const Exchange& exchange)
+{
+    BOOST_OUTCOME_TRY(key, textField(arguments, "key"));
+    BOOST_OUTCOME_TRY(afterRevision, unsignedField(arguments, "after_revision"));
+    BOOST_OUTCOME_TRY(timeout, millisecondsField(arguments, "timeout_ms"));
+    const auto id = store_.watch(key, afterRevision, now + timeout, now);
+    watchers_.emplace(id, exchange);
+    exchange->onCancelled([id, weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (!self)
+            return;
+        self->store_.cancelWatch(id);
+        self->watchers_.erase(id);
+    });
+    return boost::outcome_v2::success();
+}
+
+void PlatformStandIn::answer(PlatformCall call, const Exchange& exchange, const Result<Json>& result)
+{
+    if (!result)
+        exchange->respond(refusalOf(result.error()));
+    else if (!faults_.takeLostAnswer(call))
+        exchange->respond({ 200, { { "content-type", "application/json" } }, result.value().dump() });
+}
+
+void PlatformStandIn::answerEndedWatches()
+{
+    for (const auto& ended : store_.takeEndedWatches()) {
+        const auto watcher = watchers_.find(ended.id);
+        if (watcher == watchers_.end())
+            continue;
+        const Exchange exchange = watcher->second;
+        watchers_.erase(watcher);
+        answer(PlatformCall::Watch, exchange, toJsonResult(ended.result));
+    }
+    armTimer();
+}
+
+void PlatformStandIn::armTimer()
+{
+    const auto deadline = store_.nextDeadline();
+    if (!deadline) {
+        timer_.cancel();
+        return;
+    }
+    timer_.expires_at(*deadline);
+    timer_.async_wait([weak = weak_from_this()](const boost::system::error_code& error) {
+        const auto self = weak.lock();
+        if (error || !self)
+            return;
+        self->store_.advance(Clock::now());
+        self->answerEndedWatches();
+    });
+}
+
+}
--- /dev/null
+++ b/Tests/Platform/PlatformStoreTest.cpp
@@ -0,0 +1,173 @@
+#include "StandIns/Platform/PlatformStore.h"
+
+#include <gtest/gtest.h>
+
+namespace wisteriadock {
+namespace {
+
+    using namespace std::chrono_literals;
+
+    class PlatformStoreTest : public testing::Test {
+    protected:
+        Result<std::uint64_t> write(const std::string& key, std::uint64_t expected, const std::string& value,
+            std::optional<std::uint64_t> lease = std::nullopt)
+        {
+            return store_.compareAndSwap({ key, expected, value, lease }, clock_.now());
+        }
+
+        std::optional<std::string> valueOf(const std::string& key)
+        {
+            const auto entry = store_.get(key, clock_.now());
+            return entry ? std::optional(entry.value().value) : std::nullopt;
+        }
+
+        std::uint64_t grant(std::chrono::milliseconds time) { return store_.grantLease(time, clock_.now()).value().id; }
+
+        ManualClock clock_;
+        PlatformStore store_;
+    };
+
+    TEST_F(PlatformStoreTest, revisionsDecideWhoWrites)
+    {
+        ASSERT_EQ(write("head", 0, "one").value(), 1U);
+        ASSERT_EQ(write("other", 0, "x").value(), 2U);
+        {
+            SCOPED_TRACE("two operators hold revision 1; the first one wins");
+            EXPECT_EQ(write("head", 1, "two").value(), 3U);
+            const auto loser = write("head", 1, "rival");
+            ASSERT_FALSE(loser);
+            EXPECT_EQ(currentRevisionOf(loser.error()), 3U);
+        }
+        {
+            SCOPED_TRACE("a key that exists cannot be created, one that does not cannot be changed");
+            EXPECT_EQ(currentRevisionOf(write("head", 0, "again").error()), 3U);
+            EXPECT_EQ(currentRevisionOf(write("absent", 5, "x").error()), 0U);
+        }
+        EXPECT_EQ(valueOf("head"), "two");
+    }
+
+    TEST_F(PlatformStoreTest, takesValuesUpToTheLimit)
+    {
+        EXPECT_TRUE(write("largest", 0, std::string(platformValueLimit, 'v')));
+        EXPECT_EQ(
+            write("larger", 0, std::string(platformValueLimit + 1, 'v')).error().code, ErrorCode::ResourceExhausted);
+        EXPECT_EQ(valueOf("larger"), std::nullopt);
+    }
+
+    // Symptom: a balancer believes that it still holds its key, and nobody else sees it.
+    // Sequence: the balancer is paused past its lease; the lease lapses; the balancer wakes and writes or keeps alive.
+    // Cause: a lease can lapse unseen by its holder; the platform must say so at the next call.
+    TEST_F(PlatformStoreTest, aLeaseLapsesUnseenByItsHolder)
+    {
+        const auto lease = grant(100ms);
+        ASSERT_TRUE(write("member", 0, "balancer-1", lease));
+        {
+            SCOPED_TRACE("kept alive, it holds");
+            clock_.advance(99ms);
+            ASSERT_TRUE(store_.keepAlive(lease, clock_.now()));
+            clock_.advance(99ms);
+            EXPECT_EQ(valueOf("member"), "balancer-1");
+        }
+        SCOPED_TRACE("the holder is paused");
+        const auto watch = store_.watch("member", 1, clock_.now() + 1h, clock_.now());
+        clock_.advance(1ms);
+        EXPECT_EQ(store_.nextDeadline(), clock_.now());
+        store_.advance(clock_.now());
+        const auto ended = store_.takeEndedWatches();
+        ASSERT_EQ(ended.size(), 1U);
+        EXPECT_EQ(ended[0].id, watch);
+        EXPECT_EQ(ended[0].result.error().code, ErrorCode::NotFound);
+        EXPECT_EQ(valueOf("member"), std::nullopt);
+        EXPECT_EQ(store_.keepAlive(lease, clock_.now()).error().code, ErrorCode::NotFound);
+        EXPECT_EQ(write("member", 0, "balancer-1", lease).error().code, ErrorCode::NotFound);
+        EXPECT_EQ(write("member", 0, "balancer-2").value(), 3U) << "the deletion took revision 2";
+    }
+
+    TEST_F(PlatformStoreTest, aWriteWithoutTheLeaseUntiesTheKey)
+    {
+        ASSERT_TRUE(write("key", 0, "tied", grant(100ms)));
+        ASSERT_TRUE(write("key", 1, "untied"));
+        clock_.advance(1s);
+        EXPECT_EQ(valueOf("key"), "untied");
+    }
+
+    TEST_F(PlatformStoreTest, watchesEndOnceEach)
+    {
+        ASSERT_TRUE(write("head", 0, "one"));
+        const auto until = clock_.now() + 100ms;
+        const auto behind = store_.watch("head", 0, until, clock_.now());
+        auto ended = store_.takeEndedWatches();
+        ASSERT_EQ(ended.size(), 1U) << "what is newer already is answered at once";
+        EXPECT_EQ(ended[0].id, behind);
+
+        const auto waiting = store_.watch("head", 1, until, clock_.now());
+        const auto quiet = store_.watch("quiet", 0, until, clock_.now());
+        const auto cancelled = store_.watch("head", 1, until, clock_.now());
+        store_.cancelWatch(cancelled);
+        EXPECT_EQ(store_.waitingWatches(), 2U);
+        {
+            SCOPED_TRACE("a write wakes the watches of its key");
+            ASSERT_TRUE(write("head", 1, "two"));
+            ended = store_.takeEndedWatches();
+            ASSERT_EQ(ended.size(), 1U);
+            EXPECT_EQ(ended[0].id, waiting);
+            EXPECT_EQ(ended[0].result.value().value, "two");
+        }
+        {
+            SCOPED_TRACE("time ends the others");
+            clock_.advance(100ms);
+            store_.advance(clock_.now());
+            ended = store_.takeEndedWatches();
+            ASSERT_EQ(ended.size(), 1U);
+            EXPECT_EQ(ended[0].id, quiet);
+            EXPECT_EQ(ended[0].result.error().code, ErrorCode::NotFound);
+        }
+        EXPECT_EQ(store_.callCount(PlatformCall::Watch), 4U);
+        EXPECT_EQ(store_.callCount(PlatformCall::CompareAndSwap), 2U);
+        EXPECT_EQ(store_.nextDeadline(), std::nullopt);
+    }
+
+    // Symptom: a balancer that saw revision 3 is handed an older configuration under a revision that it knows.
+    // Sequence: a copy is taken at revision 2; revision 3 is written; the copy is restored; somebody writes again.
+    // Cause: the copy brings its own revision counter back, so that revision 3 names two values.
+    TEST_F(PlatformStoreTest, anOlderCopyBringsItsRevisionsBack)
+    {
+        const auto lease = grant(100ms);
+        ASSERT_TRUE(write("head", 0, "one"));
+        ASSERT_TRUE(write("member", 0, "balancer-1", lease));
+        const auto snapshot = store_.takeSnapshot(clock_.now());
+        ASSERT_EQ(write("head", 1, "two").value(), 3U);
+        const auto watch = store_.watch("head", 3, clock_.now() + 1h, clock_.now());
+        clock_.advance(1s);
+        EXPECT_EQ(valueOf("member"), std::nullopt);
+
+        store_.restore(snapshot, clock_.now());
+        const auto ended = store_.takeEndedWatches();
+        ASSERT_EQ(ended.size(), 1U);
+        EXPECT_EQ(ended[0].id, watch);
+        EXPECT_EQ(ended[0].result.error().code, ErrorCode::Unavailable);
+        EXPECT_EQ(valueOf("head"), "one");
+        EXPECT_EQ(valueOf("member"), "balancer-1") << "the lease goes on with the time it had left";
+        EXPECT_EQ(write("head", 1, "rival").value(), 3U);
+        EXPECT_GT(grant(100ms), watch) << "numbers of leases never come again";
+        clock_.advance(100ms);
+        EXPECT_EQ(valueOf("member"), std::nullopt);
+    }
+
+    // Symptom: a balancer sends work to a VM that is gone. Sequence: a VM leaves; the list still shows it.
+    // Cause: the platform's list of VMs lags.
+    TEST_F(PlatformStoreTest, theListOfVmsLags)
+    {
+        const Vm vm { "vm-1", "walu", "127.0.0.1:7000", VmState::Live };
+        store_.setVms({ vm }, clock_.now());
+        store_.setVmLag(2s);
+        store_.setVms({}, clock_.now());
+        EXPECT_EQ(store_.listVms(clock_.now()).size(), 1U);
+        clock_.advance(1999ms);
+        EXPECT_EQ(store_.listVms(clock_.now()).size(), 1U);
+        clock_.advance(1ms);
+        EXPECT_TRUE(store_.listVms(clock_.now()).empty());
+    }
+
+}
+}
--- /dev/null
+++ b/Tests/Platform/StandInFixture.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "Platform/PlatformClient.h"
+#include "StandIns/Platform/PlatformStandIn.h"
+
+#include <gtest/gtest.h>
+
+#include <optional>
+#include <utility>
+
+namespace wisteriadock {
+
+// A stand-in and a client of it in one process, over loopback on an ephemeral port.
+class StandInFixture : public testing::Test {
+protected:
+    // Only ends a test that hangs; no test waits for it.
+    static constexpr std::chrono::seconds guard { 20 };
+
+    static TimePoint soon() { return Clock::now() + guard; }
+
+    void runUntil(const std::function<bool()>& condition)
+    {
+        const TimePoint end = soon();
+        context_.restart();
+        while (!condition() && Clock::now() < end)
+            context_.run_one_until(end);
+        ASSERT_TRUE(condition()) << "the condition did not come true";
+    }
+
+    template <typename Value> Result<Value> await(const std::function<void(std::function<void(Result<Value>)>)>& call)
+    {
+        std::optional<Result<Value>> result;
+        call([&result](Result<Value> answer) { result = std::move(answer); });
+        EXPECT_FALSE(result) << "the callback ran inside the call";
+        runUntil([&] { return result.has_value(); });
+        if (!result)
+            return Error { ErrorCode::Cancelled, "no answer" };
+        return *std::move(result);
+    }
+
+    Result<PlatformEntry> get(const std::string& key)
+    {
+        return await<PlatformEntry>([&](auto done) { client_->get(key, soon(), done); });
+    }
+
+    Result<std::uint64_t> write(const std::string& key, std::uint64_t expected, const std::string& value,
+        std::optional<std::uint64_t> lease = std::nullopt, std::optional<TimePoint> deadline = std::nullopt)
+    {
+        return await<std::uint64_t>(
+            [&](auto done) { client_->compareAndSwap(key, expected, value, lease, deadline.value_or(soon()), done); });
+    }
+
+    HttpResponse request(const std::string& method, const std::string& path, const std::string& body)
+    {
+        HttpRequest message;
+        message.method = method;
+        message.path = path;
+        message.authority = standIn_->address().toString();
+        message.body = body;
+        std::optional<HttpResponse> response;
+        bool ended = false;
+        admin_->send(message, soon(), [&](const HttpOutcome& outcome) {
+            ended = true;
+            if (outcome)
+                response = outcome.value();
+        });
+        runUntil([&] { return ended; });
+        return response.value_or(HttpResponse { 0, {}, "" });
+    }
+
+    void setFaults(const std::string& faults) { EXPECT_EQ(request("POST", "/admin/faults", faults).status, 200); }
+
+    Json counters() { return Json::parse(request("GET", "/admin/counters", "").body); }
+
+    boost::asio::io_context context_;
+    std::shared_ptr<PlatformStandIn> standIn_
+        = PlatformStandIn::listen(context_, { Endpoint::parse("127.0.0.1:1").value().address, 0 }).value();
+    std::optional<PlatformClient> client_ { std::in_place, context_, standIn_->address() };
+    std::optional<Http2Client> admin_ { std::in_place, context_, standIn_->address() };
+};
+
+}
--- /dev/null
+++ b/Tests/Support/FakePlatform.h
@@ -0,0 +1,171 @@
+#pragma once
+
+#include "Core/Clock.h"
+#include "Platform/Platform.h"
+#include "Platform/PlatformJson.h"
+#include "StandIns/Platform/PlatformStore.h"
+
+#include <algorithm>
+#include <iterator>
+#include <map>
+#include <utility>
+
+namespace wisteriadock {
+
+// The platform in memory for unit tests; link PlatformStore. Callbacks run inside the call, except those of waiting
+// watches and of calls while the fake is slow. Time is the test's ManualClock: call tick() after advancing it.
+class FakePlatform {
+public:
+    template <typename Value> using Callback = std::function<void(Result<Value>)>;
+
+    explicit FakePlatform(const ManualClock& clock)
+        : clock_(clock)
+    {
+    }
+
+    void get(const std::string& key, TimePoint deadline, Callback<PlatformEntry> callback)
+    {
+        if (refuses(callback))
+            return;
+        answer(false, deadline, std::move(callback), store_.get(key, clock_.now()));
+    }
+
+    void compareAndSwap(const std::string& key, std::uint64_t revision, const std::string& value,
+        std::optional<std::uint64_t> lease, TimePoint deadline, Callback<std::uint64_t> callback)
+    {
+        if (refuses(callback))
+            return;
+        if (const auto text = toText(Json { key, value }); !text) {
+            callback(text.error());
+            return;
+        }
+        const auto result = store_.compareAndSwap({ key, revision, value, lease }, clock_.now());
+        answer(true, deadline, std::move(callback), result);
+    }
+
+    void watch(const std::string& key, std::uint64_t revision, TimePoint deadline, Callback<PlatformEntry> callback)
+    {
+        if (refuses(callback))
+            return;
+        const auto id = store_.watch(key, revision, deadline, clock_.now());
+        watchers_.emplace(id, std::move(callback));
+        answerWatches();
+    }
+
+    void grantLease(std::chrono::milliseconds timeToLive, TimePoint deadline, Callback<PlatformLease> callback)
+    {
+        if (refuses(callback))
+            return;
+        answer(true, deadline, std::move(callback), store_.grantLease(timeToLive, clock_.now()));
+    }
+
+    void keepAlive(std::uint64_t lease, TimePoint deadline, Callback<PlatformLease> callback)
+    {
+        if (refuses(callback))
+            return;
+        answer(true, deadline, std::move(callback), store_.keepAlive(lease, clock_.now()));
+    }
+
+    void listVms(TimePoint deadline, Callback<std::vector<Vm>> callback)
+    {
+        if (refuses(callback))
+            return;
+        answer<std::vector<Vm>>(false, deadline, std::move(callback), store_.listVms(clock_.now()));
+    }
+
+    // While down, every call ends with Unavailable and nothing is done; waiting watches end so too.
+    void setDown(bool down)
+    {
+        down_ = down;
+        if (down)
+            store_.failWatches(outage());
+        answerWatches();
+    }
+
+    // While slow, calls act at once but their answers wait for release(). A deadline that passes meanwhile ends the
+    // call at the next tick(), writes with Unknown and reads with DeadlineExceeded.
+    void setSlow(bool slow) { slow_ = slow; }
+
+    // The next successful writes take effect and end with Unknown.
+    void loseAnswers(std::size_t count) { answersToLose_ = count; }
+
+    // Hands out the answers that wait now. Answers to calls made meanwhile wait in their turn.
+    void release()
+    {
+        for (Waiting& waiting : std::exchange(waiting_, {}))
+            waiting.end(false);
+    }
+
+    std::size_t waitingAnswers() const { return waiting_.size(); }
+
+    // Lapses leases and ends watches and slow calls whose time is up.
+    void tick()
+    {
+        store_.advance(clock_.now());
+        answerWatches();
+        const auto overdue = std::stable_partition(waiting_.begin(), waiting_.end(),
+            [now = clock_.now()](const Waiting& waiting) { return waiting.deadline > now; });
+        std::vector<Waiting> ended(std::make_move_iterator(overdue), std::make_move_iterator(waiting_.end()));
+        waiting_.erase(overdue, waiting_.end());
+        for (Waiting& waiting : ended)
+            waiting.end(true);
+    }
+
+    // For tests to look inside, to set VMs and to restore older copies. Call tick() after a change.
+    PlatformStore& store() { return store_; }
+
+private:
+    struct Waiting {
+        TimePoint deadline;
+        std::function<void(bool overdue)> end;
+    };
+
+    static Error outage() { return { ErrorCode::Unavailable, "the fake platform is down" }; }
+
+    template <typename Value> bool refuses(const Callback<Value>& callback)
+    {
+        if (down_)
+            callback(outage());
+        return down_;
+    }
+
+    template <typename Value>
+    void answer(bool isWrite, TimePoint deadline, Callback<Value> callback, Result<Value> result)
+    {
+        if (isWrite && result && answersToLose_ > 0) {
+            --answersToLose_;
+            result = Error { ErrorCode::Unknown, "the fake platform lost the answer" };
+        }
+        if (!slow_) {
+            callback(std::move(result));
+        } else {
+            const Error late { isWrite ? ErrorCode::Unknown : ErrorCode::DeadlineExceeded,
+                "the fake platform was slow" };
+            waiting_.push_back(
+                { deadline, [callback = std::move(callback), result = std::move(result), late](bool overdue) {
+                     callback(overdue ? late : result);
+                 } });
+        }
+        answerWatches();
+    }
+
+    void answerWatches()
+    {
+        for (auto& ended : store_.takeEndedWatches()) {
+            const auto callback = watchers_.extract(ended.id);
+            callback.mapped()(std::move(ended.result));
+        }
+    }
+
+    const ManualClock& clock_;
+    PlatformStore store_;
+    bool down_ = false;
+    bool slow_ = false;
+    std::size_t answersToLose_ = 0;
+    std::map<PlatformStore::WatchId, Callback<PlatformEntry>> watchers_;
+    std::vector<Waiting> waiting_;
+};
+
+static_assert(PlatformService<FakePlatform>);
+
+}
