StandIns: Add stand-ins for callers, the fabric and backend servers

The path needs real processes at both ends whose records tell what happened, independently of the balancers. The backend stand-in knows a flow only by its opening packet and resets all others, as TCP does; the caller checks every reply and every answer whole; the fabric draws a balancer per packet.

An opening packet keeps its number until it is answered, and a second server's answer to a copy of it does not count as a break: such copies are sent before the flow is established.

--- /dev/null
+++ b/Source/StandIns/BackendStandIn.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "Core/Endpoint.h"
+#include "Core/Error.h"
+#include "Net/Http2Server.h"
+#include "StandIns/BackendFlowBook.h"
+#include "StandIns/BackendStandInServer.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <nlohmann/json.hpp>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace wisteriadock {
+
+struct BackendStandInOptions {
+    std::vector<BackendSpec> servers;
+    std::optional<Endpoint> replyTo;
+    Endpoint admin;
+    // Its connections are set per server.
+    BackendFlowLimits flowLimits;
+};
+
+// A process that stands in for one or more backend servers, with one admin door for the experiment.
+// docs/design/stand-ins.md lists the door's paths.
+class BackendStandIn {
+public:
+    static Result<std::unique_ptr<BackendStandIn>> start(boost::asio::io_context&, const BackendStandInOptions&);
+    ~BackendStandIn() = default;
+    BackendStandIn(const BackendStandIn&) = delete;
+    BackendStandIn& operator=(const BackendStandIn&) = delete;
+
+    Endpoint adminAddress() const { return admin_->address(); }
+    const std::vector<std::shared_ptr<BackendStandInServer>>& servers() const { return servers_; }
+
+    void printListeningLines() const;
+    void printFinalRows() const;
+
+private:
+    explicit BackendStandIn(boost::asio::io_context&);
+
+    void tick();
+    HttpResponse handleAdmin(const HttpRequest&);
+
+    boost::asio::steady_timer ticker_;
+    std::vector<std::shared_ptr<BackendStandInServer>> servers_;
+    std::unique_ptr<Http2Server> admin_;
+};
+
+}
--- /dev/null
+++ b/Source/StandIns/CallerFlows.cpp
@@ -0,0 +1,263 @@
+#include "StandIns/CallerFlows.h"
+
+#include "Core/Hash.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace wisteriadock {
+
+namespace {
+
+    // How long the reply to a last packet is waited for.
+    constexpr Duration endingTime = std::chrono::seconds(1);
+    // A flow that idles does so after one packet in so many.
+    constexpr double packetsPerBurst = 10;
+
+    constexpr std::uint32_t clientNetwork = 10U << 24;
+    constexpr std::uint32_t clientHostMask = (1U << 24) - 1;
+    constexpr std::uint16_t firstClientPort = 1024;
+
+    Duration scaled(Duration duration, double factor)
+    {
+        return std::chrono::duration_cast<Duration>(std::chrono::duration<double, Duration::period>(duration) * factor);
+    }
+
+}
+
+// Flows of one run differ in their low 24 bits and thus in their host; an odd factor scatters neighbours.
+Endpoint clientEndpointOf(std::uint64_t flow)
+{
+    constexpr std::uint32_t scatter = 0x9E3779B1U;
+    const std::uint32_t host = (static_cast<std::uint32_t>(flow) * scatter) & clientHostMask;
+    const std::uint64_t port = firstClientPort + hashPair(flow, 0) % (65536U - firstClientPort);
+    return { clientNetwork | host, static_cast<std::uint16_t>(port) };
+}
+
+CallerFlows::CallerFlows(CallerFlowOptions options, TimePoint start)
+    : options_(std::move(options))
+    , start_(start)
+    , random_(hashPair(options_.seed, 1))
+    , nextOpening_(start)
+    // Two callers with different seeds use different ids.
+    , flowIdBase_(hashPair(options_.seed, 2) << 32)
+{
+}
+
+void CallerFlows::poll(TimePoint now, std::vector<CallerPacket>& due)
+{
+    while (
+        !stopped_ && options_.flowsPerSecond > 0 && nextOpening_ <= now && nextOpening_ < start_ + options_.runTime) {
+        openFlow(now, due);
+        // Openings are a Poisson process.
+        const double gapSeconds = -std::log1p(-random_.nextUniform()) / options_.flowsPerSecond;
+        nextOpening_ += std::chrono::duration_cast<Duration>(std::chrono::duration<double>(gapSeconds));
+    }
+    while (!stopped_ && !events_.empty() && events_.top().at <= now) {
+        const std::uint64_t flow = events_.top().flow;
+        events_.pop();
+        serve(flow, now, due);
+    }
+}
+
+void CallerFlows::handle(const FlowPayload& reply, TimePoint now)
+{
+    if (reply.kind != FlowPayloadKind::Reply)
+        return;
+    ++counts_.replies;
+    const auto found = flows_.find(reply.flow);
+    if (found == flows_.end()) {
+        ++counts_.lateReplies;
+        return;
+    }
+
+    Flow& flow = found->second;
+    const ServiceId meant = options_.services[flow.service].id;
+    if (reply.status == FlowStatus::WrongService || reply.service != meant) {
+        ++counts_.wrongServicePackets;
+        // A flow that is not established yet has nothing to lose; the packet is counted all the same.
+        if (flow.phase != Phase::Opening)
+            breakFlow(reply.flow, FlowBreakKind::WrongService, &reply, now);
+        return;
+    }
+    if (flow.phase == Phase::Opening) {
+        if (reply.status == FlowStatus::Ok)
+            establish(flow, reply);
+        return;
+    }
+    if (const auto kind = breakShownBy(flow, reply)) {
+        breakFlow(reply.flow, *kind, &reply, now);
+        return;
+    }
+    if (reply.backendServer == flow.backendServer)
+        flow.unanswered = 0;
+    else
+        ++counts_.openingsElsewhere;
+}
+
+TimePoint CallerFlows::nextEvent() const
+{
+    if (stopped_)
+        return TimePoint::max();
+    TimePoint next = TimePoint::max();
+    if (options_.flowsPerSecond > 0 && nextOpening_ < start_ + options_.runTime)
+        next = nextOpening_;
+    if (!events_.empty())
+        next = std::min(next, events_.top().at);
+    return next;
+}
+
+void CallerFlows::openFlow(TimePoint now, std::vector<CallerPacket>& due)
+{
+    const std::uint64_t id = flowIdBase_ | flowCount_;
+    ++flowCount_;
+    // Drawn in any case, so that the later flows of a seed do not depend on how many are open.
+    Flow flow;
+    flow.service = drawService();
+    flow.startMark = random_.nextUniform() < options_.startMarks;
+    flow.idles = random_.nextUniform() < options_.idleShare;
+    flow.end = now + drawLifetime();
+    if (flows_.size() >= options_.openFlowLimit) {
+        ++counts_.flowsSkipped;
+        return;
+    }
+    ++counts_.flowsOpened;
+    Flow& opened = flows_.emplace(id, flow).first->second;
+    sendPacket(id, opened, false, due);
+    events_.push({ now + options_.openingRetryInterval, id });
+}
+
+// Does what is due for one flow: repeats its opening packet, sends the next one, or forgets it.
+void CallerFlows::serve(std::uint64_t id, TimePoint now, std::vector<CallerPacket>& due)
+{
+    const auto found = flows_.find(id);
+    if (found == flows_.end())
+        return;
+    Flow& flow = found->second;
+
+    if (flow.phase == Phase::Ending) {
+        ++counts_.flowsEnded;
+        flows_.erase(found);
+        return;
+    }
+    if (flow.phase == Phase::Opening) {
+        if (flow.unanswered >= options_.openingAttempts) {
+            ++counts_.flowsNotEstablished;
+            flows_.erase(found);
+            return;
+        }
+        sendPacket(id, flow, false, due);
+        events_.push({ now + options_.openingRetryInterval, id });
+        return;
+    }
+    if (flow.unanswered >= options_.stalledAfter) {
+        breakFlow(id, FlowBreakKind::Stalled, nullptr, now);
+        return;
+    }
+
+    const bool last = now >= flow.end;
+    sendPacket(id, flow, last, due);
+    if (last)
+        flow.phase = Phase::Ending;
+    events_.push({ now + (last ? endingTime : pauseAfterPacket(flow, now)), id });
+}
+
+void CallerFlows::sendPacket(std::uint64_t id, Flow& flow, bool end, std::vector<CallerPacket>& due)
+{
+    const CallerService& service = options_.services[flow.service];
+    const FlowPayload payload {
+        .kind = FlowPayloadKind::Packet,
+        .startMark = flow.startMark && flow.nextSequence == 0,
+        .end = end,
+        .flow = id,
+        .sequence = flow.nextSequence,
+        .service = service.id,
+        .backendServer = {},
+    };
+    due.push_back({ { clientEndpointOf(id), service.address, std::nullopt }, payload });
+    ++counts_.packetsSent;
+    ++flow.unanswered;
+    // The opening packet keeps its number until it is answered, as a SYN does.
+    if (flow.phase != Phase::Opening)
+        ++flow.nextSequence;
+}
+
+void CallerFlows::breakFlow(std::uint64_t id, FlowBreakKind kind, const FlowPayload* reply, TimePoint now)
+{
+    const auto found = flows_.find(id);
+    const Flow& flow = found->second;
+    ++counts_.flowsBroken;
+    if (kind == FlowBreakKind::Stalled)
+        ++counts_.flowsStalled;
+    if (breaks_.size() < options_.breakLimit) {
+        breaks_.push_back({
+            .at = now,
+            .flow = id,
+            .kind = kind,
+            .sequence = reply ? reply->sequence : flow.nextSequence,
+            .service = options_.services[flow.service].id,
+            .holder = flow.backendServer,
+            .answerer = reply ? reply->backendServer : BackendServerId {},
+        });
+    }
+    flows_.erase(found);
+}
+
+// The event that would have repeated the opening packet sends the first packet after it instead.
+void CallerFlows::establish(Flow& flow, const FlowPayload& reply)
+{
+    flow.phase = Phase::Established;
+    flow.backendServer = reply.backendServer;
+    flow.nextSequence = 1;
+    flow.unanswered = 0;
+    ++counts_.flowsEstablished;
+}
+
+std::optional<FlowBreakKind> CallerFlows::breakShownBy(const Flow& flow, const FlowPayload& reply) const
+{
+    if (reply.status == FlowStatus::UnknownFlow)
+        return FlowBreakKind::UnknownFlow;
+    // Copies of the opening packet were sent before the flow was established, so a second server may answer them. Were
+    // the flow to move there, the packets after it would show it.
+    if (reply.backendServer != flow.backendServer && reply.sequence > 0)
+        return FlowBreakKind::ChangedServer;
+    return std::nullopt;
+}
+
+Duration CallerFlows::pauseAfterPacket(const Flow& flow, TimePoint now)
+{
+    const double factor = random_.nextBetween(1 - options_.jitter, 1 + options_.jitter);
+    const bool rests = flow.idles && random_.nextUniform() * packetsPerBurst < 1;
+    const Duration pause = scaled(rests ? options_.idleTime : options_.packetInterval, factor);
+    // The end comes in time, but never at once.
+    const Duration untilEnd = std::max(flow.end - now, scaled(options_.packetInterval, 1 - options_.jitter));
+    return std::min(pause, untilEnd);
+}
+
+Duration CallerFlows::drawLifetime()
+{
+    const bool lasts = random_.nextUniform() < options_.lastingShare;
+    const double factor = std::pow(1 - random_.nextUniform(), -1 / options_.lifetimeExponent);
+    const double longest = std::chrono::duration<double>(options_.runTime) / options_.shortestLifetime + 1;
+    // One run time from any start is past the end of the run.
+    return lasts ? options_.runTime : scaled(options_.shortestLifetime, std::min(factor, longest));
+}
+
+std::uint16_t CallerFlows::drawService()
+{
+    double sum = 0;
+    for (const CallerService& service : options_.services)
+        sum += service.share;
+    double drawn = random_.nextUniform() * sum;
+    std::uint16_t chosen = 0;
+    for (const CallerService& service : options_.services) {
+        drawn -= service.share;
+        if (drawn < 0)
+            return chosen;
+        ++chosen;
+    }
+    return static_cast<std::uint16_t>(options_.services.size() - 1);
+}
+
+}
--- /dev/null
+++ b/Source/StandIns/CallerRecords.cpp
@@ -0,0 +1,60 @@
+#include "StandIns/CallerRecords.h"
+
+#include "StandIns/JsonText.h"
+
+#include <string>
+
+namespace wisteriadock {
+
+namespace {
+
+    using Json = nlohmann::json;
+
+    Json rowOf(const FlowBreak& broken)
+    {
+        return {
+            { "at_milliseconds", monotonicMilliseconds(broken.at) },
+            { "flow", broken.flow },
+            { "kind", std::string(nameOf(broken.kind)) },
+            { "sequence", broken.sequence },
+            { "client", clientEndpointOf(broken.flow).toString() },
+            { "service_id", broken.service.value },
+            { "holder_id", broken.holder.value },
+            { "answerer_id", broken.answerer.value },
+        };
+    }
+
+    Json rowOf(const RequestTry& attempt)
+    {
+        return {
+            { "outcome", std::string(nameOf(attempt.outcome)) },
+            { "status", attempt.status },
+            { "balancer", attempt.balancer },
+            { "sent_milliseconds", monotonicMilliseconds(attempt.sentAt) },
+            { "ended_milliseconds", monotonicMilliseconds(attempt.endedAt) },
+            { "detail", attempt.detail },
+        };
+    }
+
+    Json rowOf(const RequestRecord& record)
+    {
+        Json tries = Json::array();
+        for (const RequestTry& attempt : record.tries)
+            tries.push_back(rowOf(attempt));
+        return { { "key", record.key }, { "service", record.service }, { "tries", std::move(tries) } };
+    }
+
+}
+
+nlohmann::json callerRecordsOf(const CallerFlows& flows, const CallerRequests& requests)
+{
+    Json breaks = Json::array();
+    for (const FlowBreak& broken : flows.breaks())
+        breaks.push_back(rowOf(broken));
+    Json ended = Json::array();
+    for (const RequestRecord& record : requests.records())
+        ended.push_back(rowOf(record));
+    return { { "breaks", std::move(breaks) }, { "requests", std::move(ended) } };
+}
+
+}
--- /dev/null
+++ b/Source/StandIns/CallerStandIn.cpp
@@ -0,0 +1,200 @@
+#include "StandIns/CallerStandIn.h"
+
+#include "StandIns/CallerRecords.h"
+#include "StandIns/Program.h"
+#include "Wire/ProxyHeader.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <fstream>
+#include <utility>
+
+namespace wisteriadock {
+
+namespace {
+
+    // How long replies to the last packets are waited for.
+    constexpr Duration replyTravelTime = std::chrono::milliseconds(500);
+    // Packets that fall due within one step leave together.
+    constexpr Duration shortestStep = std::chrono::milliseconds(1);
+    constexpr Duration longestStep = std::chrono::milliseconds(100);
+
+    Error refused(std::string_view option, std::string_view expected)
+    {
+        return { ErrorCode::InvalidArgument, fmt::format("{}; expected {}", option, expected) };
+    }
+
+    Result<void> check(const CallerStandInOptions& options)
+    {
+        const CallerFlowOptions& flows = options.flows;
+        if (flows.services.empty() && (flows.flowsPerSecond > 0 || options.requests.requestsPerSecond > 0))
+            return refused("services", "one service or more");
+        if (flows.jitter < 0 || flows.jitter > 1)
+            return refused("jitter", "0 to 1");
+        if (flows.lifetimeExponent <= 0)
+            return refused("lifetime_exponent", "a number above 0");
+        if (flows.packetInterval <= Duration::zero() || flows.shortestLifetime <= Duration::zero())
+            return refused("packet_interval_milliseconds, shortest_flow_seconds", "numbers above 0");
+        if (options.requests.shortestWork > options.requests.longestWork)
+            return refused("shortest_work_milliseconds", "not above longest_work_milliseconds");
+        if (options.requests.largestAnswerBytes == 0)
+            return refused("answer_bytes", "a number above 0");
+        return boost::outcome_v2::success();
+    }
+
+}
+
+CallerStandIn::CallerStandIn(boost::asio::io_context& context, const CallerStandInOptions& options, TimePoint start)
+    : context_(context)
+    , options_(options)
+    , end_(start + options.flows.runTime)
+    , flows_(options.flows, start)
+    , requests_(options.requests, start)
+    , timer_(context)
+{
+    for (const Endpoint& balancer : options.balancers)
+        clients_.push_back(std::make_unique<Http2Client>(context, balancer));
+}
+
+Result<std::unique_ptr<CallerStandIn>> CallerStandIn::start(
+    boost::asio::io_context& context, const CallerStandInOptions& options)
+{
+    BOOST_OUTCOME_TRYV(check(options));
+    std::unique_ptr<CallerStandIn> caller(new CallerStandIn(context, options, Clock::now()));
+    BOOST_OUTCOME_TRY(socket, DatagramSocket::bind(context, options.replyListen));
+    caller->socket_ = std::move(socket);
+    CallerStandIn* const self = caller.get();
+    caller->socket_->receive([self](std::span<const std::uint8_t> datagram) { self->handleDatagram(datagram); });
+    caller->scheduleWork();
+    return caller;
+}
+
+void CallerStandIn::printListeningLines() const { printListening("replies", replyAddress()); }
+
+void CallerStandIn::printFinalRows() const
+{
+    const CallerFlowCounts& flows = flows_.counts();
+    printRow("flows_opened", flows.flowsOpened);
+    printRow("flows_established", flows.flowsEstablished);
+    printRow("flows_not_established", flows.flowsNotEstablished);
+    printRow("flows_ended", flows.flowsEnded);
+    printRow("flows_broken", flows.flowsBroken);
+    printRow("flows_stalled", flows.flowsStalled);
+    printRow("flows_skipped", flows.flowsSkipped);
+    printRow("wrong_service_packets", flows.wrongServicePackets);
+    printRow("openings_elsewhere", flows.openingsElsewhere);
+    printRow("packets_sent", flows.packetsSent);
+    printRow("replies", flows.replies);
+    printRow("late_replies", flows.lateReplies);
+    printRow("malformed_datagrams", malformedDatagrams_);
+    printRow("send_drops", socket_->sendDrops());
+
+    const CallerRequestCounts& requests = requests_.counts();
+    printRow("requests_sent", requests.requestsSent);
+    printRow("request_tries_sent", requests.triesSent);
+    printRow("requests_answered", requests.endedAs(RequestOutcome::Answered));
+    printRow("requests_refused", requests.endedAs(RequestOutcome::Refused));
+    printRow("requests_unknown", requests.endedAs(RequestOutcome::Unknown));
+    printRow("requests_lost", requests.endedAs(RequestOutcome::Lost) + requests_.openRequests());
+    printRow("requests_cancelled", requests.endedAs(RequestOutcome::Cancelled));
+    printRow("requests_wrong_answer", requests.endedAs(RequestOutcome::WrongAnswer));
+    printRow("requests_wrong_service", requests.wrongServiceAnswers);
+    printRow("requests_skipped", requests.skipped);
+}
+
+Result<void> CallerStandIn::writeRecords() const
+{
+    if (options_.recordFile.empty())
+        return boost::outcome_v2::success();
+    std::ofstream file(options_.recordFile);
+    file << callerRecordsOf(flows_, requests_).dump() << '\n';
+    file.close();
+    if (!file)
+        return Error { ErrorCode::Unavailable, fmt::format("'{}' can't be written", options_.recordFile) };
+    return boost::outcome_v2::success();
+}
+
+void CallerStandIn::handleDatagram(std::span<const std::uint8_t> datagram)
+{
+    const auto packet = decodeProxiedPacket(datagram);
+    if (!packet) {
+        ++malformedDatagrams_;
+        return;
+    }
+    const auto payload = decodeFlowPayload(packet.value().payload);
+    // The header's destination must be the client that the flow belongs to.
+    if (!payload || packet.value().header.service != clientEndpointOf(payload.value().flow)) {
+        ++malformedDatagrams_;
+        return;
+    }
+    flows_.handle(payload.value(), Clock::now());
+}
+
+void CallerStandIn::work()
+{
+    const TimePoint now = Clock::now();
+    if (now < end_)
+        sendPackets(now);
+    else
+        flows_.stop();
+    sendRequests(now);
+    if (isOver(now))
+        context_.stop();
+    else
+        scheduleWork();
+}
+
+void CallerStandIn::scheduleWork()
+{
+    const TimePoint now = Clock::now();
+    const TimePoint wanted = std::min(flows_.nextEvent(), requests_.nextEvent());
+    timer_.expires_at(std::clamp(wanted, now + shortestStep, now + longestStep));
+    timer_.async_wait([this](const boost::system::error_code& error) {
+        if (!error)
+            work();
+    });
+}
+
+void CallerStandIn::sendPackets(TimePoint now)
+{
+    packets_.clear();
+    flows_.poll(now, packets_);
+    for (const CallerPacket& packet : packets_) {
+        std::array<std::uint8_t, largestProxyHeader> head;
+        const std::size_t headSize = encodeProxyHeader(packet.header, head);
+        socket_->send(options_.fabric, std::span(head).first(headSize), encodeFlowPayload(packet.payload));
+    }
+    socket_->flush();
+}
+
+void CallerStandIn::sendRequests(TimePoint now)
+{
+    std::vector<PlannedRequest> due;
+    requests_.poll(now, due);
+    for (const PlannedRequest& planned : due)
+        sendRequest(planned);
+}
+
+void CallerStandIn::sendRequest(const PlannedRequest& planned)
+{
+    Http2Client* const client = clients_[planned.balancer].get();
+    const auto requestId = client->send(planned.request, planned.deadline,
+        [this, id = planned.id](const HttpOutcome& outcome) { requests_.handle(id, outcome, Clock::now()); });
+    if (planned.cancelAt == TimePoint::max())
+        return;
+    const auto timer = std::make_shared<boost::asio::steady_timer>(context_, planned.cancelAt);
+    timer->async_wait([client, timer, requestId](const boost::system::error_code& error) {
+        if (!error)
+            client->cancel(requestId);
+    });
+}
+
+// Requests end by their deadlines at the latest.
+bool CallerStandIn::isOver(TimePoint now) const
+{
+    return now >= end_ + replyTravelTime && requests_.openRequests() == 0;
+}
+
+}
--- /dev/null
+++ b/Source/StandIns/CallerStandIn.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "Core/Endpoint.h"
+#include "Core/Error.h"
+#include "Net/Http2Client.h"
+#include "StandIns/CallerFlows.h"
+#include "StandIns/CallerRequests.h"
+#include "StandIns/DatagramSocket.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace wisteriadock {
+
+struct CallerStandInOptions {
+    CallerFlowOptions flows;
+    CallerRequestOptions requests;
+    // Where flow packets go; unset for none.
+    Endpoint fabric;
+    // Where the backend servers' replies come in.
+    Endpoint replyListen;
+    // Request addresses of the balancers.
+    std::vector<Endpoint> balancers;
+    // Where the breaks and the requests' ends are written as JSON; empty for nowhere.
+    std::string recordFile;
+};
+
+// Stands in for the customers: drives flows through the fabric and requests at the balancers, and checks what comes
+// back. Stops the context when its run is over.
+class CallerStandIn {
+public:
+    static Result<std::unique_ptr<CallerStandIn>> start(boost::asio::io_context&, const CallerStandInOptions&);
+    CallerStandIn(const CallerStandIn&) = delete;
+    CallerStandIn& operator=(const CallerStandIn&) = delete;
+
+    Endpoint replyAddress() const { return socket_->address(); }
+    const CallerFlows& flows() const { return flows_; }
+    const CallerRequests& requests() const { return requests_; }
+
+    void printListeningLines() const;
+    void printFinalRows() const;
+    // Fails with Unavailable when the record file can't be written.
+    Result<void> writeRecords() const;
+
+private:
+    CallerStandIn(boost::asio::io_context&, const CallerStandInOptions&, TimePoint start);
+
+    void handleDatagram(std::span<const std::uint8_t>);
+    void work();
+    void scheduleWork();
+    void sendPackets(TimePoint now);
+    void sendRequests(TimePoint now);
+    void sendRequest(const PlannedRequest&);
+    bool isOver(TimePoint now) const;
+
+    boost::asio::io_context& context_;
+    CallerStandInOptions options_;
+    TimePoint end_;
+    CallerFlows flows_;
+    CallerRequests requests_;
+    boost::asio::steady_timer timer_;
+    std::unique_ptr<DatagramSocket> socket_;
+    std::vector<CallerPacket> packets_;
+    std::uint64_t malformedDatagrams_ = 0;
+    // Last, so that its callbacks still find the members above when it goes.
+    std::vector<std::unique_ptr<Http2Client>> clients_;
+};
+
+}
--- /dev/null
+++ b/Source/StandIns/FabricStandIn.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "Core/Endpoint.h"
+#include "Core/Error.h"
+#include "Net/Http2Server.h"
+#include "StandIns/DatagramSocket.h"
+#include "StandIns/FabricSpray.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <memory>
+#include <span>
+#include <string_view>
+#include <vector>
+
+namespace wisteriadock {
+
+struct FabricStandInOptions {
+    Endpoint listen;
+    Endpoint admin;
+    std::uint64_t seed = 1;
+    std::vector<FabricTarget> balancers;
+};
+
+// Stands in for the fabric: hands each datagram to a balancer chosen by chance.
+class FabricStandIn {
+public:
+    static Result<std::unique_ptr<FabricStandIn>> start(boost::asio::io_context&, const FabricStandInOptions&);
+    FabricStandIn(const FabricStandIn&) = delete;
+    FabricStandIn& operator=(const FabricStandIn&) = delete;
+
+    Endpoint address() const { return socket_->address(); }
+    Endpoint adminAddress() const { return admin_->address(); }
+    const FabricSpray& spray() const { return spray_; }
+
+    void printListeningLines() const;
+    void printFinalRows() const;
+
+private:
+    explicit FabricStandIn(std::uint64_t seed);
+
+    void handleDatagram(std::span<const std::uint8_t>);
+    HttpResponse handleAdmin(const HttpRequest&);
+    HttpResponse countsAnswer() const;
+
+    FabricSpray spray_;
+    std::unique_ptr<DatagramSocket> socket_;
+    std::unique_ptr<Http2Server> admin_;
+    std::uint64_t packets_ = 0;
+    std::uint64_t malformedDatagrams_ = 0;
+};
+
+// Reads a list such as ["192.0.2.1:4000", {"address": "192.0.2.2:4000", "weight": 0.5}].
+Result<std::vector<FabricTarget>> parseFabricTargets(std::string_view json);
+
+}
--- /dev/null
+++ b/Tests/StandIns/CallerFlowsTest.cpp
@@ -0,0 +1,242 @@
+#include "StandIns/CallerFlows.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <functional>
+#include <set>
+
+namespace wisteriadock {
+namespace {
+
+    using std::chrono::milliseconds;
+    using std::chrono::seconds;
+
+    class CallerFlowsTest : public testing::Test {
+    protected:
+        // Answers a packet, or not.
+        using Responder = std::function<std::optional<FlowPayload>(const FlowPayload&)>;
+
+        static CallerFlowOptions options()
+        {
+            CallerFlowOptions options;
+            options.services = { { "tryon", serviceIdOf("tryon"), { 0xC0000201, 443 }, 3 },
+                { "scanintake", serviceIdOf("scanintake"), { 0xC0000202, 443 }, 1 } };
+            options.flowsPerSecond = 50;
+            options.runTime = seconds(10);
+            return options;
+        }
+
+        static std::optional<FlowPayload> good(const FlowPayload& packet)
+        {
+            FlowPayload reply = packet;
+            reply.kind = FlowPayloadKind::Reply;
+            reply.backendServer = { 1 };
+            return reply;
+        }
+
+        static Responder goodUntil(std::uint32_t sequence, const std::function<void(FlowPayload&)>& spoil)
+        {
+            return [=](const FlowPayload& packet) {
+                auto reply = good(packet);
+                if (packet.sequence >= sequence)
+                    spoil(*reply);
+                return reply;
+            };
+        }
+
+        // Runs the time given, answering every packet one millisecond after it was sent.
+        void run(CallerFlows& flows, Duration time, const Responder& respond)
+        {
+            const TimePoint end = clock_.now() + time;
+            while (clock_.now() < end) {
+                std::vector<CallerPacket> due;
+                flows.poll(clock_.now(), due);
+                sent_.insert(sent_.end(), due.begin(), due.end());
+                clock_.advance(milliseconds(1));
+                for (const CallerPacket& packet : due) {
+                    if (const auto reply = respond(packet.payload))
+                        flows.handle(*reply, clock_.now());
+                }
+            }
+        }
+
+        // One flow that lasts, so that each test tells the story of one customer.
+        CallerFlowOptions oneLastingFlow() const
+        {
+            CallerFlowOptions one = options();
+            one.flowsPerSecond = 0.000'001;
+            one.lastingShare = 1;
+            one.idleShare = 0;
+            return one;
+        }
+
+        FlowBreak onlyBreak(const CallerFlows& flows) const
+        {
+            EXPECT_EQ(flows.counts().flowsBroken, 1U);
+            EXPECT_EQ(flows.breaks().size(), 1U);
+            return flows.breaks().empty() ? FlowBreak {} : flows.breaks()[0];
+        }
+
+        ManualClock clock_;
+        std::vector<CallerPacket> sent_;
+    };
+
+    TEST_F(CallerFlowsTest, aRunWithoutFaultsBreaksNothing)
+    {
+        CallerFlows flows(options(), clock_.now());
+        run(flows, seconds(10), good);
+        EXPECT_GT(flows.counts().flowsEstablished, 400U);
+        EXPECT_EQ(flows.counts().flowsEstablished, flows.counts().flowsOpened);
+        EXPECT_GT(flows.counts().flowsEnded, 100U);
+        EXPECT_GT(flows.openFlows(), 20U) << "some flows last the whole run";
+        EXPECT_EQ(flows.counts().flowsBroken, 0U);
+        EXPECT_EQ(flows.counts().wrongServicePackets, 0U);
+        EXPECT_EQ(flows.counts().packetsSent, sent_.size());
+        EXPECT_EQ(flows.counts().replies, sent_.size());
+
+        SCOPED_TRACE("every flow has its own client, which uses one service");
+        std::set<std::pair<std::uint64_t, Endpoint>> clients;
+        std::set<Endpoint> endpoints;
+        for (const CallerPacket& packet : sent_) {
+            clients.emplace(packet.payload.flow, packet.header.client);
+            endpoints.insert(packet.header.client);
+            EXPECT_FALSE(packet.payload.startMark);
+        }
+        EXPECT_EQ(clients.size(), flows.counts().flowsOpened);
+        EXPECT_EQ(endpoints.size(), flows.counts().flowsOpened);
+    }
+
+    TEST_F(CallerFlowsTest, theSameSeedGivesTheSamePackets)
+    {
+        const TimePoint start = clock_.now();
+        CallerFlows first(options(), start);
+        run(first, seconds(3), good);
+        const auto packets = std::exchange(sent_, {});
+        clock_ = ManualClock();
+        ASSERT_EQ(clock_.now(), start);
+        CallerFlows second(options(), start);
+        run(second, seconds(3), good);
+        ASSERT_EQ(packets.size(), sent_.size());
+        for (std::size_t i = 0; i < packets.size(); ++i)
+            EXPECT_EQ(packets[i].payload, sent_[i].payload);
+    }
+
+    TEST_F(CallerFlowsTest, marksTheStartsThatItIsToldTo)
+    {
+        CallerFlowOptions marked = options();
+        marked.startMarks = 1;
+        CallerFlows flows(marked, clock_.now());
+        run(flows, seconds(2), good);
+        for (const CallerPacket& packet : sent_)
+            EXPECT_EQ(packet.payload.startMark, packet.payload.sequence == 0);
+    }
+
+    TEST_F(CallerFlowsTest, aResetBreaksAnEstablishedFlowOnce)
+    {
+        CallerFlows flows(oneLastingFlow(), clock_.now());
+        run(flows, seconds(3), goodUntil(3, [](FlowPayload& reply) {
+            reply.status = FlowStatus::UnknownFlow;
+            reply.backendServer = { 2 };
+        }));
+        const FlowBreak broken = onlyBreak(flows);
+        EXPECT_EQ(broken.kind, FlowBreakKind::UnknownFlow);
+        EXPECT_EQ(broken.sequence, 3U);
+        EXPECT_EQ(broken.holder.value, 1U);
+        EXPECT_EQ(broken.answerer.value, 2U);
+        EXPECT_EQ(flows.openFlows(), 0U);
+    }
+
+    TEST_F(CallerFlowsTest, anotherServerBreaksAnEstablishedFlow)
+    {
+        CallerFlows flows(oneLastingFlow(), clock_.now());
+        run(flows, seconds(3), goodUntil(2, [](FlowPayload& reply) { reply.backendServer = { 2 }; }));
+        EXPECT_EQ(onlyBreak(flows).kind, FlowBreakKind::ChangedServer);
+    }
+
+    TEST_F(CallerFlowsTest, aServerOfAnotherServiceIsCountedHoweverItAnswers)
+    {
+        for (const bool admits : { false, true }) {
+            SCOPED_TRACE(admits ? "it says so" : "it takes the packet for its own");
+            CallerFlows flows(oneLastingFlow(), clock_.now());
+            run(flows, seconds(3), goodUntil(2, [&](FlowPayload& reply) {
+                reply.status = admits ? FlowStatus::WrongService : FlowStatus::Ok;
+                reply.service = { 99 };
+            }));
+            EXPECT_EQ(flows.counts().wrongServicePackets, 1U);
+            EXPECT_EQ(onlyBreak(flows).kind, FlowBreakKind::WrongService);
+        }
+    }
+
+    TEST_F(CallerFlowsTest, lostPacketsAreNoBreakUntilManyInARowAreLost)
+    {
+        const auto answeringEvery = [](std::uint32_t n) {
+            return [n](const FlowPayload& packet) {
+                return packet.sequence == 0 || packet.sequence % n == 0 ? good(packet) : std::nullopt;
+            };
+        };
+        {
+            SCOPED_TRACE("seven of eight are lost");
+            CallerFlows flows(oneLastingFlow(), clock_.now());
+            run(flows, seconds(9), answeringEvery(8));
+            EXPECT_EQ(flows.counts().flowsBroken, 0U);
+        }
+        {
+            SCOPED_TRACE("eight in a row are lost");
+            CallerFlows flows(oneLastingFlow(), clock_.now());
+            run(flows, seconds(9), answeringEvery(9));
+            EXPECT_EQ(onlyBreak(flows).kind, FlowBreakKind::Stalled);
+            EXPECT_EQ(flows.counts().flowsStalled, 1U);
+        }
+    }
+
+    // Symptom: a flow counts as broken although its server never changed.
+    // Sequence: the reply to the opening packet is lost; the caller repeats the packet, which reaches a second server;
+    // both answer, and only the first one's answer establishes the flow.
+    // Cause: the second answer was taken for a packet of the established flow.
+    TEST_F(CallerFlowsTest, aRepeatedOpeningAtASecondServerIsNoBreak)
+    {
+        CallerFlows flows(oneLastingFlow(), clock_.now());
+        FlowPayload opening;
+        run(flows, milliseconds(500), [&](const FlowPayload& packet) {
+            opening = packet;
+            return std::nullopt;
+        });
+        EXPECT_EQ(flows.counts().flowsEstablished, 0U);
+        EXPECT_GT(sent_.size(), 1U) << "the opening is repeated";
+        EXPECT_EQ(opening.sequence, 0U);
+
+        FlowPayload reply = *good(opening);
+        flows.handle(reply, clock_.now());
+        reply.backendServer = { 2 };
+        flows.handle(reply, clock_.now());
+        run(flows, seconds(3), good);
+        EXPECT_EQ(flows.counts().flowsEstablished, 1U);
+        EXPECT_EQ(flows.counts().flowsBroken, 0U);
+        EXPECT_EQ(flows.counts().openingsElsewhere, 1U);
+    }
+
+    TEST_F(CallerFlowsTest, aFlowThatNobodyAnswersIsNeverEstablished)
+    {
+        CallerFlows flows(oneLastingFlow(), clock_.now());
+        run(flows, seconds(12), [](const FlowPayload&) { return std::nullopt; });
+        EXPECT_EQ(flows.counts().flowsNotEstablished, 1U);
+        EXPECT_EQ(flows.counts().flowsBroken, 0U);
+        EXPECT_EQ(flows.openFlows(), 0U);
+    }
+
+    TEST_F(CallerFlowsTest, staysWithinItsLimits)
+    {
+        CallerFlowOptions limited = options();
+        limited.openFlowLimit = 10;
+        limited.breakLimit = 5;
+        CallerFlows flows(limited, clock_.now());
+        run(flows, seconds(5), goodUntil(2, [](FlowPayload& reply) { reply.status = FlowStatus::UnknownFlow; }));
+        EXPECT_LE(flows.openFlows(), 10U);
+        EXPECT_GT(flows.counts().flowsSkipped, 0U);
+        EXPECT_GT(flows.counts().flowsBroken, 5U);
+        EXPECT_EQ(flows.breaks().size(), 5U);
+    }
+
+}
+}
--- /dev/null
+++ b/Tests/StandIns/FabricSprayTest.cpp
@@ -0,0 +1,56 @@
+#include "StandIns/FabricSpray.h"
+#include "StandIns/FabricStandIn.h"
+
+#include <gtest/gtest.h>
+
+namespace wisteriadock {
+namespace {
+
+    constexpr Endpoint first { 0x7F000001, 1 };
+    constexpr Endpoint second { 0x7F000001, 2 };
+
+    TEST(FabricSprayTest, spraysByWeightAndSeed)
+    {
+        FabricSpray spray(1);
+        FabricSpray twin(1);
+        for (FabricSpray* one : { &spray, &twin })
+            one->setTargets({ { first, 1, 0 }, { second, 3, 0 } });
+        for (int i = 0; i < 40'000; ++i)
+            ASSERT_EQ(spray.next(), twin.next());
+        EXPECT_NEAR(static_cast<double>(spray.targets()[0].packets), 10'000, 500);
+        EXPECT_NEAR(static_cast<double>(spray.targets()[1].packets), 30'000, 500);
+    }
+
+    TEST(FabricSprayTest, sendsNothingToABalancerThatWasTakenOut)
+    {
+        FabricSpray spray(1);
+        EXPECT_FALSE(spray.next().isSet());
+        EXPECT_EQ(spray.unroutedPackets(), 1U);
+
+        spray.setTargets({ { first, 1, 0 }, { second, 1, 0 } });
+        for (int i = 0; i < 100; ++i)
+            EXPECT_TRUE(spray.next().isSet());
+        const auto before = spray.targets()[0].packets;
+        spray.setTargets({ { second, 1, 0 } });
+        for (int i = 0; i < 100; ++i)
+            EXPECT_EQ(spray.next(), second);
+        EXPECT_EQ(spray.targets()[0].packets, before) << "its count is kept";
+    }
+
+    TEST(FabricSprayTest, readsBalancerListsWholeOrNotAtAll)
+    {
+        const auto targets = parseFabricTargets(R"(["127.0.0.1:1", {"address": "127.0.0.1:2", "weight": 0.5}])");
+        ASSERT_TRUE(targets);
+        ASSERT_EQ(targets.value().size(), 2U);
+        EXPECT_EQ(targets.value()[0].address, first);
+        EXPECT_EQ(targets.value()[1].address, second);
+        EXPECT_EQ(targets.value()[1].weight, 0.5);
+        for (const char* text : { "", "[", "{}", "[1]", R"(["x"])", R"([{"address": "127.0.0.1:2", "weight": -1}])",
+                 R"(["127.0.0.1:1", {"weight": 1}])" }) {
+            SCOPED_TRACE(text);
+            EXPECT_FALSE(parseFabricTargets(text));
+        }
+    }
+
+}
+}
