--- a/Source/Flow/FlowEngine.cpp
+++ b/Source/Flow/FlowEngine.cpp
@@ -138,7 +138,7 @@
 }
 
 FlowActions FlowEngine::applyConfiguration(
-    std::shared_ptr<const Configuration> configuration, std::uint64_t version, TimePoint now)
+    const std::shared_ptr<const Configuration>& configuration, std::uint64_t version, TimePoint now)
 {
     FlowActions actions;
     if (version <= implementation_->version)
--- a/Source/Flow/FlowEngine.h
+++ b/Source/Flow/FlowEngine.h
@@ -49,7 +49,7 @@
     RouteDecision route(const FlowPacket&, TimePoint now);
 
     // A configuration came into force. Versions that are not above the present one are ignored.
-    FlowActions applyConfiguration(std::shared_ptr<const Configuration>, std::uint64_t version, TimePoint now);
+    FlowActions applyConfiguration(const std::shared_ptr<const Configuration>&, std::uint64_t version, TimePoint now);
     // The first view must not be applied before the seeds have answered or been silent for a lease: a balancer that
     // takes itself for the only one begins by its own tables.
     FlowActions applyMembers(std::shared_ptr<const MembersView>, TimePoint now);
@@ -66,7 +66,7 @@
     FlowCounters counters() const;
 
 private:
-    class Implementation;
+    struct Implementation;
     std::unique_ptr<Implementation> implementation_;
 };
 
--- a/Tests/Support/FlowFleet.cpp
+++ b/Tests/Support/FlowFleet.cpp
@@ -17,7 +17,7 @@
 }
 
 FlowFleet::FlowFleet(Options options)
-    : options_(std::move(options))
+    : options_(options)
     , random_(options_.seed)
 {
     for (std::size_t i = 0; i < options_.balancers; ++i)
