--- /dev/null
+++ b/Source/Balancer/BalancerDaemon.cpp
@@ -0,0 +1,245 @@
+#include "Balancer/BalancerDaemon.h"
+
+#include "Balancer/ConfigurationPages.h"
+#include "Balancer/ProcessTime.h"
+#include "Balancer/StatusPage.h"
+#include "Core/Hash.h"
+
+#include <fmt/format.h>
+
+#include <chrono>
+#include <csignal>
+#include <utility>
+
+namespace wisteriadock {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr auto upkeepPeriod = 100ms;
+    // The prefix under which the balancer's own pages also stand, apart from any path of a service.
+    constexpr std::string_view ownPrefix = "/wisteriadock";
+
+    // VMs keep nothing, so the wall clock at the start is the only number that rises with each start.
+    std::uint64_t currentIncarnation()
+    {
+        const auto now = std::chrono::system_clock::now().time_since_epoch();
+        return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+    }
+
+    std::uint64_t seedOf(const BalancerSettings& settings, std::uint64_t incarnation)
+    {
+        return hashString(settings.name, settings.seed != 0 ? settings.seed : incarnation);
+    }
+
+    RequestTimes requestTimesOf(const BalancerSettings& settings)
+    {
+        return { .defaultDeadline = settings.defaultDeadline, .longestDeadline = settings.longestDeadline };
+    }
+
+    StopTimes stopTimesOf(const BalancerSettings& settings)
+    {
+        StopTimes times;
+        times.drain = settings.drain;
+        return times;
+    }
+
+    Endpoint advertised(Endpoint configured, Endpoint bound) { return configured.isSet() ? configured : bound; }
+
+}
+
+BalancerDaemon::BalancerDaemon(BalancerSettings settings, std::string settingsPath)
+    : settings_(std::move(settings))
+    , settingsPath_(std::move(settingsPath))
+    , self_(balancerIdOf(settings_.name))
+    , incarnation_(currentIncarnation())
+    , seed_(seedOf(settings_, incarnation_))
+    , signals_(context_, SIGTERM, SIGINT, SIGHUP)
+    , upkeepTimer_(context_)
+    , stop_(stopTimesOf(settings_))
+    , engine_(settings_.flow, self_, seed_)
+    , platform_(context_, settings_.platform)
+    , requestDecisions_(requestTimesOf(settings_), seed_)
+    , feed_(context_, platform_, seed_)
+    , vms_(platform_, settings_.seeds, seed_)
+{
+}
+
+BalancerDaemon::~BalancerDaemon() = default;
+
+Result<std::unique_ptr<BalancerDaemon>> BalancerDaemon::start(BalancerSettings settings, std::string settingsPath)
+{
+    std::unique_ptr<BalancerDaemon> daemon(new BalancerDaemon(std::move(settings), std::move(settingsPath)));
+    BOOST_OUTCOME_TRY(daemon->listen());
+    daemon->connectParts();
+    return daemon;
+}
+
+Result<void> BalancerDaemon::listen()
+{
+    const auto onMessage = [this](const PeerEnvelope& envelope, Endpoint sender) { peers_->receive(envelope, sender); };
+    BOOST_OUTCOME_TRY(link, PeerLink::open(context_, settings_.listen.peer, onMessage));
+    link_ = std::move(link);
+
+    const auto ownPages = [this](const std::shared_ptr<Http2Exchange>& exchange) { return serveOwnPage(exchange); };
+    BOOST_OUTCOME_TRY(requests,
+        RequestFront::listen(context_, settings_.listen.request, settings_.requestLimits, requestDecisions_, ownPages));
+    requests_ = std::move(requests);
+
+    BOOST_OUTCOME_TRY(endpoint, MetricsEndpoint::serve(settings_.listen.metrics, metrics_.registry()));
+    metricsEndpoint_ = std::move(endpoint);
+
+    BOOST_OUTCOME_TRY(packets, PacketPath::start(settings_.listen.flow, settings_.packetThreads, engine_, self_));
+    packets_ = std::move(packets);
+    return boost::outcome_v2::success();
+}
+
+BalancerAddresses BalancerDaemon::addresses() const
+{
+    return { packets_->address(), link_->address(), requests_->address(), metricsEndpoint_->address() };
+}
+
+Member BalancerDaemon::describeSelf() const
+{
+    const BalancerAddresses bound = addresses();
+    Member self;
+    self.id = self_;
+    self.name = settings_.name;
+    self.availabilityZone = settings_.availabilityZone;
+    self.peerAddress = advertised(settings_.advertise.peer, bound.peer);
+    self.flowAddress = advertised(settings_.advertise.flow, bound.flow);
+    self.requestAddress = advertised(settings_.advertise.request, bound.request);
+    self.incarnation = incarnation_;
+    return self;
+}
+
+void BalancerDaemon::connectParts()
+{
+    peers_ = std::make_unique<PeerControl>(context_, *link_, engine_, describeSelf(), seed_);
+    peers_->start([this](const std::shared_ptr<const MembersView>& view) { feed_.applyMembers(view); });
+    vms_.start([this](const std::vector<VmAdvice>& vms) { peers_->applyVms(vms); });
+    feed_.start(peers_->view(), [this](const ConfigurationVersion& version) { applyConfiguration(version); });
+    awaitSignal();
+    scheduleUpkeep();
+}
+
+void BalancerDaemon::run()
+{
+    log_.info(
+        fmt::format("{} of {} starts as incarnation {}", settings_.name, settings_.availabilityZone, incarnation_));
+    context_.run();
+    log_.info("stopped");
+}
+
+void BalancerDaemon::applyConfiguration(const ConfigurationVersion& version)
+{
+    const auto configuration = std::make_shared<const Configuration>(version.configuration);
+    peers_->applyConfiguration(configuration, version.head.applied.version);
+    requests_->applyConfiguration(configuration);
+}
+
+bool BalancerDaemon::serveOwnPage(const std::shared_ptr<Http2Exchange>& exchange)
+{
+    const HttpRequest& request = exchange->request();
+    std::string_view path = request.path;
+    if (path.starts_with(ownPrefix))
+        path.remove_prefix(ownPrefix.size());
+    if (request.method != "GET")
+        return false;
+    if (path == "/status") {
+        exchange->respond(renderStatus(*peers_->view(), feed_.version()));
+        return true;
+    }
+    auto page = renderConfiguration(path, feed_.inForce());
+    if (!page)
+        return false;
+    configurationBytesServed_ += page->body.size() + request.path.size();
+    exchange->respond(std::move(*page));
+    return true;
+}
+
+void BalancerDaemon::awaitSignal()
+{
+    signals_.async_wait([this](const boost::system::error_code& error, int signal) {
+        if (error)
+            return;
+        handleSignal(signal);
+        awaitSignal();
+    });
+}
+
+void BalancerDaemon::handleSignal(int signal)
+{
+    if (signal == SIGHUP) {
+        reloadLogLevel();
+        return;
+    }
+    log_.info(stop_.isRequested() ? "stopping at once" : "planned stop begins");
+    stop_.request(Clock::now());
+    advanceStop();
+}
+
+void BalancerDaemon::reloadLogLevel()
+{
+    const auto settings = BalancerSettings::load(settingsPath_);
+    if (!settings) {
+        log_.warning(fmt::format("keeping the log level: {}", settings.error().detail));
+        return;
+    }
+    configureLog(settings.value().logLevel);
+    log_.info(fmt::format("log level is {}", nameOf(settings.value().logLevel)));
+}
+
+void BalancerDaemon::scheduleUpkeep()
+{
+    upkeepTimer_.expires_after(upkeepPeriod);
+    upkeepTimer_.async_wait([this](const boost::system::error_code& error) {
+        if (error)
+            return;
+        vms_.poll(*peers_->view(), Clock::now());
+        updateMetrics();
+        advanceStop();
+        scheduleUpkeep();
+    });
+}
+
+void BalancerDaemon::advanceStop()
+{
+    switch (stop_.tick(engine_.mayLeave(), areRequestsDrained_, Clock::now())) {
+    case StopStep::None:
+        break;
+    case StopStep::Leave:
+        peers_->leave();
+        break;
+    case StopStep::DrainRequests:
+        requests_->drain([this] { areRequestsDrained_ = true; });
+        break;
+    case StopStep::Exit:
+        context_.stop();
+        break;
+    }
+}
+
+void BalancerDaemon::updateMetrics()
+{
+    BalancerFigures figures;
+    figures.packets = packets_->totals();
+    figures.flow = engine_.counters();
+    figures.requests = requests_->counts();
+    figures.openRequests = requests_->openRequests();
+    figures.controlBytes = {
+        .peers = link_->bytesTransferred(),
+        .platform = platform_.bytesTransferred(),
+        .configuration = feed_.peerBytes() + configurationBytesServed_,
+    };
+    figures.malformedPeerMessages = link_->malformed() + peers_->droppedMessages();
+    figures.httpProtocolErrors = requests_->protocolErrors();
+    figures.configurationVersion = feed_.version();
+    figures.processCpuSeconds = processCpuSeconds();
+    figures.controlThreadCpuSeconds = threadCpuSeconds();
+    figures.members = peers_->view();
+    metrics_.update(figures);
+}
+
+}
--- /dev/null
+++ b/Source/Balancer/BalancerDaemon.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "Balancer/BalancerMetrics.h"
+#include "Balancer/BalancerSettings.h"
+#include "Balancer/ConfigurationFeed.h"
+#include "Balancer/PacketPath.h"
+#include "Balancer/PeerControl.h"
+#include "Balancer/PeerLink.h"
+#include "Balancer/RequestDecisions.h"
+#include "Balancer/RequestFront.h"
+#include "Balancer/StopSequence.h"
+#include "Balancer/VmListFeed.h"
+#include "Core/Error.h"
+#include "Core/Log.h"
+#include "Net/MetricsEndpoint.h"
+#include "Platform/PlatformClient.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace wisteriadock {
+
+// One balancer: puts the parts together and lets them know of each other. The packet path has threads of its own;
+// everything else runs on the thread that calls run().
+class BalancerDaemon {
+public:
+    // Binds all addresses. Fails with Unavailable when one can't be bound. The path of the settings file is read again
+    // for the log level on SIGHUP.
+    static Result<std::unique_ptr<BalancerDaemon>> start(BalancerSettings, std::string settingsPath);
+    ~BalancerDaemon();
+    BalancerDaemon(const BalancerDaemon&) = delete;
+    BalancerDaemon& operator=(const BalancerDaemon&) = delete;
+
+    // Serves until a planned stop is done. SIGTERM and SIGINT ask for one, and for an end at once when repeated.
+    void run();
+    // The bound addresses.
+    BalancerAddresses addresses() const;
+
+private:
+    BalancerDaemon(BalancerSettings, std::string settingsPath);
+
+    Result<void> listen();
+    Member describeSelf() const;
+    void connectParts();
+    void applyConfiguration(const ConfigurationVersion&);
+    bool serveOwnPage(const std::shared_ptr<Http2Exchange>&);
+
+    void awaitSignal();
+    void handleSignal(int signal);
+    void reloadLogLevel();
+    void scheduleUpkeep();
+    void advanceStop();
+    void updateMetrics();
+
+    Log log_ { "balancer" };
+    BalancerSettings settings_;
+    std::string settingsPath_;
+    BalancerId self_;
+    std::uint64_t incarnation_;
+    std::uint64_t seed_;
+
+    boost::asio::io_context context_;
+    boost::asio::signal_set signals_;
+    boost::asio::steady_timer upkeepTimer_;
+    StopSequence stop_;
+    bool areRequestsDrained_ = false;
+
+    FlowEngine engine_;
+    PlatformClient platform_;
+    BalancerMetrics metrics_;
+    RequestDecisions requestDecisions_;
+    std::uint64_t configurationBytesServed_ = 0;
+
+    std::unique_ptr<PeerLink> link_;
+    std::unique_ptr<PeerControl> peers_;
+    ConfigurationFeed feed_;
+    VmListFeed vms_;
+    std::unique_ptr<RequestFront> requests_;
+    std::unique_ptr<MetricsEndpoint> metricsEndpoint_;
+    std::unique_ptr<PacketPath> packets_;
+};
+
+}
--- /dev/null
+++ b/Source/Balancer/BalancerMetrics.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "Balancer/PacketCounters.h"
+#include "Balancer/RequestFront.h"
+#include "Flow/FlowEngine.h"
+#include "Membership/Member.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/registry.h>
+
+#include <array>
+#include <cstdint>
+#include <memory>
+
+namespace wisteriadock {
+
+// Bytes of control traffic since the start, sent and received: what balancers say to each other and to the platform.
+// Packets of flows and requests of callers are not part of it.
+struct ControlBytes {
+    std::uint64_t peers = 0;
+    std::uint64_t platform = 0;
+    std::uint64_t configuration = 0;
+
+    std::uint64_t sum() const { return peers + platform + configuration; }
+};
+
+// What a balancer counted up to now.
+struct BalancerFigures {
+    PacketTotals packets;
+    FlowCounters flow;
+    RequestCounts requests {};
+    std::uint64_t openRequests = 0;
+    ControlBytes controlBytes;
+    std::uint64_t malformedPeerMessages = 0;
+    std::uint64_t httpProtocolErrors = 0;
+    std::uint64_t configurationVersion = 0;
+    double processCpuSeconds = 0;
+    double controlThreadCpuSeconds = 0;
+    std::shared_ptr<const MembersView> members;
+};
+
+// The balancer's metrics in Prometheus' conventions. The control thread hands over its figures from time to time; the
+// metrics endpoint reads the registry on a thread of its own.
+class BalancerMetrics {
+public:
+    BalancerMetrics();
+
+    void update(const BalancerFigures&);
+    const std::shared_ptr<prometheus::Registry>& registry() const { return registry_; }
+
+private:
+    static constexpr std::size_t memberStateCount = 4;
+
+    prometheus::Counter& addCounter(const char* name, const char* help, const prometheus::Labels& labels = {});
+    prometheus::Gauge& addGauge(const char* name, const char* help, const prometheus::Labels& labels = {});
+    void updatePackets(const PacketTotals&);
+    void updateFlow(const FlowCounters&);
+    void updateMembers(const MembersView&);
+
+    std::shared_ptr<prometheus::Registry> registry_;
+
+    prometheus::Counter& packetsReceived_;
+    prometheus::Counter& packetsToBackendServers_;
+    prometheus::Counter& packetsToBalancers_;
+    std::array<prometheus::Counter*, packetDropCount> packetsDropped_ {};
+
+    prometheus::Counter& newFlows_;
+    prometheus::Counter& untrackedNewFlows_;
+    prometheus::Counter& transitionsStarted_;
+    prometheus::Counter& transitionsSettled_;
+    prometheus::Counter& transitionsForced_;
+    prometheus::Gauge& trackedFlows_;
+    prometheus::Gauge& exceptions_;
+    prometheus::Gauge& unsettledServices_;
+
+    std::array<prometheus::Counter*, requestEndingCount> requests_ {};
+    prometheus::Gauge& openRequests_;
+
+    prometheus::Counter& controlBytes_;
+    prometheus::Counter& peerBytes_;
+    prometheus::Counter& platformBytes_;
+    prometheus::Counter& configurationBytes_;
+    prometheus::Counter& malformedPeerMessages_;
+    prometheus::Counter& httpProtocolErrors_;
+
+    prometheus::Gauge& configurationVersion_;
+    std::array<prometheus::Gauge*, memberStateCount> members_ {};
+    prometheus::Gauge& isolated_;
+    prometheus::Counter& processCpuSeconds_;
+    prometheus::Counter& controlThreadCpuSeconds_;
+};
+
+}
--- /dev/null
+++ b/Source/Balancer/ConfigurationFeed.cpp
@@ -0,0 +1,134 @@
+#include "Balancer/ConfigurationFeed.h"
+
+#include "Balancer/ConfigurationWatchers.h"
+#include "Configuration/ConfigurationContent.h"
+
+#include <fmt/format.h>
+
+#include <chrono>
+#include <utility>
+
+namespace wisteriadock {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr auto reviewPeriod = 100ms;
+    constexpr auto partDeadline = 3000ms;
+    constexpr auto warningPeriod = 30s;
+
+}
+
+ConfigurationFeed::ConfigurationFeed(boost::asio::io_context& context, PlatformClient& platform, std::uint64_t seed)
+    : timer_(context)
+    , platform_(platform)
+    , watch_(platform, std::string(configurationHeadKey), seed,
+          [this](const PlatformEntry& entry) { readFromPlatform(entry); })
+    , peers_(context, seed,
+          [this](const std::string& head, const ConfigurationFetch& fetch) { readFromPeer(head, fetch); })
+{
+}
+
+void ConfigurationFeed::start(std::shared_ptr<const MembersView> view, Handler onVersion)
+{
+    view_ = std::move(view);
+    onVersion_ = std::move(onVersion);
+    review();
+    scheduleReview();
+}
+
+void ConfigurationFeed::applyMembers(std::shared_ptr<const MembersView> view) { view_ = std::move(view); }
+
+void ConfigurationFeed::scheduleReview()
+{
+    timer_.expires_after(reviewPeriod);
+    timer_.async_wait([this](const boost::system::error_code& error) {
+        if (error)
+            return;
+        review();
+        scheduleReview();
+    });
+}
+
+void ConfigurationFeed::review()
+{
+    const TimePoint now = Clock::now();
+    if (!inForce_ || shallWatchConfiguration(*view_))
+        watch_.poll(now);
+    if (!read_.isReading())
+        peers_.poll(*view_, version(), now);
+    if (!inForce_)
+        warnOfNothing(now);
+}
+
+void ConfigurationFeed::readFromPlatform(const PlatformEntry& entry)
+{
+    const auto fetch = [this](const std::string& key, std::function<void(Result<std::string>)> onValue) {
+        const auto onEntry = [onValue = std::move(onValue)](const Result<PlatformEntry>& part) {
+            if (part)
+                onValue(part.value().value);
+            else
+                onValue(part.error());
+        };
+        platform_.get(key, Clock::now() + partDeadline, onEntry);
+    };
+    // A read from another balancer that is going on is given up for this one.
+    if (read_.isReading() && readsFromPeer_)
+        peers_.finish(false, Clock::now());
+    readsFromPeer_ = false;
+    read_.start(entry.value, fetch, [this](HeadAction action) {
+        if (!finish(std::move(action), "the platform"))
+            watch_.retry(Clock::now());
+    });
+}
+
+void ConfigurationFeed::readFromPeer(const std::string& head, const ConfigurationFetch& fetch)
+{
+    // The platform's answer goes first; should it fail, the balancer is asked again.
+    if (read_.isReading()) {
+        peers_.finish(false, Clock::now());
+        return;
+    }
+    readsFromPeer_ = true;
+    read_.start(head, fetch, [this](HeadAction action) {
+        const bool isSuccess = finish(std::move(action), "another balancer");
+        peers_.finish(isSuccess, Clock::now());
+    });
+}
+
+bool ConfigurationFeed::finish(HeadAction action, std::string_view source)
+{
+    if (auto* newer = std::get_if<PutInForce>(&action)) {
+        inForce_ = std::move(newer->version);
+        lastProblem_.clear();
+        log_.info(fmt::format("version {} from {} is in force", version(), source));
+        onVersion_(*inForce_);
+        return true;
+    }
+    const auto* problem = std::get_if<HeadProblem>(&action);
+    if (!problem)
+        return true;
+    std::string text = fmt::format("{} offers none to use: {}: {}", source, nameOf(problem->kind), problem->detail);
+    if (text != lastProblem_)
+        log_.warning(text);
+    lastProblem_ = std::move(text);
+    // An older copy stays one until the platform has a newer head, which the watch will tell.
+    return problem->kind == HeadProblemKind::OlderCopy;
+}
+
+// Without a configuration the balancer knows no service and drops every packet, which would look like a broken fabric.
+void ConfigurationFeed::warnOfNothing(TimePoint now)
+{
+    if (!nextWarning_) {
+        nextWarning_ = now + 2s;
+        return;
+    }
+    if (now < *nextWarning_)
+        return;
+    nextWarning_ = now + warningPeriod;
+    log_.warning(fmt::format("no configuration yet, so nothing is served: the platform {}, {} other balancers known",
+        watch_.isOut() ? "is out" : "has none", view_->members.empty() ? 0 : view_->members.size() - 1));
+}
+
+}
--- /dev/null
+++ b/Source/Balancer/ConfigurationFeed.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "Balancer/ConfigurationRead.h"
+#include "Balancer/PeerConfiguration.h"
+#include "Balancer/PlatformWatch.h"
+#include "Core/Log.h"
+#include "Membership/Member.h"
+#include "Platform/PlatformClient.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+
+namespace wisteriadock {
+
+// Learns the operators' configuration and hands each newer version on, never an older one. A few balancers of each
+// availability zone watch the platform; the others learn from them, and all do so while the platform is out.
+// Everything runs on the thread of the io_context.
+class ConfigurationFeed {
+public:
+    using Handler = std::function<void(const ConfigurationVersion&)>;
+
+    // The platform outlives the feed.
+    ConfigurationFeed(boost::asio::io_context&, PlatformClient&, std::uint64_t seed);
+    ConfigurationFeed(const ConfigurationFeed&) = delete;
+    ConfigurationFeed& operator=(const ConfigurationFeed&) = delete;
+
+    // The handler runs for each version that comes into force.
+    void start(std::shared_ptr<const MembersView>, Handler);
+    void applyMembers(std::shared_ptr<const MembersView>);
+
+    const std::optional<ConfigurationVersion>& inForce() const { return inForce_; }
+    std::uint64_t version() const { return inForce_ ? inForce_->head.applied.version : 0; }
+    // Bytes exchanged with other balancers.
+    std::uint64_t peerBytes() const { return peers_.bytesTransferred(); }
+
+private:
+    void scheduleReview();
+    void review();
+    void readFromPlatform(const PlatformEntry&);
+    void readFromPeer(const std::string& head, const ConfigurationFetch&);
+    // Returns whether the read brought a version, or showed that there is none to bring.
+    bool finish(HeadAction, std::string_view source);
+    void warnOfNothing(TimePoint now);
+
+    Log log_ { "configuration" };
+    boost::asio::steady_timer timer_;
+    PlatformClient& platform_;
+    ConfigurationRead read_;
+    // Whether the read that is going on, if any, is from another balancer.
+    bool readsFromPeer_ = false;
+    Handler onVersion_;
+    std::shared_ptr<const MembersView> view_;
+    std::optional<ConfigurationVersion> inForce_;
+    std::optional<TimePoint> nextWarning_;
+    std::string lastProblem_;
+    // Destroyed first: open requests of theirs end inside their destructors, and are reported to the members above.
+    PlatformWatch watch_;
+    PeerConfiguration peers_;
+};
+
+}
--- /dev/null
+++ b/Source/Balancer/PacketWorker.cpp
@@ -0,0 +1,85 @@
+#include "Balancer/PacketWorker.h"
+
+#include "Balancer/PacketBatch.h"
+#include "Wire/ProxyHeader.h"
+
+namespace wisteriadock {
+
+PacketWorker::PacketWorker(PacketSocket socket, FlowEngine& engine, BalancerId self)
+    : socket_(std::move(socket))
+    , engine_(engine)
+    , self_(self)
+    , batch_(std::make_unique<PacketBatch>())
+    , thread_([this] { run(); })
+{
+}
+
+PacketWorker::~PacketWorker()
+{
+    stopping_.store(true, std::memory_order_relaxed);
+    thread_.join();
+}
+
+void PacketWorker::run()
+{
+    while (!stopping_.load(std::memory_order_relaxed)) {
+        if (batch_->receive(socket_.descriptor()) > 0)
+            routeBatch();
+    }
+}
+
+void PacketWorker::routeBatch()
+{
+    counters_.countReceived(batch_->size());
+    const TimePoint now = Clock::now();
+    for (unsigned i = 0; i < batch_->size(); ++i)
+        routePacket(i, now);
+
+    const unsigned failed = batch_->send(socket_.descriptor());
+    for (unsigned i = 0; i < failed; ++i)
+        counters_.countDrop(PacketDrop::SendFailed);
+}
+
+void PacketWorker::routePacket(unsigned index, TimePoint now)
+{
+    const std::span<const std::uint8_t> datagram = batch_->datagram(index);
+    const auto packet = decodeProxiedPacket(datagram);
+    if (!packet) {
+        counters_.countDrop(PacketDrop::Malformed);
+        return;
+    }
+
+    ProxyHeader header = packet.value().header;
+    const auto& mark = header.forwardMark;
+    const FlowPacket flowPacket {
+        .client = header.client,
+        .serviceAddress = header.service,
+        .forwardedBy = mark ? mark->origin : BalancerId {},
+        .hops = mark ? mark->hops : std::uint8_t { 0 },
+    };
+    const RouteDecision decision = engine_.route(flowPacket, now);
+    switch (decision.kind) {
+    case RouteKind::Drop:
+        counters_.countDrop(decision.dropReason);
+        return;
+    case RouteKind::ToBackendServer:
+        counters_.countToBackendServer();
+        // Without a mark the datagram goes on as it came, with whatever else the fabric put into its header.
+        if (!mark) {
+            batch_->queue(datagram, decision.destination);
+            return;
+        }
+        header.forwardMark.reset();
+        break;
+    case RouteKind::ToBalancer:
+        counters_.countToBalancer();
+        header.forwardMark = ForwardMark {
+            .origin = mark ? mark->origin : self_,
+            .hops = static_cast<std::uint8_t>(flowPacket.hops + 1),
+        };
+        break;
+    }
+    batch_->queue(header, packet.value().payload, decision.destination);
+}
+
+}
--- /dev/null
+++ b/Source/Balancer/PacketWorker.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "Balancer/PacketCounters.h"
+#include "Balancer/PacketSocket.h"
+#include "Core/Identifiers.h"
+#include "Flow/FlowEngine.h"
+
+#include <atomic>
+#include <memory>
+#include <thread>
+
+namespace wisteriadock {
+
+class PacketBatch;
+
+// One packet thread: takes datagrams from its socket in batches, asks the flow engine about each and sends them on.
+// It allocates its buffers once, at the start, and nothing per packet.
+class PacketWorker {
+public:
+    // Starts the thread. The engine outlives the worker.
+    PacketWorker(PacketSocket, FlowEngine&, BalancerId self);
+    // Stops the thread and waits for it.
+    ~PacketWorker();
+    PacketWorker(const PacketWorker&) = delete;
+    PacketWorker& operator=(const PacketWorker&) = delete;
+
+    const PacketCounters& counters() const { return counters_; }
+
+private:
+    void run();
+    void routeBatch();
+    void routePacket(unsigned index, TimePoint now);
+
+    PacketSocket socket_;
+    FlowEngine& engine_;
+    BalancerId self_;
+    PacketCounters counters_;
+    std::unique_ptr<PacketBatch> batch_;
+    std::atomic<bool> stopping_ = false;
+    std::thread thread_;
+};
+
+}
--- /dev/null
+++ b/Source/Balancer/PeerControl.cpp
@@ -0,0 +1,156 @@
+#include "Balancer/PeerControl.h"
+
+#include "Wire/PeerMessageCodec.h"
+
+#include <fmt/format.h>
+
+#include <chrono>
+
+namespace wisteriadock {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr auto tickPeriod = 50ms;
+    // Membership asks for a tick every 100 ms.
+    constexpr std::uint64_t ticksPerMembershipTick = 2;
+
+}
+
+PeerControl::PeerControl(
+    boost::asio::io_context& context, PeerLink& link, FlowEngine& engine, const Member& self, std::uint64_t seed)
+    : timer_(context)
+    , link_(link)
+    , engine_(engine)
+    , membership_({}, self, seed, Clock::now())
+    , view_(membership_.view())
+{
+}
+
+void PeerControl::start(ViewHandler onView)
+{
+    onView_ = std::move(onView);
+    publish(membership_.view(), Clock::now());
+    scheduleTick();
+}
+
+void PeerControl::scheduleTick()
+{
+    timer_.expires_after(tickPeriod);
+    timer_.async_wait([this](const boost::system::error_code& error) {
+        if (error)
+            return;
+        tick();
+        scheduleTick();
+    });
+}
+
+void PeerControl::tick()
+{
+    const TimePoint now = Clock::now();
+    if (++ticks_ % ticksPerMembershipTick == 0)
+        perform(membership_.tick(now), now);
+    perform(engine_.tick(now));
+    reviewState(now);
+}
+
+// A balancer calls itself serving while its flow engine can decide alone. After a pause it cannot, and says so: if a
+// whole fleet were paused and all of it went on to claim that it serves, each would wait for another to know the flows.
+void PeerControl::reviewState(TimePoint now)
+{
+    if (state_ == MemberState::Leaving || configurationVersion_ == 0)
+        return;
+    const MemberState state = engine_.isSynchronized() ? MemberState::Serving : MemberState::Joining;
+    if (state == state_)
+        return;
+    state_ = state;
+    log_.info(fmt::format("state is now {}", nameOf(state)));
+    perform(membership_.setSelfState(state, now), now);
+}
+
+void PeerControl::receive(const PeerEnvelope& envelope, Endpoint sender)
+{
+    const TimePoint now = Clock::now();
+    if (envelope.kind == PeerMessageKind::FlowControl)
+        receiveFlowMessage(envelope, now);
+    else
+        perform(membership_.handle(PeerMessageReceived { sender, envelope }, now), now);
+}
+
+// Messages of an earlier incarnation tell of flows that the sender has forgotten since, and answers can only go to
+// members whose address is known.
+void PeerControl::receiveFlowMessage(const PeerEnvelope& envelope, TimePoint now)
+{
+    const Member* member = view_->find(envelope.sender);
+    const bool isCurrent = member && envelope.sender != view_->self && member->state != MemberState::Dead
+        && member->incarnation == envelope.senderIncarnation;
+    const auto message = decodeMessage<FlowMessage>(envelope.payload);
+    if (!isCurrent || !message) {
+        ++droppedMessages_;
+        return;
+    }
+    perform(engine_.handle(envelope.sender, message.value(), now));
+}
+
+void PeerControl::applyConfiguration(const std::shared_ptr<const Configuration>& configuration, std::uint64_t version)
+{
+    const TimePoint now = Clock::now();
+    configurationVersion_ = version;
+    perform(engine_.applyConfiguration(configuration, version, now));
+    perform(membership_.setConfigurationVersion(version, now), now);
+    reviewState(now);
+}
+
+void PeerControl::applyVms(const std::vector<VmAdvice>& vms)
+{
+    const TimePoint now = Clock::now();
+    perform(membership_.handle(VmListReceived { vms }, now), now);
+}
+
+void PeerControl::leave()
+{
+    const TimePoint now = Clock::now();
+    state_ = MemberState::Leaving;
+    log_.info("leaving");
+    perform(membership_.leave(now), now);
+}
+
+void PeerControl::perform(const MembershipActions& actions, TimePoint now)
+{
+    for (const MembershipAction& action : actions) {
+        if (const auto* message = std::get_if<SendPeerMessage>(&action))
+            link_.send(message->to, message->envelope);
+        else
+            publish(std::get<MembersViewChanged>(action).view, now);
+    }
+}
+
+void PeerControl::perform(const FlowActions& actions)
+{
+    for (const SendFlowMessage& action : actions) {
+        // The engine sends again what matters, so a message to a member that has just gone is simply dropped.
+        const Member* receiver = view_->find(action.to);
+        if (!receiver)
+            continue;
+        link_.send(receiver->peerAddress,
+            {
+                .sender = view_->self,
+                .senderIncarnation = membership_.selfIncarnation(),
+                .kind = PeerMessageKind::FlowControl,
+                .payload = encodeMessage(action.message),
+            });
+    }
+}
+
+void PeerControl::publish(std::shared_ptr<const MembersView> view, TimePoint now)
+{
+    if (view_->isolated != view->isolated)
+        log_.info(view->isolated ? "no other balancer answers" : "in contact");
+    view_ = std::move(view);
+    perform(engine_.applyMembers(view_, now));
+    if (onView_)
+        onView_(view_);
+}
+
+}
--- /dev/null
+++ b/Source/Balancer/PeerLink.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "Core/Endpoint.h"
+#include "Core/Error.h"
+#include "Net/UdpSocket.h"
+#include "Wire/PeerMessage.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <span>
+
+namespace wisteriadock {
+
+// The datagrams between this balancer and the others: puts messages into envelopes and takes them out again. What they
+// mean is the handler's business. Runs on the thread of the io_context.
+class PeerLink {
+public:
+    // An envelope of another balancer and the address that it came from.
+    using Handler = std::function<void(const PeerEnvelope&, Endpoint sender)>;
+
+    // Fails with Unavailable when the address can't be bound.
+    static Result<std::unique_ptr<PeerLink>> open(boost::asio::io_context&, Endpoint, Handler);
+    PeerLink(const PeerLink&) = delete;
+    PeerLink& operator=(const PeerLink&) = delete;
+
+    // A message that does not fit a datagram is dropped and counted, as the network may do with any other.
+    void send(Endpoint, const PeerEnvelope&);
+
+    Endpoint address() const { return socket_->address(); }
+    std::uint64_t bytesTransferred() const { return socket_->bytesSent() + socket_->bytesReceived(); }
+    // Datagrams that were no envelope, in either direction.
+    std::uint64_t malformed() const { return malformed_; }
+
+private:
+    explicit PeerLink(Handler);
+
+    void receive(Endpoint sender, std::span<const std::uint8_t> datagram);
+
+    Handler handler_;
+    std::uint64_t malformed_ = 0;
+    std::unique_ptr<UdpSocket> socket_;
+};
+
+}
--- /dev/null
+++ b/Source/Balancer/PlatformWatch.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "Balancer/Backoff.h"
+#include "Core/Clock.h"
+#include "Core/Log.h"
+#include "Platform/PlatformClient.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace wisteriadock {
+
+// Follows one key of the platform: a watch at a time, with growing pauses while the platform is out. ConfigurationFeed
+// calls poll() often; whether and when a call goes out is decided here.
+class PlatformWatch {
+public:
+    using Handler = std::function<void(const PlatformEntry&)>;
+
+    // The platform outlives the watch. The handler gets the key's value once at first and then after each change.
+    PlatformWatch(PlatformClient&, std::string key, std::uint64_t seed, Handler);
+
+    // Sends the next call when it is due and none is waiting.
+    void poll(TimePoint now);
+    // The value could not be used: hands it over again, after a pause.
+    void retry(TimePoint now);
+    // Whether the last call went unanswered.
+    bool isOut() const { return isOut_; }
+
+private:
+    void watch(TimePoint now);
+    void confirm(TimePoint now);
+    void finish(const Result<PlatformEntry>&);
+    void takeEntry(const PlatformEntry&);
+    void noteReachable();
+    void noteOut(const Error&);
+
+    Log log_ { "platform" };
+    PlatformClient& platform_;
+    std::string key_;
+    Handler onEntry_;
+    Backoff backoff_;
+    Backoff lengths_;
+    std::uint64_t revision_ = 0;
+    unsigned quietWatches_ = 0;
+    bool isWaiting_ = false;
+    bool isOut_ = false;
+    TimePoint nextCall_;
+    // Answers hold it weakly: the platform may answer after this object is gone.
+    std::shared_ptr<int> alive_ = std::make_shared<int>(0);
+};
+
+}
--- /dev/null
+++ b/Source/Balancer/RequestDecisions.cpp
@@ -0,0 +1,172 @@
+#include "Balancer/RequestDecisions.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <optional>
+
+namespace wisteriadock {
+
+namespace {
+
+    constexpr std::string_view serviceHeader = "x-service";
+    constexpr std::string_view deadlineHeader = "x-deadline-milliseconds";
+    constexpr std::string_view idempotencyKeyHeader = "idempotency-key";
+
+    // The methods that RFC 9110 calls idempotent; work of any other needs a key that names it.
+    constexpr std::array<std::string_view, 6> idempotentMethods { "GET", "HEAD", "PUT", "DELETE", "OPTIONS", "TRACE" };
+
+    // Retries of callers that were refused together come back spread over this many seconds.
+    constexpr int retrySpreadSeconds = 4;
+
+    bool isIdempotent(std::string_view method)
+    {
+        return std::ranges::find(idempotentMethods, method) != idempotentMethods.end();
+    }
+
+    RequestProblem invalid(std::string title)
+    {
+        return { .status = 400, .title = std::move(title), .ending = RequestEnding::Invalid };
+    }
+
+    std::optional<std::chrono::milliseconds> parseDeadline(std::string_view text, std::chrono::milliseconds longest)
+    {
+        std::int64_t value = 0;
+        const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+        const bool isNumber = error == std::errc() && end == text.data() + text.size();
+        if (!isNumber || value < 1 || value > longest.count())
+            return std::nullopt;
+        return std::chrono::milliseconds(value);
+    }
+
+    // "tryon:8080" and "tryon" name the same host.
+    std::string_view hostOf(std::string_view authority) { return authority.substr(0, authority.rfind(':')); }
+
+}
+
+RequestDecisions::RequestDecisions(RequestTimes times, std::uint64_t seed)
+    : times_(times)
+    , random_(seed)
+    , configuration_(std::make_shared<const Configuration>())
+{
+}
+
+void RequestDecisions::applyConfiguration(std::shared_ptr<const Configuration> configuration)
+{
+    configuration_ = std::move(configuration);
+    std::erase_if(use_, [&](const auto& entry) {
+        const auto& servers = configuration_->backendServers;
+        const bool isListed
+            = std::ranges::any_of(servers, [&](const auto& server) { return server.id == entry.first; });
+        return !isListed && entry.second.outstanding == 0;
+    });
+}
+
+const Service* RequestDecisions::serviceOf(const HttpRequest& request) const
+{
+    const std::string_view named = request.header(serviceHeader);
+    return configuration_->findService(named.empty() ? hostOf(request.authority) : named);
+}
+
+RequestDecision RequestDecisions::admit(const HttpRequest& request, TimePoint now)
+{
+    const Service* service = serviceOf(request);
+    if (!service) {
+        return RequestProblem {
+            .status = 404, .title = "The request names no known service", .ending = RequestEnding::UnknownService
+        };
+    }
+    if (!isIdempotent(request.method) && request.header(idempotencyKeyHeader).empty())
+        return invalid(fmt::format("{} needs an Idempotency-Key", request.method));
+
+    std::chrono::milliseconds time = times_.defaultDeadline;
+    if (const std::string_view text = request.header(deadlineHeader); !text.empty()) {
+        const auto parsed = parseDeadline(text, times_.longestDeadline);
+        if (!parsed)
+            return invalid(fmt::format("{} is not from 1 to {}", deadlineHeader, times_.longestDeadline.count()));
+        time = *parsed;
+    }
+
+    const BackendServer* server = choose(*service, now);
+    if (!server) {
+        return RequestProblem { .title = "No backend server of the service has a free slot",
+            .retryAfter = spreadRetryAfter(),
+            .ending = RequestEnding::NoServer };
+    }
+    ++use_[server->id].outstanding;
+    return ForwardRequest { .server = server->id, .address = server->requestAddress, .deadline = now + time };
+}
+
+// The active server with the fewest open requests of those with a free slot; among equals a random one, so that the
+// balancers of a fleet do not all start with the same.
+const BackendServer* RequestDecisions::choose(const Service& service, TimePoint now)
+{
+    const BackendServer* best = nullptr;
+    std::uint32_t fewest = 0;
+    std::uint32_t equals = 0;
+    for (const BackendServer& server : configuration_->backendServers) {
+        if (server.service != service.id || server.state != BackendServerState::Active)
+            continue;
+        const auto found = use_.find(server.id);
+        const ServerUse use = found == use_.end() ? ServerUse {} : found->second;
+        if (use.outstanding >= server.slots || now < use.restsUntil)
+            continue;
+        if (!best || use.outstanding < fewest) {
+            best = &server;
+            fewest = use.outstanding;
+            equals = 1;
+        } else if (use.outstanding == fewest && random_() % ++equals == 0) {
+            best = &server;
+        }
+    }
+    return best;
+}
+
+void RequestDecisions::finished(BackendServerId server) { release(server); }
+
+RequestProblem RequestDecisions::failed(BackendServerId server, const HttpFailure& failure, TimePoint now)
+{
+    release(server);
+    switch (failure.kind) {
+    case HttpFailureKind::NotSent:
+        use_[server].restsUntil = now + times_.restAfterFailure;
+        [[fallthrough]];
+    case HttpFailureKind::Refused:
+        return { .title = "The backend server did not take the request",
+            .retryAfter = spreadRetryAfter(),
+            .ending = RequestEnding::NotExecuted };
+    case HttpFailureKind::DeadlineExceeded:
+        return { .status = 504,
+            .title = "The backend server did not answer by the deadline",
+            .executed = Executed::Unknown,
+            .ending = RequestEnding::Unknown };
+    case HttpFailureKind::Cancelled:
+        return { .status = 499,
+            .title = "The caller gave up",
+            .executed = Executed::Unknown,
+            .ending = RequestEnding::Cancelled };
+    case HttpFailureKind::Lost:
+    case HttpFailureKind::Incomplete:
+        break;
+    }
+    return { .status = 502,
+        .title = "The backend server's answer was lost",
+        .executed = Executed::Unknown,
+        .ending = RequestEnding::Unknown };
+}
+
+std::chrono::seconds RequestDecisions::spreadRetryAfter()
+{
+    return std::chrono::seconds(1 + random_() % retrySpreadSeconds);
+}
+
+void RequestDecisions::release(BackendServerId server)
+{
+    const auto found = use_.find(server);
+    if (found != use_.end() && found->second.outstanding > 0)
+        --found->second.outstanding;
+}
+
+}
--- /dev/null
+++ b/Source/Balancer/RequestFront.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "Balancer/RequestDecisions.h"
+#include "Core/Endpoint.h"
+#include "Core/Error.h"
+#include "Net/Http2Client.h"
+#include "Net/Http2Server.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace wisteriadock {
+
+// How many requests ended in which way, by RequestEnding.
+using RequestCounts = std::array<std::uint64_t, requestEndingCount>;
+
+// Takes callers' requests over HTTP/2 and passes each to the backend server that the decisions name, at most once, and
+// its whole answer back. Requests that name no service are first offered to the balancer's own pages.
+// Everything runs on the thread of the io_context.
+class RequestFront {
+public:
+    // Answers the exchange and returns true, or leaves it alone and returns false.
+    using OwnPages = std::function<bool(const std::shared_ptr<Http2Exchange>&)>;
+
+    // Listens at once. The decisions outlive the front. Fails with Unavailable when the address can't be bound.
+    static Result<std::unique_ptr<RequestFront>> listen(
+        boost::asio::io_context&, Endpoint, Http2Limits, RequestDecisions&, OwnPages);
+    ~RequestFront();
+    RequestFront(const RequestFront&) = delete;
+    RequestFront& operator=(const RequestFront&) = delete;
+
+    void applyConfiguration(std::shared_ptr<const Configuration>);
+    // Takes no new connection and runs the callback once every open request has been answered.
+    void drain(std::function<void()> onDrained);
+
+    Endpoint address() const;
+    std::size_t openRequests() const;
+    const RequestCounts& counts() const { return counts_; }
+    std::uint64_t protocolErrors() const;
+
+private:
+    RequestFront(boost::asio::io_context&, Http2Limits, RequestDecisions&, OwnPages);
+
+    void handle(const std::shared_ptr<Http2Exchange>&);
+    void forward(const std::shared_ptr<Http2Exchange>&, const ForwardRequest&);
+    void finish(Http2Exchange&, BackendServerId, HttpOutcome);
+    void refuse(Http2Exchange&, const RequestProblem&);
+    void cancel(Endpoint server, Http2Client::RequestId);
+    void count(RequestEnding ending) { ++counts_[static_cast<std::size_t>(ending)]; }
+    Http2Client& clientOf(Endpoint server);
+
+    boost::asio::io_context& context_;
+    Http2Limits limits_;
+    RequestDecisions& decisions_;
+    OwnPages ownPages_;
+    RequestCounts counts_ {};
+    // Destroyed after the server, whose open exchanges may still cancel requests here.
+    std::map<Endpoint, std::unique_ptr<Http2Client>> clients_;
+    std::unique_ptr<Http2Server> server_;
+};
+
+}
--- /dev/null
+++ b/Source/Balancer/SocketAddress.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "Core/Endpoint.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+
+namespace wisteriadock {
+
+// Endpoints as the kernel's socket calls take them.
+inline sockaddr_in toSocketAddress(Endpoint endpoint)
+{
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(endpoint.address);
+    address.sin_port = htons(endpoint.port);
+    return address;
+}
+
+inline Endpoint toEndpoint(const sockaddr_in& address)
+{
+    return { .address = ntohl(address.sin_addr.s_addr), .port = ntohs(address.sin_port) };
+}
+
+}
--- /dev/null
+++ b/Source/Balancer/StopSequence.cpp
@@ -0,0 +1,51 @@
+#include "Balancer/StopSequence.h"
+
+namespace wisteriadock {
+
+StopSequence::StopSequence(StopTimes times)
+    : times_(times)
+{
+}
+
+void StopSequence::request(TimePoint now)
+{
+    if (phase_ == Phase::Running)
+        enter(Phase::AwaitingLeave, now, times_.leavePatience);
+    else
+        phase_ = Phase::Exiting;
+}
+
+StopStep StopSequence::tick(bool mayLeave, bool requestsDrained, TimePoint now)
+{
+    const bool isOver = now >= limit_;
+    switch (phase_) {
+    case Phase::Running:
+        return StopStep::None;
+    case Phase::AwaitingLeave:
+        if (!mayLeave && !isOver)
+            return StopStep::None;
+        enter(Phase::Draining, now, times_.drain);
+        return StopStep::Leave;
+    case Phase::Draining:
+        if (!isOver)
+            return StopStep::None;
+        enter(Phase::AwaitingRequests, now, times_.requestPatience);
+        return StopStep::DrainRequests;
+    case Phase::AwaitingRequests:
+        if (!requestsDrained && !isOver)
+            return StopStep::None;
+        phase_ = Phase::Exiting;
+        return StopStep::Exit;
+    case Phase::Exiting:
+        return StopStep::Exit;
+    }
+    return StopStep::Exit;
+}
+
+void StopSequence::enter(Phase phase, TimePoint now, std::chrono::milliseconds limit)
+{
+    phase_ = phase;
+    limit_ = now + limit;
+}
+
+}
--- /dev/null
+++ b/Source/Balancer/VmListFeed.cpp
@@ -0,0 +1,75 @@
+#include "Balancer/VmListFeed.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace wisteriadock {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr auto callDeadline = 2000ms;
+    // Spread over half to all of these.
+    constexpr auto searchingPause = 1000ms;
+    constexpr auto longestSearchingPause = 8000ms;
+    constexpr auto settledPause = 120'000ms;
+
+    bool hasOthers(const MembersView& view)
+    {
+        return std::ranges::any_of(view.members,
+            [&](const Member& member) { return member.id != view.self && member.state != MemberState::Dead; });
+    }
+
+}
+
+VmListFeed::VmListFeed(PlatformClient& platform, const std::vector<Endpoint>& seeds, std::uint64_t seed)
+    : platform_(platform)
+    , searching_(searchingPause, longestSearchingPause, seed)
+    , settled_(settledPause, settledPause, seed)
+{
+    for (const Endpoint address : seeds)
+        seeds_.push_back({ .peerAddress = address });
+}
+
+void VmListFeed::start(Handler onList)
+{
+    onList_ = std::move(onList);
+    onList_(seeds_);
+}
+
+void VmListFeed::poll(const MembersView& view, TimePoint now)
+{
+    const bool knowsOthers = hasOthers(view) && !view.isolated;
+    // Whoever has just lost everybody looks for them at once.
+    if (std::exchange(knowsOthers_, knowsOthers) && !knowsOthers) {
+        searching_.reset();
+        nextCall_ = now;
+    }
+    if (isWaiting_ || now < nextCall_)
+        return;
+    isWaiting_ = true;
+    const std::weak_ptr<int> alive = alive_;
+    platform_.listVms(now + callDeadline, [this, alive](const Result<std::vector<Vm>>& vms) {
+        if (!alive.expired())
+            finish(vms);
+    });
+}
+
+void VmListFeed::finish(const Result<std::vector<Vm>>& vms)
+{
+    isWaiting_ = false;
+    nextCall_ = Clock::now() + (knowsOthers_ ? settled_ : searching_).next();
+    std::vector<VmAdvice> advice = seeds_;
+    if (vms) {
+        for (const Vm& vm : vms.value()) {
+            // A line that can't be read is left out; the list is advice anyway.
+            if (const auto address = Endpoint::parse(vm.peerAddress))
+                advice.push_back({ .peerAddress = address.value(), .isLeaving = vm.state == VmState::Leaving });
+        }
+    }
+    onList_(advice);
+}
+
+}
--- /dev/null
+++ b/Source/Balancer/VmListFeed.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "Balancer/Backoff.h"
+#include "Core/Clock.h"
+#include "Membership/Member.h"
+#include "Membership/Membership.h"
+#include "Platform/PlatformClient.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace wisteriadock {
+
+// Reads the platform's list of VMs from time to time: often while this balancer knows nobody, seldom otherwise, since
+// the platform counts every call. The seeds of the settings go along with every list, and go alone while the platform
+// is out.
+class VmListFeed {
+public:
+    using Handler = std::function<void(const std::vector<VmAdvice>&)>;
+
+    // The platform outlives the feed.
+    VmListFeed(PlatformClient&, const std::vector<Endpoint>& seeds, std::uint64_t seed);
+    VmListFeed(const VmListFeed&) = delete;
+    VmListFeed& operator=(const VmListFeed&) = delete;
+
+    void start(Handler);
+    // Call it often; reads the list when it is due.
+    void poll(const MembersView&, TimePoint now);
+
+private:
+    void finish(const Result<std::vector<Vm>>&);
+
+    PlatformClient& platform_;
+    std::vector<VmAdvice> seeds_;
+    Handler onList_;
+    Backoff searching_;
+    Backoff settled_;
+    TimePoint nextCall_;
+    bool isWaiting_ = false;
+    bool knowsOthers_ = false;
+    // Answers hold it weakly: the platform may answer after this object is gone.
+    std::shared_ptr<int> alive_ = std::make_shared<int>(0);
+};
+
+}
--- /dev/null
+++ b/Tests/Balancer/BalancerSettingsTest.cpp
@@ -0,0 +1,141 @@
+#include "Balancer/BalancerSettings.h"
+
+#include <gmock/gmock.h>
+
+namespace wisteriadock {
+
+namespace {
+
+    using namespace std::chrono_literals;
+    using testing::AllOf;
+    using testing::HasSubstr;
+
+    constexpr std::string_view smallest = R"(
+[balancer]
+name = b1
+availability_zone = walu
+[listen]
+flow = 127.0.0.1:0
+peer = 127.0.0.1:7001
+request = 127.0.0.1:0
+metrics = 127.0.0.1:0
+[platform]
+address = 127.0.0.1:9000
+)";
+
+    std::string problemsOf(std::string_view text)
+    {
+        SettingsProblems problems;
+        BalancerSettings::parse("b1.ini", text, problems);
+        return problems.toString();
+    }
+
+    TEST(BalancerSettingsTest, readsTheSmallestFileWithDefaults)
+    {
+        SettingsProblems problems;
+        const auto settings = BalancerSettings::parse("b1.ini", smallest, problems);
+
+        ASSERT_EQ(problems.toString(), "");
+        EXPECT_EQ(settings.name, "b1");
+        EXPECT_EQ(settings.listen.flow, (Endpoint { 0x7f000001, 0 }));
+        EXPECT_EQ(settings.listen.peer, (Endpoint { 0x7f000001, 7001 }));
+        EXPECT_FALSE(settings.advertise.peer.isSet());
+        EXPECT_EQ(settings.flow.policy, FlowPolicy::Protected);
+        EXPECT_EQ(settings.packetThreads, 2U);
+        EXPECT_EQ(settings.drain, 10s);
+    }
+
+    TEST(BalancerSettingsTest, readsEverySection)
+    {
+        const std::string text = std::string(smallest) + R"(
+[advertise]
+flow = 192.0.2.1:5000
+[peers]
+seeds = 192.0.2.2:7001, 192.0.2.3:7001
+[flow]
+policy = modulo
+tracked_flows = 5000
+report_patience_milliseconds = 700
+[threads]
+packet = 4
+[request]
+body_bytes = 1000
+default_deadline_milliseconds = 250
+[drain]
+seconds = 3
+[log]
+level = warning
+)";
+        SettingsProblems problems;
+        const auto settings = BalancerSettings::parse("b1.ini", text, problems);
+
+        ASSERT_EQ(problems.toString(), "");
+        EXPECT_EQ(settings.advertise.flow, (Endpoint { 0xc0000201, 5000 }));
+        EXPECT_EQ(settings.seeds.size(), 2U);
+        EXPECT_EQ(settings.flow.policy, FlowPolicy::Modulo);
+        EXPECT_EQ(settings.flow.trackedFlows, 5000U);
+        EXPECT_EQ(settings.flow.reportPatience, 700ms);
+        EXPECT_EQ(settings.packetThreads, 4U);
+        EXPECT_EQ(settings.requestLimits.bodyBytes, 1000U);
+        EXPECT_EQ(settings.defaultDeadline, 250ms);
+        EXPECT_EQ(settings.drain, 3s);
+        EXPECT_EQ(settings.logLevel, LogLevel::Warning);
+    }
+
+    TEST(BalancerSettingsTest, reportsAllProblemsInOneGo)
+    {
+        const std::string problems = problemsOf(R"([balancer]
+name = b 1
+[listen]
+flow = 127.0.0.1
+peer = 127.0.0.1:0
+request = 127.0.0.1:0
+metrics = 127.0.0.1:0
+[platform]
+adress = 127.0.0.1:9000
+[flow]
+policy = random
+[threads]
+packet = 0
+[drian]
+seconds = 1
+)");
+        EXPECT_THAT(problems, HasSubstr("b1.ini:2: [balancer] name = b 1"));
+        EXPECT_THAT(problems, AllOf(HasSubstr("[balancer]"), HasSubstr("availability_zone")));
+        EXPECT_THAT(problems, HasSubstr("b1.ini:4: [listen] flow = 127.0.0.1"));
+        EXPECT_THAT(problems, HasSubstr("address"));
+        EXPECT_THAT(problems, HasSubstr("b1.ini:9: [platform] adress"));
+        EXPECT_THAT(problems, HasSubstr("b1.ini:11: [flow] policy = random"));
+        EXPECT_THAT(problems, HasSubstr("b1.ini:13: [threads] packet = 0"));
+        EXPECT_THAT(problems, HasSubstr("drain"));
+    }
+
+    // Symptom: a balancer runs, but no other balancer ever sends it anything.
+    // Sequence: it listens on 0.0.0.0, and tells the others that this is its address.
+    // Cause: the address to listen on is no address to send to.
+    TEST(BalancerSettingsTest, wantsAnAdvertisedAddressWhenListeningOnAll)
+    {
+        std::string text(smallest);
+        text.replace(text.find("127.0.0.1:7001"), 14, "0.0.0.0:7001");
+        EXPECT_THAT(problemsOf(text), HasSubstr("[advertise] peer"));
+        EXPECT_EQ(problemsOf(text + "[advertise]\npeer = 192.0.2.1:7001\n"), "");
+    }
+
+    TEST(BalancerSettingsTest, refusesADefaultDeadlineAboveTheLongest)
+    {
+        const std::string text = std::string(smallest)
+            + "[request]\ndefault_deadline_milliseconds = 20\nlongest_deadline_milliseconds = 10\n";
+        EXPECT_THAT(problemsOf(text), HasSubstr("default_deadline_milliseconds = 20"));
+    }
+
+    TEST(BalancerSettingsTest, namesAFileThatCantBeRead)
+    {
+        const auto settings = BalancerSettings::load("/nonexistent/b1.ini");
+        ASSERT_FALSE(settings);
+        EXPECT_EQ(settings.error().code, ErrorCode::NotFound);
+        EXPECT_THAT(settings.error().detail, HasSubstr("/nonexistent/b1.ini"));
+    }
+
+}
+
+}
