Experiment: Run scenarios against real processes and judge their records

The promises need proof by real processes under faults, judged by what callers got and servers ran. One program starts them all, drives the load, takes steps from a seeded schedule and prints rows; scenarios path and flows.

Control bytes are counted by the fault proxy, not by the balancers themselves.

The scenarios have not run to their end yet: wisteriadock-ctl does not stand yet.

--- /dev/null
+++ b/Source/Experiment/BalancerFleet.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "Experiment/FabricControl.h"
+#include "Experiment/FaultProxyControl.h"
+#include "Experiment/FleetPlan.h"
+#include "Experiment/PlatformControl.h"
+#include "Experiment/ProcessStarter.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace wisteriadock {
+
+// The doors that all balancers of a run stand behind.
+struct BalancerSurroundings {
+    ProcessStarter& starter;
+    AdminClient& client;
+    FaultProxyControl& proxy;
+    PlatformControl& platform;
+    FabricControl& fabric;
+};
+
+// How the balancers of a run are set up.
+struct BalancerFleetOptions {
+    std::string policy;
+    // Sends the fabric's packets through the fault proxy too.
+    bool fabricThroughProxy = false;
+};
+
+// The balancers of a run. Each listens on a loopback address of its own and reaches the others and the platform through
+// links of the fault proxy, which tells them apart by those addresses. The links of balancer b1 in the first zone are
+// peer/1/b1, flow/1/b1, request/1/b1, platform/1/b1 and fabric/1/b1.
+class BalancerFleet {
+public:
+    BalancerFleet(BalancerSurroundings, const FleetPlan&, BalancerFleetOptions);
+
+    // Starts balancers side by side and waits until they listen. The platform's list and the fabric hear of them.
+    Result<void> add(std::size_t count);
+    // Waits until every balancer that runs serves, has this configuration or a newer one, and knows the others.
+    Result<void> waitUntilServing(std::uint64_t configurationVersion);
+
+    // By index, in the order of the starts. A stop is announced on the platform's list; the fabric goes on sending to a
+    // balancer that was stopped or killed until turnFabricAwayFrom.
+    Result<void> stop(std::size_t);
+    void kill(std::size_t);
+    void pause(std::size_t);
+    void resume(std::size_t);
+    Result<void> turnFabricAwayFrom(std::size_t);
+
+    std::size_t running() const;
+    std::size_t zoneOf(std::size_t index) const { return index % plan_.availabilityZones.size(); }
+    // Patterns for the fault proxy, by index of the balancer or of its zone.
+    std::string linkOf(const std::string& kind, std::size_t index) const;
+    std::string sourceOf(std::size_t index) const;
+    std::string sourcesOfZone(std::size_t zone) const;
+    std::string sourcesOutsideZone(std::size_t zone) const;
+
+    std::vector<Endpoint> requestAddresses() const;
+    // Processor seconds that the running ones have used.
+    double processorSeconds() const;
+    // Names of balancers that ended although nobody stopped or killed them, with the end of their logs.
+    std::string unexpectedEnds() const;
+
+private:
+    struct Balancer {
+        std::string name;
+        std::unique_ptr<ChildProcess> process;
+        Endpoint peerAddress;
+        Endpoint fabricAddress;
+        Endpoint requestAddress;
+        // Asked to stop, or killed.
+        bool leaving = false;
+        VmState vmState = VmState::Live;
+        bool inFabric = true;
+    };
+
+    Result<void> openLinks(Balancer&, std::size_t index, std::string& settings);
+    Result<void> start(Balancer&, std::size_t index, const std::string& settings);
+    Result<void> tellPlatform();
+    Result<void> tellFabric();
+    Result<bool> areServing(std::uint64_t configurationVersion);
+    Result<bool> isServing(const Balancer&, std::uint64_t configurationVersion);
+
+    BalancerSurroundings surroundings_;
+    const FleetPlan& plan_;
+    BalancerFleetOptions options_;
+    std::vector<Balancer> balancers_;
+};
+
+}
--- /dev/null
+++ b/Source/Experiment/CallerRun.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "Experiment/Deployment.h"
+
+#include <nlohmann/json.hpp>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace wisteriadock {
+
+// The callers' stand-in while it drives load for the length of a run.
+class CallerRun {
+public:
+    // The deployment outlives the run.
+    static Result<std::unique_ptr<CallerRun>> start(
+        Deployment&, const ExperimentOptions&, const std::vector<std::string>& furtherArguments);
+
+    TimePoint begin() const { return begin_; }
+    bool isOver() { return !process_->running(); }
+    // Reads what the callers counted, once the run is over. Fails with Unavailable when they ended badly.
+    Result<void> readResults(EventLoop&);
+
+    // One of the rows that the callers' stand-in printed; 0 when it is missing.
+    std::uint64_t row(const std::string& name) const;
+    // Its record of every broken flow and every request.
+    const nlohmann::json& records() const { return records_; }
+
+private:
+    CallerRun(std::unique_ptr<ChildProcess> process, std::filesystem::path recordFile);
+
+    std::unique_ptr<ChildProcess> process_;
+    std::filesystem::path recordFile_;
+    TimePoint begin_;
+    std::map<std::string, std::uint64_t> rows_;
+    nlohmann::json records_;
+};
+
+}
--- /dev/null
+++ b/Source/Experiment/ConfigurationOperator.cpp
@@ -0,0 +1,75 @@
+#include "Experiment/ConfigurationOperator.h"
+
+#include "Configuration/ConfigurationWriter.h"
+
+#include <fmt/format.h>
+
+#include <iterator>
+
+namespace wisteriadock {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr auto retryInterval = 200ms;
+    constexpr auto longestRefusal = 30s;
+
+}
+
+ConfigurationOperator::ConfigurationOperator(ProcessStarter& starter, Endpoint platform, Configuration first)
+    : starter_(starter)
+    , platform_(platform)
+    , configuration_(std::move(first))
+{
+}
+
+void ConfigurationOperator::change(const Change& change, OnAccepted onAccepted)
+{
+    change(configuration_);
+    if (isIdle())
+        waitingSince_ = Clock::now();
+    waiting_.push_back(std::move(onAccepted));
+}
+
+Result<void> ConfigurationOperator::poll()
+{
+    const TimePoint now = Clock::now();
+    if (ctl_) {
+        const auto exitCode = ctl_->exitCode();
+        if (!exitCode)
+            return boost::outcome_v2::success();
+        if (*exitCode == 0) {
+            ++accepted_;
+            for (const OnAccepted& onAccepted : applying_)
+                onAccepted(now);
+            waitingSince_ = now;
+        } else {
+            lastProblem_ = fmt::format("exit code {}: {}", *exitCode, ctl_->errorTail());
+            waiting_.insert(waiting_.begin(), applying_.begin(), applying_.end());
+            nextTry_ = now + retryInterval;
+        }
+        applying_.clear();
+        ctl_.reset();
+    }
+    if (waiting_.empty() || now < nextTry_)
+        return boost::outcome_v2::success();
+    if (now > waitingSince_ + longestRefusal)
+        return Error { ErrorCode::Unavailable, "the configuration was not accepted: " + lastProblem_ };
+    return startApply();
+}
+
+Result<void> ConfigurationOperator::startApply()
+{
+    ++applies_;
+    const std::string name = fmt::format("configuration-{}", applies_);
+    BOOST_OUTCOME_TRY(file, starter_.directory().write(name + ".ini", writeConfiguration(configuration_)));
+    BOOST_OUTCOME_TRY(ctl,
+        starter_.start(name, "wisteriadock-ctl", { "--platform=" + platform_.toString(), "apply", file.string() }));
+    ctl_ = std::move(ctl);
+    applying_ = std::move(waiting_);
+    waiting_.clear();
+    return boost::outcome_v2::success();
+}
+
+}
--- /dev/null
+++ b/Source/Experiment/ControlMeter.cpp
@@ -0,0 +1,68 @@
+#include "Experiment/ControlMeter.h"
+
+#include <algorithm>
+
+namespace wisteriadock {
+
+namespace {
+
+    double secondsBetween(TimePoint first, TimePoint second)
+    {
+        return std::chrono::duration<double>(second - first).count();
+    }
+
+}
+
+// Each byte between two balancers is sent by one and received by another.
+double ControlMeter::Reading::bytesPerBalancer(std::size_t balancers) const
+{
+    const auto bytes = static_cast<double>(2 * totals.balancerBytes + totals.platformBytes);
+    return bytes / static_cast<double>(std::max<std::size_t>(1, balancers));
+}
+
+Result<ControlMeter::Reading> ControlMeter::read()
+{
+    BOOST_OUTCOME_TRY(totals, deployment_.proxy().totals());
+    return Reading { Clock::now(), totals };
+}
+
+Result<void> ControlMeter::measureQuietWindow(Duration window)
+{
+    const double usedBefore = deployment_.balancers().processorSeconds();
+    const TimePoint begin = Clock::now();
+    BOOST_OUTCOME_TRYV(deployment_.loop().runUntil(begin + window));
+    const double used = deployment_.balancers().processorSeconds() - usedBefore;
+    const auto balancers = static_cast<double>(deployment_.balancers().running());
+    processorFraction_ = used / secondsBetween(begin, Clock::now()) / balancers;
+    return boost::outcome_v2::success();
+}
+
+Result<void> ControlMeter::sample(bool stepsBegan)
+{
+    BOOST_OUTCOME_TRY(now, read());
+    const std::size_t balancers = deployment_.balancers().running();
+    if (sampling_) {
+        const Mean step { now.bytesPerBalancer(balancers) - last_.bytesPerBalancer(balancers),
+            secondsBetween(last_.at, now.at) };
+        for (Mean* mean : { &whole_, stepsBegan ? nullptr : &steady_ }) {
+            if (!mean)
+                continue;
+            mean->bytes += step.bytes;
+            mean->seconds += step.seconds;
+        }
+        peak_ = std::max(peak_, step.rate());
+    }
+    sampling_ = true;
+    last_ = now;
+    return boost::outcome_v2::success();
+}
+
+void ControlMeter::report(Rows& rows) const
+{
+    rows.set("control_bytes_per_second_per_balancer", steady_.rate());
+    rows.set("control_bytes_mean_per_second_per_balancer", whole_.rate());
+    rows.set("control_bytes_peak_per_second_per_balancer", peak_);
+    rows.set("control_cpu_fraction_per_balancer", processorFraction_);
+}
+
+}
--- /dev/null
+++ b/Source/Experiment/Deployment.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "Experiment/BackendFleet.h"
+#include "Experiment/BalancerFleet.h"
+#include "Experiment/ConfigurationOperator.h"
+#include "Experiment/FabricControl.h"
+#include "Experiment/FaultProxyControl.h"
+#include "Experiment/FleetPlan.h"
+#include "Experiment/PlatformControl.h"
+
+#include <memory>
+
+namespace wisteriadock {
+
+struct DeploymentOptions {
+    ExperimentOptions experiment;
+    // Backend servers that run from the start and are configured later.
+    std::size_t spareServers = 0;
+    bool fabricThroughProxy = false;
+};
+
+// The whole system of a run, as separate processes: platform, fault proxy, backend servers, fabric and balancers, with
+// the first configuration in force on all of them.
+class Deployment {
+public:
+    // The loop and the directory outlive the deployment.
+    static Result<std::unique_ptr<Deployment>> start(EventLoop&, const RunDirectory&, DeploymentOptions);
+    Deployment(const Deployment&) = delete;
+    Deployment& operator=(const Deployment&) = delete;
+
+    EventLoop& loop() { return starter_.loop(); }
+    ProcessStarter& starter() { return starter_; }
+    const FleetPlan& plan() const { return plan_; }
+    FaultProxyControl& proxy() { return *proxy_; }
+    PlatformControl& platform() { return *platform_; }
+    FabricControl& fabric() { return *fabric_; }
+    BackendFleet& backendServers() { return *backendServers_; }
+    BalancerFleet& balancers() { return *balancers_; }
+    ConfigurationOperator& configurationOperator() { return *operator_; }
+
+    // The entry of a planned server, as it stands in the configuration at first.
+    BackendServer backendServer(std::size_t index) const;
+
+private:
+    Deployment(EventLoop&, const RunDirectory&, DeploymentOptions);
+
+    Result<void> startProcesses();
+    Result<void> applyFirstConfiguration();
+
+    DeploymentOptions options_;
+    ProcessStarter starter_;
+    AdminClient client_;
+    FleetPlan plan_;
+    std::unique_ptr<FaultProxyControl> proxy_;
+    std::unique_ptr<PlatformControl> platform_;
+    std::unique_ptr<BackendFleet> backendServers_;
+    std::unique_ptr<FabricControl> fabric_;
+    std::unique_ptr<BalancerFleet> balancers_;
+    std::unique_ptr<ConfigurationOperator> operator_;
+};
+
+}
--- /dev/null
+++ b/Source/Experiment/FabricControl.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "Experiment/AdminClient.h"
+#include "Experiment/ProcessStarter.h"
+
+#include <cstdint>
+#include <memory>
+#include <vector>
+
+namespace wisteriadock {
+
+// The fabric's stand-in of a run.
+class FabricControl {
+public:
+    static Result<std::unique_ptr<FabricControl>> start(ProcessStarter&, AdminClient&, std::uint64_t seed);
+
+    // Where callers send their packets.
+    Endpoint address() const { return process_->listening("fabric").value(); }
+    // The balancers that it sprays packets over from now on.
+    Result<void> setBalancers(const std::vector<Endpoint>&);
+
+private:
+    FabricControl(AdminClient& client, std::unique_ptr<ChildProcess> process)
+        : client_(client)
+        , process_(std::move(process))
+    {
+    }
+
+    AdminClient& client_;
+    std::unique_ptr<ChildProcess> process_;
+};
+
+}
--- /dev/null
+++ b/Source/Experiment/Scenario.cpp
@@ -0,0 +1,27 @@
+#include "Experiment/Scenario.h"
+
+#include <array>
+
+namespace wisteriadock {
+
+namespace {
+
+    constexpr std::array scenarios {
+        Scenario { "path", "flows and requests from callers to backend servers and back", runPathScenario },
+        Scenario { "flows", "established flows through planned changes and failures", runFlowsScenario },
+    };
+
+}
+
+std::span<const Scenario> allScenarios() { return scenarios; }
+
+const Scenario* findScenario(std::string_view name)
+{
+    for (const Scenario& scenario : scenarios) {
+        if (scenario.name == name)
+            return &scenario;
+    }
+    return nullptr;
+}
+
+}
--- /dev/null
+++ b/Source/Experiment/Schedule.cpp
@@ -0,0 +1,268 @@
+#include "Experiment/Schedule.h"
+
+#include "Core/NameTable.h"
+
+#include <algorithm>
+#include <optional>
+#include <random>
+
+namespace wisteriadock {
+
+namespace {
+
+    using std::chrono::milliseconds;
+    using namespace std::chrono_literals;
+
+    constexpr auto stepNames = makeNameTable<StepKind>({
+        { StepKind::DrainServer, "drain_server" },
+        { StepKind::UndrainServer, "undrain_server" },
+        { StepKind::ChangeWeight, "change_weight" },
+        { StepKind::AddServer, "add_server" },
+        { StepKind::JoinBalancer, "join_balancer" },
+        { StepKind::StopBalancer, "stop_balancer" },
+        { StepKind::DelayVersions, "delay_versions" },
+        { StepKind::KillBalancer, "kill_balancer" },
+        { StepKind::FreezeBalancer, "freeze_balancer" },
+        { StepKind::CutOneWay, "cut_one_way" },
+        { StepKind::CutZone, "cut_zone" },
+        { StepKind::PlatformOutage, "platform_outage" },
+    });
+
+    // Load runs undisturbed for this long first, so that there are established flows to break.
+    constexpr milliseconds calmStart = 3s;
+    // Nothing new begins in the last part, so that what a step breaks is still seen.
+    constexpr milliseconds calmEnd = 3s;
+    constexpr milliseconds shortestGap = 700ms;
+    constexpr milliseconds longestGap = 2500ms;
+
+    // Draws steps one after another and remembers what they leave behind.
+    class ScheduleMaker {
+    public:
+        explicit ScheduleMaker(const ScheduleOptions& options)
+            : options_(options)
+            , random_(options.seed)
+            , servers_(options.serviceOfServer.size())
+            , balancers_(options.balancers, Balancer { true })
+        {
+        }
+
+        std::vector<Step> make()
+        {
+            if (options_.mode == FaultMode::None)
+                return {};
+            for (milliseconds now = calmStart; now < options_.length - calmEnd;
+                 now += between(shortestGap, longestGap)) {
+                takeBack(now);
+                takeNext(now);
+                // Two changes at once are harder than one after the other.
+                if (drawBelow(3) == 0)
+                    takeNext(now);
+            }
+            std::stable_sort(steps_.begin(), steps_.end(),
+                [](const Step& first, const Step& second) { return first.at < second.at; });
+            return std::move(steps_);
+        }
+
+    private:
+        struct Server {
+            std::optional<milliseconds> drainedAt;
+        };
+
+        struct Balancer {
+            bool runs = false;
+            milliseconds disturbedUntil { 0 };
+        };
+
+        std::size_t drawBelow(std::size_t bound) { return bound == 0 ? 0 : random_() % bound; }
+
+        milliseconds between(milliseconds low, milliseconds high)
+        {
+            return low + milliseconds(drawBelow(static_cast<std::size_t>((high - low).count()) + 1));
+        }
+
+        // Every kind comes up once, in random order, before any comes up again.
+        StepKind drawKind()
+        {
+            if (deck_.empty()) {
+                for (const auto& [kind, name] : stepNames.rows()) {
+                    const bool drawn = kind != StepKind::UndrainServer;
+                    if (drawn && (options_.mode == FaultMode::All || isPlannedChange(kind)))
+                        deck_.push_back(kind);
+                }
+                // std::shuffle is not the same in every standard library.
+                for (std::size_t i = deck_.size(); i > 1; --i)
+                    std::swap(deck_[i - 1], deck_[drawBelow(i)]);
+            }
+            const StepKind kind = deck_.back();
+            deck_.pop_back();
+            return kind;
+        }
+
+        void takeNext(milliseconds now)
+        {
+            Step step;
+            step.at = now;
+            step.kind = drawKind();
+            if (choose(step))
+                steps_.push_back(step);
+        }
+
+        // Servers return some time after they were drained.
+        void takeBack(milliseconds now)
+        {
+            for (std::size_t i = 0; i < servers_.size(); ++i) {
+                if (!servers_[i].drainedAt || now < *servers_[i].drainedAt + shortestDrain || drawBelow(2) == 0)
+                    continue;
+                servers_[i].drainedAt.reset();
+                steps_.push_back({ .at = now, .kind = StepKind::UndrainServer, .subject = i });
+            }
+        }
+
+        // Completes the step, or returns false when the fleet has no subject for it now.
+        bool choose(Step& step)
+        {
+            switch (step.kind) {
+            case StepKind::DrainServer:
+                return chooseServerToDrain(step);
+            case StepKind::UndrainServer:
+                return false;
+            case StepKind::ChangeWeight:
+                step.subject = drawBelow(options_.serviceOfServer.size());
+                step.weight = 50 + 25 * static_cast<std::uint32_t>(drawBelow(5));
+                return true;
+            case StepKind::AddServer:
+                step.subject = servers_.size();
+                servers_.emplace_back();
+                return true;
+            case StepKind::JoinBalancer:
+                step.subject = balancers_.size();
+                balancers_.push_back({ true, step.at + between(1s, 2s) });
+                return true;
+            case StepKind::StopBalancer:
+            case StepKind::KillBalancer:
+                step.length = between(500ms, 2s);
+                return chooseBalancer(step) && end(step.subject);
+            case StepKind::DelayVersions:
+                step.length = between(2s, 6s);
+                return chooseBalancer(step);
+            case StepKind::FreezeBalancer:
+                step.length = between(1s, 4s);
+                return chooseBalancer(step) && disturb(step);
+            case StepKind::CutOneWay:
+                step.length = between(2s, 4s);
+                return chooseBalancer(step) && chooseOther(step);
+            case StepKind::CutZone:
+                step.length = between(2s, 5s);
+                step.subject = drawBelow(options_.availabilityZones);
+                return options_.availabilityZones > 1;
+            case StepKind::PlatformOutage:
+                step.length = between(2s, 6s);
+                return true;
+            }
+            return false;
+        }
+
+        bool chooseServerToDrain(Step& step)
+        {
+            std::vector<std::size_t> candidates;
+            for (std::size_t i = 0; i < options_.serviceOfServer.size(); ++i) {
+                if (!servers_[i].drainedAt && mayDrainOneMoreOf(options_.serviceOfServer[i]))
+                    candidates.push_back(i);
+            }
+            if (candidates.empty())
+                return false;
+            step.subject = candidates[drawBelow(candidates.size())];
+            servers_[step.subject].drainedAt = step.at;
+            return true;
+        }
+
+        bool mayDrainOneMoreOf(std::size_t service) const
+        {
+            std::size_t all = 0;
+            std::size_t drained = 0;
+            for (std::size_t i = 0; i < options_.serviceOfServer.size(); ++i) {
+                if (options_.serviceOfServer[i] != service)
+                    continue;
+                ++all;
+                drained += servers_[i].drainedAt.has_value();
+            }
+            return (drained + 1) * 3 <= all;
+        }
+
+        bool chooseBalancer(Step& step)
+        {
+            std::vector<std::size_t> candidates;
+            for (std::size_t i = 0; i < balancers_.size(); ++i) {
+                if (balancers_[i].runs && balancers_[i].disturbedUntil <= step.at)
+                    candidates.push_back(i);
+            }
+            const bool ends = step.kind == StepKind::StopBalancer || step.kind == StepKind::KillBalancer;
+            const auto running = static_cast<std::size_t>(std::count_if(
+                balancers_.begin(), balancers_.end(), [](const Balancer& balancer) { return balancer.runs; }));
+            if (candidates.empty() || (ends && (running - 1) * 2 <= options_.balancers))
+                return false;
+            step.subject = candidates[drawBelow(candidates.size())];
+            return true;
+        }
+
+        bool chooseOther(Step& step)
+        {
+            std::vector<std::size_t> others;
+            for (std::size_t i = 0; i < balancers_.size(); ++i) {
+                if (balancers_[i].runs && i != step.subject)
+                    others.push_back(i);
+            }
+            if (others.empty())
+                return false;
+            step.other = others[drawBelow(others.size())];
+            return true;
+        }
+
+        bool disturb(const Step& step)
+        {
+            balancers_[step.subject].disturbedUntil = step.at + step.length;
+            return true;
+        }
+
+        bool end(std::size_t balancer)
+        {
+            balancers_[balancer].runs = false;
+            return true;
+        }
+
+        const ScheduleOptions& options_;
+        std::mt19937_64 random_;
+        std::vector<Server> servers_;
+        std::vector<Balancer> balancers_;
+        std::vector<StepKind> deck_;
+        std::vector<Step> steps_;
+    };
+
+}
+
+std::string_view nameOf(StepKind kind) { return stepNames.name(kind); }
+
+bool isPlannedChange(StepKind kind)
+{
+    switch (kind) {
+    case StepKind::DrainServer:
+    case StepKind::UndrainServer:
+    case StepKind::ChangeWeight:
+    case StepKind::AddServer:
+    case StepKind::JoinBalancer:
+    case StepKind::StopBalancer:
+    case StepKind::DelayVersions:
+        return true;
+    case StepKind::KillBalancer:
+    case StepKind::FreezeBalancer:
+    case StepKind::CutOneWay:
+    case StepKind::CutZone:
+    case StepKind::PlatformOutage:
+        return false;
+    }
+    return false;
+}
+
+std::vector<Step> makeSchedule(const ScheduleOptions& options) { return ScheduleMaker(options).make(); }
+
+}
--- /dev/null
+++ b/Tests/Experiment/BalanceMeterTest.cpp
@@ -0,0 +1,49 @@
+#include "Experiment/BalanceMeter.h"
+
+#include <gtest/gtest.h>
+
+namespace wisteriadock {
+namespace {
+
+    TEST(BalanceMeterTest, takesTheHighestLiveLoadOverTheMeanOfEachService)
+    {
+        BalanceMeter meter;
+        EXPECT_EQ(meter.liveFlowsMaxOverMean(), 0);
+        meter.sample({ { "a", { "tryon", 100, 30, 0 } }, { "b", { "tryon", 100, 10, 0 } } });
+        EXPECT_DOUBLE_EQ(meter.liveFlowsMaxOverMean(), 1.5);
+
+        SCOPED_TRACE("Services count by their flows: here three to one");
+        BalanceMeter both;
+        both.sample({
+            { "a", { "tryon", 100, 30, 0 } },
+            { "b", { "tryon", 100, 30, 0 } },
+            { "c", { "scanintake", 100, 20, 0 } },
+            { "d", { "scanintake", 100, 0, 0 } },
+        });
+        EXPECT_DOUBLE_EQ(both.liveFlowsMaxOverMean(), (60 * 1.0 + 20 * 2.0) / 80);
+    }
+
+    TEST(BalanceMeterTest, judgesLoadRelativeToWeight)
+    {
+        BalanceMeter meter;
+        meter.sample({ { "a", { "tryon", 200, 40, 0 } }, { "b", { "tryon", 100, 20, 0 } } });
+        EXPECT_DOUBLE_EQ(meter.liveFlowsMaxOverMean(), 1);
+    }
+
+    TEST(BalanceMeterTest, countsNewFlowsOfServersThatStayedActive)
+    {
+        BalanceMeter meter;
+        for (std::uint64_t second = 0; second <= BalanceMeter::windowSamples; ++second) {
+            std::map<std::string, ServerLoad> servers {
+                { "a", { "tryon", 100, 1, 100 + 30 * second } },
+                { "b", { "tryon", 100, 1, 50 + 10 * second } },
+            };
+            if (second < 3)
+                servers["drained"] = { "tryon", 100, 1, 1000 * second };
+            meter.sample(servers);
+        }
+        EXPECT_DOUBLE_EQ(meter.newFlowsMaxOverMean(), 1.5);
+    }
+
+}
+}
