Net: Prove the failure kinds and harden both ends

At-most-once work is sent again only after NotSent and Refused, so each failure kind now has a story with a peer led by hand: refused and hanging connects, requests that wait their turn, GOAWAY with a lower last stream, loss after sending, and answers cut short in seven ways.

Ending a connection at its first write error was ruled out: what the other side sent before is still to be read, and may hold whole answers or a refusal.

--- a/Source/Net/Http2Client.cpp
+++ b/Source/Net/Http2Client.cpp
@@ -96,10 +96,14 @@
 
 void Http2Client::Implementation::submit(const RequestPointer& request, HttpRequest message)
 {
-    if (stopped_) {
-        onRequestEnded(request, HttpFailure { HttpFailureKind::NotSent, "the client is being destroyed" });
+    if (stopped_ || request->deadline.expiry() <= Clock::now()) {
+        const char* reason = stopped_ ? "the client is being destroyed" : "the deadline had passed already";
+        onRequestEnded(request, HttpFailure { HttpFailureKind::NotSent, reason });
         return;
     }
+    // HTTP/2 servers reject a request that names no host (RFC 9113, 8.3.1).
+    if (message.authority.empty() && message.header("host").empty())
+        message.authority = server_.toString();
     if (sessions_.empty() || !sessions_.back()->canTakeRequest())
         openSession();
     if (!sessions_.back()->submit(request, std::move(message)))
--- a/Source/Net/Http2Engine.cpp
+++ b/Source/Net/Http2Engine.cpp
@@ -4,7 +4,6 @@
 #include <nghttp2/nghttp2.h>
 
 #include <algorithm>
-#include <cstring>
 
 namespace wisteriadock {
 
@@ -20,6 +19,10 @@
     constexpr std::uint64_t resetBurst = 20'000;
     constexpr std::uint64_t resetsPerSecond = 5'000;
 
+    // Frames that may wait for a client to read. A client that reads nothing and sends only malformed requests would
+    // otherwise pile up the resets that answer them.
+    constexpr std::size_t waitingFrames = 10'000;
+
     std::string_view toView(const std::uint8_t* bytes, std::size_t size)
     {
         return { reinterpret_cast<const char*>(bytes), size };
@@ -189,7 +192,7 @@
             return NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE;
         Http2Engine::Body& body = found->second;
         const std::size_t taken = std::min(size, body.bytes.size() - body.offset);
-        std::memcpy(buffer, body.bytes.data() + body.offset, taken);
+        std::copy_n(body.bytes.data() + body.offset, taken, buffer);
         body.offset += taken;
         if (body.offset == body.bytes.size())
             *flags |= NGHTTP2_DATA_FLAG_EOF;
@@ -251,10 +254,13 @@
 Result<void> Http2Engine::receive(std::span<const std::uint8_t> bytes)
 {
     const ssize_t taken = nghttp2_session_mem_recv(session_, bytes.data(), bytes.size());
-    if (taken >= 0)
+    // A client's own queue holds the requests that wait their turn, so its length says nothing of the server.
+    const bool isFlooded = role_ == Role::Server && nghttp2_session_get_outbound_queue_size(session_) > waitingFrames;
+    if (taken >= 0 && !isFlooded)
         return boost::outcome_v2::success();
     events_.onProtocolError();
-    return Error { ErrorCode::InvalidArgument, nghttp2_strerror(static_cast<int>(taken)) };
+    return Error { ErrorCode::InvalidArgument,
+        isFlooded ? "the client does not read its answers" : nghttp2_strerror(static_cast<int>(taken)) };
 }
 
 Result<void> Http2Engine::collect(std::vector<std::uint8_t>& output, std::size_t atMost)
--- a/Source/Net/Http2Listener.cpp
+++ b/Source/Net/Http2Listener.cpp
@@ -60,14 +60,19 @@
         acceptLater();
         return;
     }
-    if (sessions_.size() < limits_.connections) {
-        const auto session = std::make_shared<Http2ServerSession>(std::move(socket), limits_, bytes_, weak_from_this());
-        sessions_.emplace(session.get(), session);
-        session->start();
-    } else {
+    open(std::move(socket));
+    accept();
+}
+
+void Http2Listener::open(boost::asio::ip::tcp::socket socket)
+{
+    if (sessions_.size() >= limits_.connections) {
         ++protocolErrors_;
+        return;
     }
-    accept();
+    const auto session = std::make_shared<Http2ServerSession>(std::move(socket), limits_, bytes_, weak_from_this());
+    sessions_.emplace(session.get(), session);
+    session->start();
 }
 
 void Http2Listener::acceptLater()
@@ -82,6 +87,7 @@
 void Http2Listener::drain(std::function<void()> onDrained)
 {
     onDrained_ = std::move(onDrained);
+    openQueued();
     boost::system::error_code ignored;
     acceptor_.close(ignored);
     acceptTimer_.cancel();
@@ -90,6 +96,20 @@
     tellIfDrained();
 }
 
+// Closing the acceptor resets the connections that the kernel has already set up for it. Their clients may have sent
+// requests, which would be lost without proof that nobody acted on them.
+void Http2Listener::openQueued()
+{
+    boost::system::error_code error;
+    acceptor_.non_blocking(true, error);
+    while (!error) {
+        boost::asio::ip::tcp::socket socket(context_);
+        acceptor_.accept(socket, error);
+        if (!error)
+            open(std::move(socket));
+    }
+}
+
 void Http2Listener::stop()
 {
     stopped_ = true;
--- a/Source/Net/Http2Listener.h
+++ b/Source/Net/Http2Listener.h
@@ -36,6 +36,8 @@
     void accept();
     void onAccepted(const boost::system::error_code&, boost::asio::ip::tcp::socket);
     void acceptLater();
+    void open(boost::asio::ip::tcp::socket);
+    void openQueued();
     void tellIfDrained();
 
     boost::asio::io_context& context_;
--- a/Source/Net/Http2Session.cpp
+++ b/Source/Net/Http2Session.cpp
@@ -10,14 +10,14 @@
 
 namespace {
 
-    constexpr std::size_t readBytes = 32 * 1024;
-    constexpr std::size_t writeBytes = 64 * 1024;
+    constexpr std::size_t readBytes = std::size_t(32) * 1024;
+    constexpr std::size_t writeBytes = std::size_t(64) * 1024;
 
     // How long a connection that is done waits for the other side to close it.
     constexpr std::chrono::seconds lingerTime { 1 };
 
-    // How long sent bytes may stay unacknowledged. Without it a connection to a dead VM would take every new request
-    // for a quarter of an hour, and each would only end at its deadline.
+    // How long sent bytes may stay unacknowledged, or unread by a process whose window is full. Without it a connection
+    // to a dead VM would take every new request for a quarter of an hour, and each would only end at its deadline.
     constexpr unsigned unacknowledgedMilliseconds = 5000;
 
     void prepare(boost::asio::ip::tcp::socket& socket)
@@ -83,15 +83,11 @@
 
 void Http2Session::feed(std::span<const std::uint8_t> bytes)
 {
-    if (engineFailed_)
-        return;
     const auto received = engine_.receive(bytes);
-    engineFailed_ = !received;
     onEngineIdle();
-    if (ended_)
-        return;
-    if (engineFailed_)
-        linger(received.error().detail);
+    // Nothing that is still to come could be understood, and an engine that failed must not be fed again.
+    if (!received)
+        abort(received.error().detail);
     else
         schedulePump();
 }
--- a/Source/Net/Http2Session.h
+++ b/Source/Net/Http2Session.h
@@ -67,7 +67,6 @@
     bool pumpScheduled_ = false;
     bool writing_ = false;
     bool lingering_ = false;
-    bool engineFailed_ = false;
     bool ended_ = false;
 };
 
--- /dev/null
+++ b/Tests/Net/Http2ClientFailureTest.cpp
@@ -0,0 +1,251 @@
+#include "Net/AsioEndpoint.h"
+#include "Net/Http2Fixture.h"
+#include "Net/RawHttp2.h"
+
+#include <boost/asio/ip/tcp.hpp>
+
+namespace wisteriadock {
+namespace {
+
+    // Work that must run at most once is sent again only after NotSent and Refused, so each kind is told from the
+    // others by what the other side can have seen.
+    class Http2ClientFailureTest : public Http2Fixture {
+    protected:
+        // Makes the client speak to a peer that the test leads by hand.
+        void speakToPeer(Http2Limits limits = {})
+        {
+            client_ = std::make_unique<Http2Client>(context_, peer_.acceptOne(), limits);
+        }
+
+        // Sends a request and lets the peer read it whole.
+        std::shared_ptr<Call> sendToPeer()
+        {
+            auto call = send(post("/", "work"));
+            runUntil([&] { return peer_.hasFrame(raw::Data); });
+            peer_.write(raw::frame(raw::Settings, 0, 0, ""));
+            return call;
+        }
+
+        HttpFailureKind failureOf(const std::shared_ptr<Call>& call)
+        {
+            runUntilEnded({ call });
+            EXPECT_FALSE(call->hasAnswer());
+            return call->failure();
+        }
+
+        RawPeer peer_ { context_ };
+    };
+
+    // Symptom: the backend server's process is gone. Sequence: connect is refused. Cause: nobody listens on the port.
+    TEST_F(Http2ClientFailureTest, nothingIsSentWhenNobodyListens)
+    {
+        boost::asio::ip::tcp::acceptor deaf(context_);
+        deaf.open(boost::asio::ip::tcp::v4());
+        deaf.bind(toTcp(loopback));
+        client_ = std::make_unique<Http2Client>(context_, fromAsio(deaf.local_endpoint()));
+        EXPECT_EQ(failureOf(send(post("/", "work"))), HttpFailureKind::NotSent);
+    }
+
+    // Symptom: a VM takes no connections. Sequence: the kernel drops SYNs; connectTimeout passes.
+    // Cause: the listener's queue is full, as on a process that hangs.
+    TEST_F(Http2ClientFailureTest, nothingIsSentWhenConnectingTakesTooLong)
+    {
+        boost::asio::ip::tcp::acceptor hanging(context_);
+        hanging.open(boost::asio::ip::tcp::v4());
+        hanging.bind(toTcp(loopback));
+        hanging.listen(0);
+        boost::asio::ip::tcp::socket filler(context_);
+        filler.connect(hanging.local_endpoint());
+        Http2Limits limits;
+        limits.connectTimeout = std::chrono::milliseconds(50);
+        client_ = std::make_unique<Http2Client>(context_, fromAsio(hanging.local_endpoint()), limits);
+        EXPECT_EQ(failureOf(send(post("/", "work"))), HttpFailureKind::NotSent);
+    }
+
+    // Symptom: a caller gives up early. Sequence: send, then cancel or deadline, before the loop turns.
+    // Cause: the request still waits for the connection.
+    TEST_F(Http2ClientFailureTest, nothingIsSentWhenGivenUpBeforeTheConnectionStands)
+    {
+        listen();
+        const auto cancelled = send(post("/cancelled", "work"));
+        client_->cancel(cancelled->id);
+        EXPECT_FALSE(cancelled->hasEnded()) << "no callback runs inside a call";
+        EXPECT_EQ(failureOf(cancelled), HttpFailureKind::NotSent);
+        EXPECT_EQ(failureOf(send(post("/expired", "work"), Duration::zero())), HttpFailureKind::NotSent);
+        expectService();
+        EXPECT_EQ(exchanges_.size(), 1U) << "the server has seen neither request";
+    }
+
+    // Symptom: a busy server. Sequence: the only stream is taken; a second request is cancelled, a third one waits on.
+    // Cause: the server's SETTINGS allow one stream.
+    TEST_F(Http2ClientFailureTest, nothingIsSentWhileARequestWaitsItsTurn)
+    {
+        Http2Limits limits;
+        limits.concurrentStreams = 1;
+        listen(limits);
+        const auto first = send(post("/first", "work"));
+        runUntilExchanges(1);
+        const auto second = send(post("/second", "work"));
+        const auto third = send(post("/third", "work"));
+        client_->cancel(second->id);
+        EXPECT_EQ(failureOf(second), HttpFailureKind::NotSent);
+        exchanges_[0]->respond(answer("x"));
+        runUntilExchanges(2);
+        EXPECT_EQ(exchanges_[1]->request().path, "/third");
+        exchanges_[1]->respond(answer("x"));
+        runUntilEnded({ first, third });
+        EXPECT_TRUE(first->hasAnswer() && third->hasAnswer());
+    }
+
+    // Symptom: a slow backend server. Sequence: the deadline passes after sending. Cause: no answer in time.
+    TEST_F(Http2ClientFailureTest, tellsTheServerWhenTheDeadlinePasses)
+    {
+        listen();
+        const auto call = send(post("/", "work"), std::chrono::milliseconds(200));
+        runUntilExchanges(1);
+        bool isCancelled = false;
+        exchanges_[0]->onCancelled([&] { isCancelled = true; });
+        EXPECT_EQ(failureOf(call), HttpFailureKind::DeadlineExceeded);
+        runUntil([&] { return isCancelled; });
+        EXPECT_EQ(server_->openExchanges(), 0U);
+    }
+
+    // Symptom: the caller went away. Sequence: cancel after sending. Cause: nobody waits for the answer.
+    TEST_F(Http2ClientFailureTest, tellsTheServerOfACancel)
+    {
+        listen();
+        const auto call = send(post("/", "work"));
+        runUntilExchanges(1);
+        int cancels = 0;
+        exchanges_[0]->onCancelled([&] { ++cancels; });
+        client_->cancel(call->id);
+        client_->cancel(call->id);
+        EXPECT_EQ(failureOf(call), HttpFailureKind::Cancelled);
+        runUntil([&] { return cancels > 0; });
+        client_.reset();
+        expectService();
+        EXPECT_EQ(cancels, 1) << "the connection's end is no second cancel";
+    }
+
+    // Symptom: a drained backend server sends work back. Sequence: RST_STREAM. Cause: refuse(), or the handler's slip.
+    TEST_F(Http2ClientFailureTest, tellsARefusalFromAHandlerThatGaveNoAnswer)
+    {
+        listen();
+        const auto refused = send(post("/", "work"));
+        runUntilExchanges(1);
+        exchanges_[0]->refuse();
+        EXPECT_EQ(failureOf(refused), HttpFailureKind::Refused);
+        const auto dropped = send(post("/", "work"));
+        runUntilExchanges(2);
+        exchanges_.clear();
+        EXPECT_EQ(failureOf(dropped), HttpFailureKind::Lost);
+    }
+
+    // Symptom: a restart cuts requests. Sequence: two requests sent; GOAWAY names the first as the last; the connection
+    // closes. Cause: the server never looked at the second one, but may have acted on the first.
+    TEST_F(Http2ClientFailureTest, aGoAwayRefusesOnlyLaterStreams)
+    {
+        speakToPeer();
+        const auto first = sendToPeer();
+        const auto second = send(post("/", "more work"));
+        runUntil([&] { return peer_.frames(raw::Data) == 2; });
+        peer_.write(raw::frame(raw::GoAway, 0, 0, raw::number(1) + raw::number(0)));
+        EXPECT_EQ(failureOf(second), HttpFailureKind::Refused);
+        EXPECT_FALSE(first->hasEnded());
+        peer_.close();
+        EXPECT_EQ(failureOf(first), HttpFailureKind::Lost);
+    }
+
+    // Symptom: a backend server crashes. Sequence: the request is read whole, then the connection closes.
+    // Cause: the server may have acted; the client can't know.
+    TEST_F(Http2ClientFailureTest, aConnectionLostAfterSendingIsLostAndTheNextRequestOpensANewOne)
+    {
+        listen();
+        const auto lost = send(post("/", "work"));
+        runUntilExchanges(1);
+        bool isCancelled = false;
+        exchanges_[0]->onCancelled([&] { isCancelled = true; });
+        const Endpoint address = server_->address();
+        server_.reset();
+        EXPECT_EQ(failureOf(lost), HttpFailureKind::Lost);
+        EXPECT_FALSE(isCancelled) << "a destroyed server runs no callback";
+
+        const auto keep = [this](Exchange exchange) { exchanges_.push_back(std::move(exchange)); };
+        server_ = Http2Server::listen(context_, address, keep).value();
+        const auto next = send(post("/", "work"));
+        runUntilExchanges(2);
+        exchanges_[1]->respond(answer("back again"));
+        runUntilEnded({ next });
+        EXPECT_TRUE(next->hasAnswer());
+    }
+
+    // Symptom: half a picture. Sequence: the answer begins; then the connection closes, the stream is reset, or the
+    // message ends short. Cause: the server failed in mid-answer. None of these may look like a success.
+    TEST_F(Http2ClientFailureTest, anAnswerCutShortIsIncomplete)
+    {
+        const std::string headers
+            = raw::frame(raw::Headers, raw::endHeaders, 1, raw::okFields() + raw::field("content-length", "100"));
+        const std::string half = headers + raw::frame(raw::Data, 0, 1, "half");
+        const std::string refusedStream = raw::number(7);
+        {
+            SCOPED_TRACE("by the end of the connection");
+            speakToPeer();
+            const auto call = sendToPeer();
+            peer_.write(half);
+            peer_.close();
+            EXPECT_EQ(failureOf(call), HttpFailureKind::Incomplete);
+        }
+        for (const std::string& end : { raw::frame(raw::Reset, 0, 1, raw::number(2)),
+                 raw::frame(raw::Reset, 0, 1, refusedStream), raw::frame(raw::Data, raw::endStream, 1, "short"),
+                 raw::frame(raw::Headers, raw::endHeaders | raw::endStream, 1, raw::field("x-trailer", "1")),
+                 std::string("no frame at all, so the connection is given up"),
+                 raw::frame(raw::Headers, raw::endHeaders, 1, raw::field("Upper-Case", "1")) }) {
+            SCOPED_TRACE("by " + testing::PrintToString(end));
+            RawPeer next(context_);
+            client_ = std::make_unique<Http2Client>(context_, next.acceptOne());
+            const auto call = send(post("/", "work"));
+            runUntil([&] { return next.hasFrame(raw::Data); });
+            next.write(raw::frame(raw::Settings, 0, 0, ""));
+            next.write(half);
+            next.write(end);
+            EXPECT_EQ(failureOf(call), HttpFailureKind::Incomplete);
+        }
+    }
+
+    // Symptom: the balancer's memory grows. Sequence: an answer over a limit. Cause: a backend server's fault.
+    TEST_F(Http2ClientFailureTest, anAnswerOverALimitIsIncomplete)
+    {
+        listen();
+        Http2Limits limits;
+        limits.bodyBytes = 1000;
+        limits.headerBytes = 1000;
+        Http2Client careful(context_, server_->address(), limits);
+        const auto longBody = sendBy(careful, post("/", "work"));
+        const auto longHeader = sendBy(careful, post("/", "work"));
+        runUntilExchanges(2);
+        exchanges_[0]->respond(answer(std::string(1001, 'x')));
+        HttpResponse response;
+        response.headers = { { "x-long", std::string(1001, 'x') } };
+        exchanges_[1]->respond(response);
+        EXPECT_EQ(failureOf(longBody), HttpFailureKind::Incomplete);
+        EXPECT_EQ(failureOf(longHeader), HttpFailureKind::Incomplete);
+    }
+
+    // Symptom: a callback after its owner's end. Sequence: the client is destroyed with open requests.
+    // Cause: callbacks that were only posted. Each has to run before the destructor returns.
+    TEST_F(Http2ClientFailureTest, theDestructorEndsWhatIsOpen)
+    {
+        Http2Limits limits;
+        limits.concurrentStreams = 1;
+        listen(limits);
+        const auto sent = send(post("/", "work"));
+        runUntilExchanges(1);
+        const auto waiting = send(post("/", "work"));
+        client_.reset();
+        ASSERT_TRUE(sent->hasEnded() && waiting->hasEnded());
+        EXPECT_EQ(sent->failure(), HttpFailureKind::Cancelled);
+        EXPECT_EQ(waiting->failure(), HttpFailureKind::NotSent);
+    }
+
+}
+}
--- a/Tests/Net/Http2ExchangeTest.cpp
+++ b/Tests/Net/Http2ExchangeTest.cpp
@@ -11,22 +11,24 @@
         HttpRequest request = post("/fit?size=m", "a picture");
         request.headers = { { "x-request-id", "7" }, { "x-two", "a" }, { "x-two", "b" } };
         const auto call = send(request);
+        EXPECT_EQ(client_->openRequests(), 1U);
         runUntilExchanges(1);
         {
             SCOPED_TRACE("the handler sees the request as it was sent");
-            const HttpRequest& seen = exchanges[0]->request();
+            const HttpRequest& seen = exchanges_[0]->request();
             EXPECT_EQ(seen.method, "POST");
             EXPECT_EQ(seen.path, "/fit?size=m");
             EXPECT_EQ(seen.authority, "tryon");
             EXPECT_EQ(seen.headers, request.headers);
             EXPECT_EQ(seen.body, "a picture");
-            EXPECT_EQ(server->openExchanges(), 1U);
+            EXPECT_EQ(server_->openExchanges(), 1U);
         }
         HttpResponse response;
         response.status = 201;
         response.headers = { { "x-backend", "3" } };
         response.body = "fitted";
-        exchanges[0]->respond(response);
+        exchanges_[0]->respond(response);
+        exchanges_[0]->respond(answer("a second answer is ignored"));
         runUntilEnded({ call });
         {
             SCOPED_TRACE("the caller sees the answer as it was given");
@@ -34,12 +36,96 @@
             EXPECT_EQ(call->answer().status, 201);
             EXPECT_EQ(call->answer().header("x-backend"), "3");
             EXPECT_EQ(call->answer().body, "fitted");
-            EXPECT_EQ(server->openExchanges(), 0U);
-            EXPECT_EQ(client->openRequests(), 0U);
-            EXPECT_GT(client->bytesTransferred(), 0U);
-            EXPECT_GT(server->bytesTransferred(), 0U);
+            EXPECT_EQ(server_->openExchanges(), 0U);
+            EXPECT_EQ(client_->openRequests(), 0U);
+            EXPECT_GT(client_->bytesTransferred(), 0U);
+            EXPECT_GT(server_->bytesTransferred(), 0U);
         }
     }
 
+    TEST_F(Http2ExchangeTest, carriesManyStreamsAtOnceAndAnswersThemInAnyOrder)
+    {
+        constexpr std::size_t count = 300;
+        listen();
+        std::vector<std::shared_ptr<Call>> calls;
+        for (std::size_t i = 0; i < count; ++i)
+            calls.push_back(send(post("/" + std::to_string(i), std::to_string(i))));
+        runUntilExchanges(count);
+        EXPECT_EQ(client_->openRequests(), count);
+        for (auto exchange = exchanges_.rbegin(); exchange != exchanges_.rend(); ++exchange)
+            (*exchange)->respond(answer("answer " + (*exchange)->request().body));
+        runUntilEnded(calls);
+        for (std::size_t i = 0; i < count; ++i) {
+            ASSERT_TRUE(calls[i]->hasAnswer());
+            EXPECT_EQ(calls[i]->answer().body, "answer " + std::to_string(i));
+        }
+    }
+
+    TEST_F(Http2ExchangeTest, carriesLargeBodiesBothWays)
+    {
+        std::string picture(std::size_t(4) * 1024 * 1024, '\0');
+        for (std::size_t i = 0; i < picture.size(); ++i)
+            picture[i] = static_cast<char>(i * 31 + i / 4096);
+        listen();
+        const auto call = send(post("/", picture));
+        runUntilExchanges(1);
+        EXPECT_TRUE(exchanges_[0]->request().body == picture);
+        exchanges_[0]->respond(answer(exchanges_[0]->request().body));
+        runUntilEnded({ call });
+        ASSERT_TRUE(call->hasAnswer());
+        EXPECT_TRUE(call->answer().body == picture);
+    }
+
+    TEST_F(Http2ExchangeTest, leavesTheBodyOutWhereHttpHasNone)
+    {
+        listen();
+        HttpRequest head;
+        head.method = "HEAD";
+        const auto call = send(head);
+        runUntilExchanges(1);
+        EXPECT_EQ(exchanges_[0]->request().authority, server_->address().toString());
+        HttpResponse response = answer("fitted");
+        response.headers = { { "content-length", "6" } };
+        exchanges_[0]->respond(response);
+        runUntilEnded({ call });
+        ASSERT_TRUE(call->hasAnswer());
+        EXPECT_EQ(call->answer().header("content-length"), "6");
+        EXPECT_TRUE(call->answer().body.empty());
+    }
+
+    TEST_F(Http2ExchangeTest, takesACallbackThatDestroysTheClient)
+    {
+        listen();
+        std::vector<std::string> ends;
+        const auto sendAndNote = [&](const std::string& path, bool destroys) {
+            client_->send(post(path, "x"), Clock::now() + std::chrono::minutes(1), [&, path, destroys](auto outcome) {
+                ends.push_back(path + (outcome ? " answered" : " failed"));
+                if (destroys)
+                    client_.reset();
+            });
+        };
+        sendAndNote("/first", true);
+        sendAndNote("/answered-too", false);
+        sendAndNote("/open", false);
+        runUntilExchanges(3);
+        exchanges_[0]->respond(answer("x"));
+        exchanges_[1]->respond(answer("x"));
+        runUntil([&] { return !client_; });
+        EXPECT_EQ(ends, (std::vector<std::string> { "/first answered", "/answered-too answered", "/open failed" }));
+    }
+
+    TEST_F(Http2ExchangeTest, takesACallbackThatDestroysTheServer)
+    {
+        listen();
+        const auto call = send(post("/", "x"));
+        runUntilExchanges(1);
+        exchanges_[0]->onCancelled([&] { server_.reset(); });
+        client_->cancel(call->id);
+        runUntil([&] { return !server_; });
+        exchanges_[0]->respond(answer("nobody is left to read this"));
+        runUntilEnded({ call });
+        EXPECT_EQ(call->failure(), HttpFailureKind::Cancelled);
+    }
+
 }
 }
--- a/Tests/Net/Http2Fixture.h
+++ b/Tests/Net/Http2Fixture.h
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <memory>
 #include <optional>
 #include <vector>
@@ -34,15 +35,15 @@
     void listen(Http2Limits limits = {})
     {
         auto listening = Http2Server::listen(
-            context, loopback, [this](Exchange exchange) { exchanges.push_back(std::move(exchange)); }, limits);
+            context_, loopback, [this](Exchange exchange) { exchanges_.push_back(std::move(exchange)); }, limits);
         ASSERT_TRUE(listening);
-        server = std::move(listening).value();
-        client = std::make_unique<Http2Client>(context, server->address());
+        server_ = std::move(listening).value();
+        client_ = std::make_unique<Http2Client>(context_, server_->address());
     }
 
     std::shared_ptr<Call> send(HttpRequest request, Duration patience = std::chrono::minutes(1))
     {
-        return sendBy(*client, std::move(request), patience);
+        return sendBy(*client_, std::move(request), patience);
     }
 
     static std::shared_ptr<Call> sendBy(
@@ -74,15 +75,28 @@
     // Turns the loop until the condition holds. CTest's time-out ends a test whose condition never comes.
     template <typename Condition> void runUntil(Condition condition)
     {
-        context.restart();
+        context_.restart();
         while (!condition())
-            context.run_one();
+            ASSERT_GT(context_.run_one(), 0U) << "the loop has nothing left to do";
     }
 
     // Turns the loop until the handler has so many exchanges.
     void runUntilExchanges(std::size_t count)
     {
-        runUntil([&] { return exchanges.size() >= count; });
+        runUntil([&] { return exchanges_.size() >= count; });
+    }
+
+    // Shows that the server still serves: a new client's request is answered.
+    void expectService()
+    {
+        const std::size_t before = exchanges_.size();
+        Http2Client other(context_, server_->address());
+        const auto call = sendBy(other, post("/still-there", "x"));
+        runUntilExchanges(before + 1);
+        exchanges_.back()->respond(answer("yes"));
+        runUntilEnded({ call });
+        ASSERT_TRUE(call->hasAnswer());
+        EXPECT_EQ(call->answer().body, "yes");
     }
 
     void runUntilEnded(const std::vector<std::shared_ptr<Call>>& calls)
@@ -91,10 +105,10 @@
             [&] { return std::all_of(calls.begin(), calls.end(), [](const auto& call) { return call->hasEnded(); }); });
     }
 
-    boost::asio::io_context context;
-    std::vector<Exchange> exchanges;
-    std::unique_ptr<Http2Server> server;
-    std::unique_ptr<Http2Client> client;
+    boost::asio::io_context context_;
+    std::vector<Exchange> exchanges_;
+    std::unique_ptr<Http2Server> server_;
+    std::unique_ptr<Http2Client> client_;
 };
 
 }
--- /dev/null
+++ b/Tests/Net/Http2ServerFailureTest.cpp
@@ -0,0 +1,229 @@
+#include "Net/Http2Fixture.h"
+#include "Net/RawHttp2.h"
+
+namespace wisteriadock {
+namespace {
+
+    class Http2ServerFailureTest : public Http2Fixture {
+    protected:
+        // Connects a peer that greets as a client should.
+        void greet(RawPeer& peer)
+        {
+            peer.connect(server_->address());
+            peer.write(std::string(raw::preface) + raw::frame(raw::Settings, 0, 0, ""));
+        }
+
+        // One kind of misuse: the server counts it once, answers it as expected and goes on serving.
+        void expectCounted(const std::string& bytes, bool endsConnection)
+        {
+            const std::uint64_t before = server_->protocolErrors();
+            RawPeer peer(context_);
+            greet(peer);
+            peer.write(bytes);
+            runUntil([&] { return endsConnection ? peer.isEnded() : peer.hasFrame(raw::Reset); });
+            EXPECT_EQ(server_->protocolErrors(), before + 1);
+            peer.close();
+            expectService();
+        }
+    };
+
+    // Symptom: errors after a deployment. Sequence: drain with an open stream, new work, the answer, the end.
+    // Cause: a server that closes at once would cut the open stream and whatever is on its way.
+    TEST_F(Http2ServerFailureTest, drainsWithoutCuttingOpenStreams)
+    {
+        listen();
+        const auto open = send(post("/open", "work"));
+        runUntilExchanges(1);
+        const auto onItsWay = send(post("/on-its-way", "work"));
+        bool isDrained = false;
+        server_->drain([&] { isDrained = true; });
+        runUntilExchanges(2);
+        EXPECT_FALSE(isDrained);
+        {
+            SCOPED_TRACE("a new connection finds nobody");
+            Http2Client other(context_, server_->address());
+            const auto refused = sendBy(other, post("/", "work"));
+            runUntilEnded({ refused });
+            EXPECT_EQ(refused->failure(), HttpFailureKind::NotSent);
+        }
+        exchanges_[0]->respond(answer(std::string(std::size_t(1024) * 1024, 'x')));
+        exchanges_[1]->respond(answer("x"));
+        runUntilEnded({ open, onItsWay });
+        EXPECT_TRUE(open->hasAnswer() && onItsWay->hasAnswer());
+        runUntil([&] { return isDrained; });
+    }
+
+    // Symptom: requests lost at every deployment. Sequence: a client connects and sends; the server drains before it
+    // has accepted. Cause: closing the listener resets what the kernel has set up for it.
+    TEST_F(Http2ServerFailureTest, servesConnectionsThatWaitToBeAccepted)
+    {
+        listen();
+        RawPeer early(context_);
+        greet(early);
+        early.write(raw::frame(raw::Headers, raw::endHeaders | raw::endStream, 1, raw::postFields()));
+        bool isDrained = false;
+        server_->drain([&] { isDrained = true; });
+        runUntilExchanges(1);
+        exchanges_[0]->respond(answer("x"));
+        runUntil([&] { return early.hasFrame(raw::Data) && isDrained; });
+    }
+
+    // Symptom: a drain that never ends. Sequence: GOAWAY and ping meet a client that does not answer.
+    // Cause: a hung client; after a while the final GOAWAY goes out all the same.
+    TEST_F(Http2ServerFailureTest, drainsAroundASilentClient)
+    {
+        listen();
+        RawPeer silent(context_);
+        greet(silent);
+        runUntil([&] { return silent.hasFrame(raw::Settings); });
+        bool isDrained = false;
+        server_->drain([&] { isDrained = true; });
+        runUntil([&] { return isDrained; });
+        EXPECT_TRUE(silent.hasFrame(raw::GoAway));
+    }
+
+    // Symptom: a probe or a wrong client on the port. Sequence: bytes that are no HTTP/2. Cause: the preface is
+    // missing.
+    TEST_F(Http2ServerFailureTest, countsGarbageAndGoesOn)
+    {
+        listen();
+        std::uint64_t count = 0;
+        for (const std::string& bytes :
+            { std::string("GET / HTTP/1.1\r\nhost: tryon\r\n\r\n"), std::string(5000, '\xFF') }) {
+            RawPeer peer(context_);
+            peer.connect(server_->address());
+            peer.write(bytes);
+            runUntil([&] { return peer.isEnded(); });
+            EXPECT_EQ(server_->protocolErrors(), ++count);
+        }
+        expectService();
+    }
+
+    // Symptom: requests that a backend server would read otherwise than we do. Sequence: one malformed frame or
+    // message. Cause: a faulty or hostile client.
+    TEST_F(Http2ServerFailureTest, countsMalformedFramesAndGoesOn)
+    {
+        listen();
+        const auto headers = [](const std::string& fields, std::uint8_t flags = 0) {
+            return raw::frame(raw::Headers, raw::endHeaders | flags, 1, fields);
+        };
+        {
+            SCOPED_TRACE("frame over 16 KB");
+            expectCounted(raw::frame(raw::Data, 0, 1, std::string(16385, 'x')), true);
+        }
+        {
+            SCOPED_TRACE("data on a stream that was never opened");
+            expectCounted(raw::frame(raw::Data, 0, 1, "x"), true);
+        }
+        {
+            SCOPED_TRACE("headers that don't decompress");
+            expectCounted(headers("\xFF\xFF\xFF\xFF\xFF\xFF\xFF\xFF"), true);
+        }
+        {
+            SCOPED_TRACE("upper-case header name");
+            expectCounted(headers(raw::postFields() + raw::field("Bad-Name", "1"), raw::endStream), false);
+        }
+        {
+            SCOPED_TRACE("body shorter than its content-length");
+            expectCounted(headers(raw::postFields() + raw::field("content-length", "9"))
+                    + raw::frame(raw::Data, raw::endStream, 1, "short"),
+                false);
+        }
+        {
+            SCOPED_TRACE("no method");
+            expectCounted(headers(raw::field("x", "1"), raw::endStream), false);
+        }
+        for (const Exchange& exchange : exchanges_)
+            EXPECT_EQ(exchange->request().path, "/still-there") << "no malformed request reached the handler";
+    }
+
+    // Symptom: the server's memory grows. Sequence: a request over a limit. Cause: a faulty or hostile client.
+    TEST_F(Http2ServerFailureTest, answersWhatIsOverALimitByItself)
+    {
+        Http2Limits limits;
+        limits.bodyBytes = 100'000;
+        limits.headerBytes = 1000;
+        listen(limits);
+        const auto expectStatus = [&](HttpRequest request, int status) {
+            const std::uint64_t before = server_->protocolErrors();
+            const auto call = send(std::move(request));
+            runUntilEnded({ call });
+            ASSERT_TRUE(call->hasAnswer()) << call->outcome->error().detail;
+            EXPECT_EQ(call->answer().status, status);
+            EXPECT_EQ(server_->protocolErrors(), before + 1);
+        };
+        expectStatus(post("/", std::string(std::size_t(8) * 1024 * 1024, 'x')), 413);
+        HttpRequest announced = post("/", std::string(100'001, 'x'));
+        announced.headers = { { "content-length", "100001" } };
+        expectStatus(announced, 413);
+        HttpRequest longHeader = post("/", "x");
+        longHeader.headers = { { "x-long", std::string(30'000, 'x') } };
+        expectStatus(longHeader, 431);
+        EXPECT_TRUE(exchanges_.empty());
+        expectService();
+    }
+
+    // Symptom: the server's memory grows. Sequence: malformed requests whose resets are never read; the client's window
+    // is full. Cause: a hostile client.
+    TEST_F(Http2ServerFailureTest, endsAConnectionThatNeverReads)
+    {
+        listen();
+        RawPeer deaf(context_);
+        deaf.connect(server_->address(), RawPeer::Reading::Never);
+        deaf.write(std::string(raw::preface) + raw::frame(raw::Settings, 0, 0, ""));
+        std::uint32_t stream = 1;
+        runUntil([&] {
+            std::string burst;
+            for (const std::uint32_t end = stream + 400; stream < end; stream += 2)
+                burst += raw::frame(raw::Headers, raw::endHeaders | raw::endStream, stream, raw::field("x", "1"));
+            return !deaf.write(burst);
+        });
+        EXPECT_LT(stream / 2, 1'000'000U) << "requests until the server gave up";
+        EXPECT_TRUE(exchanges_.empty());
+        expectService();
+    }
+
+    // Symptom: no descriptors left. Sequence: more connections than the limit. Cause: a client that leaks them.
+    TEST_F(Http2ServerFailureTest, closesConnectionsOverTheLimit)
+    {
+        Http2Limits limits;
+        limits.connections = 1;
+        listen(limits);
+        RawPeer first(context_);
+        greet(first);
+        runUntil([&] { return first.hasFrame(raw::Settings); });
+        RawPeer second(context_);
+        second.connect(server_->address());
+        runUntil([&] { return second.isEnded(); });
+        EXPECT_EQ(server_->protocolErrors(), 1U);
+        first.close();
+    }
+
+    // Symptom: work goes on for a caller that is gone. Sequence: the connection breaks before the answer.
+    // Cause: the handler was not told.
+    TEST_F(Http2ServerFailureTest, tellsTheHandlerThatTheConnectionBroke)
+    {
+        listen();
+        RawPeer peer(context_);
+        greet(peer);
+        peer.write(raw::frame(raw::Headers, raw::endHeaders | raw::endStream, 1, raw::postFields()));
+        runUntilExchanges(1);
+        bool isCancelled = false;
+        exchanges_[0]->onCancelled([&] { isCancelled = true; });
+        peer.close();
+        runUntil([&] { return isCancelled; });
+        exchanges_[0]->respond(answer("too late"));
+        expectService();
+    }
+
+    TEST_F(Http2ServerFailureTest, saysWhyItCantListen)
+    {
+        listen();
+        const auto second = Http2Server::listen(context_, server_->address(), [](auto&&) {});
+        ASSERT_FALSE(second);
+        EXPECT_EQ(second.error().code, ErrorCode::Unavailable);
+        EXPECT_NE(second.error().detail.find(server_->address().toString()), std::string::npos);
+    }
+
+}
+}
--- /dev/null
+++ b/Tests/Net/RawHttp2.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "Core/Endpoint.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace wisteriadock {
+
+// HTTP/2 by hand, for peers that break its rules or stop in the middle.
+namespace raw {
+
+    enum FrameType : std::uint8_t {
+        Data = 0,
+        Headers = 1,
+        Reset = 3,
+        Settings = 4,
+        Ping = 6,
+        GoAway = 7,
+        Continuation = 9,
+    };
+
+    inline constexpr std::uint8_t endStream = 1;
+    inline constexpr std::uint8_t endHeaders = 4;
+    inline constexpr std::string_view preface = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n";
+
+    std::string number(std::uint32_t);
+    std::string frame(FrameType, std::uint8_t flags, std::uint32_t stream, std::string_view payload);
+    // A field that no table holds; names and values under 127 bytes.
+    std::string field(std::string_view name, std::string_view value);
+    // The pseudo-headers of "POST /" to "tryon", and of a 200 answer.
+    std::string postFields();
+    std::string okFields();
+
+}
+
+// A TCP peer that writes what a test tells it to and keeps what it reads.
+class RawPeer {
+public:
+    explicit RawPeer(boost::asio::io_context&);
+
+    // Takes the first connection of a listener on an ephemeral port.
+    Endpoint acceptOne();
+    enum class Reading {
+        Always,
+        Never,
+    };
+    void connect(const Endpoint&, Reading = Reading::Always);
+
+    // False when the other side has closed.
+    bool write(std::string_view bytes);
+    void close();
+
+    // How many such frames have been read whole.
+    std::size_t frames(raw::FrameType) const;
+    bool hasFrame(raw::FrameType type) const { return frames(type) > 0; }
+    bool isEnded() const { return ended_; }
+
+private:
+    void read();
+
+    boost::asio::ip::tcp::acceptor acceptor_;
+    boost::asio::ip::tcp::socket socket_;
+    std::array<char, 4096> buffer_ {};
+    std::string received_;
+    bool ended_ = false;
+};
+
+}
