Settings: Copy no bytes from an empty line's null pointer

Cause: the undefined behaviour sanitizer stopped on memcpy from null, with size 0, for a line that is empty at the end of a file.

--- a/Source/Settings/IniDocument.cpp
+++ b/Source/Settings/IniDocument.cpp
@@ -4,7 +4,6 @@
 #include <ini.h>
 
 #include <algorithm>
-#include <cstring>
 #include <unordered_map>
 #include <utility>
 
@@ -108,8 +107,7 @@
         ++lineNumber_;
 
         const bool isForIni = checkLine(line, size);
-        const std::size_t length = isForIni ? line.size() : 0;
-        std::memcpy(buffer, line.data(), length);
+        const std::size_t length = isForIni ? line.copy(buffer, line.size()) : 0;
         buffer[length] = '\0';
         if (isForIni)
             pendingLine_ = line;
