Balancer: Follow a platform that was restored from an older copy

Cause: a watch for what comes after a revision stays silent when the platform was restored to a lower one, so an accepted version was never in force. The new test showed it as a hang: it restores the platform between two watches.

A watch now ends after five seconds and the key is read outright, its value compared too, because revisions come again for other values. Reading only after six quiet watches of ten seconds was ruled out: the test waited 30 s in vain, and the users ask for seconds. It costs two calls in five seconds for each of two watchers an availability zone.

--- a/Source/Balancer/ConfigurationFeed.cpp
+++ b/Source/Balancer/ConfigurationFeed.cpp
@@ -54,7 +54,9 @@
 void ConfigurationFeed::review()
 {
     const TimePoint now = Clock::now();
-    if (!inForce_ || shallWatchConfiguration(*view_))
+    // While a version is being read, it is open whether the watch has to hand it over again.
+    const bool readsFromPlatform = read_.isReading() && !readsFromPeer_;
+    if (!readsFromPlatform && (!inForce_ || shallWatchConfiguration(*view_)))
         watch_.poll(now);
     if (!read_.isReading())
         peers_.poll(*view_, version(), now);
--- a/Source/Balancer/PlatformWatch.cpp
+++ b/Source/Balancer/PlatformWatch.cpp
@@ -13,13 +13,12 @@
 
     constexpr auto shortestPause = 500ms;
     constexpr auto longestPause = 8000ms;
-    // A watch is asked anew after at most this time, so that a connection which died without a word is noticed.
-    constexpr auto longestWatch = 10'000ms;
-    constexpr auto getDeadline = 2000ms;
+    // A watch without news ends after at most this time and the key is read outright. It bounds how long a connection
+    // that died without a word, or a platform that was restored, goes unnoticed; for two calls in that time.
+    constexpr auto longestWatch = 5000ms;
+    constexpr auto readDeadline = 2000ms;
     // Even where nothing fails, calls never follow each other faster than this.
     constexpr auto shortestGap = 100ms;
-    // After so many watches without news the key is read outright.
-    constexpr unsigned quietWatchesBeforeGet = 6;
 
 }
 
@@ -27,7 +26,8 @@
     : platform_(platform)
     , key_(std::move(key))
     , onEntry_(std::move(onEntry))
-    , backoff_(shortestPause, longestPause, seed)
+    , outages_(shortestPause, longestPause, seed)
+    , retries_(shortestPause, longestPause, seed)
     , lengths_(longestWatch, longestWatch, seed)
 {
 }
@@ -38,66 +38,78 @@
         return;
     isWaiting_ = true;
     nextCall_ = now + shortestGap;
-    if (quietWatches_ < quietWatchesBeforeGet)
-        watch(now);
+    if (readsNext_)
+        read(now);
     else
-        confirm(now);
+        watch(now);
 }
 
 void PlatformWatch::retry(TimePoint now)
 {
     revision_ = 0;
-    nextCall_ = now + backoff_.next();
+    nextCall_ = now + retries_.next();
 }
 
 void PlatformWatch::watch(TimePoint now)
 {
     const std::weak_ptr<int> alive = alive_;
     platform_.watch(key_, revision_, now + lengths_.next(), [this, alive](const Result<PlatformEntry>& entry) {
-        if (alive.expired())
-            return;
-        finish(entry);
+        if (!alive.expired())
+            finishWatch(entry);
     });
 }
 
 // A platform that was restored from an older copy counts its revisions from a lower one. A watch for what comes after
 // the revision that was seen before would then stay silent for a long time, whatever is written; one would notice it as
-// a configuration that is accepted but never in force. Reading the key outright shows its present revision.
-void PlatformWatch::confirm(TimePoint now)
+// a configuration that is accepted but never in force. Reading the key outright shows what it holds now.
+void PlatformWatch::read(TimePoint now)
 {
-    quietWatches_ = 0;
     const std::weak_ptr<int> alive = alive_;
-    platform_.get(key_, now + getDeadline, [this, alive](const Result<PlatformEntry>& entry) {
-        if (alive.expired())
-            return;
-        const bool isUnchanged = entry && entry.value().revision == revision_;
-        if (!isUnchanged) {
-            finish(entry);
-            return;
-        }
-        isWaiting_ = false;
-        noteReachable();
+    platform_.get(key_, now + readDeadline, [this, alive](const Result<PlatformEntry>& entry) {
+        if (!alive.expired())
+            finishRead(entry);
     });
 }
 
-void PlatformWatch::finish(const Result<PlatformEntry>& entry)
+void PlatformWatch::finishWatch(const Result<PlatformEntry>& entry)
 {
     isWaiting_ = false;
     if (entry) {
         noteReachable();
         takeEntry(entry.value());
     } else if (entry.error().code == ErrorCode::NotFound) {
-        ++quietWatches_;
+        readsNext_ = true;
         noteReachable();
     } else {
         noteOut(entry.error());
     }
 }
 
+void PlatformWatch::finishRead(const Result<PlatformEntry>& entry)
+{
+    isWaiting_ = false;
+    if (!entry && entry.error().code != ErrorCode::NotFound) {
+        noteOut(entry.error());
+        return;
+    }
+    readsNext_ = false;
+    noteReachable();
+    if (!entry) {
+        revision_ = 0;
+        return;
+    }
+    // A restored platform also gives the same revision again for another value.
+    if (entry.value().revision != revision_ || entry.value().value != value_)
+        takeEntry(entry.value());
+}
+
 void PlatformWatch::takeEntry(const PlatformEntry& entry)
 {
-    quietWatches_ = 0;
+    if (entry.value != value_)
+        retries_.reset();
+    readsNext_ = false;
     revision_ = entry.revision;
+    value_ = entry.value;
     onEntry_(entry);
 }
 
@@ -105,14 +117,16 @@
 {
     if (std::exchange(isOut_, false))
         log_.info("answers again");
-    backoff_.reset();
+    outages_.reset();
 }
 
 void PlatformWatch::noteOut(const Error& error)
 {
     if (!std::exchange(isOut_, true))
         log_.warning(fmt::format("is out: {}", error.toString()));
-    nextCall_ = Clock::now() + backoff_.next();
+    // It may come back as an older copy of itself.
+    readsNext_ = true;
+    nextCall_ = Clock::now() + outages_.next();
 }
 
 }
--- a/Source/Balancer/PlatformWatch.h
+++ b/Source/Balancer/PlatformWatch.h
@@ -30,8 +30,9 @@
 
 private:
     void watch(TimePoint now);
-    void confirm(TimePoint now);
-    void finish(const Result<PlatformEntry>&);
+    void read(TimePoint now);
+    void finishWatch(const Result<PlatformEntry>&);
+    void finishRead(const Result<PlatformEntry>&);
     void takeEntry(const PlatformEntry&);
     void noteReachable();
     void noteOut(const Error&);
@@ -40,10 +41,14 @@
     PlatformClient& platform_;
     std::string key_;
     Handler onEntry_;
-    Backoff backoff_;
+    Backoff outages_;
+    Backoff retries_;
     Backoff lengths_;
+    // What was handed over last.
     std::uint64_t revision_ = 0;
-    unsigned quietWatches_ = 0;
+    std::string value_;
+    // Whether the next call reads the key outright.
+    bool readsNext_ = false;
     bool isWaiting_ = false;
     bool isOut_ = false;
     TimePoint nextCall_;
--- /dev/null
+++ b/Tests/Balancer/ConfigurationFeedTest.cpp
@@ -0,0 +1,247 @@
+#include "Balancer/ConfigurationFeed.h"
+
+#include "Balancer/ConfigurationPages.h"
+#include "Balancer/LoopbackTest.h"
+#include "Configuration/ConfigurationContent.h"
+#include "Configuration/ConfigurationWriter.h"
+#include "StandIns/Platform/PlatformStandIn.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <optional>
+
+namespace wisteriadock {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    // A version with one service, whose address tells versions apart.
+    ConfigurationVersion makeVersion(std::uint64_t number)
+    {
+        Configuration configuration;
+        Service service;
+        service.name = "tryon";
+        service.id = serviceIdOf("tryon");
+        service.address = { 0xc0000200 + static_cast<std::uint32_t>(number), 443 };
+        BackendServer server;
+        server.name = "try1";
+        server.id = backendServerIdOf("try1");
+        server.service = service.id;
+        server.availabilityZone = "walu";
+        server.flowAddress = { 0x0a000001, 5000 };
+        server.requestAddress = { 0x0a000001, 5001 };
+        configuration.services = { service };
+        configuration.backendServers = { server };
+
+        ConfigurationVersion version;
+        version.text = writeConfiguration(configuration);
+        version.configuration = std::move(configuration);
+        version.head.applied.version = number;
+        version.head.applied.applyId = fmt::format("apply-{}", number);
+        version.head.applied.contentHash = contentHashOf(version.text);
+        version.head.applied.author = "salote";
+        version.head.baseVersion = number - 1;
+        version.head.contentBytes = version.text.size();
+        return version;
+    }
+
+    class ConfigurationFeedTest : public LoopbackTest {
+    protected:
+        void SetUp() override
+        {
+            auto standIn = PlatformStandIn::listen(context_, anyLoopbackPort);
+            ASSERT_TRUE(standIn);
+            standIn_ = std::move(standIn.value());
+            operator_ = std::make_unique<PlatformClient>(context_, standIn_->address());
+            admin_ = std::make_unique<Http2Client>(context_, standIn_->address());
+            platform_ = std::make_unique<PlatformClient>(context_, standIn_->address());
+        }
+
+        void startFeed()
+        {
+            feed_ = std::make_unique<ConfigurationFeed>(context_, *platform_, 5);
+            feed_->start(std::make_shared<const MembersView>(),
+                [this](const ConfigurationVersion& version) { versions_.push_back(version.head.applied.version); });
+        }
+
+        void write(const std::string& key, const std::string& value)
+        {
+            std::optional<std::uint64_t> revision;
+            operator_->get(key, Clock::now() + 20s,
+                [&](const Result<PlatformEntry>& entry) { revision = entry ? entry.value().revision : 0; });
+            runUntil([&] { return revision.has_value(); });
+            bool isWritten = false;
+            operator_->compareAndSwap(key, *revision, value, {}, Clock::now() + 20s,
+                [&](const Result<std::uint64_t>& result) { isWritten = result.has_value(); });
+            runUntil([&] { return isWritten; });
+        }
+
+        void apply(const ConfigurationVersion& version)
+        {
+            write(contentPartKey(version.head.applied.contentHash, 0), version.text);
+            write(std::string(configurationHeadKey), version.head.toJson());
+        }
+
+        void administer(const std::string& path, const std::string& body)
+        {
+            bool isDone = false;
+            HttpRequest request;
+            request.method = "POST";
+            request.path = path;
+            request.authority = "platform";
+            request.body = body;
+            admin_->send(request, Clock::now() + 20s, [&](const HttpOutcome& outcome) {
+                isDone = true;
+                ASSERT_TRUE(outcome);
+                ASSERT_EQ(outcome.value().status, 200) << outcome.value().body;
+            });
+            runUntil([&] { return isDone; });
+        }
+
+        void awaitVersion(std::uint64_t version)
+        {
+            runUntil([&] { return feed_->version() == version; });
+        }
+
+        // Another balancer that has a version in force.
+        void openPeer(std::optional<ConfigurationVersion> version)
+        {
+            const auto serve = [this, version = std::move(version)](const std::shared_ptr<Http2Exchange>& exchange) {
+                ++peerRequests_;
+                exchange->respond(*renderConfiguration(exchange->request().path, version));
+            };
+            auto server = Http2Server::listen(context_, anyLoopbackPort, serve);
+            ASSERT_TRUE(server);
+            peer_ = std::move(server.value());
+        }
+
+        // A large fleet in which this balancer watches nothing itself, and one other says that it has the version.
+        void showPeer(std::uint64_t version)
+        {
+            MembersView view;
+            view.self = balancerIdOf("b1");
+            for (const auto* name : { "b1", "b2", "b3" }) {
+                Member member;
+                member.id = balancerIdOf(name);
+                member.name = name;
+                member.requestAddress = peer_->address();
+                member.state = member.id == view.self ? MemberState::Joining : MemberState::Serving;
+                member.configurationVersion = member.id == view.self ? 0 : version;
+                view.members.push_back(member);
+            }
+            std::sort(view.members.begin(), view.members.end(),
+                [](const Member& first, const Member& second) { return first.id < second.id; });
+            feed_->applyMembers(std::make_shared<const MembersView>(view));
+        }
+
+        std::shared_ptr<PlatformStandIn> standIn_;
+        std::unique_ptr<PlatformClient> operator_;
+        std::unique_ptr<Http2Client> admin_;
+        std::unique_ptr<PlatformClient> platform_;
+        std::unique_ptr<Http2Server> peer_;
+        std::unique_ptr<ConfigurationFeed> feed_;
+        std::vector<std::uint64_t> versions_;
+        int peerRequests_ = 0;
+    };
+
+    TEST_F(ConfigurationFeedTest, followsThePlatform)
+    {
+        startFeed();
+        apply(makeVersion(1));
+        awaitVersion(1);
+        apply(makeVersion(2));
+        awaitVersion(2);
+        EXPECT_EQ(versions_, (std::vector<std::uint64_t> { 1, 2 }));
+        EXPECT_EQ(feed_->inForce()->configuration, makeVersion(2).configuration);
+    }
+
+    // Symptom: a change that was accepted stops being in force, and later changes never come into force.
+    // Sequence: the platform is restored from a copy that is older than the last change, and gives revisions again.
+    // Cause: the older head was taken for news, or the watch waited for a revision above one that no longer counts.
+    TEST_F(ConfigurationFeedTest, survivesARestoredPlatform)
+    {
+        startFeed();
+        apply(makeVersion(1));
+        awaitVersion(1);
+        administer("/admin/snapshot", R"({"name":"old"})");
+        apply(makeVersion(2));
+        awaitVersion(2);
+
+        administer("/admin/restore", R"({"name":"old"})");
+        apply(makeVersion(3));
+        awaitVersion(3);
+        EXPECT_EQ(versions_, (std::vector<std::uint64_t> { 1, 2, 3 }));
+    }
+
+    // Symptom: a balancer that starts during an outage of the platform serves nothing until the platform is back.
+    TEST_F(ConfigurationFeedTest, learnsFromAnotherBalancerWhileThePlatformIsOut)
+    {
+        administer("/admin/faults", R"({"down":"unavailable"})");
+        openPeer(makeVersion(4));
+        startFeed();
+        showPeer(4);
+        awaitVersion(4);
+        EXPECT_EQ(feed_->inForce()->text, makeVersion(4).text);
+        EXPECT_GT(feed_->peerBytes(), makeVersion(4).text.size());
+    }
+
+    TEST_F(ConfigurationFeedTest, asksAgainWhenABalancerHasNothingAfterAll)
+    {
+        administer("/admin/faults", R"({"down":"unavailable"})");
+        openPeer(std::nullopt);
+        startFeed();
+        showPeer(4);
+        runUntil([&] { return peerRequests_ >= 2; });
+        EXPECT_EQ(feed_->version(), 0U);
+        openPeer(makeVersion(4));
+        showPeer(4);
+        awaitVersion(4);
+    }
+
+    // Symptom: half a file is in force.
+    // Sequence: the content that a balancer or the platform gives is not the one that the head names.
+    // Cause: content was trusted by its key.
+    TEST_F(ConfigurationFeedTest, refusesContentThatTheHeadDoesNotName)
+    {
+        ConfigurationVersion torn = makeVersion(4);
+        torn.text.resize(torn.text.size() / 2);
+        administer("/admin/faults", R"({"down":"unavailable"})");
+        openPeer(torn);
+        startFeed();
+        showPeer(4);
+        runUntil([&] { return peerRequests_ >= 4; });
+        EXPECT_TRUE(versions_.empty());
+    }
+
+    TEST_F(ConfigurationFeedTest, endsInTheMiddleOfARead)
+    {
+        openPeer(makeVersion(4));
+        startFeed();
+        showPeer(4);
+        runUntil([&] { return peerRequests_ >= 1; });
+        feed_.reset();
+        context_.restart();
+        context_.poll();
+    }
+
+    TEST(ConfigurationPagesTest, servesTheVersionInForce)
+    {
+        const std::optional<ConfigurationVersion> version = makeVersion(7);
+        EXPECT_EQ(renderConfiguration("/configuration", std::nullopt)->status, 404);
+        EXPECT_FALSE(renderConfiguration("/configurations", version));
+
+        const auto page = nlohmann::json::parse(renderConfiguration("/configuration", version)->body);
+        EXPECT_EQ(page.at("version"), 7);
+        EXPECT_EQ(page.at("hash"), version->head.applied.contentHash);
+        EXPECT_EQ(page.at("text"), version->text);
+
+        const std::string part = configurationPathOf(contentPartKey(version->head.applied.contentHash, 0));
+        EXPECT_EQ(renderConfiguration(part, version)->body, version->text);
+        EXPECT_EQ(renderConfiguration(part + "1", version)->status, 404);
+    }
+
+}
+
+}
