--- a/Source/StandIns/CallerStandIn.cpp
+++ b/Source/StandIns/CallerStandIn.cpp
@@ -97,7 +97,9 @@
     printRow("requests_answered", requests.endedAs(RequestOutcome::Answered));
     printRow("requests_refused", requests.endedAs(RequestOutcome::Refused));
     printRow("requests_unknown", requests.endedAs(RequestOutcome::Unknown));
-    printRow("requests_lost", requests.endedAs(RequestOutcome::Lost) + requests_.openRequests());
+    printRow("requests_lost", requests.endedAs(RequestOutcome::Lost));
+    // Only a run that was ended early leaves some.
+    printRow("requests_open", requests_.openRequests());
     printRow("requests_cancelled", requests.endedAs(RequestOutcome::Cancelled));
     printRow("requests_wrong_answer", requests.endedAs(RequestOutcome::WrongAnswer));
     printRow("requests_wrong_service", requests.wrongServiceAnswers);
