--- a/Tests/Balancer/ConfigurationFeedTest.cpp
+++ b/Tests/Balancer/ConfigurationFeedTest.cpp
@@ -1,12 +1,7 @@
 #include "Balancer/ConfigurationFeed.h"
 
 #include "Balancer/ConfigurationPages.h"
-#include "Balancer/LoopbackTest.h"
-#include "Configuration/ConfigurationContent.h"
-#include "Configuration/ConfigurationWriter.h"
-#include "StandIns/Platform/PlatformStandIn.h"
-
-#include <fmt/format.h>
+#include "Balancer/PlatformTest.h"
 
 #include <algorithm>
 #include <optional>
@@ -17,46 +12,26 @@
 
     using namespace std::chrono_literals;
 
-    // A version with one service, whose address tells versions apart.
-    ConfigurationVersion makeVersion(std::uint64_t number)
-    {
-        Configuration configuration;
-        Service service;
-        service.name = "tryon";
-        service.id = serviceIdOf("tryon");
-        service.address = { 0xc0000200 + static_cast<std::uint32_t>(number), 443 };
-        BackendServer server;
-        server.name = "try1";
-        server.id = backendServerIdOf("try1");
-        server.service = service.id;
-        server.availabilityZone = "walu";
-        server.flowAddress = { 0x0a000001, 5000 };
-        server.requestAddress = { 0x0a000001, 5001 };
-        configuration.services = { service };
-        configuration.backendServers = { server };
-
-        ConfigurationVersion version;
-        version.text = writeConfiguration(configuration);
-        version.configuration = std::move(configuration);
-        version.head.applied.version = number;
-        version.head.applied.applyId = fmt::format("apply-{}", number);
-        version.head.applied.contentHash = contentHashOf(version.text);
-        version.head.applied.author = "salote";
-        version.head.baseVersion = number - 1;
-        version.head.contentBytes = version.text.size();
-        return version;
-    }
-
-    class ConfigurationFeedTest : public LoopbackTest {
+    class ConfigurationFeedTest : public PlatformTest {
     protected:
-        void SetUp() override
+        // A version with one service, whose address tells versions apart.
+        static ConfigurationVersion makeVersion(std::uint64_t number)
         {
-            auto standIn = PlatformStandIn::listen(context_, anyLoopbackPort);
-            ASSERT_TRUE(standIn);
-            standIn_ = std::move(standIn.value());
-            operator_ = std::make_unique<PlatformClient>(context_, standIn_->address());
-            admin_ = std::make_unique<Http2Client>(context_, standIn_->address());
-            platform_ = std::make_unique<PlatformClient>(context_, standIn_->address());
+            Configuration configuration;
+            Service service;
+            service.name = "tryon";
+            service.id = serviceIdOf("tryon");
+            service.address = { 0xc0000200 + static_cast<std::uint32_t>(number), 443 };
+            BackendServer server;
+            server.name = "try1";
+            server.id = backendServerIdOf("try1");
+            server.service = service.id;
+            server.availabilityZone = "walu";
+            server.flowAddress = { 0x0a000001, 5000 };
+            server.requestAddress = { 0x0a000001, 5001 };
+            configuration.services = { service };
+            configuration.backendServers = { server };
+            return versionOf(number, configuration);
         }
 
         void startFeed()
@@ -66,40 +41,6 @@
                 [this](const ConfigurationVersion& version) { versions_.push_back(version.head.applied.version); });
         }
 
-        void write(const std::string& key, const std::string& value)
-        {
-            std::optional<std::uint64_t> revision;
-            operator_->get(key, Clock::now() + 20s,
-                [&](const Result<PlatformEntry>& entry) { revision = entry ? entry.value().revision : 0; });
-            runUntil([&] { return revision.has_value(); });
-            bool isWritten = false;
-            operator_->compareAndSwap(key, *revision, value, {}, Clock::now() + 20s,
-                [&](const Result<std::uint64_t>& result) { isWritten = result.has_value(); });
-            runUntil([&] { return isWritten; });
-        }
-
-        void apply(const ConfigurationVersion& version)
-        {
-            write(contentPartKey(version.head.applied.contentHash, 0), version.text);
-            write(std::string(configurationHeadKey), version.head.toJson());
-        }
-
-        void administer(const std::string& path, const std::string& body)
-        {
-            bool isDone = false;
-            HttpRequest request;
-            request.method = "POST";
-            request.path = path;
-            request.authority = "platform";
-            request.body = body;
-            admin_->send(request, Clock::now() + 20s, [&](const HttpOutcome& outcome) {
-                isDone = true;
-                ASSERT_TRUE(outcome);
-                ASSERT_EQ(outcome.value().status, 200) << outcome.value().body;
-            });
-            runUntil([&] { return isDone; });
-        }
-
         void awaitVersion(std::uint64_t version)
         {
             runUntil([&] { return feed_->version() == version; });
@@ -136,10 +77,6 @@
             feed_->applyMembers(std::make_shared<const MembersView>(view));
         }
 
-        std::shared_ptr<PlatformStandIn> standIn_;
-        std::unique_ptr<PlatformClient> operator_;
-        std::unique_ptr<Http2Client> admin_;
-        std::unique_ptr<PlatformClient> platform_;
         std::unique_ptr<Http2Server> peer_;
         std::unique_ptr<ConfigurationFeed> feed_;
         std::vector<std::uint64_t> versions_;
@@ -226,7 +163,7 @@
         context_.poll();
     }
 
-    TEST(ConfigurationPagesTest, servesTheVersionInForce)
+    TEST_F(ConfigurationFeedTest, servesTheVersionInForceToOthers)
     {
         const std::optional<ConfigurationVersion> version = makeVersion(7);
         EXPECT_EQ(renderConfiguration("/configuration", std::nullopt)->status, 404);
