--- a/Source/Experiment/FlowsScenario.cpp
+++ b/Source/Experiment/FlowsScenario.cpp
@@ -92,6 +92,7 @@
             rows.set("planned_changes", steps_.plannedChanges());
             rows.set("drains_judged", std::uint64_t(steps_.drains().judgedDrains(end_)));
             rows.set("flows_not_established", caller_.row("flows_not_established"));
+            rows.set("openings_elsewhere", caller_.row("openings_elsewhere"));
             control.report(rows);
             reportBreaks(rows);
 
--- a/Tests/Experiment/BalanceMeterTest.cpp
+++ b/Tests/Experiment/BalanceMeterTest.cpp
@@ -30,6 +30,21 @@
         EXPECT_DOUBLE_EQ(meter.liveFlowsMaxOverMean(), 1);
     }
 
+    TEST(BalanceMeterTest, leavesServersOutUntilTheirLiveFlowsHadTimeToFollow)
+    {
+        BalanceMeter meter;
+        const ServerLoad steady { "tryon", 100, 20, 0 };
+        meter.sample({ { "a", steady }, { "b", steady } });
+        SCOPED_TRACE("b is to take half as much, but still holds its earlier flows; c is new");
+        const ServerLoad lighter { "tryon", 50, 20, 0 };
+        const ServerLoad added { "tryon", 100, 0, 0 };
+        for (std::size_t i = 0; i < BalanceMeter::settlingSamples; ++i)
+            meter.sample({ { "a", steady }, { "b", lighter }, { "c", added } });
+        EXPECT_DOUBLE_EQ(meter.liveFlowsMaxOverMean(), 1);
+        meter.sample({ { "a", steady }, { "b", lighter }, { "c", added } });
+        EXPECT_GT(meter.liveFlowsMaxOverMean(), 1);
+    }
+
     TEST(BalanceMeterTest, countsNewFlowsOfServersThatStayedActive)
     {
         BalanceMeter meter;
