--- a/Source/Configuration/ApplyOperation.cpp
+++ b/Source/Configuration/ApplyOperation.cpp
@@ -275,8 +275,8 @@
     // revision is gone for good. Any other head proves nothing.
     if (head->applied.version > versionOf(base_) && head->remembersSince(versionOf(base_)))
         return refuseForWinner(RefusalReason::LostRace, *head);
-    return remainUnknown(fmt::format("the head, now version {}, does not reach back to base version {}",
-        head->applied.version, versionOf(base_)));
+    return remainUnknown(fmt::format(
+        "the head, now version {}, does not reach back to base version {}", head->applied.version, versionOf(base_)));
 }
 
 ApplyAction ApplyOperation::recognise(const AppliedVersion& mine)
