Balancer: Trust no view before the first contact, and send nothing after a pause

And a batch of packets decided before a freeze was sent after it, by tables that may be minutes old.

Now the engine sees the first view when a peer has answered, the only address known is the balancer's own, or 4 s have passed; a batch that took over 500 ms is dropped and counted.

Not yet seen to fail in the daemon itself: both faults need a stop at one instant.

--- a/Source/Balancer/PacketBatch.cpp
+++ b/Source/Balancer/PacketBatch.cpp
@@ -2,6 +2,8 @@
 
 #include "Balancer/SocketAddress.h"
 
+#include <utility>
+
 namespace wisteriadock {
 
 PacketBatch::PacketBatch()
@@ -70,6 +72,8 @@
     return refused;
 }
 
+unsigned PacketBatch::discard() { return std::exchange(queued_, 0); }
+
 PacketBatch::Outgoing& PacketBatch::nextOutgoing(Endpoint destination)
 {
     Outgoing& outgoing = outgoing_[queued_++];
--- a/Source/Balancer/PacketBatch.h
+++ b/Source/Balancer/PacketBatch.h
@@ -36,6 +36,8 @@
     void queue(const ProxyHeader&, std::span<const std::uint8_t> payload, Endpoint destination);
     // Sends all that was queued. Returns the number of messages that the kernel refused.
     unsigned send(int descriptor);
+    // Drops all that was queued, and returns how many messages that were.
+    unsigned discard();
 
 private:
     static constexpr std::size_t capacity = 64;
--- a/Source/Balancer/PacketWorker.cpp
+++ b/Source/Balancer/PacketWorker.cpp
@@ -5,6 +5,13 @@
 
 namespace wisteriadock {
 
+namespace {
+
+    // No batch takes nearly as long, unless the process did not run meanwhile.
+    constexpr std::chrono::milliseconds longestBatch { 500 };
+
+}
+
 PacketWorker::PacketWorker(PacketSocket socket, FlowEngine& engine, BalancerId self)
     : socket_(std::move(socket))
     , engine_(engine)
@@ -35,6 +42,14 @@
     for (unsigned i = 0; i < batch_->size(); ++i)
         routePacket(i, now);
 
+    // A process that is stopped between reading packets and sending them wakes with decisions that may be minutes old:
+    // an address may belong to another service by now. A lost packet is sent again, a misdirected one is not undone.
+    if (Clock::now() - now > longestBatch) {
+        const unsigned discarded = batch_->discard();
+        for (unsigned i = 0; i < discarded; ++i)
+            counters_.countDrop(DropReason::AwaitingContact);
+        return;
+    }
     const unsigned failed = batch_->send(socket_.descriptor());
     for (unsigned i = 0; i < failed; ++i)
         counters_.countDrop(PacketDrop::SendFailed);
--- a/Source/Balancer/PeerControl.cpp
+++ b/Source/Balancer/PeerControl.cpp
@@ -4,6 +4,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <chrono>
 
 namespace wisteriadock {
@@ -15,6 +16,8 @@
     constexpr auto tickPeriod = 50ms;
     // Membership asks for a tick every 100 ms.
     constexpr std::uint64_t ticksPerMembershipTick = 2;
+    // A starting balancer that hears from nobody whom it was told of takes itself for alone after this time.
+    constexpr auto firstContactPatience = 4s;
 
 }
 
@@ -25,6 +28,7 @@
     , engine_(engine)
     , membership_({}, self, seed, Clock::now())
     , view_(membership_.view())
+    , startedAt_(Clock::now())
 {
 }
 
@@ -51,10 +55,21 @@
     const TimePoint now = Clock::now();
     if (++ticks_ % ticksPerMembershipTick == 0)
         perform(membership_.tick(now), now);
+    if (!trustsView_ && mayTrustView(now)) {
+        trustsView_ = true;
+        perform(engine_.applyMembers(view_, now));
+    }
     perform(engine_.tick(now));
     reviewState(now);
 }
 
+// Before the others have answered, the view holds this balancer alone. Were the engine to go by it, it would take the
+// tables as settled without the exceptions that the others hold, and break their flows once it serves.
+bool PeerControl::mayTrustView(TimePoint now) const
+{
+    return knowsToBeAlone_ || membership_.hasCaughtUp() || now - startedAt_ >= firstContactPatience;
+}
+
 // A balancer calls itself serving while its flow engine can decide alone. After a pause it cannot, and says so: if a
 // whole fleet were paused and all of it went on to claim that it serves, each would wait for another to know the flows.
 void PeerControl::reviewState(TimePoint now)
@@ -105,6 +120,10 @@
 void PeerControl::applyVms(const std::vector<VmAdvice>& vms)
 {
     const TimePoint now = Clock::now();
+    const Endpoint self = view_->findSelf()->peerAddress;
+    const bool onlySelf
+        = std::all_of(vms.begin(), vms.end(), [&](const VmAdvice& vm) { return vm.peerAddress == self; });
+    knowsToBeAlone_ = !vms.empty() && onlySelf;
     perform(membership_.handle(VmListReceived { vms }, now), now);
 }
 
@@ -148,7 +167,8 @@
     if (view_->isolated != view->isolated)
         log_.info(view->isolated ? "no other balancer answers" : "in contact");
     view_ = std::move(view);
-    perform(engine_.applyMembers(view_, now));
+    if (trustsView_)
+        perform(engine_.applyMembers(view_, now));
     if (onView_)
         onView_(view_);
 }
--- a/Source/Balancer/PeerControl.h
+++ b/Source/Balancer/PeerControl.h
@@ -46,6 +46,7 @@
     void scheduleTick();
     void tick();
     void reviewState(TimePoint now);
+    bool mayTrustView(TimePoint now) const;
     void receiveFlowMessage(const PeerEnvelope&, TimePoint now);
     void perform(const MembershipActions&, TimePoint now);
     void perform(const FlowActions&);
@@ -58,6 +59,10 @@
     Membership membership_;
     ViewHandler onView_;
     std::shared_ptr<const MembersView> view_;
+    const TimePoint startedAt_;
+    // Set once it was told of balancers, and these are all itself.
+    bool knowsToBeAlone_ = false;
+    bool trustsView_ = false;
     MemberState state_ = MemberState::Joining;
     std::uint64_t configurationVersion_ = 0;
     std::uint64_t ticks_ = 0;
--- a/Source/Flow/FlowEngine.cpp
+++ b/Source/Flow/FlowEngine.cpp
@@ -220,6 +220,7 @@
     counters.newFlows = tracking.newFlows;
     counters.untrackedNewFlows = tracking.untrackedNewFlows;
     counters.forwardedPackets = tracking.forwardedPackets;
+    counters.exceptions = tracking.exceptions;
     for (const auto& [id, service] : implementation_->services) {
         counters.transitionsStarted += service.change->startedCount();
         counters.transitionsSettled += service.change->settledCount();
--- a/Source/Flow/FlowEngine.h
+++ b/Source/Flow/FlowEngine.h
@@ -31,7 +31,7 @@
     std::uint64_t transitionsStarted = 0;
     std::uint64_t transitionsSettled = 0;
     std::uint64_t transitionsForced = 0;
-    // Flows that stay on a server other than the one their bucket names, over all services.
+    // Flows that stay on a server other than the one their bucket names, over all services, as of the last sweep.
     std::uint64_t exceptions = 0;
     std::uint64_t unsettledServices = 0;
 };
--- a/Source/Flow/FlowTable.cpp
+++ b/Source/Flow/FlowTable.cpp
@@ -50,7 +50,12 @@
     }
 }
 
-FlowTable::~FlowTable() { budget_->tracked -= size(); }
+FlowTable::~FlowTable()
+{
+    budget_->tracked -= size();
+    for (const auto& shard : shards_)
+        budget_->exceptions -= shard->exceptions;
+}
 
 RouteDecision FlowTable::route(FlowKey key, const FlowPacket& packet, TimePoint now)
 {
@@ -167,11 +172,16 @@
     const std::uint32_t nowSeconds = secondsOf(now);
     const auto idleSeconds = static_cast<std::uint32_t>(idle.count());
     const BucketTable* settled = shard.routing->settled.get();
+    std::size_t exceptions = 0;
     budget_->tracked -= absl::erase_if(shard.flows, [&](const auto& flow) {
         const bool isException = settled && settled->at(bucketOf(flow.first)) != flow.second.server;
         const std::uint32_t limit = isException ? idleSeconds * exceptionIdleFactor : idleSeconds;
-        return nowSeconds - flow.second.lastSeenSeconds > limit;
+        const bool isIdle = nowSeconds - flow.second.lastSeenSeconds > limit;
+        exceptions += isException && !isIdle;
+        return isIdle;
     });
+    budget_->exceptions += exceptions - shard.exceptions;
+    shard.exceptions = exceptions;
     return looked;
 }
 
--- a/Source/Flow/FlowTable.h
+++ b/Source/Flow/FlowTable.h
@@ -28,6 +28,7 @@
     std::atomic<std::uint64_t> newFlows { 0 };
     std::atomic<std::uint64_t> untrackedNewFlows { 0 };
     std::atomic<std::uint64_t> forwardedPackets { 0 };
+    std::atomic<std::size_t> exceptions { 0 };
 };
 
 // One known flow and its server.
@@ -74,6 +75,8 @@
         mutable std::mutex mutex;
         std::shared_ptr<const RoutingState> routing;
         absl::flat_hash_map<FlowKey, Entry> flows;
+        // Exceptions among them, as of the last look for idle flows.
+        std::size_t exceptions = 0;
     };
 
     Shard& shardOf(FlowKey key) { return *shards_[key % shards_.size()]; }
