Flow: Forget no busy flow, and let packets in only after the tables of a pause are gone

A packet thread notes a flow as seen with its own time, which may lie in the next full second after the time with which the control thread searches for idle flows. The difference was unsigned and wrapped around, so that the flow counted as idle and was forgotten; if it was an exception, its next packet went to the server that its bucket now names. The search now compares before it subtracts.

When the view said that a paused balancer had contact again, packets were let in before the services had forgotten the tables from before the pause. Until the loop over the services came to theirs, unknown flows were decided by those tables. The flag is now cleared after the loop, with release and acquire.

Ruled out: a data race in the sense of C++.

--- a/Source/Flow/FlowEngine.cpp
+++ b/Source/Flow/FlowEngine.cpp
@@ -127,7 +127,7 @@
     // A process that was stopped for a while wakes with packets in its socket and an old view of everything. Deciding
     // by that view could send a flow to a server that the others have moved it from, or that was given away.
     const bool wasPaused = now - engine.lastTick.load(std::memory_order_relaxed) > engine.settings.pauseThreshold;
-    if (wasPaused || engine.awaitsContact.load(std::memory_order_relaxed))
+    if (wasPaused || engine.awaitsContact.load(std::memory_order_acquire))
         return { RouteKind::Drop, DropReason::AwaitingContact, {}, {}, {} };
     return engine.index.withService(packet.serviceAddress, [&](ServiceFlows* service) -> RouteDecision {
         if (!service)
@@ -155,7 +155,8 @@
     Implementation& engine = *implementation_;
     const bool wasIsolated = engine.view->isolated;
     engine.view = std::move(view);
-    engine.awaitsContact = engine.view->isolated;
+    if (engine.view->isolated)
+        engine.awaitsContact.store(true, std::memory_order_relaxed);
     const ChangeContext context = engine.context(now, actions);
     const bool isBack = wasIsolated && !engine.view->isolated;
     if (isBack && protectsFlows(engine.settings.policy))
@@ -165,6 +166,10 @@
             service.change->desynchronize(context);
         service.change->handleMembers(context);
     }
+    // Packet threads are let in last. Earlier, they would decide for some services by the tables from before the
+    // silence, which the others may have left since.
+    if (!engine.view->isolated)
+        engine.awaitsContact.store(false, std::memory_order_release);
     return actions;
 }
 
--- a/Source/Flow/FlowTable.cpp
+++ b/Source/Flow/FlowTable.cpp
@@ -176,7 +176,10 @@
     budget_->tracked -= absl::erase_if(shard.flows, [&](const auto& flow) {
         const bool isException = settled && settled->at(bucketOf(flow.first)) != flow.second.server;
         const std::uint32_t limit = isException ? idleSeconds * exceptionIdleFactor : idleSeconds;
-        const bool isIdle = nowSeconds - flow.second.lastSeenSeconds > limit;
+        // A packet thread may have seen the flow after the control thread read its time, even in the next second. A
+        // plain difference would wrap around then, and a busy flow would count as idle for a hundred years.
+        const bool isIdle
+            = nowSeconds > flow.second.lastSeenSeconds && nowSeconds - flow.second.lastSeenSeconds > limit;
         exceptions += isException && !isIdle;
         return isIdle;
     });
