--- a/Source/Balancer/BalancerDaemon.cpp
+++ b/Source/Balancer/BalancerDaemon.cpp
@@ -45,6 +45,22 @@
         return times;
     }
 
+    RequestControlSettings controlSettingsOf(const BalancerSettings& settings, const Holder& self, std::uint64_t seed)
+    {
+        RequestControlSettings control;
+        control.self = self;
+        control.availabilityZone = settings.availabilityZone;
+        control.zones = settings.availabilityZones;
+        control.limits.headerBytes = settings.requestLimits.headerBytes;
+        control.limits.bodyBytes = settings.requestLimits.bodyBytes;
+        control.limits.defaultDeadline = settings.defaultDeadline;
+        control.limits.maxDeadline = settings.longestDeadline;
+        control.http = settings.requestLimits;
+        control.retryRule = settings.requestPolicy == RequestPolicy::BlindRetry ? RetryRule::Blind : RetryRule::Safe;
+        control.seed = seed;
+        return control;
+    }
+
     Endpoint advertised(Endpoint configured, Endpoint bound) { return configured.isSet() ? configured : bound; }
 
 }
@@ -117,7 +133,15 @@
 void BalancerDaemon::connectParts()
 {
     peers_ = std::make_unique<PeerControl>(context_, *link_, engine_, describeSelf(), seed_);
-    peers_->start([this](const std::shared_ptr<const MembersView>& view) { feed_.applyMembers(view); });
+    if (settings_.isAtMostOnce)
+        startRequestControl(incarnation_);
+    else if (settings_.requestPolicy == RequestPolicy::BlindRetry)
+        requests_->retryBlindly();
+    const auto onRequestMessage = [this](const PeerEnvelope& envelope) {
+        if (control_)
+            control_->receive(envelope);
+    };
+    peers_->start([this](const std::shared_ptr<const MembersView>& view) { applyMembers(view); }, onRequestMessage);
     vms_.start([this](const std::vector<VmAdvice>& vms) { peers_->applyVms(vms); });
     feed_.start(peers_->view(), [this](const ConfigurationVersion& version) { applyConfiguration(version); });
     awaitSignal();
@@ -134,9 +158,33 @@
 
 void BalancerDaemon::applyConfiguration(const ConfigurationVersion& version)
 {
-    const auto configuration = std::make_shared<const Configuration>(version.configuration);
-    peers_->applyConfiguration(configuration, version.head.applied.version);
-    requests_->applyConfiguration(configuration);
+    configuration_ = std::make_shared<const Configuration>(version.configuration);
+    peers_->applyConfiguration(configuration_, version.head.applied.version);
+    requests_->applyConfiguration(configuration_);
+    if (control_)
+        control_->applyConfiguration(configuration_);
+}
+
+void BalancerDaemon::startRequestControl(std::uint64_t incarnation)
+{
+    requests_->setControl(nullptr);
+    control_ = std::make_unique<RequestControl>(
+        context_, *link_, platform_, controlSettingsOf(settings_, { self_, incarnation }, seed_));
+    control_->applyConfiguration(configuration_);
+    requests_->setControl(control_.get());
+}
+
+// Membership raises the own incarnation when the fleet knows a higher one, because the clock was set back. Claims are
+// then held in the name of another start of this balancer, so all that was known goes.
+void BalancerDaemon::applyMembers(const std::shared_ptr<const MembersView>& view)
+{
+    feed_.applyMembers(view);
+    if (!control_)
+        return;
+    const std::uint64_t incarnation = view->findSelf()->incarnation;
+    if (incarnation != control_->self().incarnation)
+        startRequestControl(incarnation);
+    control_->applyMembers(view);
 }
 
 bool BalancerDaemon::serveOwnPage(const std::shared_ptr<Http2Exchange>& exchange)
@@ -147,6 +195,10 @@
         path.remove_prefix(ownPrefix.size());
     if (request.method != "GET")
         return false;
+    if (path == "/ticket" && control_) {
+        exchange->respond(control_->issueTicket());
+        return true;
+    }
     if (path == "/status") {
         exchange->respond(renderStatus(*peers_->view(), feed_.version()));
         return true;
@@ -204,9 +256,18 @@
     });
 }
 
+StopConditions BalancerDaemon::stopConditions() const
+{
+    return {
+        .mayLeave = engine_.mayLeave(),
+        .areClaimsReleased = !control_ || control_->isReleased(Clock::now()),
+        .areRequestsDrained = areRequestsDrained_ && (!control_ || control_->isIdle()),
+    };
+}
+
 void BalancerDaemon::advanceStop()
 {
-    switch (stop_.tick(engine_.mayLeave(), areRequestsDrained_, Clock::now())) {
+    switch (stop_.tick(stopConditions(), Clock::now())) {
     case StopStep::None:
         break;
     case StopStep::Leave:
@@ -227,13 +288,16 @@
     figures.packets = packets_->totals();
     figures.flow = engine_.counters();
     figures.requests = requests_->counts();
+    if (control_)
+        figures.control = control_->figures();
     figures.openRequests = requests_->openRequests();
     figures.controlBytes = {
         .peers = link_->bytesTransferred(),
         .platform = platform_.bytesTransferred(),
         .configuration = feed_.peerBytes() + configurationBytesServed_,
+        .requests = figures.control.longMessageBytes,
     };
-    figures.malformedPeerMessages = link_->malformed() + peers_->droppedMessages();
+    figures.malformedPeerMessages = link_->malformed() + peers_->droppedMessages() + figures.control.droppedMessages;
     figures.httpProtocolErrors = requests_->protocolErrors();
     figures.configurationVersion = feed_.version();
     figures.processCpuSeconds = processCpuSeconds();
--- a/Source/Balancer/BalancerDaemon.h
+++ b/Source/Balancer/BalancerDaemon.h
@@ -6,6 +6,7 @@
 #include "Balancer/PacketPath.h"
 #include "Balancer/PeerControl.h"
 #include "Balancer/PeerLink.h"
+#include "Balancer/RequestControl.h"
 #include "Balancer/RequestDecisions.h"
 #include "Balancer/RequestFront.h"
 #include "Balancer/StopSequence.h"
@@ -48,6 +49,9 @@
     Member describeSelf() const;
     void connectParts();
     void applyConfiguration(const ConfigurationVersion&);
+    void applyMembers(const std::shared_ptr<const MembersView>&);
+    void startRequestControl(std::uint64_t incarnation);
+    StopConditions stopConditions() const;
     bool serveOwnPage(const std::shared_ptr<Http2Exchange>&);
 
     void awaitSignal();
@@ -80,6 +84,8 @@
     std::unique_ptr<PeerControl> peers_;
     ConfigurationFeed feed_;
     VmListFeed vms_;
+    std::shared_ptr<const Configuration> configuration_ = std::make_shared<const Configuration>();
+    std::unique_ptr<RequestControl> control_;
     std::unique_ptr<RequestFront> requests_;
     std::unique_ptr<MetricsEndpoint> metricsEndpoint_;
     std::unique_ptr<PacketPath> packets_;
--- a/Source/Balancer/BalancerMetrics.cpp
+++ b/Source/Balancer/BalancerMetrics.cpp
@@ -37,10 +37,17 @@
     , exceptions_(addGauge("wisteriadock_flow_exceptions", "Flows that stay on a server other than their bucket's"))
     , unsettledServices_(addGauge("wisteriadock_unsettled_services", "Services whose table is changing"))
     , openRequests_(addGauge("wisteriadock_open_requests", "Requests being answered"))
+    , queuedRequests_(addGauge("wisteriadock_queued_requests", "Requests that wait for a slot"))
+    , claimsHeld_(addGauge("wisteriadock_claims_held", "Keys remembered as owner or backup"))
+    , recoveringBuckets_(
+          addGauge("wisteriadock_claim_buckets_recovering", "Owned buckets whose earlier claims are being looked for"))
+    , lostBuckets_(addGauge("wisteriadock_claim_buckets_lost", "Owned buckets whose earlier claims are in doubt"))
+    , recoveries_(addCounter("wisteriadock_claim_recoveries_total", "Times that earlier claims were looked for"))
     , controlBytes_(addCounter("wisteriadock_control_bytes_total", "Control traffic sent and received"))
     , peerBytes_(addCounter(channelBytesName, channelBytesHelp, { { "channel", "peers" } }))
     , platformBytes_(addCounter(channelBytesName, channelBytesHelp, { { "channel", "platform" } }))
     , configurationBytes_(addCounter(channelBytesName, channelBytesHelp, { { "channel", "configuration" } }))
+    , requestBytes_(addCounter(channelBytesName, channelBytesHelp, { { "channel", "requests" } }))
     , malformedPeerMessages_(
           addCounter("wisteriadock_malformed_peer_messages_total", "Datagrams that were no message of a balancer"))
     , httpProtocolErrors_(
@@ -75,14 +82,13 @@
     if (figures.members)
         updateMembers(*figures.members);
 
-    for (std::size_t i = 0; i < requestEndingCount; ++i)
-        raiseTo(*requests_[i], static_cast<double>(figures.requests[i]));
-    openRequests_.Set(static_cast<double>(figures.openRequests));
+    updateRequests(figures);
 
     raiseTo(controlBytes_, static_cast<double>(figures.controlBytes.sum()));
     raiseTo(peerBytes_, static_cast<double>(figures.controlBytes.peers));
     raiseTo(platformBytes_, static_cast<double>(figures.controlBytes.platform));
     raiseTo(configurationBytes_, static_cast<double>(figures.controlBytes.configuration));
+    raiseTo(requestBytes_, static_cast<double>(figures.controlBytes.requests));
     raiseTo(malformedPeerMessages_, static_cast<double>(figures.malformedPeerMessages));
     raiseTo(httpProtocolErrors_, static_cast<double>(figures.httpProtocolErrors));
 
@@ -91,6 +97,19 @@
     raiseTo(controlThreadCpuSeconds_, figures.controlThreadCpuSeconds);
 }
 
+void BalancerMetrics::updateRequests(const BalancerFigures& figures)
+{
+    const RequestFigures& control = figures.control;
+    for (std::size_t i = 0; i < requestEndingCount; ++i)
+        raiseTo(*requests_[i], static_cast<double>(figures.requests[i] + control.endings[i]));
+    openRequests_.Set(static_cast<double>(figures.openRequests));
+    queuedRequests_.Set(static_cast<double>(control.queued));
+    claimsHeld_.Set(static_cast<double>(control.claimsHeld));
+    recoveringBuckets_.Set(static_cast<double>(control.bucketsRecovering));
+    lostBuckets_.Set(static_cast<double>(control.bucketsLost));
+    raiseTo(recoveries_, static_cast<double>(control.recoveries));
+}
+
 void BalancerMetrics::updatePackets(const PacketTotals& packets)
 {
     raiseTo(packetsReceived_, static_cast<double>(packets.received));
--- a/Source/Balancer/BalancerMetrics.h
+++ b/Source/Balancer/BalancerMetrics.h
@@ -21,8 +21,10 @@
     std::uint64_t peers = 0;
     std::uint64_t platform = 0;
     std::uint64_t configuration = 0;
+    // Messages about requests that were too long for a datagram.
+    std::uint64_t requests = 0;
 
-    std::uint64_t sum() const { return peers + platform + configuration; }
+    std::uint64_t sum() const { return peers + platform + configuration + requests; }
 };
 
 // What a balancer counted up to now.
@@ -30,6 +32,7 @@
     PacketTotals packets;
     FlowCounters flow;
     RequestCounts requests {};
+    RequestFigures control;
     std::uint64_t openRequests = 0;
     ControlBytes controlBytes;
     std::uint64_t malformedPeerMessages = 0;
@@ -57,6 +60,7 @@
     void updatePackets(const PacketTotals&);
     void updateFlow(const FlowCounters&);
     void updateMembers(const MembersView&);
+    void updateRequests(const BalancerFigures&);
 
     std::shared_ptr<prometheus::Registry> registry_;
 
@@ -76,11 +80,17 @@
 
     std::array<prometheus::Counter*, requestEndingCount> requests_ {};
     prometheus::Gauge& openRequests_;
+    prometheus::Gauge& queuedRequests_;
+    prometheus::Gauge& claimsHeld_;
+    prometheus::Gauge& recoveringBuckets_;
+    prometheus::Gauge& lostBuckets_;
+    prometheus::Counter& recoveries_;
 
     prometheus::Counter& controlBytes_;
     prometheus::Counter& peerBytes_;
     prometheus::Counter& platformBytes_;
     prometheus::Counter& configurationBytes_;
+    prometheus::Counter& requestBytes_;
     prometheus::Counter& malformedPeerMessages_;
     prometheus::Counter& httpProtocolErrors_;
 
--- a/Source/Balancer/BalancerSettings.cpp
+++ b/Source/Balancer/BalancerSettings.cpp
@@ -1,11 +1,14 @@
 #include "Balancer/BalancerSettings.h"
 
 #include "Balancer/ListenAddress.h"
+#include "Core/NameTable.h"
 #include "Settings/SettingsFile.h"
 #include "Settings/SettingsReader.h"
 
 #include <fmt/format.h>
 
+#include <algorithm>
+
 namespace wisteriadock {
 
 namespace {
@@ -100,9 +103,43 @@
         target = static_cast<std::size_t>(value);
     }
 
+    void readZones(SectionReader& section, const std::string& own, std::vector<std::string>& zones)
+    {
+        std::string text;
+        section.text("availability_zones", text);
+        while (!text.empty()) {
+            const std::size_t comma = std::min(text.find(','), text.size());
+            const std::size_t first = std::min(text.find_first_not_of(' '), comma);
+            const std::size_t last = text.find_last_not_of(' ', comma == 0 ? 0 : comma - 1);
+            const std::string zone = text.substr(first, last == std::string::npos ? 0 : last + 1 - first);
+            text.erase(0, comma + 1);
+            const bool isNew = std::ranges::find(zones, zone) == zones.end();
+            if (!isName(zone) || zone.find('.') != std::string::npos || !isNew) {
+                section.addProblem("availability_zones", "names without dots, separated by commas, each once");
+                return;
+            }
+            zones.push_back(zone);
+        }
+        if (!zones.empty() && std::ranges::find(zones, own) == zones.end())
+            section.addProblem("availability_zones", fmt::format("a list with the own one, {}", own));
+    }
+
+    void readAtMostOnce(SectionReader& section, BalancerSettings& settings)
+    {
+        constexpr auto switchNames = makeNameTable<bool>({ { false, "off" }, { true, "on" } });
+        constexpr auto policyNames = makeNameTable<RequestPolicy>({
+            { RequestPolicy::Default, "default" },
+            { RequestPolicy::BlindRetry, "blind_retry" },
+        });
+        section.named("at_most_once", settings.isAtMostOnce, switchNames);
+        section.named("policy", settings.requestPolicy, policyNames);
+        readZones(section, settings.availabilityZone, settings.availabilityZones);
+    }
+
     void readRequestSettings(SettingsReader& reader, BalancerSettings& settings)
     {
         SectionReader& section = reader.section("request");
+        readAtMostOnce(section, settings);
         Http2Limits& limits = settings.requestLimits;
         readSize(section, "header_bytes", limits.headerBytes, 1024, largestHeader);
         readSize(section, "body_bytes", limits.bodyBytes, 0, largestBody);
--- a/Source/Balancer/BalancerSettings.h
+++ b/Source/Balancer/BalancerSettings.h
@@ -23,6 +23,12 @@
     Endpoint metrics;
 };
 
+// Which failures of requests are followed by another attempt.
+enum class RequestPolicy {
+    Default, // None that could run work twice.
+    BlindRetry, // Any. Runs work twice; a baseline for experiments.
+};
+
 // The settings of one balancer process, read whole at its start (docs/operators/balancer.md).
 struct BalancerSettings {
     std::string name;
@@ -48,6 +54,12 @@
     std::chrono::milliseconds defaultDeadline { 5000 };
     std::chrono::milliseconds longestDeadline { 600'000 };
 
+    // Whether requests are claimed by their keys before they are sent. Off is a baseline for experiments.
+    bool isAtMostOnce = true;
+    RequestPolicy requestPolicy = RequestPolicy::Default;
+    // The fixed list of the fleet's availability zones, equal on all balancers.
+    std::vector<std::string> availabilityZones;
+
     // How long a planned stop goes on serving after the other balancers were told.
     std::chrono::seconds drain { 10 };
     LogLevel logLevel = LogLevel::Info;
--- /dev/null
+++ b/Source/Balancer/OpenTries.cpp
@@ -0,0 +1,128 @@
+#include "Balancer/OpenTries.h"
+
+#include "Balancer/RequestRefusal.h"
+#include "Balancer/ServiceLookup.h"
+#include "Core/Hash.h"
+
+namespace wisteriadock {
+
+namespace {
+
+    constexpr int notFound = 404;
+
+    // A key belongs to one content.
+    std::uint64_t fingerprintOf(const HttpRequest& request, ServiceId service)
+    {
+        std::uint64_t hash = hashString(request.method, service.value);
+        hash = hashString(request.path, hash);
+        return hashString(request.body, hash);
+    }
+
+}
+
+OpenTries::OpenTries(const Holder& self, CancelHandler onCancelled)
+    : self_(self)
+    , onCancelled_(std::move(onCancelled))
+{
+}
+
+OpenTry& OpenTries::open(const std::shared_ptr<Http2Exchange>& exchange, const CheckedRequest& checked,
+    const Configuration& configuration, std::shared_ptr<const HttpRequest> forwarded)
+{
+    const TryId id = ++last_;
+    const auto opened = std::make_shared<OpenTry>();
+    opened->exchange = exchange;
+    opened->forwarded = std::move(forwarded);
+    opened->since = Clock::now();
+    const Service* service = findServiceOf(configuration, opened->request());
+    opened->namesNoService = service == nullptr;
+    opened->detail = checked.detail;
+    opened->isKeyed = checked.key.has_value();
+
+    KeyedTry& attempt = opened->attempt;
+    attempt.id = id;
+    attempt.key = checked.key.value_or(RequestKey {});
+    attempt.service = service ? service->id : ServiceId {};
+    attempt.fingerprint = fingerprintOf(opened->request(), attempt.service);
+    attempt.deadline = opened->since + checked.timeLeft;
+    attempt.problem = checked.problem;
+    // Another balancer may know the service already and have run the key: only the owner can say "not run".
+    if (!service && !attempt.problem)
+        attempt.problem = RefusalReason::NoServer;
+
+    tries_.emplace(id, opened);
+    exchange->onCancelled([this, alive = std::weak_ptr<int>(alive_), id] {
+        if (!alive.expired())
+            cancel(id);
+    });
+    return *opened;
+}
+
+OpenTry* OpenTries::find(TryId id)
+{
+    const auto found = tries_.find(id);
+    return found == tries_.end() ? nullptr : found->second.get();
+}
+
+void OpenTries::cancel(TryId id)
+{
+    const auto closed = close(id);
+    if (!closed)
+        return;
+    if (!closed->forwarded)
+        count(RequestEnding::Cancelled);
+    onCancelled_(id);
+}
+
+void OpenTries::answer(TryId id, HttpResponse response)
+{
+    const auto closed = close(id);
+    if (!closed)
+        return;
+    if (closed->forwarded) {
+        closed->exchange->respond(writeHopAnswer(
+            { .owner = self_, .ending = HopEnding::Answer, .refusal = {}, .response = std::move(response) }));
+        return;
+    }
+    count(RequestEnding::Answered);
+    closed->exchange->respond(std::move(response));
+}
+
+void OpenTries::refuse(TryId id, const Refusal& refusal)
+{
+    const auto closed = close(id);
+    if (!closed)
+        return;
+    if (closed->forwarded) {
+        closed->exchange->respond(
+            writeHopAnswer({ .owner = self_, .ending = HopEnding::Refusal, .refusal = refusal, .response = {} }));
+        return;
+    }
+    RequestProblem problem = problemOf(refusal, closed->detail);
+    if (closed->namesNoService && refusal.reason == RefusalReason::NoServer) {
+        problem.status = notFound;
+        problem.title = "The request names no known service";
+        problem.ending = RequestEnding::UnknownService;
+    }
+    count(problem.ending);
+    closed->exchange->respond(problem.toResponse());
+}
+
+void OpenTries::redirect(TryId id)
+{
+    if (const auto closed = close(id))
+        closed->exchange->respond(
+            writeHopAnswer({ .owner = self_, .ending = HopEnding::Redirect, .refusal = {}, .response = {} }));
+}
+
+std::shared_ptr<OpenTry> OpenTries::close(TryId id)
+{
+    const auto found = tries_.find(id);
+    if (found == tries_.end())
+        return nullptr;
+    auto closed = std::move(found->second);
+    tries_.erase(found);
+    return closed;
+}
+
+}
--- /dev/null
+++ b/Source/Balancer/OpenTries.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "Balancer/RequestCounts.h"
+#include "Balancer/RequestHop.h"
+#include "Configuration/Configuration.h"
+#include "Net/Http2Server.h"
+#include "Request/RequestActions.h"
+#include "Request/RequestCheck.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace wisteriadock {
+
+// A request that is being answered here: one of a caller, or one that another balancer forwarded.
+struct OpenTry {
+    std::shared_ptr<Http2Exchange> exchange;
+    // Set for a forwarded try: the request as its caller sent it.
+    std::shared_ptr<const HttpRequest> forwarded;
+    KeyedTry attempt;
+    bool isKeyed = false;
+    bool namesNoService = false;
+    // What is wrong with the request, for its caller.
+    std::string detail;
+    int hops = 0;
+    TimePoint since;
+
+    const HttpRequest& request() const { return forwarded ? *forwarded : exchange->request(); }
+};
+
+// The requests that are being answered, by try, and their final answers: each gets one, on its own stream.
+// RequestControl calls it.
+class OpenTries {
+public:
+    using CancelHandler = std::function<void(TryId)>;
+
+    // The handler runs when a caller or the forwarding balancer gives a try up, which is closed by then.
+    OpenTries(const Holder& self, CancelHandler);
+    ~OpenTries() { alive_.reset(); }
+    OpenTries(const OpenTries&) = delete;
+    OpenTries& operator=(const OpenTries&) = delete;
+
+    OpenTry& open(const std::shared_ptr<Http2Exchange>&, const CheckedRequest&, const Configuration&,
+        std::shared_ptr<const HttpRequest> forwarded = nullptr);
+    OpenTry* find(TryId);
+
+    // These end a try; one that has ended already is ignored.
+    void answer(TryId, HttpResponse);
+    void refuse(TryId, const Refusal&);
+    // Only for a forwarded try: sends it back to be routed again.
+    void redirect(TryId);
+
+    // How callers' requests ended. Forwarded ones are counted by the balancer that took them in.
+    const RequestCounts& counts() const { return counts_; }
+
+private:
+    void cancel(TryId);
+    std::shared_ptr<OpenTry> close(TryId);
+    void count(RequestEnding ending) { ++counts_[static_cast<std::size_t>(ending)]; }
+
+    Holder self_;
+    CancelHandler onCancelled_;
+    std::map<TryId, std::shared_ptr<OpenTry>> tries_;
+    TryId last_ = 0;
+    RequestCounts counts_ {};
+    std::shared_ptr<int> alive_ = std::make_shared<int>(0);
+};
+
+}
--- a/Source/Balancer/PeerControl.cpp
+++ b/Source/Balancer/PeerControl.cpp
@@ -32,9 +32,10 @@
 {
 }
 
-void PeerControl::start(ViewHandler onView)
+void PeerControl::start(ViewHandler onView, RequestHandler onRequest)
 {
     onView_ = std::move(onView);
+    onRequest_ = std::move(onRequest);
     publish(membership_.view(), Clock::now());
     scheduleTick();
 }
@@ -89,6 +90,8 @@
     const TimePoint now = Clock::now();
     if (envelope.kind == PeerMessageKind::FlowControl)
         receiveFlowMessage(envelope, now);
+    else if (envelope.kind == PeerMessageKind::Request)
+        onRequest_(envelope);
     else
         perform(membership_.handle(PeerMessageReceived { sender, envelope }, now), now);
 }
--- a/Source/Balancer/PeerControl.h
+++ b/Source/Balancer/PeerControl.h
@@ -23,14 +23,15 @@
 class PeerControl {
 public:
     using ViewHandler = std::function<void(const std::shared_ptr<const MembersView>&)>;
+    using RequestHandler = std::function<void(const PeerEnvelope&)>;
 
     // The engine and the link outlive the control. The link's datagrams have to be given to receive().
     PeerControl(boost::asio::io_context&, PeerLink&, FlowEngine&, const Member& self, std::uint64_t seed);
     PeerControl(const PeerControl&) = delete;
     PeerControl& operator=(const PeerControl&) = delete;
 
-    // The handler runs after each change of the view.
-    void start(ViewHandler);
+    // The first handler runs after each change of the view, the second for each message about requests.
+    void start(ViewHandler, RequestHandler);
     void receive(const PeerEnvelope&, Endpoint sender);
     void applyConfiguration(const std::shared_ptr<const Configuration>&, std::uint64_t version);
     // Balancers that there may be: the seeds of the settings and the platform's list.
@@ -58,6 +59,7 @@
     FlowEngine& engine_;
     Membership membership_;
     ViewHandler onView_;
+    RequestHandler onRequest_;
     std::shared_ptr<const MembersView> view_;
     const TimePoint startedAt_;
     // Set once it was told of balancers, and these are all itself.
--- /dev/null
+++ b/Source/Balancer/RequestControl.cpp
@@ -0,0 +1,377 @@
+#include "Balancer/RequestControl.h"
+
+#include "Balancer/HolderText.h"
+#include "Balancer/RequestRefusal.h"
+#include "Request/RequestRouter.h"
+#include "Request/RetryAfter.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <chrono>
+
+namespace wisteriadock {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr auto tickPeriod = 20ms;
+    // The home of all keys where the settings list no availability zones.
+    constexpr std::string_view wholeFleet = "fleet";
+    constexpr int mostHops = 4;
+    // News of a new owner takes about this long.
+    constexpr auto rerouteAfter = 100ms;
+    // How long a try waits for the first ownership record, at the start of a balancer.
+    constexpr auto firstRecordPatience = 2000ms;
+    constexpr auto comeBackIn = 1000ms;
+    constexpr auto loanSlack = 5000ms;
+
+    RunnerSettings runnerSettingsOf(const RequestControlSettings& settings)
+    {
+        RunnerSettings runner;
+        runner.self = settings.self;
+        runner.retries.rule = settings.retryRule;
+        runner.maxDeadline = settings.limits.maxDeadline;
+        runner.admission.longestLoan = settings.limits.maxDeadline + loanSlack;
+        runner.seed = settings.seed;
+        return runner;
+    }
+
+    std::vector<std::string> zonesOf(const RequestControlSettings& settings)
+    {
+        return settings.zones.empty() ? std::vector<std::string> { std::string(wholeFleet) } : settings.zones;
+    }
+
+    std::size_t headerBytesOf(const HttpRequest& request)
+    {
+        std::size_t bytes = request.method.size() + request.path.size() + request.authority.size();
+        for (const HttpHeader& header : request.headers)
+            bytes += header.name.size() + header.value.size();
+        return bytes;
+    }
+
+    bool saysNotRun(const HttpResponse& response) { return response.header("x-executed") == "no"; }
+
+    std::chrono::milliseconds retryAfterOf(const HttpResponse& response)
+    {
+        const auto seconds = readNumber(response.header("retry-after"));
+        return std::chrono::seconds(seconds ? std::min<std::uint64_t>(seconds.value(), 60) : 0);
+    }
+
+}
+
+RequestControl::RequestControl(
+    boost::asio::io_context& context, PeerLink& link, PlatformClient& platform, const RequestControlSettings& settings)
+    : settings_(settings)
+    , homeZone_(settings.zones.empty() ? std::string(wholeFleet) : settings.availabilityZone)
+    , timer_(context)
+    , random_(settings.seed)
+    , tries_(settings.self, [this](TryId id) { cancelled(id); })
+    , runner_(runnerSettingsOf(settings))
+    , router_(std::make_unique<RequestRouter>(settings.self, zonesOf(settings)))
+    , link_(context, link, settings.self, settings.http,
+          [this](const Holder& from, const BalancerMessage& message) { handle(from, message); })
+    , terms_(platform, *router_, link_, homeZone_, settings.self, settings.seed,
+          [this](const ClaimTerm& term) { adopt(term); })
+    , forwarder_(context, link_, settings.self, settings.http,
+          { .onAnswer = [this](TryId id, HttpResponse response) { tries_.answer(id, std::move(response)); },
+              .onRefusal = [this](TryId id, const Refusal& refusal) { tries_.refuse(id, refusal); },
+              .onLost = [this](TryId id, RefusalReason reason) { refuseUnknown(id, reason); },
+              .onRedirect =
+                  [this](TryId id, const Holder& owner) {
+                      terms_.ask(owner);
+                      routeLater(id, Clock::now());
+                  } })
+    , sender_(context, settings.http, [this](WorkId work, BackendServerId server, HttpOutcome outcome) {
+        finishWork(work, server, std::move(outcome));
+    })
+{
+    scheduleTick();
+}
+
+RequestControl::~RequestControl() { alive_.reset(); }
+
+void RequestControl::applyConfiguration(std::shared_ptr<const Configuration> configuration)
+{
+    configuration_ = std::move(configuration);
+    sender_.applyConfiguration(*configuration_);
+    runner_.configure(*configuration_, *link_.view(), Clock::now());
+    act();
+}
+
+void RequestControl::applyMembers(const std::shared_ptr<const MembersView>& view)
+{
+    const TimePoint now = Clock::now();
+    link_.applyMembers(view);
+    runner_.configure(*configuration_, *view, now);
+    forwarder_.applyMembers();
+    terms_.applyMembers(homeView(), now);
+    act();
+}
+
+// Without a list of zones the ownership record names all balancers, wherever they stand.
+MembersView RequestControl::homeView() const
+{
+    MembersView view = *link_.view();
+    if (settings_.zones.empty()) {
+        for (Member& member : view.members)
+            member.availabilityZone = homeZone_;
+    }
+    return view;
+}
+
+void RequestControl::scheduleTick()
+{
+    timer_.expires_after(tickPeriod);
+    timer_.async_wait([this, alive = std::weak_ptr<int>(alive_)](const boost::system::error_code& error) {
+        if (error || alive.expired())
+            return;
+        tick(Clock::now());
+        scheduleTick();
+    });
+}
+
+void RequestControl::tick(TimePoint now)
+{
+    terms_.tick(now);
+    runner_.tick(now);
+    forwarder_.tick(now);
+    routeDue(now);
+    act();
+}
+
+void RequestControl::adopt(const ClaimTerm& term)
+{
+    runner_.learnTerm(term, Clock::now());
+    if (figures().bucketsRecovering > 0)
+        ++recoveries_;
+    act();
+}
+
+void RequestControl::handle(const Holder& from, const BalancerMessage& message)
+{
+    const TimePoint now = Clock::now();
+    if (const auto* received = std::get_if<TryReceived>(&message)) {
+        forwarder_.acknowledge(from, received->token);
+    } else if (const auto* digest = std::get_if<TermDigest>(&message)) {
+        terms_.compare(from, *digest);
+    } else {
+        const auto& request = std::get<RequestMessage>(message);
+        if (const auto* news = std::get_if<TermNews>(&request))
+            terms_.learn(news->term, now);
+        else
+            runner_.receive(from, request, now);
+    }
+    act();
+}
+
+void RequestControl::take(const std::shared_ptr<Http2Exchange>& exchange)
+{
+    const TimePoint now = Clock::now();
+    const HttpRequest& request = exchange->request();
+    const CheckedRequest checked = checkRequest({ .method = request.method,
+                                                    .key = request.header("idempotency-key"),
+                                                    .deadline = request.header("x-deadline-milliseconds"),
+                                                    .headerBytes = headerBytesOf(request),
+                                                    .bodyBytes = request.body.size() },
+        router_->zones(), settings_.limits);
+    const OpenTry& opened = tries_.open(exchange, checked, *configuration_);
+    const TryId id = opened.attempt.id;
+    if (opened.isKeyed)
+        route(id, now);
+    else if (opened.attempt.problem)
+        tries_.refuse(id, { *opened.attempt.problem, Executed::No, {} });
+    else
+        runner_.arrive(PlainTry { id, opened.attempt.service, opened.attempt.deadline }, now);
+    act();
+}
+
+void RequestControl::route(TryId id, TimePoint now)
+{
+    OpenTry& opened = *tries_.find(id);
+    const KeyedTry& attempt = opened.attempt;
+    if (now >= attempt.deadline) {
+        refuseUnknown(id, RefusalReason::DeadlinePassed);
+        return;
+    }
+    const bool lacksRecord = !router_->termOf(router_->zones()[attempt.key.homeZone]);
+    if (lacksRecord && now - opened.since < firstRecordPatience) {
+        routeLater(id, now);
+        return;
+    }
+    const Route found = router_->route(attempt.key, *link_.view());
+    if (found.kind == RouteKind::Unreachable || ++opened.hops > mostHops)
+        refuseUnknown(id, attempt.problem.value_or(RefusalReason::HomeUnreachable));
+    else if (found.kind == RouteKind::Local)
+        runner_.arrive(attempt, now);
+    else
+        forwarder_.forward(id, opened.request(), attempt.key.digest, attempt.problem, found.owner, attempt.deadline);
+}
+
+void RequestControl::routeLater(TryId id, TimePoint now)
+{
+    if (tries_.find(id))
+        later_.push_back({ id, now + rerouteAfter });
+}
+
+void RequestControl::routeDue(TimePoint now)
+{
+    std::vector<TryId> due;
+    std::erase_if(later_, [&](const LaterRoute& later) {
+        if (now < later.at)
+            return false;
+        due.push_back(later.id);
+        return true;
+    });
+    for (const TryId id : due) {
+        if (tries_.find(id))
+            route(id, now);
+    }
+}
+
+bool RequestControl::takeFromBalancer(const std::shared_ptr<Http2Exchange>& exchange)
+{
+    const std::string& path = exchange->request().path;
+    if (path == longMessagePath)
+        link_.receive(*exchange);
+    else if (path == workPath)
+        takeHop(exchange);
+    else
+        return false;
+    return true;
+}
+
+void RequestControl::takeHop(const std::shared_ptr<Http2Exchange>& exchange)
+{
+    const TimePoint now = Clock::now();
+    auto hop = readHop(exchange->request());
+    const bool isFromMember = hop && link_.view()->find(hop.value().token.entry.id);
+    const auto key = hop ? RequestKey::parse(hop.value().request.header("idempotency-key"), router_->zones())
+                         : Result<RequestKey>(hop.error());
+    if (!isFromMember || !key) {
+        exchange->respond({ .status = 400, .headers = {}, .body = {} });
+        return;
+    }
+    // Meant for an earlier start of this balancer, which knew what this one has lost.
+    if (hop.value().owner != settings_.self) {
+        exchange->respond(writeHopAnswer(
+            { .owner = hop.value().owner, .ending = HopEnding::Redirect, .refusal = {}, .response = {} }));
+        return;
+    }
+    link_.send(hop.value().token.entry, TryReceived { hop.value().token });
+    CheckedRequest checked;
+    checked.key = key.value();
+    checked.timeLeft = std::min<Duration>(hop.value().timeLeft, settings_.limits.maxDeadline);
+    checked.problem = hop.value().problem;
+    const OpenTry& opened = tries_.open(
+        exchange, checked, *configuration_, std::make_shared<const HttpRequest>(std::move(hop.value().request)));
+    runner_.arrive(opened.attempt, now);
+    act();
+}
+
+void RequestControl::cancelled(TryId id)
+{
+    forwarder_.cancel(id);
+    runner_.cancel(id, Clock::now());
+    act();
+}
+
+void RequestControl::act()
+{
+    for (auto actions = runner_.takeActions(); !actions.empty(); actions = runner_.takeActions()) {
+        for (const RequestAction& action : actions)
+            std::visit([this](const auto& content) { perform(content); }, action);
+    }
+}
+
+void RequestControl::perform(const StartWork& start)
+{
+    const OpenTry* content = tries_.find(start.content);
+    const BackendServer* server = configuration_->findBackendServer(start.server);
+    if (!content || !server)
+        runner_.workFailed(start.work, HttpFailureKind::NotSent, Clock::now());
+    else
+        sender_.send(start, *server, content->request());
+}
+
+void RequestControl::finishWork(WorkId work, BackendServerId server, HttpOutcome outcome)
+{
+    const TimePoint now = Clock::now();
+    if (!outcome) {
+        if (outcome.error().kind == HttpFailureKind::Refused)
+            runner_.serverShed(server, 0ms, now);
+        runner_.workFailed(work, outcome.error().kind, now);
+        act();
+        return;
+    }
+    const HttpResponse& response = outcome.value();
+    const bool isShed = response.status == 503 || response.status == 429;
+    if (isShed)
+        runner_.serverShed(server, retryAfterOf(response), now);
+    // A server without room that does not say "not run" may have run it: its answer is then the caller's to judge.
+    if (isShed && saysNotRun(response))
+        runner_.workFailed(work, HttpFailureKind::Refused, now);
+    else
+        runner_.workAnswered(work, std::make_shared<const HttpResponse>(std::move(outcome.value())), now);
+    act();
+}
+
+void RequestControl::perform(const RedirectTry& redirect)
+{
+    const OpenTry* opened = tries_.find(redirect.id);
+    if (opened && opened->forwarded) {
+        tries_.redirect(redirect.id);
+        return;
+    }
+    terms_.want(Clock::now());
+    routeLater(redirect.id, Clock::now());
+}
+
+void RequestControl::refuseUnknown(TryId id, RefusalReason reason)
+{
+    tries_.refuse(id, { reason, Executed::Unknown, drawRetryAfter(comeBackIn, random_) });
+}
+
+HttpResponse RequestControl::issueTicket()
+{
+    // Callers must not be able to guess each other's tickets.
+    std::random_device source;
+    const auto word = [&] { return (std::uint64_t(source()) << 32) | source(); };
+    const auto ticket = runner_.issueTicket(word(), word());
+    if (!ticket) {
+        return problemOf({ RefusalReason::NotReady, Executed::No, drawRetryAfter(comeBackIn, random_) },
+            "This balancer knows no ownership epoch yet")
+            .toResponse();
+    }
+    const nlohmann::json body { { "ticket", *ticket } };
+    return { .status = 200, .headers = { { "content-type", "application/json" } }, .body = body.dump() };
+}
+
+// The last balancer of a zone has nobody to whom its claims could go.
+bool RequestControl::isReleased(TimePoint now) const
+{
+    const MembersView view = homeView();
+    const bool hasHeir = std::ranges::any_of(view.members, [&](const Member& member) {
+        return member.id != view.self && member.state == MemberState::Serving && member.availabilityZone == homeZone_;
+    });
+    return !hasHeir || runner_.keeper().isReleased(now);
+}
+
+RequestFigures RequestControl::figures() const
+{
+    RequestFigures figures;
+    figures.endings = tries_.counts();
+    figures.claimsHeld = runner_.keeper().table().size();
+    figures.bucketsLost = runner_.keeper().lostBuckets();
+    for (std::uint32_t bucket = 0; bucket < claimBucketCount; ++bucket)
+        figures.bucketsRecovering += runner_.keeper().ownership(bucket) == Ownership::Recovering ? 1 : 0;
+    figures.recoveries = recoveries_;
+    for (const Service& service : configuration_->services)
+        figures.queued += runner_.admission().queued(service.id);
+    figures.longMessageBytes = link_.longMessageBytes();
+    figures.droppedMessages = link_.droppedMessages();
+    return figures;
+}
+
+}
--- /dev/null
+++ b/Source/Balancer/RequestCounts.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "Balancer/RequestProblem.h"
+
+#include <array>
+#include <cstdint>
+
+namespace wisteriadock {
+
+// How many requests ended in which way, by RequestEnding.
+using RequestCounts = std::array<std::uint64_t, requestEndingCount>;
+
+}
--- a/Source/Balancer/RequestDecisions.cpp
+++ b/Source/Balancer/RequestDecisions.cpp
@@ -1,5 +1,7 @@
 #include "Balancer/RequestDecisions.h"
 
+#include "Balancer/ServiceLookup.h"
+
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -11,7 +13,6 @@
 
 namespace {
 
-    constexpr std::string_view serviceHeader = "x-service";
     constexpr std::string_view deadlineHeader = "x-deadline-milliseconds";
     constexpr std::string_view idempotencyKeyHeader = "idempotency-key";
 
@@ -41,9 +42,6 @@
         return std::chrono::milliseconds(value);
     }
 
-    // "tryon:8080" and "tryon" name the same host.
-    std::string_view hostOf(std::string_view authority) { return authority.substr(0, authority.rfind(':')); }
-
 }
 
 RequestDecisions::RequestDecisions(RequestTimes times, std::uint64_t seed)
@@ -66,8 +64,7 @@
 
 const Service* RequestDecisions::serviceOf(const HttpRequest& request) const
 {
-    const std::string_view named = request.header(serviceHeader);
-    return configuration_->findService(named.empty() ? hostOf(request.authority) : named);
+    return findServiceOf(*configuration_, request);
 }
 
 RequestDecision RequestDecisions::admit(const HttpRequest& request, TimePoint now)
--- a/Source/Balancer/RequestFront.cpp
+++ b/Source/Balancer/RequestFront.cpp
@@ -4,6 +4,12 @@
 
 namespace wisteriadock {
 
+namespace {
+
+    constexpr int blindAttempts = 3;
+
+}
+
 Result<std::unique_ptr<RequestFront>> RequestFront::listen(boost::asio::io_context& context, Endpoint endpoint,
     Http2Limits limits, RequestDecisions& decisions, OwnPages ownPages)
 {
@@ -48,32 +54,49 @@
 
 void RequestFront::handle(const std::shared_ptr<Http2Exchange>& exchange)
 {
+    if (control_ && control_->takeFromBalancer(exchange))
+        return;
     if (!decisions_.serviceOf(exchange->request()) && ownPages_(exchange))
         return;
+    if (control_) {
+        control_->take(exchange);
+        return;
+    }
     const RequestDecision decision = decisions_.admit(exchange->request(), Clock::now());
     if (const auto* forwarded = std::get_if<ForwardRequest>(&decision))
-        forward(exchange, *forwarded);
+        forward(exchange, *forwarded, 1);
     else
         refuse(*exchange, std::get<RequestProblem>(decision));
 }
 
-void RequestFront::forward(const std::shared_ptr<Http2Exchange>& exchange, const ForwardRequest& decision)
+void RequestFront::forward(const std::shared_ptr<Http2Exchange>& exchange, const ForwardRequest& decision, int attempts)
 {
-    const auto onOutcome = [this, exchange, server = decision.server](
-                               HttpOutcome outcome) { finish(*exchange, server, std::move(outcome)); };
+    const auto onOutcome = [this, exchange, decision, attempts](
+                               HttpOutcome outcome) { finish(exchange, decision, attempts, std::move(outcome)); };
     const auto id = clientOf(decision.address).send(exchange->request(), decision.deadline, onOutcome);
     exchange->onCancelled([this, address = decision.address, id] { cancel(address, id); });
 }
 
-void RequestFront::finish(Http2Exchange& exchange, BackendServerId server, HttpOutcome outcome)
+void RequestFront::finish(
+    const std::shared_ptr<Http2Exchange>& exchange, const ForwardRequest& sent, int attempts, HttpOutcome outcome)
 {
-    if (!outcome) {
-        refuse(exchange, decisions_.failed(server, outcome.error(), Clock::now()));
+    if (outcome) {
+        decisions_.finished(sent.server);
+        count(RequestEnding::Answered);
+        exchange->respond(std::move(outcome.value()));
         return;
     }
-    decisions_.finished(server);
-    count(RequestEnding::Answered);
-    exchange.respond(std::move(outcome.value()));
+    const TimePoint now = Clock::now();
+    const RequestProblem problem = decisions_.failed(sent.server, outcome.error(), now);
+    const bool isWanted = outcome.error().kind != HttpFailureKind::Cancelled && now < sent.deadline;
+    if (retriesBlindly_ && isWanted && attempts < blindAttempts) {
+        const RequestDecision decision = decisions_.admit(exchange->request(), now);
+        if (const auto* again = std::get_if<ForwardRequest>(&decision)) {
+            forward(exchange, { again->server, again->address, sent.deadline }, attempts + 1);
+            return;
+        }
+    }
+    refuse(*exchange, problem);
 }
 
 void RequestFront::refuse(Http2Exchange& exchange, const RequestProblem& problem)
--- a/Source/Balancer/RequestFront.h
+++ b/Source/Balancer/RequestFront.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "Balancer/RequestControl.h"
+#include "Balancer/RequestCounts.h"
 #include "Balancer/RequestDecisions.h"
 #include "Core/Endpoint.h"
 #include "Core/Error.h"
@@ -16,12 +18,9 @@
 
 namespace wisteriadock {
 
-// How many requests ended in which way, by RequestEnding.
-using RequestCounts = std::array<std::uint64_t, requestEndingCount>;
-
-// Takes callers' requests over HTTP/2 and passes each to the backend server that the decisions name, at most once, and
-// its whole answer back. Requests that name no service are first offered to the balancer's own pages.
-// Everything runs on the thread of the io_context.
+// Takes callers' requests over HTTP/2 and hands them to the RequestControl. Without one it passes each to the backend
+// server that the decisions name and the whole answer back: a baseline that knows nothing of keys. Requests that name
+// no service are first offered to the balancer's own pages. Everything runs on the thread of the io_context.
 class RequestFront {
 public:
     // Answers the exchange and returns true, or leaves it alone and returns false.
@@ -34,6 +33,11 @@
     RequestFront(const RequestFront&) = delete;
     RequestFront& operator=(const RequestFront&) = delete;
 
+    // From now on requests go to this control, which outlives the front or is replaced; null leaves them to the
+    // decisions.
+    void setControl(RequestControl* control) { control_ = control; }
+    // A baseline for experiments: sends work again on any failure, also work that may have run.
+    void retryBlindly() { retriesBlindly_ = true; }
     void applyConfiguration(std::shared_ptr<const Configuration>);
     // Takes no new connection and runs the callback once every open request has been answered.
     void drain(std::function<void()> onDrained);
@@ -47,8 +51,8 @@
     RequestFront(boost::asio::io_context&, Http2Limits, RequestDecisions&, OwnPages);
 
     void handle(const std::shared_ptr<Http2Exchange>&);
-    void forward(const std::shared_ptr<Http2Exchange>&, const ForwardRequest&);
-    void finish(Http2Exchange&, BackendServerId, HttpOutcome);
+    void forward(const std::shared_ptr<Http2Exchange>&, const ForwardRequest&, int attempts);
+    void finish(const std::shared_ptr<Http2Exchange>&, const ForwardRequest&, int attempts, HttpOutcome);
     void refuse(Http2Exchange&, const RequestProblem&);
     void cancel(Endpoint server, Http2Client::RequestId);
     void count(RequestEnding ending) { ++counts_[static_cast<std::size_t>(ending)]; }
@@ -58,6 +62,8 @@
     Http2Limits limits_;
     RequestDecisions& decisions_;
     OwnPages ownPages_;
+    RequestControl* control_ = nullptr;
+    bool retriesBlindly_ = false;
     RequestCounts counts_ {};
     // Destroyed after the server, whose open exchanges may still cancel requests here.
     std::map<Endpoint, std::unique_ptr<Http2Client>> clients_;
--- /dev/null
+++ b/Source/Balancer/RequestMessageCodec.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "Core/Error.h"
+#include "Request/AnswerBook.h"
+#include "Request/ClaimMessages.h"
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace wisteriadock {
+
+// The owner's word that a forwarded try has reached it (AnswerBook.h).
+struct TryReceived {
+    ForwardToken token;
+
+    bool operator==(const TryReceived&) const = default;
+};
+
+// The newest ownership epochs that the sender knows. The receiver sends the records that are newer.
+struct TermDigest {
+    struct Row {
+        std::string zone;
+        std::uint64_t epoch = 0;
+
+        bool operator==(const Row&) const = default;
+    };
+    std::vector<Row> rows;
+
+    bool operator==(const TermDigest&) const = default;
+};
+
+// Everything that balancers say to each other about requests, but for the requests themselves.
+using BalancerMessage = std::variant<RequestMessage, TryReceived, TermDigest>;
+
+// A message and the start of the receiver that it is meant for. A balancer that has started again since has lost what
+// the message builds on, and drops it.
+struct AddressedMessage {
+    std::uint64_t receiverIncarnation = 0;
+    BalancerMessage message;
+};
+
+std::vector<std::uint8_t> encodeRequestMessage(AddressedMessage);
+
+// Fails with InvalidArgument for anything but one whole message of the known version.
+Result<AddressedMessage> decodeRequestMessage(std::span<const std::uint8_t>);
+
+}
--- a/Source/Balancer/StopSequence.cpp
+++ b/Source/Balancer/StopSequence.cpp
@@ -15,24 +15,29 @@
         phase_ = Phase::Exiting;
 }
 
-StopStep StopSequence::tick(bool mayLeave, bool requestsDrained, TimePoint now)
+StopStep StopSequence::tick(const StopConditions& conditions, TimePoint now)
 {
     const bool isOver = now >= limit_;
     switch (phase_) {
     case Phase::Running:
         return StopStep::None;
     case Phase::AwaitingLeave:
-        if (!mayLeave && !isOver)
+        if (!conditions.mayLeave && !isOver)
             return StopStep::None;
         enter(Phase::Draining, now, times_.drain);
         return StopStep::Leave;
     case Phase::Draining:
         if (!isOver)
             return StopStep::None;
+        enter(Phase::AwaitingClaims, now, times_.claimPatience);
+        [[fallthrough]];
+    case Phase::AwaitingClaims:
+        if (!conditions.areClaimsReleased && now < limit_)
+            return StopStep::None;
         enter(Phase::AwaitingRequests, now, times_.requestPatience);
         return StopStep::DrainRequests;
     case Phase::AwaitingRequests:
-        if (!requestsDrained && !isOver)
+        if (!conditions.areRequestsDrained && !isOver)
             return StopStep::None;
         phase_ = Phase::Exiting;
         return StopStep::Exit;
--- a/Source/Balancer/StopSequence.h
+++ b/Source/Balancer/StopSequence.h
@@ -20,10 +20,22 @@
     std::chrono::milliseconds leavePatience { 5000 };
     // How long it goes on serving after the others were told, so that the fabric and the callers turn away first.
     std::chrono::milliseconds drain { 10'000 };
+    // How long it serves on after that until others hold its claims. While the platform is out nobody can take over.
+    std::chrono::milliseconds claimPatience { 5000 };
     // How long it waits after that for the answers of open requests.
     std::chrono::milliseconds requestPatience { 30'000 };
 };
 
+// What the phases of a planned stop wait for.
+struct StopConditions {
+    // No change of a flow table depends on this balancer.
+    bool mayLeave = false;
+    // Others hold what it knew of requests' keys.
+    bool areClaimsReleased = false;
+    // Every open request has been answered, and nothing is under way.
+    bool areRequestsDrained = false;
+};
+
 // The order of a planned stop. Each phase ends by its condition or by its time limit, whichever is first, so that no
 // peer, server or caller can keep the process from stopping.
 class StopSequence {
@@ -35,13 +47,14 @@
     bool isRequested() const { return phase_ != Phase::Running; }
 
     // Call it every 50 to 100 ms. Each step is returned once.
-    StopStep tick(bool mayLeave, bool requestsDrained, TimePoint now);
+    StopStep tick(const StopConditions&, TimePoint now);
 
 private:
     enum class Phase {
         Running,
         AwaitingLeave,
         Draining,
+        AwaitingClaims,
         AwaitingRequests,
         Exiting,
     };
--- /dev/null
+++ b/Source/Balancer/TryForwarder.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "Balancer/HolderLink.h"
+#include "Balancer/Http2ClientPool.h"
+#include "Balancer/RequestHop.h"
+#include "Core/Clock.h"
+#include "Request/AnswerBook.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+
+namespace wisteriadock {
+
+// How a forwarded try ended.
+struct ForwardEnds {
+    std::function<void(TryId, HttpResponse)> onAnswer;
+    // The owner's own word.
+    std::function<void(TryId, const Refusal&)> onRefusal;
+    // Without the owner's word: the work may have run.
+    std::function<void(TryId, RefusalReason)> onLost;
+    // The owner does not own the key any more, or never got the try: route it again.
+    std::function<void(TryId, const Holder& owner)> onRedirect;
+};
+
+// Sends tries over HTTP/2 to the balancers that own their keys and takes the answers. RequestControl calls it.
+class TryForwarder {
+public:
+    // The link outlives the forwarder.
+    TryForwarder(boost::asio::io_context&, HolderLink&, const Holder& self, const Http2Limits&, ForwardEnds);
+    // What still ends afterwards is told to nobody.
+    ~TryForwarder() { alive_.reset(); }
+    TryForwarder(const TryForwarder&) = delete;
+    TryForwarder& operator=(const TryForwarder&) = delete;
+
+    // Exactly one of the ends follows, unless the try is cancelled.
+    void forward(TryId, const HttpRequest&, const KeyDigest&, std::optional<RefusalReason> problem, const Holder& owner,
+        TimePoint deadline);
+    void cancel(TryId);
+    void acknowledge(const Holder& from, const ForwardToken& token) { book_.acknowledge(from, token); }
+    // Gives up what went to owners that are dead or have started again.
+    void applyMembers();
+    void tick(TimePoint now);
+
+private:
+    struct Hop {
+        TryId id = 0;
+        KeyDigest key;
+        Holder owner;
+        Endpoint address;
+        Http2Client::RequestId request = 0;
+    };
+
+    void finish(const ForwardToken&, HttpOutcome);
+    void finishFailed(const ForwardToken&, const Hop&, HttpFailureKind);
+    void finishAnswered(const ForwardToken&, const Hop&, HopAnswer);
+    void abandon(const AbandonedForward&);
+    void closeHop(TryId);
+
+    HolderLink& link_;
+    Holder self_;
+    ForwardEnds ends_;
+    AnswerBook book_;
+    // By token number. A hop that is not here any more is nobody's.
+    std::map<std::uint64_t, Hop> hops_;
+    std::shared_ptr<int> alive_ = std::make_shared<int>(0);
+    Http2ClientPool clients_;
+};
+
+}
--- /dev/null
+++ b/Source/Balancer/WorkSender.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "Balancer/Http2ClientPool.h"
+#include "Configuration/Configuration.h"
+#include "Request/RequestActions.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace wisteriadock {
+
+// Sends work to backend servers over HTTP/2, each once, and tells how it ended. RequestControl calls it.
+class WorkSender {
+public:
+    using Handler = std::function<void(WorkId, BackendServerId, HttpOutcome)>;
+
+    WorkSender(boost::asio::io_context&, const Http2Limits&, Handler);
+    // What still ends afterwards is told to nobody.
+    ~WorkSender() { alive_.reset(); }
+    WorkSender(const WorkSender&) = delete;
+    WorkSender& operator=(const WorkSender&) = delete;
+
+    void applyConfiguration(const Configuration&);
+    // The handler runs once later. The server is told how long there is until the deadline.
+    void send(const StartWork&, const BackendServer&, HttpRequest);
+    // Resets the stream; the failure follows.
+    void cancel(WorkId);
+
+private:
+    struct Sent {
+        Endpoint address;
+        Http2Client::RequestId request = 0;
+    };
+
+    Handler onEnded_;
+    std::map<WorkId, Sent> sent_;
+    std::shared_ptr<int> alive_ = std::make_shared<int>(0);
+    Http2ClientPool clients_;
+};
+
+}
--- a/Tests/Balancer/BalancerSettingsTest.cpp
+++ b/Tests/Balancer/BalancerSettingsTest.cpp
@@ -43,6 +43,8 @@
         EXPECT_EQ(settings.flow.policy, FlowPolicy::Protected);
         EXPECT_EQ(settings.packetThreads, 2U);
         EXPECT_EQ(settings.drain, 10s);
+        EXPECT_TRUE(settings.isAtMostOnce);
+        EXPECT_EQ(settings.requestPolicy, RequestPolicy::Default);
     }
 
     TEST(BalancerSettingsTest, readsEverySection)
@@ -61,6 +63,9 @@
 [request]
 body_bytes = 1000
 default_deadline_milliseconds = 250
+at_most_once = off
+policy = blind_retry
+availability_zones = nabua, walu
 [drain]
 seconds = 3
 [log]
@@ -72,6 +77,9 @@
         ASSERT_EQ(problems.toString(), "");
         EXPECT_EQ(settings.advertise.flow, (Endpoint { 0xc0000201, 5000 }));
         EXPECT_EQ(settings.seeds.size(), 2U);
+        EXPECT_FALSE(settings.isAtMostOnce);
+        EXPECT_EQ(settings.requestPolicy, RequestPolicy::BlindRetry);
+        EXPECT_EQ(settings.availabilityZones, (std::vector<std::string> { "nabua", "walu" }));
         EXPECT_EQ(settings.flow.policy, FlowPolicy::Modulo);
         EXPECT_EQ(settings.flow.trackedFlows, 5000U);
         EXPECT_EQ(settings.flow.reportPatience, 700ms);
@@ -128,6 +136,21 @@
         EXPECT_THAT(problemsOf(text), HasSubstr("default_deadline_milliseconds = 20"));
     }
 
+    // Symptom: two balancers each run the same key.
+    // Sequence: one list of zones is written with a slip of the pen.
+    // Cause: the home of a key is chosen from the list, and the slip went through as a zone of its own.
+    TEST(BalancerSettingsTest, refusesAListOfZonesThatCantBeRight)
+    {
+        const auto problemsWith = [](const std::string& zones) {
+            return problemsOf(std::string(smallest) + "[request]\navailability_zones = " + zones + "\n");
+        };
+        EXPECT_EQ(problemsWith("walu"), "");
+        EXPECT_THAT(problemsWith("nabua, laucala"), HasSubstr("a list with the own one, walu"));
+        EXPECT_THAT(problemsWith("walu, walu"), HasSubstr("each once"));
+        EXPECT_THAT(problemsWith("walu,,nabua"), HasSubstr("names without dots"));
+        EXPECT_THAT(problemsWith("walu, na.bua"), HasSubstr("names without dots"));
+    }
+
     TEST(BalancerSettingsTest, namesAFileThatCantBeRead)
     {
         const auto settings = BalancerSettings::load("/nonexistent/b1.ini");
--- /dev/null
+++ b/Tests/Balancer/RequestControlTest.cpp
@@ -0,0 +1,198 @@
+#include "Balancer/RequestGroup.h"
+
+#include <nlohmann/json.hpp>
+
+namespace wisteriadock {
+
+namespace {
+
+    // The server's answer is long, so that one that is cut or mixed would show.
+    HttpResponse answerOf(const std::string& mark)
+    {
+        return {
+            .status = 201, .headers = { { "location", "/confirmations/9" } }, .body = std::string(200'000, 'a') + mark
+        };
+    }
+
+    class RequestControlTest : public RequestGroup { };
+
+    // Symptom: a fit confirmation is billed twice.
+    // Sequence: the caller hears nothing for a while and sends the same key to another balancer.
+    // Cause: each balancer knew only what it had sent itself.
+    TEST_F(RequestControlTest, runsTheSameKeyAtTwoBalancersOnce)
+    {
+        start(3);
+        const Call first = call(0, confirmation("order-17"));
+        awaitRuns(1);
+        const Call second = call(1, confirmation("order-17"));
+        const Call third = call(2, confirmation("order-17"));
+        // A later key that comes through the same balancers shows that the tries above have been dealt with.
+        const Call other = call(1, confirmation("order-18"));
+        const Call another = call(2, confirmation("order-19"));
+        awaitRuns(3);
+
+        runs_[0]->respond(answerOf("17"));
+        for (const Call& each : { first, second, third }) {
+            const HttpResponse answer = await(each);
+            EXPECT_EQ(answer.status, 201);
+            EXPECT_EQ(answer.header("location"), "/confirmations/9");
+            EXPECT_EQ(answer.body, answerOf("17").body);
+            EXPECT_EQ(answer.header("x-wisteriadock-ending"), "");
+        }
+        {
+            SCOPED_TRACE("a retry after the end; the answer was too long to be kept");
+            const HttpResponse retried = await(call(1, confirmation("order-17")));
+            EXPECT_EQ(retried.status, 409);
+            EXPECT_EQ(executedOf(retried), "unknown");
+        }
+        EXPECT_EQ(runs_.size(), 3U);
+    }
+
+    // Symptom: work runs twice after a VM is lost.
+    // Sequence: a key's owner dies after sending the work; the caller sends the key to another balancer.
+    // Cause: the claim died with its only holder.
+    TEST_F(RequestControlTest, runsNothingAgainWhenTheOwnerIsLostInMidWork)
+    {
+        start(3);
+        const Call first = call(0, confirmation("order-17"));
+        awaitRuns(1);
+        const std::size_t owner = ownerOf("order-17");
+        const std::size_t next = (owner + 1) % 3;
+        const Call joined = call(next, confirmation("order-17"));
+        kill(owner);
+        publishMembers();
+        {
+            SCOPED_TRACE("who waits for the owner hears at once that it is not known");
+            const HttpResponse answer = await(joined);
+            EXPECT_EQ(executedOf(answer), "unknown");
+        }
+        {
+            SCOPED_TRACE("a retry under the next owner");
+            const HttpResponse answer = await(call((owner + 2) % 3, confirmation("order-17")));
+            EXPECT_EQ(executedOf(answer), "unknown");
+        }
+        std::size_t runsOfKey = 0;
+        for (const auto& run : runs_)
+            runsOfKey += run->request().header("idempotency-key") == "order-17" ? 1 : 0;
+        EXPECT_EQ(runsOfKey, 1U);
+    }
+
+    // Symptom: a caller is told "not run" and sends the work as new, but it had run.
+    // Sequence: no server takes work; the key's owner is another balancer than the one asked.
+    // Cause: the refusal spoke for the try and not for the key.
+    TEST_F(RequestControlTest, refusesAsNotRunOnlyWhatDidNotRun)
+    {
+        start(2);
+        const Call ran = call(0, confirmation("order-17"));
+        awaitRuns(1);
+        runs_[0]->respond(answerOf("17"));
+        EXPECT_EQ(await(ran).status, 201);
+        configure(BackendServerState::Draining);
+        for (std::size_t balancer : { 0, 1 }) {
+            const HttpResponse fresh = await(call(balancer, confirmation("order-18-" + std::to_string(balancer))));
+            EXPECT_EQ(fresh.status, 503);
+            EXPECT_EQ(executedOf(fresh), "no");
+            EXPECT_FALSE(fresh.header("retry-after").empty());
+            EXPECT_EQ(executedOf(await(call(balancer, confirmation("order-17")))), "unknown");
+
+            HttpRequest late = confirmation("order-17");
+            late.headers.push_back({ "x-deadline-milliseconds", "0" });
+            const HttpResponse absurd = await(call(balancer, late));
+            EXPECT_EQ(absurd.status / 100, 4);
+            EXPECT_EQ(executedOf(absurd), "unknown");
+        }
+        EXPECT_EQ(runs_.size(), 1U);
+    }
+
+    // Symptom: a planned stop cuts off a request that a backend server is working on.
+    // Sequence: the owner of a key leaves while the work is under way and its caller waits at another balancer.
+    // Cause: the stop waited for the streams of its own callers alone.
+    TEST_F(RequestControlTest, finishesWhatIsInFlightBeforeAPlannedStop)
+    {
+        start(2);
+        const Call warmUp = call(0, confirmation("order-16"));
+        awaitRuns(1);
+        runs_[0]->respond(answerOf("16"));
+        await(warmUp);
+        const std::size_t owner = ownerOf("order-17");
+        RequestControl& leaver = *balancers_[owner].control;
+        const Call waiting = call(1 - owner, confirmation("order-17"));
+        awaitRuns(2);
+
+        EXPECT_FALSE(leaver.isReleased(Clock::now()));
+        balancers_[owner].member.state = MemberState::Leaving;
+        publishMembers();
+        runUntil([&] { return leaver.isReleased(Clock::now()); });
+        EXPECT_FALSE(leaver.isIdle());
+
+        runs_[1]->respond(answerOf("17"));
+        EXPECT_EQ(await(waiting).body, answerOf("17").body);
+        runUntil([&] { return leaver.isIdle(); });
+        {
+            SCOPED_TRACE("the heir knows that the key ran");
+            kill(owner);
+            publishMembers();
+            EXPECT_EQ(executedOf(await(call(1 - owner, confirmation("order-17")))), "unknown");
+            EXPECT_EQ(runs_.size(), 2U);
+        }
+    }
+
+    TEST_F(RequestControlTest, refusesWrongRequestsWithoutRunningThem)
+    {
+        start(1);
+        const HttpResponse noKey = await(call(0, confirmation("")));
+        EXPECT_EQ(noKey.status, 400);
+        EXPECT_EQ(executedOf(noKey), "no");
+        EXPECT_EQ(await(call(0, confirmation(std::string(300, 'k')))).status, 400);
+
+        HttpRequest foreign = confirmation("order-17");
+        foreign.authority = "nowhere";
+        const HttpResponse unknownService = await(call(0, foreign));
+        EXPECT_EQ(unknownService.status, 404);
+        EXPECT_EQ(executedOf(unknownService), "no");
+        EXPECT_EQ(runs_.size(), 0U);
+    }
+
+    TEST_F(RequestControlTest, issuesTicketsThatServeAsKeys)
+    {
+        start(2);
+        HttpRequest request;
+        request.path = "/wisteriadock/ticket";
+        request.authority = "b0";
+        HttpResponse issued;
+        do
+            issued = await(call(0, request));
+        while (issued.status == 503);
+        const std::string ticket = nlohmann::json::parse(issued.body).at("ticket");
+        EXPECT_TRUE(ticket.starts_with("walu.e"));
+        const Call used = call(1, confirmation(ticket));
+        awaitRuns(1);
+        runs_[0]->respond({ .status = 200, .headers = {}, .body = "done" });
+        EXPECT_EQ(await(used).body, "done");
+        EXPECT_EQ(await(call(0, confirmation(ticket))).body, "done");
+        EXPECT_EQ(runs_.size(), 1U);
+    }
+
+    // Symptom: a server without room makes a caller wait for nothing, or a request runs twice.
+    // Sequence: the server sheds with 503; the balancer takes that for the answer, or sends again what ran.
+    // Cause: an answer's status alone does not say whether the work ran.
+    TEST_F(RequestControlTest, sendsAgainOnlyWhatAServerSaysNotToHaveRun)
+    {
+        start(1);
+        const Call shed = call(0, confirmation("order-17"));
+        awaitRuns(1);
+        runs_[0]->respond({ .status = 503, .headers = { { "x-executed", "no" } }, .body = {} });
+        awaitRuns(2);
+        runs_[1]->respond({ .status = 200, .headers = {}, .body = "done" });
+        EXPECT_EQ(await(shed).body, "done");
+
+        const Call lost = call(0, confirmation("order-18"));
+        awaitRuns(3);
+        runs_[2].reset();
+        EXPECT_EQ(executedOf(await(lost)), "unknown");
+        EXPECT_EQ(runs_.size(), 3U);
+    }
+
+}
+
+}
--- a/Tests/Balancer/RequestFrontTest.cpp
+++ b/Tests/Balancer/RequestFrontTest.cpp
@@ -194,6 +194,18 @@
         EXPECT_NE(answer_->value().body.find(R"("executed":"unknown")"), std::string::npos);
     }
 
+    // The baseline of experiments: without it they could not show that they see double runs.
+    TEST_F(RequestFrontTest, runsWorkAgainWhenToldToRetryBlindly)
+    {
+        front_->retryBlindly();
+        call(confirmation());
+        awaitExchange();
+        exchanges_.front().reset();
+        runUntil([this] { return exchanges_.size() == 2; });
+        exchanges_.back()->respond({ .status = 200, .headers = {}, .body = "ran twice" });
+        EXPECT_EQ(awaitAnswer().body, "ran twice");
+    }
+
     TEST_F(RequestFrontTest, drainsOnlyAfterTheLastAnswer)
     {
         call(confirmation());
--- /dev/null
+++ b/Tests/Balancer/RequestGroup.cpp
@@ -0,0 +1,178 @@
+#include "Balancer/RequestGroup.h"
+
+#include "Balancer/ClaimTermText.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace wisteriadock {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    const std::vector<std::string> zones { "walu" };
+
+}
+
+void RequestGroup::SetUp()
+{
+    PlatformTest::SetUp();
+    const auto run = [this](const std::shared_ptr<Http2Exchange>& exchange) { runs_.push_back(exchange); };
+    server_ = std::move(Http2Server::listen(context_, anyLoopbackPort, run).value());
+}
+
+void RequestGroup::TearDown()
+{
+    for (std::size_t i = 0; i < balancers_.size(); ++i)
+        kill(i);
+}
+
+void RequestGroup::start(std::size_t count)
+{
+    for (std::size_t i = 0; i < count; ++i) {
+        balancers_.emplace_back();
+        startOne(i);
+    }
+    publishMembers();
+    configure(BackendServerState::Active);
+}
+
+void RequestGroup::startOne(std::size_t index)
+{
+    Balancer& balancer = balancers_[index];
+    const auto onMessage = [&balancer](const PeerEnvelope& envelope, Endpoint) {
+        if (balancer.control)
+            balancer.control->receive(envelope);
+    };
+    balancer.link = std::move(PeerLink::open(context_, anyLoopbackPort, onMessage).value());
+    const auto ownPages = [&balancer](const std::shared_ptr<Http2Exchange>& exchange) {
+        if (exchange->request().path != "/wisteriadock/ticket")
+            return false;
+        exchange->respond(balancer.control->issueTicket());
+        return true;
+    };
+    balancer.front
+        = std::move(RequestFront::listen(context_, anyLoopbackPort, {}, balancer.decisions, ownPages).value());
+    balancer.platform = std::make_unique<PlatformClient>(context_, standIn_->address());
+    balancer.caller = std::make_unique<Http2Client>(context_, balancer.front->address());
+
+    Member& member = balancer.member;
+    member.name = "b" + std::to_string(index);
+    member.id = balancerIdOf(member.name);
+    member.availabilityZone = zones.front();
+    member.peerAddress = balancer.link->address();
+    member.requestAddress = balancer.front->address();
+    member.incarnation = 1000 + index;
+    member.state = MemberState::Serving;
+
+    RequestControlSettings settings;
+    settings.self = { member.id, member.incarnation };
+    settings.availabilityZone = zones.front();
+    settings.zones = zones;
+    settings.seed = index;
+    balancer.control = std::make_unique<RequestControl>(context_, *balancer.link, *balancer.platform, settings);
+    balancer.front->setControl(balancer.control.get());
+}
+
+void RequestGroup::kill(std::size_t index)
+{
+    Balancer& balancer = balancers_[index];
+    balancer.front.reset();
+    balancer.control.reset();
+    balancer.link.reset();
+    balancer.member.state = MemberState::Dead;
+}
+
+void RequestGroup::publishMembers()
+{
+    MembersView view;
+    view.revision = ++revision_;
+    for (const Balancer& balancer : balancers_)
+        view.members.push_back(balancer.member);
+    std::ranges::sort(view.members, {}, &Member::id);
+    for (Balancer& balancer : balancers_) {
+        view.self = balancer.member.id;
+        if (balancer.control)
+            balancer.control->applyMembers(std::make_shared<const MembersView>(view));
+    }
+}
+
+void RequestGroup::configure(BackendServerState state)
+{
+    Configuration configuration;
+    configuration.services = { { .name = "tryon", .id = serviceIdOf("tryon"), .address = {} } };
+    BackendServer server;
+    server.name = "try1";
+    server.id = backendServerIdOf("try1");
+    server.service = serviceIdOf("tryon");
+    server.availabilityZone = zones.front();
+    server.requestAddress = server_->address();
+    server.slots = 6;
+    server.state = state;
+    configuration.backendServers = { server };
+    const auto shared = std::make_shared<const Configuration>(configuration);
+    for (Balancer& balancer : balancers_) {
+        if (!balancer.control)
+            continue;
+        balancer.front->applyConfiguration(shared);
+        balancer.control->applyConfiguration(shared);
+    }
+}
+
+RequestGroup::Call RequestGroup::call(std::size_t balancer, const HttpRequest& request)
+{
+    auto outcome = std::make_shared<std::optional<HttpOutcome>>();
+    balancers_[balancer].caller->send(
+        request, Clock::now() + 20s, [outcome](HttpOutcome result) { outcome->emplace(std::move(result)); });
+    return outcome;
+}
+
+HttpRequest RequestGroup::confirmation(const std::string& key)
+{
+    HttpRequest request;
+    request.method = "POST";
+    request.path = "/confirmations";
+    request.authority = "tryon";
+    request.body = std::string(50'000, 'c');
+    if (!key.empty())
+        request.headers = { { "idempotency-key", key } };
+    return request;
+}
+
+void RequestGroup::awaitRuns(std::size_t count)
+{
+    runUntil([&] { return runs_.size() >= count; });
+}
+
+HttpResponse RequestGroup::await(const Call& call)
+{
+    runUntil([&] { return call->has_value(); });
+    if (!call->has_value() || !(*call)->has_value()) {
+        ADD_FAILURE() << "the call got no answer";
+        return {};
+    }
+    return (*call)->value();
+}
+
+std::string RequestGroup::executedOf(const HttpResponse& response)
+{
+    const auto body = nlohmann::json::parse(response.body, nullptr, false);
+    return body.is_object() ? body.value("executed", "") : "";
+}
+
+std::size_t RequestGroup::ownerOf(const std::string& key)
+{
+    std::optional<Holder> owner;
+    const KeyDigest digest = RequestKey::parse(key, zones).value().digest;
+    operator_->get(claimTermKey(zones.front()), Clock::now() + 20s, [&](const Result<PlatformEntry>& entry) {
+        owner = readClaimTerm(entry.value().value).value().pairOf(claimBucketOf(digest))->owner;
+    });
+    runUntil([&] { return owner.has_value(); });
+    const auto found
+        = std::ranges::find_if(balancers_, [&](const Balancer& balancer) { return balancer.member.id == owner->id; });
+    return found - balancers_.begin();
+}
+
+}
--- a/Tests/Balancer/StopSequenceTest.cpp
+++ b/Tests/Balancer/StopSequenceTest.cpp
@@ -10,13 +10,16 @@
 
     class StopSequenceTest : public testing::Test {
     protected:
-        StopStep tick(bool mayLeave, bool requestsDrained)
+        StopStep tick(bool mayLeave, bool areRequestsDrained, bool areClaimsReleased = true)
         {
-            return sequence_.tick(mayLeave, requestsDrained, clock_.now());
+            return sequence_.tick({ .mayLeave = mayLeave,
+                                      .areClaimsReleased = areClaimsReleased,
+                                      .areRequestsDrained = areRequestsDrained },
+                clock_.now());
         }
 
         ManualClock clock_;
-        StopSequence sequence_ { { .leavePatience = 5s, .drain = 10s, .requestPatience = 30s } };
+        StopSequence sequence_ { { .leavePatience = 5s, .drain = 10s, .claimPatience = 5s, .requestPatience = 30s } };
     };
 
     TEST_F(StopSequenceTest, passesThroughEachPhaseOnItsCondition)
@@ -38,6 +41,10 @@
             clock_.advance(9s);
             EXPECT_EQ(tick(true, true), StopStep::None);
             clock_.advance(1s);
+        }
+        {
+            SCOPED_TRACE("others still reach it while it holds the claims");
+            EXPECT_EQ(tick(true, true, false), StopStep::None);
             EXPECT_EQ(tick(true, true), StopStep::DrainRequests);
         }
         {
@@ -56,7 +63,9 @@
         clock_.advance(5s);
         EXPECT_EQ(tick(false, false), StopStep::Leave);
         clock_.advance(10s);
-        EXPECT_EQ(tick(false, false), StopStep::DrainRequests);
+        EXPECT_EQ(tick(false, false, false), StopStep::None);
+        clock_.advance(5s);
+        EXPECT_EQ(tick(false, false, false), StopStep::DrainRequests);
         clock_.advance(29s);
         EXPECT_EQ(tick(false, false), StopStep::None);
         clock_.advance(1s);
