--- a/Source/Experiment/PathScenario.cpp
+++ b/Source/Experiment/PathScenario.cpp
@@ -58,7 +58,8 @@
     for (const auto& [name, record] : records)
         wrongService += record.wrongServicePackets;
     Rows& rows = context.rows;
-    for (const char* name : { "flows_established", "flows_broken", "requests_sent", "requests_answered" })
+    for (const char* name :
+        { "flows_established", "flows_broken", "requests_sent", "requests_answered", "requests_refused" })
         rows.set(name, caller->row(name));
     rows.set("wrong_service_packets", wrongService);
     rows.set("faults_injected", control.proxyFaults());
--- a/Source/FaultProxy/main.cpp
+++ b/Source/FaultProxy/main.cpp
@@ -5,6 +5,7 @@
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
+#include <absl/flags/usage_config.h>
 #include <boost/asio/signal_set.hpp>
 #include <fmt/format.h>
 
@@ -53,6 +54,11 @@
 int main(int argc, char** argv)
 {
     absl::SetProgramUsageMessage("Carries TCP and UDP links between processes and injects faults on them.");
+    absl::FlagsUsageConfig config;
+    config.version_string = [] { return std::string("wisteriadock-fault-proxy " WISTERIADOCK_VERSION "\n"); };
+    config.contains_help_flags = [](auto file) { return file.find("FaultProxy/main.cpp") != file.npos; };
+    config.contains_helpshort_flags = config.contains_help_flags;
+    absl::SetFlagsUsageConfig(config);
     absl::ParseCommandLine(argc, argv);
     return wisteriadock::run();
 }
