Balancer: Repeat the receipt of a forwarded try, and prove keys of two zones

Cause: the owner said once, by datagram, that a forwarded try had come. One lost datagram, and the forwarding balancer gave the try up after a second as unknown while its work was under way. The receipt is now said up to three times. An interim HTTP answer in its place was ruled out: the server has none.

New tests: keys of two zones stay at home when the other zone is gone, and the whole daemon issues a ticket and runs work under it. The loss of a receipt itself has no test yet.

--- a/Source/Balancer/BalancerDaemon.cpp
+++ b/Source/Balancer/BalancerDaemon.cpp
@@ -228,6 +228,7 @@
         return;
     }
     log_.info(stop_.isRequested() ? "stopping at once" : "planned stop begins");
+    engine_.beginLeave();
     stop_.request(Clock::now());
     advanceStop();
 }
--- a/Source/Balancer/RequestControl.cpp
+++ b/Source/Balancer/RequestControl.cpp
@@ -25,6 +25,9 @@
     // How long a try waits for the first ownership record, at the start of a balancer.
     constexpr auto firstRecordPatience = 2000ms;
     constexpr auto comeBackIn = 1000ms;
+    // Within the time after which the forwarding balancer gives the try up.
+    constexpr auto receiptPeriod = 200ms;
+    constexpr int receiptRepeats = 2;
     constexpr auto loanSlack = 5000ms;
 
     RunnerSettings runnerSettingsOf(const RequestControlSettings& settings)
@@ -138,6 +141,7 @@
     runner_.tick(now);
     forwarder_.tick(now);
     routeDue(now);
+    repeatReceipts(now);
     act();
 }
 
@@ -230,6 +234,20 @@
     }
 }
 
+// What goes wrong without it: one lost datagram, and a try whose work is under way is answered "unknown".
+void RequestControl::repeatReceipts(TimePoint now)
+{
+    for (LaterReceipt& receipt : receipts_) {
+        if (now < receipt.at)
+            continue;
+        receipt.at = now + receiptPeriod;
+        receipt.left = tries_.find(receipt.id) ? receipt.left - 1 : -1;
+        if (receipt.left >= 0)
+            link_.send(receipt.token.entry, TryReceived { receipt.token });
+    }
+    std::erase_if(receipts_, [](const LaterReceipt& receipt) { return receipt.left <= 0; });
+}
+
 bool RequestControl::takeFromBalancer(const std::shared_ptr<Http2Exchange>& exchange)
 {
     const std::string& path = exchange->request().path;
@@ -266,6 +284,7 @@
     checked.problem = hop.value().problem;
     const OpenTry& opened = tries_.open(
         exchange, checked, *configuration_, std::make_shared<const HttpRequest>(std::move(hop.value().request)));
+    receipts_.push_back({ opened.attempt.id, hop.value().token, now + receiptPeriod, receiptRepeats });
     runner_.arrive(opened.attempt, now);
     act();
 }
--- a/Source/Balancer/RequestControl.h
+++ b/Source/Balancer/RequestControl.h
@@ -77,6 +77,13 @@
     RequestFigures figures() const;
 
 private:
+    // The word that a forwarded try has come, to be said again: datagrams get lost.
+    struct LaterReceipt {
+        TryId id = 0;
+        ForwardToken token;
+        TimePoint at;
+        int left = 0;
+    };
     struct LaterRoute {
         TryId id = 0;
         TimePoint at;
@@ -86,6 +93,7 @@
     void scheduleTick();
     void tick(TimePoint now);
     void routeDue(TimePoint now);
+    void repeatReceipts(TimePoint now);
     void handle(const Holder& from, const BalancerMessage&);
     void takeHop(const std::shared_ptr<Http2Exchange>&);
 
@@ -114,6 +122,7 @@
     std::shared_ptr<const Configuration> configuration_ = std::make_shared<const Configuration>();
     OpenTries tries_;
     std::vector<LaterRoute> later_;
+    std::vector<LaterReceipt> receipts_;
     std::uint64_t recoveries_ = 0;
     std::shared_ptr<int> alive_ = std::make_shared<int>(0);
 
--- a/Tests/Balancer/BalancerDaemonTest.cpp
+++ b/Tests/Balancer/BalancerDaemonTest.cpp
@@ -10,6 +10,7 @@
 #include <csignal>
 #include <optional>
 #include <thread>
+#include <utility>
 
 namespace wisteriadock {
 
@@ -129,6 +130,24 @@
             runUntil([this] { return !packets_.empty(); });
             EXPECT_EQ(packets_.front(), header);
         }
+        {
+            SCOPED_TRACE("a key of the balancer's own making, and work under it");
+            do {
+                call("/wisteriadock/ticket", "b1");
+                runUntil([this] { return answer_.has_value(); });
+            } while (answer_->value().status == 503);
+            HttpRequest request;
+            request.method = "POST";
+            request.authority = "tryon";
+            request.headers = { { "idempotency-key", nlohmann::json::parse(answer_->value().body).at("ticket") } };
+            answer_.reset();
+            client_->send(
+                request, Clock::now() + 20s, [this](HttpOutcome outcome) { answer_.emplace(std::move(outcome)); });
+            runUntil([this] { return exchange_ != nullptr; });
+            std::exchange(exchange_, nullptr)->respond({ .status = 201, .headers = {}, .body = "confirmed" });
+            runUntil([this] { return answer_.has_value(); });
+            EXPECT_EQ(answer_->value().body, "confirmed");
+        }
         {
             SCOPED_TRACE("a request, answered although the stop began meanwhile");
             call("/overlay", "tryon");
--- a/Tests/Balancer/RequestControlTest.cpp
+++ b/Tests/Balancer/RequestControlTest.cpp
@@ -153,6 +153,34 @@
         EXPECT_EQ(runs_.size(), 0U);
     }
 
+    // Symptom: a zone that is cut off runs keys that the other side runs as well, or no key at all.
+    // Sequence: a caller sends keys of both zones to one balancer; then the other zone can't be reached.
+    // Cause: the owner was looked for among the balancers that happen to be alive.
+    TEST_F(RequestControlTest, keepsEachKeyInItsHomeZone)
+    {
+        start(4, { "walu", "nabua" });
+        const Call near = call(0, confirmation("walu.order-17"));
+        const Call far = call(0, confirmation("nabua.order-17"));
+        awaitRuns(2);
+        for (const auto& run : runs_)
+            run->respond(
+                { .status = 200, .headers = {}, .body = std::string(run->request().header("idempotency-key")) });
+        EXPECT_EQ(await(near).body, "walu.order-17");
+        EXPECT_EQ(await(far).body, "nabua.order-17");
+
+        kill(1);
+        kill(3);
+        publishMembers();
+        const HttpResponse refused = await(call(0, confirmation("nabua.order-18")));
+        EXPECT_EQ(refused.status, 503);
+        EXPECT_EQ(executedOf(refused), "unknown");
+        EXPECT_FALSE(refused.header("retry-after").empty());
+        const Call stillNear = call(2, confirmation("walu.order-18"));
+        awaitRuns(3);
+        runs_[2]->respond({ .status = 200, .headers = {}, .body = "done" });
+        EXPECT_EQ(await(stillNear).body, "done");
+    }
+
     TEST_F(RequestControlTest, issuesTicketsThatServeAsKeys)
     {
         start(2);
--- a/Tests/Balancer/RequestGroup.cpp
+++ b/Tests/Balancer/RequestGroup.cpp
@@ -12,8 +12,6 @@
 
     using namespace std::chrono_literals;
 
-    const std::vector<std::string> zones { "walu" };
-
 }
 
 void RequestGroup::SetUp()
@@ -29,8 +27,9 @@
         kill(i);
 }
 
-void RequestGroup::start(std::size_t count)
+void RequestGroup::start(std::size_t count, std::vector<std::string> zones)
 {
+    zones_ = std::move(zones);
     for (std::size_t i = 0; i < count; ++i) {
         balancers_.emplace_back();
         startOne(i);
@@ -61,7 +60,7 @@
     Member& member = balancer.member;
     member.name = "b" + std::to_string(index);
     member.id = balancerIdOf(member.name);
-    member.availabilityZone = zones.front();
+    member.availabilityZone = zones_[index % zones_.size()];
     member.peerAddress = balancer.link->address();
     member.requestAddress = balancer.front->address();
     member.incarnation = 1000 + index;
@@ -69,8 +68,8 @@
 
     RequestControlSettings settings;
     settings.self = { member.id, member.incarnation };
-    settings.availabilityZone = zones.front();
-    settings.zones = zones;
+    settings.availabilityZone = member.availabilityZone;
+    settings.zones = zones_;
     settings.seed = index;
     balancer.control = std::make_unique<RequestControl>(context_, *balancer.link, *balancer.platform, settings);
     balancer.front->setControl(balancer.control.get());
@@ -107,7 +106,7 @@
     server.name = "try1";
     server.id = backendServerIdOf("try1");
     server.service = serviceIdOf("tryon");
-    server.availabilityZone = zones.front();
+    server.availabilityZone = zones_.front();
     server.requestAddress = server_->address();
     server.slots = 6;
     server.state = state;
@@ -165,8 +164,8 @@
 std::size_t RequestGroup::ownerOf(const std::string& key)
 {
     std::optional<Holder> owner;
-    const KeyDigest digest = RequestKey::parse(key, zones).value().digest;
-    operator_->get(claimTermKey(zones.front()), Clock::now() + 20s, [&](const Result<PlatformEntry>& entry) {
+    const KeyDigest digest = RequestKey::parse(key, zones_).value().digest;
+    operator_->get(claimTermKey(zones_.front()), Clock::now() + 20s, [&](const Result<PlatformEntry>& entry) {
         owner = readClaimTerm(entry.value().value).value().pairOf(claimBucketOf(digest))->owner;
     });
     runUntil([&] { return owner.has_value(); });
--- a/Tests/Balancer/RequestGroup.h
+++ b/Tests/Balancer/RequestGroup.h
@@ -31,7 +31,8 @@
     void SetUp() override;
     void TearDown() override;
 
-    void start(std::size_t count);
+    // They stand in the zones in turn.
+    void start(std::size_t count, std::vector<std::string> zones = { "walu" });
     // The balancer ends without a word.
     void kill(std::size_t index);
     // Tells all who is in which state now.
@@ -43,9 +44,10 @@
     void awaitRuns(std::size_t count);
     HttpResponse await(const Call&);
     static std::string executedOf(const HttpResponse&);
-    // The balancer that owns the key by the platform's record.
+    // The balancer that owns the key of the first zone by the platform's record.
     std::size_t ownerOf(const std::string& key);
 
+    std::vector<std::string> zones_;
     std::deque<Balancer> balancers_;
     std::unique_ptr<Http2Server> server_;
     // What the backend server got to run, ever.
