Flow: Let the arbiter weigh servers, and hand over on a planned stop

Cause: shares of the buckets followed the configured weights alone, so that load stayed uneven after a drain or a return. The arbiter of a service now sets factors (slow start, unhealthy servers within the panic threshold, load of its own traffic); they travel with the change that they belong to, so that all balancers still build one table. Only the arbiter's word counts, so nobody herds.

Ruled out: doing it in the packet path, where balancers would disagree.

--- a/Source/Flow/BucketTable.h
+++ b/Source/Flow/BucketTable.h
@@ -19,6 +19,8 @@
 struct ServerShare {
     BackendServerId server;
     std::uint32_t weight = 0;
+
+    bool operator==(const ServerShare&) const = default;
 };
 
 // Names the backend server of each bucket of one service. It depends on nothing but the policy, the evenness and the
--- a/Source/Flow/ChangeContext.cpp
+++ b/Source/Flow/ChangeContext.cpp
@@ -4,6 +4,28 @@
 
 namespace wisteriadock {
 
+namespace {
+
+    // The first by rendezvous hashing among the serving members that the condition holds for.
+    template <typename Condition>
+    std::optional<BalancerId> firstServing(const MembersView& view, ServiceId service, Condition condition)
+    {
+        std::optional<BalancerId> best;
+        std::uint64_t bestScore = 0;
+        for (const Member& member : view.members) {
+            if (member.state != MemberState::Serving || !condition(member))
+                continue;
+            const std::uint64_t score = hashPair(service.value, member.id.value);
+            if (!best || score > bestScore) {
+                best = member.id;
+                bestScore = score;
+            }
+        }
+        return best;
+    }
+
+}
+
 bool ChangeContext::isAlive(BalancerId id) const
 {
     const Member* member = view.find(id);
@@ -12,18 +34,12 @@
 
 std::optional<BalancerId> ChangeContext::arbiterOf(ServiceId service) const
 {
-    std::optional<BalancerId> best;
-    std::uint64_t bestScore = 0;
-    for (const Member& member : view.members) {
-        if (member.state != MemberState::Serving)
-            continue;
-        const std::uint64_t score = hashPair(service.value, member.id.value);
-        if (!best || score > bestScore) {
-            best = member.id;
-            bestScore = score;
-        }
-    }
-    return best;
+    return firstServing(view, service, [](const Member&) { return true; });
+}
+
+std::optional<BalancerId> ChangeContext::otherArbiterOf(ServiceId service) const
+{
+    return firstServing(view, service, [this](const Member& member) { return member.id != view.self; });
 }
 
 }
--- a/Source/Flow/ChangeContext.h
+++ b/Source/Flow/ChangeContext.h
@@ -30,6 +30,8 @@
     }
     // The balancer that should lead changes of the service: the first by rendezvous hashing among the serving ones.
     std::optional<BalancerId> arbiterOf(ServiceId) const;
+    // The same among the others.
+    std::optional<BalancerId> otherArbiterOf(ServiceId) const;
 };
 
 }
--- a/Source/Flow/ExceptionDeliveries.cpp
+++ b/Source/Flow/ExceptionDeliveries.cpp
@@ -27,16 +27,10 @@
 
 void ExceptionDeliveries::sendDue(const FlowMessage& header, const ChangeContext& context)
 {
+    announceSwitches(header, context);
     for (auto& [to, delivery] : deliveries_) {
         FlowMessage message = header;
         message.targetGeneration = delivery.generation;
-        const bool announceAgain = !delivery.parts.anyAcknowledged()
-            && context.now - delivery.switchAnnouncedAt >= context.settings.retryInterval;
-        if (announceAgain) {
-            delivery.switchAnnouncedAt = context.now;
-            message.kind = static_cast<std::uint8_t>(FlowMessageKind::Switch);
-            context.send(to, message);
-        }
         message.kind = static_cast<std::uint8_t>(FlowMessageKind::Exceptions);
         while (const auto part = delivery.parts.nextDue(context.now, context.settings.retryInterval)) {
             delivery.parts.fill(message, *part);
@@ -48,6 +42,20 @@
     }
 }
 
+// Small, and outside of the budget: a receiver whose parts have to wait must not take the silence for an end.
+void ExceptionDeliveries::announceSwitches(const FlowMessage& header, const ChangeContext& context)
+{
+    for (auto& [to, delivery] : deliveries_) {
+        if (context.now - delivery.switchAnnouncedAt < context.settings.retryInterval)
+            continue;
+        delivery.switchAnnouncedAt = context.now;
+        FlowMessage message = header;
+        message.targetGeneration = delivery.generation;
+        message.kind = static_cast<std::uint8_t>(FlowMessageKind::Switch);
+        context.send(to, std::move(message));
+    }
+}
+
 void ExceptionDeliveries::dropDead(const ChangeContext& context)
 {
     std::erase_if(deliveries_, [&](const auto& delivery) { return !context.isAlive(delivery.first); });
--- a/Source/Flow/ExceptionDeliveries.h
+++ b/Source/Flow/ExceptionDeliveries.h
@@ -18,8 +18,8 @@
     // Counts an acknowledgement. Returns whether it was the last one of its delivery.
     bool acknowledge(BalancerId from, const FlowMessage& ack);
 
-    // Sends what is due. The header gives service and generations; the switch is announced again until the receiver
-    // has answered something, since an arbiter that dies must leave no one in doubt whether it had switched.
+    // Sends what is due. The header gives service and generations. The switch is announced again and again, since an
+    // arbiter that dies must leave no one in doubt whether it had switched.
     void sendDue(const FlowMessage& header, const ChangeContext&);
 
     // Gives up on balancers that are no longer up.
@@ -35,6 +35,8 @@
         TimePoint switchAnnouncedAt;
     };
 
+    void announceSwitches(const FlowMessage& header, const ChangeContext&);
+
     std::map<BalancerId, Delivery> deliveries_;
 };
 
--- a/Source/Flow/FlowEngine.cpp
+++ b/Source/Flow/FlowEngine.cpp
@@ -2,8 +2,10 @@
 
 #include "Flow/BucketTable.h"
 #include "Flow/ChangeContext.h"
+#include "Flow/ServerWeights.h"
 #include "Flow/ServiceChange.h"
 #include "Flow/ServiceIndex.h"
+#include "Flow/TableSource.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
@@ -21,14 +23,6 @@
     constexpr std::size_t entriesSweptPerTick = 8192;
     constexpr std::size_t shardsSweptPerTick = 64;
 
-    // What a service's table is made from; an equal input gives an equal table.
-    struct TableSource {
-        double evenness = 0;
-        std::vector<std::pair<std::uint32_t, std::uint32_t>> weights;
-
-        bool operator==(const TableSource&) const = default;
-    };
-
     // A configuration grouped for a look at one service after the other.
     struct GroupedServers {
         explicit GroupedServers(const Configuration& configuration)
@@ -43,33 +37,27 @@
         absl::flat_hash_set<Endpoint> usedAddresses;
     };
 
-    TableSource tableSourceOf(const Service& service, const std::vector<const BackendServer*>& servers)
+    TableSource tableSourceOf(
+        FlowPolicy policy, const Service& service, const std::vector<const BackendServer*>& servers)
     {
-        TableSource source { service.evenness, {} };
+        TableSource source { policy, service.id, service.evenness, {} };
         for (const BackendServer* server : servers) {
             if (server->state == BackendServerState::Active)
-                source.weights.emplace_back(server->id.value, server->weight);
+                source.shares.push_back({ server->id, server->weight });
         }
-        std::sort(source.weights.begin(), source.weights.end());
+        std::sort(source.shares.begin(), source.shares.end(),
+            [](const ServerShare& a, const ServerShare& b) { return a.server < b.server; });
         return source;
     }
 
-    std::shared_ptr<const BucketTable> buildTable(FlowPolicy policy, ServiceId service, const TableSource& source)
-    {
-        std::vector<ServerShare> shares;
-        for (const auto& [server, weight] : source.weights)
-            shares.push_back({ { server }, weight });
-        return BucketTable::build(policy, source.evenness, service, shares);
-    }
-
 }
 
 struct FlowEngine::Implementation {
     struct ServiceControl {
         std::shared_ptr<ServiceFlows> flows;
         std::unique_ptr<ServiceChange> change;
-        TableSource tableSource;
-        std::shared_ptr<const BucketTable> table;
+        std::shared_ptr<const TableSource> tableSource;
+        ServerWeights weights;
         std::shared_ptr<const ServerDirectory> directory;
         std::chrono::seconds flowIdle { 0 };
     };
@@ -97,16 +85,19 @@
     bool mayBootstrap() const;
     void reviewSynchronization();
     void sweepIdleFlows(TimePoint now);
+    void reviewWeights(const ChangeContext&);
 
     const FlowSettings settings;
     std::shared_ptr<const MembersView> view;
     std::shared_ptr<TrackingBudget> tracking;
     SendBudget budget;
+    FlowActions noActions;
     ServiceIndex index;
     std::map<ServiceId, ServiceControl> services;
     std::uint64_t version = 0;
     bool synchronized = false;
     std::optional<TimePoint> withoutServingSince;
+    std::optional<TimePoint> weightsReviewedAt;
     std::atomic<TimePoint> lastTick { TimePoint() };
     std::atomic<bool> awaitsContact { false };
     // The shard that the search for idle flows comes to next.
@@ -176,9 +167,14 @@
 FlowActions FlowEngine::handle(BalancerId from, const FlowMessage& message, TimePoint now)
 {
     FlowActions actions;
+    const ChangeContext context = implementation_->context(now, actions);
+    // A promise to somebody whom the view does not show would be taken for one to a dead arbiter, and dropped. The
+    // sender repeats what matters until the view has caught up.
+    if (!context.isAlive(from))
+        return actions;
     const auto service = implementation_->services.find(ServiceId { message.service });
     if (service != implementation_->services.end())
-        service->second.change->handle(from, message, implementation_->context(now, actions));
+        service->second.change->handle(from, message, context);
     implementation_->reviewSynchronization();
     return actions;
 }
@@ -193,6 +189,7 @@
     engine.budget.refill(now);
     const ChangeContext context = engine.context(now, actions);
     engine.considerBootstrap(context);
+    engine.reviewWeights(context);
     for (auto& [id, service] : engine.services)
         service.change->tick(context);
     engine.reviewSynchronization();
@@ -202,10 +199,31 @@
 
 bool FlowEngine::isSynchronized() const { return implementation_->synchronized; }
 
+void FlowEngine::beginLeave()
+{
+    for (auto& [id, service] : implementation_->services)
+        service.change->beginLeave();
+}
+
 bool FlowEngine::mayLeave() const
 {
-    return std::none_of(implementation_->services.begin(), implementation_->services.end(),
-        [](const auto& service) { return service.second.change->owesExceptions(); });
+    return !protectsFlows(implementation_->settings.policy)
+        || std::all_of(implementation_->services.begin(), implementation_->services.end(),
+            [](const auto& service) { return service.second.change->mayLeave(); });
+}
+
+void FlowEngine::setHealth(ServiceId id, BackendServerId server, bool isHealthy, TimePoint now)
+{
+    const auto service = implementation_->services.find(id);
+    if (service != implementation_->services.end())
+        service->second.weights.setHealth(server, isHealthy, now);
+}
+
+bool FlowEngine::isArbiterOf(ServiceId id) const
+{
+    const ChangeContext context { *implementation_->view, implementation_->settings, implementation_->budget, {},
+        implementation_->noActions };
+    return context.arbiterOf(id) == implementation_->view->self;
 }
 
 BackendServerId FlowEngine::serverOfBucket(ServiceId id, std::uint32_t bucket) const
@@ -247,14 +265,14 @@
     for (const Service& service : configuration.services) {
         const std::vector<const BackendServer*>& servers = grouped.byService[service.id];
         ServiceControl& control = controlOf(service);
-        TableSource source = tableSourceOf(service, servers);
-        if (!control.table || source != control.tableSource) {
-            control.table = buildTable(settings.policy, service.id, source);
-            control.tableSource = std::move(source);
-        }
+        TableSource source = tableSourceOf(settings.policy, service, servers);
+        // An equal source stays the same object, by which unchanged services are told.
+        if (!control.tableSource || source != *control.tableSource)
+            control.tableSource = std::make_shared<TableSource>(std::move(source));
         control.directory = directoryOf(servers, grouped.usedAddresses, control.directory, context.now);
         control.flowIdle = std::chrono::seconds(service.flowIdleSeconds);
-        control.change->setTarget(newVersion, control.table, control.directory, context);
+        control.weights.configure(service, servers, context.now);
+        control.change->setVersion(newVersion, control.tableSource, control.directory, context);
     }
     publishIndex(configuration);
 }
@@ -328,6 +346,24 @@
     return true;
 }
 
+// The arbiter of a service says what its servers should get; all others stand by what was agreed, so that one of them
+// that becomes the arbiter does not begin by undoing it.
+void FlowEngine::Implementation::reviewWeights(const ChangeContext& context)
+{
+    const bool isDue = !weightsReviewedAt || context.now - *weightsReviewedAt >= settings.weightsInterval;
+    if (!isDue || !protectsFlows(settings.policy))
+        return;
+    weightsReviewedAt = context.now;
+    for (auto& [id, service] : services) {
+        ServiceChange& change = *service.change;
+        if (change.isArbiter(context))
+            change.wantFactors(
+                service.weights.want(change.factors(), service.flows->table.activeFlowsByServer(), context.now));
+        else
+            change.wantFactors(change.factors());
+    }
+}
+
 void FlowEngine::Implementation::reviewSynchronization()
 {
     // Services that come later do not make this balancer a newcomer again.
--- a/Source/Flow/FlowEngine.h
+++ b/Source/Flow/FlowEngine.h
@@ -57,9 +57,16 @@
     // Call it every 50 to 100 ms.
     FlowActions tick(TimePoint now);
 
+    // What a health check says of a backend server. Only the service's arbiter acts on it, so only it need check.
+    void setHealth(ServiceId, BackendServerId, bool isHealthy, TimePoint now);
+    bool isArbiterOf(ServiceId) const;
+
     // Whether this balancer holds what it needs to decide for all services; it may then call itself Serving.
     bool isSynchronized() const;
-    // Whether a planned stop may be announced: no change of a table depends on this balancer alone.
+    // Begins a planned stop: what only this balancer knows goes to others. Keep ticking.
+    void beginLeave();
+    // Whether the planned stop that has begun may be announced: no flow and no change of a table depends on this
+    // balancer.
     bool mayLeave() const;
     // The server that new flows of a bucket get now, for reports and tests.
     BackendServerId serverOfBucket(ServiceId, std::uint32_t bucket) const;
--- a/Source/Flow/FlowParts.h
+++ b/Source/Flow/FlowParts.h
@@ -46,6 +46,8 @@
     void markSent(std::uint32_t part, TimePoint now);
     // Acknowledgements of other lists are ignored.
     void acknowledge(std::uint64_t list, std::uint32_t part);
+    // There is nobody to send to.
+    void acknowledgeAll() { unacknowledged_ = 0; }
 
     bool isComplete() const { return unacknowledged_ == 0; }
     bool anyAcknowledged() const { return unacknowledged_ < parts_->size(); }
--- a/Source/Flow/FlowSettings.h
+++ b/Source/Flow/FlowSettings.h
@@ -23,6 +23,8 @@
     std::chrono::milliseconds retryInterval { 200 };
     // Control bytes a second that one balancer may send while tables change, over all services.
     std::uint32_t transitionBytesPerSecond = 128 * 1024;
+    // How often the arbiter of a service reviews what its servers should get.
+    std::chrono::milliseconds weightsInterval { 2000 };
     // A gap between two ticks above this is taken as a pause of the whole process.
     std::chrono::milliseconds pauseThreshold { 1000 };
     // How long the address of a server that was removed from the configuration is kept for its remaining flows.
--- a/Source/Flow/FlowTable.cpp
+++ b/Source/Flow/FlowTable.cpp
@@ -13,10 +13,19 @@
     // An exception lives this many times longer than other idle flows.
     constexpr std::uint32_t exceptionIdleFactor = 4;
 
+    // A flow counts as load while its last packet here is not older than this.
+    constexpr std::uint32_t activeSeconds = 10;
+
+    // A flow of more packets than this has been seen by some other balancer, too, unless there is none.
+    constexpr std::uint32_t rarePackets = 8;
+    constexpr std::uint32_t mostPacketsCounted = 255;
+
+    constexpr std::uint32_t secondsMask = (1U << 24) - 1;
+
     std::uint32_t secondsOf(TimePoint now)
     {
-        return static_cast<std::uint32_t>(
-            std::chrono::duration_cast<std::chrono::seconds>(now.time_since_epoch()).count());
+        const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(now.time_since_epoch()).count();
+        return static_cast<std::uint32_t>(seconds) & secondsMask;
     }
 
     RouteDecision drop(DropReason reason, ServiceId service) { return { RouteKind::Drop, reason, {}, service, {} }; }
@@ -74,6 +83,8 @@
         const bool isOldFlow = packet.startsFlow && present && server->second.state != BackendServerState::Active;
         if (present && !isOldFlow) {
             known->second.lastSeenSeconds = secondsOf(now);
+            if (known->second.packets < mostPacketsCounted)
+                ++known->second.packets;
             return { RouteKind::ToBackendServer, DropReason::None, server->second.flowAddress, routing.service,
                 known->second.server };
         }
@@ -109,7 +120,7 @@
         return;
     }
     budget_->tracked.fetch_add(1, std::memory_order_relaxed);
-    shard.flows.emplace(key, Entry { server, secondsOf(now) });
+    shard.flows.emplace(key, Entry { server, secondsOf(now), 1 });
 }
 
 void FlowTable::install(std::shared_ptr<const RoutingState> routing)
@@ -132,6 +143,20 @@
     return flows;
 }
 
+std::vector<KnownFlow> FlowTable::installAndCollectRare(std::shared_ptr<const RoutingState> routing)
+{
+    std::vector<KnownFlow> flows;
+    for (const auto& shard : shards_) {
+        const std::lock_guard lock(shard->mutex);
+        shard->routing = routing;
+        for (const auto& [key, entry] : shard->flows) {
+            if (entry.packets <= rarePackets)
+                flows.push_back({ key, entry.server });
+        }
+    }
+    return flows;
+}
+
 std::vector<KnownFlow> FlowTable::collect(const BucketSet& buckets, const BucketTable& table)
 {
     std::vector<KnownFlow> flows;
@@ -158,7 +183,7 @@
         Shard& shard = shardOf(flow.key);
         const std::lock_guard lock(shard.mutex);
         // Learned flows are exceptions, which no table finds again: they are kept even when the budget is spent.
-        const bool isNew = shard.flows.try_emplace(flow.key, Entry { flow.server, secondsOf(now) }).second;
+        const bool isNew = shard.flows.try_emplace(flow.key, Entry { flow.server, secondsOf(now), 0 }).second;
         if (isNew)
             ++budget_->tracked;
     }
@@ -170,16 +195,22 @@
     const std::lock_guard lock(shard.mutex);
     const std::size_t looked = shard.flows.size();
     const std::uint32_t nowSeconds = secondsOf(now);
+    // A packet thread may have marked a flow as seen in a later second than the tick's own time. The difference would
+    // wrap around then, and a busy flow would count as idle for months.
+    const auto idleSince = [nowSeconds](std::uint32_t lastSeen) {
+        const std::uint32_t difference = (nowSeconds - lastSeen) & secondsMask;
+        return difference > secondsMask / 2 ? 0 : difference;
+    };
     const auto idleSeconds = static_cast<std::uint32_t>(idle.count());
     const BucketTable* settled = shard.routing->settled.get();
+    shard.activeFlows.clear();
     std::size_t exceptions = 0;
     budget_->tracked -= absl::erase_if(shard.flows, [&](const auto& flow) {
         const bool isException = settled && settled->at(bucketOf(flow.first)) != flow.second.server;
         const std::uint32_t limit = isException ? idleSeconds * exceptionIdleFactor : idleSeconds;
-        // A packet thread may have seen the flow after the control thread read its time, even in the next second. A
-        // plain difference would wrap around then, and a busy flow would count as idle for a hundred years.
-        const bool isIdle
-            = nowSeconds > flow.second.lastSeenSeconds && nowSeconds - flow.second.lastSeenSeconds > limit;
+        const bool isIdle = idleSince(flow.second.lastSeenSeconds) > limit;
+        if (idleSince(flow.second.lastSeenSeconds) <= activeSeconds)
+            ++shard.activeFlows[flow.second.server];
         exceptions += isException && !isIdle;
         return isIdle;
     });
@@ -188,6 +219,17 @@
     return looked;
 }
 
+std::map<BackendServerId, std::size_t> FlowTable::activeFlowsByServer() const
+{
+    std::map<BackendServerId, std::size_t> flows;
+    for (const auto& shard : shards_) {
+        const std::lock_guard lock(shard->mutex);
+        for (const auto& [server, count] : shard->activeFlows)
+            flows[server] += count;
+    }
+    return flows;
+}
+
 std::size_t FlowTable::size() const
 {
     std::size_t size = 0;
--- a/Source/Flow/FlowTable.h
+++ b/Source/Flow/FlowTable.h
@@ -9,7 +9,7 @@
 
 #include <atomic>
 #include <cstdint>
-#include <functional>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <vector>
@@ -56,6 +56,10 @@
 
     std::vector<KnownFlow> collect(const BucketSet&, const BucketTable& table);
 
+    // Puts new rules in force and collects the flows of which so few packets came here that perhaps no other balancer
+    // has seen one.
+    std::vector<KnownFlow> installAndCollectRare(std::shared_ptr<const RoutingState>);
+
     // Learns flows from another balancer. What is known already stays.
     void learn(const std::vector<KnownFlow>&, TimePoint now);
 
@@ -63,13 +67,19 @@
     // table get four times that, since the table would not find their server again. Returns the entries looked at.
     std::size_t expire(std::size_t shard, std::chrono::seconds idle, TimePoint now);
 
+    // Flows per server that sent a packet here lately, as of the last look for idle flows.
+    std::map<BackendServerId, std::size_t> activeFlowsByServer() const;
+
     std::size_t shardCount() const { return shards_.size(); }
     std::size_t size() const;
 
 private:
     struct Entry {
         BackendServerId server;
-        std::uint32_t lastSeenSeconds = 0;
+        // Both fit one word, so that an entry stays at eight bytes. The seconds wrap after 194 days.
+        std::uint32_t lastSeenSeconds : 24;
+        // Packets seen here, up to the most that is counted.
+        std::uint32_t packets : 8;
     };
     struct alignas(64) Shard {
         mutable std::mutex mutex;
@@ -77,6 +87,8 @@
         absl::flat_hash_map<FlowKey, Entry> flows;
         // Exceptions among them, as of the last look for idle flows.
         std::size_t exceptions = 0;
+        // Flows with a packet in the last seconds by server, counted at the same time.
+        absl::flat_hash_map<BackendServerId, std::size_t> activeFlows;
     };
 
     Shard& shardOf(FlowKey key) { return *shards_[key % shards_.size()]; }
--- a/Source/Flow/ReportCollection.cpp
+++ b/Source/Flow/ReportCollection.cpp
@@ -6,12 +6,13 @@
 {
     context.forEachOther([&](const Member& member) {
         MemberReport& report = reports_[member.id];
-        if (report.parts.isComplete())
-            return;
         if (report.requestedAt && context.now - *report.requestedAt < context.settings.retryInterval)
             return;
         report.requestedAt = context.now;
-        context.send(member.id, request);
+        FlowMessage message = request;
+        if (report.parts.isComplete())
+            message.kind = static_cast<std::uint8_t>(FlowMessageKind::Hold);
+        context.send(member.id, std::move(message));
     });
 }
 
--- a/Source/Flow/ReportCollection.h
+++ b/Source/Flow/ReportCollection.h
@@ -20,7 +20,8 @@
 
     std::uint64_t generation() const { return generation_; }
 
-    // Sends requests to those that have not reported yet. The message names the service and generations.
+    // Sends requests to those that have not reported yet, and asks the others to hold on: a member that hears nothing
+    // takes the change for given up and decides on its own again. The message names the service and generations.
     void sendRequests(const FlowMessage& request, const ChangeContext&);
 
     // Counts a part. Returns whether the part was new.
--- a/Source/Flow/ServiceChange.cpp
+++ b/Source/Flow/ServiceChange.cpp
@@ -24,25 +24,47 @@
 {
 }
 
-void ServiceChange::setTarget(std::uint64_t generation, std::shared_ptr<const BucketTable> table,
+void ServiceChange::setVersion(std::uint64_t version, std::shared_ptr<const TableSource> source,
     std::shared_ptr<const ServerDirectory> directory, const ChangeContext& context)
 {
-    // Most configurations do not touch this service; for them nothing has to be agreed.
-    const bool sameTable = isSettled() && !lead_ && !promise_ && tables_.find(settled_) == table;
     const bool sameDirectory = directory_ == directory;
-    tables_.add(generation, std::move(table));
-    target_ = generation;
+    const bool sameSource = source_ == source;
+    const bool wasSettled = isSettled();
+    version_ = version;
+    source_ = std::move(source);
     directory_ = std::move(directory);
-    if (sameTable || !protectsFlows_) {
-        settled_ = generation;
-        answer_ = generation;
-        tables_.forgetBelow(generation);
-    }
-    if (sameTable && sameDirectory)
+    target_ = TableGeneration(version_, factorsRevision_).number();
+    const auto settledTable = tables_.find(settled_);
+    tables_.add(target_, wasSettled && sameSource ? settledTable : source_->build(factors_), factors_);
+    if (!protectsFlows_)
+        settledSource_ = source_;
+    // New factors can wait; under the new version they are tried again.
+    if (lead_ && settledSource_ == source_)
+        abandonLead(context);
+    settleIfUnchanged();
+    if (wasSettled && isSettled() && sameSource && sameDirectory)
         return;
     publish(context);
 }
 
+// Most configurations do not touch this service; for them nothing has to be agreed. Nobody can have switched to another
+// table without this balancer's promise, or else it hears of that.
+void ServiceChange::settleIfUnchanged()
+{
+    const bool unchanged = settledSource_ == source_ && (settled_ != 0 || !protectsFlows_);
+    if (!unchanged || lead_ || promise_ || settled_ >= target_)
+        return;
+    settled_ = target_;
+    answer_ = std::max(answer_, target_);
+    tables_.forgetBelow(target_);
+}
+
+void ServiceChange::wantFactors(ServerFactors factors)
+{
+    if (factors.size() <= mostFactors)
+        wantedFactors_ = std::move(factors);
+}
+
 void ServiceChange::handleMembers(const ChangeContext& context)
 {
     reviewPromise(context);
@@ -61,6 +83,9 @@
         return handleReport(from, received, context);
     case FlowMessageKind::ReportAck:
         return handleReportAck(from, received);
+    case FlowMessageKind::Hold:
+        // Having heard from the arbiter is all that it is for.
+        return;
     case FlowMessageKind::Switch:
         return handleSwitch(from, received, context);
     case FlowMessageKind::Exceptions:
@@ -71,6 +96,12 @@
         return handleBusy(received, context);
     case FlowMessageKind::Release:
         return handleRelease(from, received, context);
+    case FlowMessageKind::Handover:
+        return handleHandover(from, received, context);
+    case FlowMessageKind::HandoverAck:
+        if (handover_ && handover_->to == from)
+            handover_->parts.acknowledge(received.list, received.part);
+        return;
     case FlowMessageKind::SyncRequest:
         return handleSyncRequest(from, received, context);
     }
@@ -78,7 +109,8 @@
 
 void ServiceChange::tick(const ChangeContext& context)
 {
-    const bool isIdle = isSettled() && !promise_ && !lead_ && deliveries_.isEmpty();
+    const bool wantsChange = wantedFactors_ != factors_ && isArbiter(context);
+    const bool isIdle = isSettled() && !promise_ && !lead_ && deliveries_.isEmpty() && !wantsChange && !leaves_;
     if (isIdle)
         return;
     reviewPromise(context);
@@ -87,6 +119,7 @@
     deliveries_.dropDead(context);
     deliveries_.sendDue(message(FlowMessageKind::Exceptions, settled_), context);
     requestSync(context);
+    handOver(context);
 }
 
 void ServiceChange::settleAlone(const ChangeContext& context)
@@ -109,11 +142,11 @@
 void ServiceChange::handleReportRequest(BalancerId from, const FlowMessage& request, const ChangeContext& context)
 {
     const std::uint64_t generation = request.targetGeneration;
-    const auto table = tables_.find(generation);
+    const auto table = learnTable(request);
     // Unknown here yet: the arbiter asks again, and the configuration is on its way.
     if (!table)
         return;
-    const bool leadsItself = lead_ && context.arbiterOf(service_) != from;
+    const bool leadsItself = lead_ && arbiter(context) != from;
     const bool followsAnother = promise_ && promise_->arbiter != from && promise_->generation > settled_;
     // Others may wait for exceptions that this balancer alone holds; the next change begins after that.
     if (leadsItself || followsAnother || owesExceptions()) {
@@ -174,6 +207,7 @@
     const std::uint64_t generation = announced.targetGeneration;
     if (generation <= settled_)
         return;
+    learnTable(announced);
     answer_ = std::max(answer_, generation);
     if (promise_ && promise_->arbiter == from && promise_->generation == generation) {
         promise_->switched = true;
@@ -210,7 +244,7 @@
     intake_->parts.accept(received);
     context.send(from, ack);
     answer_ = std::max(answer_, generation);
-    if (intake_->parts.isComplete() && tables_.find(generation))
+    if (intake_->parts.isComplete() && learnTable(received))
         settleAt(generation, context);
 }
 
@@ -228,12 +262,15 @@
     if (!isMine || promise_->switched)
         return;
     promise_.reset();
+    settleIfUnchanged();
     publish(context);
 }
 
 void ServiceChange::handleSyncRequest(BalancerId from, const FlowMessage& request, const ChangeContext& context)
 {
-    const bool canHelp = isSettled() && !lead_ && request.targetGeneration == settled_;
+    // The newcomer knows the configuration, but not yet the factors that go with it.
+    const bool sameVersion = TableGeneration(request.targetGeneration).version() == TableGeneration(settled_).version();
+    const bool canHelp = isSettled() && !lead_ && sameVersion;
     if (!canHelp)
         return;
     const auto flows = flows_.collect(allBuckets(), *tables_.find(settled_));
@@ -244,23 +281,31 @@
 {
     if (!promise_)
         return;
-    const Duration silence = context.now - promise_->heardAt;
-    const Duration limit = promise_->switched ? silenceAfterSwitch : silenceBeforeSwitch;
     const bool fulfilled = promise_->generation <= settled_ && promise_->report->isComplete();
-    if (!fulfilled && context.isAlive(promise_->arbiter) && silence < limit)
+    const bool arbiterIsAlive = context.isAlive(promise_->arbiter);
+    const Duration limit = promise_->switched ? silenceAfterSwitch : silenceBeforeSwitch;
+    const bool isSilent = context.now - promise_->heardAt >= limit;
+    if (!fulfilled && arbiterIsAlive && !isSilent)
+        return;
+    // An arbiter that is up but not heard may switch, or have switched, without this balancer's hearing of it.
+    if (!fulfilled && arbiterIsAlive && promise_->generation > settled_) {
+        desynchronize(context);
         return;
+    }
     promise_.reset();
+    settleIfUnchanged();
     publish(context);
 }
 
 void ServiceChange::reviewLead(const ChangeContext& context)
 {
-    const bool isArbiter = context.arbiterOf(service_) == context.view.self;
+    const bool isArbiter = arbiter(context) == context.view.self;
     if (lead_ && !isArbiter)
         abandonLead(context);
     if (lead_ && lead_->generation() < target_)
         lead_.reset();
-    const bool mayLead = isArbiter && !promise_ && deliveries_.isEmpty() && target_ != 0 && settled_ != target_;
+    const bool hasReason = settled_ != target_ || wantedFactors_ != factors_;
+    const bool mayLead = isArbiter && !promise_ && deliveries_.isEmpty() && target_ != 0 && hasReason;
     if (!lead_ && mayLead)
         startLead(context);
     if (!lead_)
@@ -269,6 +314,12 @@
     if (lead_->isComplete(context)) {
         switchOver(context);
     } else if (lead_->patienceIsOver(context)) {
+        // Other factors can wait until everybody answers again; the operators' word cannot.
+        const bool onlyFactors = TableGeneration(lead_->generation()).version() == TableGeneration(settled_).version();
+        if (onlyFactors) {
+            abandonLead(context);
+            return;
+        }
         ++forcedCount_;
         switchOver(context);
     }
@@ -277,7 +328,16 @@
 void ServiceChange::startLead(const ChangeContext& context)
 {
     ++startedCount_;
-    lead_.emplace(target_, context.now);
+    std::uint64_t generation = target_;
+    if (wantedFactors_ != factors_) {
+        // A number that an abandoned change had is never given again: others may still know it by other factors.
+        const std::uint64_t switched = TableGeneration(std::max(answer_, target_)).factorsRevision();
+        const std::uint64_t highest = std::max({ switched, factorsRevision_, numberedRevision_ });
+        numberedRevision_ = TableGeneration::nextRevision(highest, context.view.self);
+        generation = TableGeneration(version_, numberedRevision_).number();
+        makeTable(generation, wantedFactors_);
+    }
+    lead_.emplace(generation, context.now);
     publish(context);
 }
 
@@ -299,6 +359,7 @@
     settled_ = reports.generation();
     answer_ = settled_;
     ++settledCount_;
+    adoptFactorsOf(settled_);
     const auto exceptions = flows_.installAndCollect(routingFor(context), buckets, *tables_.find(settled_));
     deliverAfterSwitch(reports, previouslySettled, exceptions, context);
     tables_.forgetBelow(settled_);
@@ -324,13 +385,17 @@
 {
     if (!promise_ || !promise_->report)
         return;
-    FlowMessage report = message(FlowMessageKind::Report, promise_->generation);
-    while (const auto part = promise_->report->nextDue(context.now, context.settings.retryInterval)) {
-        promise_->report->fill(report, *part);
-        if (!context.budget.take(estimatedBytes(report.groups)))
+    sendParts(*promise_->report, promise_->arbiter, message(FlowMessageKind::Report, promise_->generation), context);
+}
+
+void ServiceChange::sendParts(PartSender& parts, BalancerId to, FlowMessage header, const ChangeContext& context)
+{
+    while (const auto part = parts.nextDue(context.now, context.settings.retryInterval)) {
+        parts.fill(header, *part);
+        if (!context.budget.take(estimatedBytes(header.groups)))
             return;
-        context.send(promise_->arbiter, report);
-        promise_->report->markSent(*part, context.now);
+        context.send(to, header);
+        parts.markSent(*part, context.now);
     }
 }
 
@@ -338,13 +403,48 @@
 {
     if (!protectsFlows_ || target_ == 0 || settled_ == target_ || promise_ || lead_)
         return;
-    const auto arbiter = context.arbiterOf(service_);
-    if (!arbiter || *arbiter == context.view.self)
+    const auto helper = arbiter(context);
+    if (!helper || *helper == context.view.self)
         return;
     if (syncRequestedAt_ && context.now - *syncRequestedAt_ < syncRequestRetries * context.settings.retryInterval)
         return;
     syncRequestedAt_ = context.now;
-    context.send(*arbiter, message(FlowMessageKind::SyncRequest, target_));
+    context.send(*helper, message(FlowMessageKind::SyncRequest, target_));
+}
+
+// Without this, a flow whose few packets all came here would be unknown to the rest, and broken by the next change that
+// moves its bucket.
+void ServiceChange::handOver(const ChangeContext& context)
+{
+    if (!leaves_ || lead_ || promise_ || owesExceptions() || !isSettled())
+        return;
+    const auto receiver = context.otherArbiterOf(service_);
+    const bool lost = handover_ && !handover_->parts.isComplete() && handover_->to != receiver;
+    if (!handover_ || lost) {
+        handover_.emplace(Handover { receiver.value_or(BalancerId {}), PartSender(cutIntoParts({}), context.now) });
+        const auto flows = flows_.installAndCollectRare(routingFor(context));
+        if (receiver)
+            handover_->parts = PartSender(cutIntoParts(flows), context.now);
+        else
+            handover_->parts.acknowledgeAll();
+    }
+    if (receiver)
+        sendParts(handover_->parts, handover_->to, message(FlowMessageKind::Handover, settled_), context);
+}
+
+void ServiceChange::handleHandover(BalancerId from, const FlowMessage& handover, const ChangeContext& context)
+{
+    flows_.learn(flowsOf(handover.groups), context.now);
+    FlowMessage ack = message(FlowMessageKind::HandoverAck, handover.targetGeneration);
+    ack.list = handover.list;
+    ack.part = handover.part;
+    context.send(from, ack);
+}
+
+// Whoever leaves leads nothing new.
+std::optional<BalancerId> ServiceChange::arbiter(const ChangeContext& context) const
+{
+    return leaves_ && !lead_ ? context.otherArbiterOf(service_) : context.arbiterOf(service_);
 }
 
 void ServiceChange::settleAt(std::uint64_t generation, const ChangeContext& context)
@@ -352,6 +452,7 @@
     settled_ = generation;
     answer_ = std::max(answer_, generation);
     ++settledCount_;
+    adoptFactorsOf(generation);
     intake_.reset();
     if (promise_ && promise_->generation <= generation)
         promise_.reset();
@@ -359,26 +460,70 @@
     publish(context);
 }
 
+// The last table that a change under way may lead to.
+std::uint64_t ServiceChange::newestInDoubt() const
+{
+    std::uint64_t newest = std::max(settled_, target_);
+    if (promise_)
+        newest = std::max(newest, promise_->generation);
+    if (lead_)
+        newest = std::max(newest, lead_->generation());
+    return newest;
+}
+
+// The factors are part of what was agreed, so they change only with the settled table. The newest configuration then
+// stands under them.
+void ServiceChange::adoptFactorsOf(std::uint64_t generation)
+{
+    factors_ = tables_.factorsOf(generation);
+    factorsRevision_ = TableGeneration(generation).factorsRevision();
+    if (TableGeneration(generation).version() == version_)
+        settledSource_ = source_;
+    target_ = TableGeneration(std::max(version_, TableGeneration(generation).version()), factorsRevision_).number();
+    if (!tables_.find(target_))
+        makeTable(target_, factors_);
+}
+
+std::shared_ptr<const BucketTable> ServiceChange::learnTable(const FlowMessage& received)
+{
+    const std::uint64_t generation = received.targetGeneration;
+    if (auto known = tables_.find(generation))
+        return known;
+    if (!source_ || TableGeneration(generation).version() != version_)
+        return nullptr;
+    ServerFactors factors;
+    for (const ServerFactorRow& row : received.factors)
+        factors.emplace(BackendServerId { row.backendServer }, row.permille);
+    return makeTable(generation, factors);
+}
+
+std::shared_ptr<const BucketTable> ServiceChange::makeTable(std::uint64_t generation, const ServerFactors& factors)
+{
+    auto table = source_->build(factors);
+    tables_.add(generation, table, factors);
+    return table;
+}
+
 std::shared_ptr<const RoutingState> ServiceChange::routingFor(const ChangeContext& context) const
 {
     auto routing = std::make_shared<RoutingState>();
     routing->service = service_;
     routing->directory = directory_;
     routing->settled = tables_.find(settled_);
-    if (settled_ == 0)
+    if (settled_ == 0 || handover_)
         routing->arbitrated.set();
-    else if (settled_ != target_)
-        routing->arbitrated = tables_.doubtfulBuckets(settled_, target_);
+    else
+        routing->arbitrated = tables_.doubtfulBuckets(settled_, newestInDoubt());
 
-    const auto arbiter = promise_ ? std::optional(promise_->arbiter) : context.arbiterOf(service_);
-    routing->isArbiter = lead_ || arbiter == context.view.self;
+    const auto decider = promise_ ? std::optional(promise_->arbiter) : arbiter(context);
+    routing->isArbiter = lead_ || decider == context.view.self;
     if (routing->isArbiter) {
         // An arbiter that took over after a switch lacks the exceptions until all have reported. A lost packet is made
         // good by the caller, a wrong answer breaks the flow.
         if (settled_ != 0 && answer_ == settled_)
             routing->answer = tables_.find(settled_);
-    } else if (arbiter) {
-        if (const Member* member = context.view.find(*arbiter))
+    } else if (decider) {
+        if (const Member* member = context.view.find(*decider))
             routing->arbiterFlowAddress = member->flowAddress;
     }
     return routing;
@@ -394,6 +539,8 @@
     made.settledGeneration = settled_;
     made.answerGeneration = answer_;
     made.targetGeneration = targetGeneration;
+    for (const auto& [server, permille] : tables_.factorsOf(targetGeneration))
+        made.factors.push_back({ server.value, permille });
     return made;
 }
 
--- a/Source/Flow/ServiceChange.h
+++ b/Source/Flow/ServiceChange.h
@@ -4,7 +4,9 @@
 #include "Flow/ExceptionDeliveries.h"
 #include "Flow/FlowTable.h"
 #include "Flow/ReportCollection.h"
+#include "Flow/TableGeneration.h"
 #include "Flow/TableHistory.h"
+#include "Flow/TableSource.h"
 
 #include <cstdint>
 #include <memory>
@@ -22,13 +24,21 @@
 public:
     ServiceChange(ServiceId, FlowTable&, bool protectsFlows);
 
-    // A configuration with a newer table, or the same table under a newer generation, came into force.
-    void setTarget(std::uint64_t generation, std::shared_ptr<const BucketTable>, std::shared_ptr<const ServerDirectory>,
+    // A newer version of the configuration came into force, with or without a change for this service.
+    void setVersion(std::uint64_t version, std::shared_ptr<const TableSource>, std::shared_ptr<const ServerDirectory>,
         const ChangeContext&);
+    // The factors that this balancer would give the servers. They count once it is the service's arbiter.
+    void wantFactors(ServerFactors);
     void handleMembers(const ChangeContext&);
     void handle(BalancerId from, const FlowMessage&, const ChangeContext&);
     void tick(const ChangeContext&);
 
+    // A planned stop: as soon as no change depends on this balancer, it decides nothing new any more and hands over the
+    // flows that perhaps only it has seen. Until others know of the stop, they may still ask it; it passes that on.
+    void beginLeave() { leaves_ = true; }
+    // Whether nothing is left that only this balancer knows.
+    bool mayLeave() const { return leaves_ && handover_ && handover_->parts.isComplete(); }
+
     // Takes the target table as settled: there is nobody whose flows it could contradict.
     void settleAlone(const ChangeContext&);
     // Forgets what was agreed, as after a pause in which the others may have moved on; known flows stay.
@@ -43,6 +53,9 @@
     std::uint64_t settledCount() const { return settledCount_; }
     std::uint64_t forcedCount() const { return forcedCount_; }
     std::shared_ptr<const BucketTable> settledTable() const { return tables_.find(settled_); }
+    // The factors of the settled table.
+    const ServerFactors& factors() const { return factors_; }
+    bool isArbiter(const ChangeContext& context) const { return arbiter(context) == context.view.self; }
 
 private:
     // This balancer's word to follow one arbiter through one change. It keeps two arbiters from both switching.
@@ -59,6 +72,12 @@
         PartReceiver parts;
     };
 
+    // A planned stop's list on its way to another balancer.
+    struct Handover {
+        BalancerId to;
+        PartSender parts;
+    };
+
     void handleReportRequest(BalancerId from, const FlowMessage&, const ChangeContext&);
     void handleReport(BalancerId from, const FlowMessage&, const ChangeContext&);
     void handleReportAck(BalancerId from, const FlowMessage&);
@@ -66,6 +85,7 @@
     void handleExceptions(BalancerId from, const FlowMessage&, const ChangeContext&);
     void handleExceptionsAck(BalancerId from, const FlowMessage&);
     void handleBusy(const FlowMessage&, const ChangeContext&);
+    void handleHandover(BalancerId from, const FlowMessage&, const ChangeContext&);
     void handleRelease(BalancerId from, const FlowMessage&, const ChangeContext&);
     void handleSyncRequest(BalancerId from, const FlowMessage&, const ChangeContext&);
 
@@ -78,7 +98,17 @@
         const ReportCollection&, std::uint64_t previouslySettled, const std::vector<KnownFlow>&, const ChangeContext&);
     void sendReport(const ChangeContext&);
     void requestSync(const ChangeContext&);
+    void handOver(const ChangeContext&);
+    void sendParts(PartSender&, BalancerId to, FlowMessage header, const ChangeContext&);
+    std::optional<BalancerId> arbiter(const ChangeContext&) const;
     void settleAt(std::uint64_t generation, const ChangeContext&);
+    void settleIfUnchanged();
+    void adoptFactorsOf(std::uint64_t generation);
+    std::uint64_t newestInDoubt() const;
+
+    // The table of a generation that another balancer names, built if its configuration is known; else null.
+    std::shared_ptr<const BucketTable> learnTable(const FlowMessage&);
+    std::shared_ptr<const BucketTable> makeTable(std::uint64_t generation, const ServerFactors&);
 
     std::shared_ptr<const RoutingState> routingFor(const ChangeContext&) const;
     void publish(const ChangeContext&);
@@ -89,12 +119,22 @@
     const bool protectsFlows_;
 
     TableHistory tables_;
+    std::uint64_t version_ = 0;
+    std::shared_ptr<const TableSource> source_;
+    // What the settled table was made from.
+    std::shared_ptr<const TableSource> settledSource_;
+    // Of the settled table, and by which it was numbered.
+    ServerFactors factors_;
+    std::uint64_t factorsRevision_ = 0;
+    ServerFactors wantedFactors_;
+    // The last one that this balancer gave, also for a change that came to nothing.
+    std::uint64_t numberedRevision_ = 0;
     std::shared_ptr<const ServerDirectory> directory_;
     // By which this balancer decides on its own; 0 while it does not know the exceptions of any table.
     std::uint64_t settled_ = 0;
     // The newest table that some arbiter is known to have switched to.
     std::uint64_t answer_ = 0;
-    // The table of the newest configuration.
+    // The table of the newest configuration under the factors of the settled one.
     std::uint64_t target_ = 0;
 
     std::optional<Promise> promise_;
@@ -102,6 +142,8 @@
     // Set on the arbiter from the start of a change to its switch.
     std::optional<ReportCollection> lead_;
     ExceptionDeliveries deliveries_;
+    bool leaves_ = false;
+    std::optional<Handover> handover_;
     std::optional<TimePoint> syncRequestedAt_;
 
     std::uint64_t startedCount_ = 0;
--- a/Source/Flow/TableHistory.cpp
+++ b/Source/Flow/TableHistory.cpp
@@ -10,15 +10,22 @@
 
 }
 
-void TableHistory::add(std::uint64_t generation, std::shared_ptr<const BucketTable> table)
+void TableHistory::add(std::uint64_t generation, std::shared_ptr<const BucketTable> table, const ServerFactors& factors)
 {
-    tables_.insert_or_assign(generation, std::move(table));
+    tables_.insert_or_assign(generation, Known { std::move(table), factors });
 }
 
 std::shared_ptr<const BucketTable> TableHistory::find(std::uint64_t generation) const
 {
     const auto table = tables_.find(generation);
-    return table == tables_.end() ? nullptr : table->second;
+    return table == tables_.end() ? nullptr : table->second.table;
+}
+
+const ServerFactors& TableHistory::factorsOf(std::uint64_t generation) const
+{
+    static const ServerFactors none;
+    const auto table = tables_.find(generation);
+    return table == tables_.end() ? none : table->second.factors;
 }
 
 BucketSet TableHistory::doubtfulBuckets(std::uint64_t first, std::uint64_t last) const
@@ -28,8 +35,8 @@
     if (begin == tables_.end())
         return buckets.set();
     for (auto table = std::next(begin); table != tables_.end() && table->first <= last; ++table) {
-        if (table->second != begin->second)
-            BucketTable::addDifference(*begin->second, *table->second, buckets);
+        if (table->second.table != begin->second.table)
+            BucketTable::addDifference(*begin->second.table, *table->second.table, buckets);
     }
     return buckets;
 }
--- a/Source/Flow/TableHistory.h
+++ b/Source/Flow/TableHistory.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Flow/BucketTable.h"
+#include "Flow/TableSource.h"
 
 #include <cstdint>
 #include <map>
@@ -11,10 +12,12 @@
 // The tables of one service that this balancer has known lately, by generation. Bounded.
 class TableHistory {
 public:
-    void add(std::uint64_t generation, std::shared_ptr<const BucketTable>);
+    void add(std::uint64_t generation, std::shared_ptr<const BucketTable>, const ServerFactors& = {});
 
     // Null when the generation is not known (any more).
     std::shared_ptr<const BucketTable> find(std::uint64_t generation) const;
+    // The factors by which that table was built; empty when the generation is not known.
+    const ServerFactors& factorsOf(std::uint64_t generation) const;
 
     // The buckets whose server is not the same in all known tables from one generation to the other. All buckets when
     // the first generation is not known, since then nothing can be said.
@@ -24,7 +27,12 @@
     void forgetBelow(std::uint64_t generation);
 
 private:
-    std::map<std::uint64_t, std::shared_ptr<const BucketTable>> tables_;
+    struct Known {
+        std::shared_ptr<const BucketTable> table;
+        ServerFactors factors;
+    };
+
+    std::map<std::uint64_t, Known> tables_;
 };
 
 }
--- /dev/null
+++ b/Source/Flow/TableSource.cpp
@@ -0,0 +1,21 @@
+#include "Flow/TableSource.h"
+
+#include <algorithm>
+
+namespace wisteriadock {
+
+std::shared_ptr<const BucketTable> TableSource::build(const ServerFactors& factors) const
+{
+    std::vector<ServerShare> scaled = shares;
+    for (ServerShare& share : scaled) {
+        const auto factor = factors.find(share.server);
+        if (factor == factors.end())
+            continue;
+        const std::uint64_t weight = std::uint64_t(share.weight) * factor->second / wholeFactor;
+        // A server that keeps any factor keeps some buckets.
+        share.weight = factor->second == 0 ? 0 : std::max<std::uint32_t>(1, static_cast<std::uint32_t>(weight));
+    }
+    return BucketTable::build(policy, evenness, service, scaled);
+}
+
+}
--- a/Tests/Flow/FlowChangeTest.cpp
+++ b/Tests/Flow/FlowChangeTest.cpp
@@ -100,6 +100,10 @@
     TEST_P(FlowChangeTest, survivesAPlannedStopOfABalancerDuringADrain)
     {
         drain("tryon-3");
+        fleet_.beginLeave(2);
+        for (int step = 0; step < 1000 && !fleet_.mayLeave(2); ++step)
+            fleet_.run(10ms, newFlowsPerSecond);
+        EXPECT_TRUE(fleet_.mayLeave(2));
         fleet_.announceLeaving(2);
         fleet_.run(1s, newFlowsPerSecond);
         drain("tryon-7");
--- a/Tests/Flow/FlowRandomTest.cpp
+++ b/Tests/Flow/FlowRandomTest.cpp
@@ -70,6 +70,7 @@
         void stopOneBalancer()
         {
             const std::size_t balancer = nextToStop_++;
+            fleet_.beginLeave(balancer);
             for (int attempt = 0; attempt < 500 && !fleet_.mayLeave(balancer); ++attempt)
                 fleet_.run(50ms, newFlowsPerSecond);
             fleet_.announceLeaving(balancer);
--- a/Tests/Support/FlowFleet.h
+++ b/Tests/Support/FlowFleet.h
@@ -39,7 +39,8 @@
 
     void addBalancer();
     void kill(std::size_t balancer);
-    // Announces a planned stop, as the daemon does once the engine lets it.
+    // Begins a planned stop; announce it once the engine lets it, as the daemon does.
+    void beginLeave(std::size_t balancer) { balancers_[balancer].engine->beginLeave(); }
     void announceLeaving(std::size_t balancer);
     bool mayLeave(std::size_t balancer) const { return balancers_[balancer].engine->mayLeave(); }
     // Stops a balancer for a while, without its knowing; the others notice nothing.
