Core: Read listen addresses in one place

Cause: four copies of one parser for ADDRESS:0 stood in the daemon, the fault proxy, the stand-ins and the platform's stand-in, with four error texts.

--- a/Source/Balancer/BalancerSettings.cpp
+++ b/Source/Balancer/BalancerSettings.cpp
@@ -1,6 +1,6 @@
 #include "Balancer/BalancerSettings.h"
 
-#include "Balancer/ListenAddress.h"
+#include "Core/ListenAddress.h"
 #include "Core/NameTable.h"
 #include "Settings/SettingsFile.h"
 #include "Settings/SettingsReader.h"
--- a/Source/Core/Error.cpp
+++ b/Source/Core/Error.cpp
@@ -19,10 +19,7 @@
 
 }
 
-std::string_view nameOf(ErrorCode code)
-{
-    return errorCodeNames.name(code);
-}
+std::string_view nameOf(ErrorCode code) { return errorCodeNames.name(code); }
 
 std::string Error::toString() const
 {
--- a/Source/Core/Identifiers.cpp
+++ b/Source/Core/Identifiers.cpp
@@ -19,19 +19,10 @@
 
 }
 
-BalancerId balancerIdOf(std::string_view name)
-{
-    return { identifierOf(name, balancerSeed) };
-}
+BalancerId balancerIdOf(std::string_view name) { return { identifierOf(name, balancerSeed) }; }
 
-ServiceId serviceIdOf(std::string_view name)
-{
-    return { identifierOf(name, serviceSeed) };
-}
+ServiceId serviceIdOf(std::string_view name) { return { identifierOf(name, serviceSeed) }; }
 
-BackendServerId backendServerIdOf(std::string_view name)
-{
-    return { identifierOf(name, backendServerSeed) };
-}
+BackendServerId backendServerIdOf(std::string_view name) { return { identifierOf(name, backendServerSeed) }; }
 
 }
--- a/Source/Balancer/ListenAddress.cpp
+++ b/Source/Core/ListenAddress.cpp
@@ -1,4 +1,4 @@
-#include "Balancer/ListenAddress.h"
+#include "Core/ListenAddress.h"
 
 #include <fmt/format.h>
 
--- a/Source/Core/Log.cpp
+++ b/Source/Core/Log.cpp
@@ -35,10 +35,7 @@
 
 }
 
-std::string_view nameOf(LogLevel level)
-{
-    return logLevelNames.name(level);
-}
+std::string_view nameOf(LogLevel level) { return logLevelNames.name(level); }
 
 Result<LogLevel> parseLogLevel(std::string_view text)
 {
@@ -69,24 +66,12 @@
 {
 }
 
-void Log::debug(const std::string& message) const
-{
-    LOG4CXX_DEBUG(implementation_->logger, message);
-}
+void Log::debug(const std::string& message) const { LOG4CXX_DEBUG(implementation_->logger, message); }
 
-void Log::info(const std::string& message) const
-{
-    LOG4CXX_INFO(implementation_->logger, message);
-}
+void Log::info(const std::string& message) const { LOG4CXX_INFO(implementation_->logger, message); }
 
-void Log::warning(const std::string& message) const
-{
-    LOG4CXX_WARN(implementation_->logger, message);
-}
+void Log::warning(const std::string& message) const { LOG4CXX_WARN(implementation_->logger, message); }
 
-void Log::error(const std::string& message) const
-{
-    LOG4CXX_ERROR(implementation_->logger, message);
-}
+void Log::error(const std::string& message) const { LOG4CXX_ERROR(implementation_->logger, message); }
 
 }
--- a/Source/FaultProxy/FaultProxyAdmin.cpp
+++ b/Source/FaultProxy/FaultProxyAdmin.cpp
@@ -1,5 +1,7 @@
 #include "FaultProxy/FaultProxyAdmin.h"
 
+#include "Core/ListenAddress.h"
+
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
@@ -206,15 +208,4 @@
     return Json { { "faults_injected", faultsInjected }, { "links", links } }.dump();
 }
 
-Result<Endpoint> parseListenAddress(const std::string& text)
-{
-    // Endpoint refuses port 0, which is no place to send to.
-    const std::string ephemeral = ":0";
-    if (!text.ends_with(ephemeral))
-        return Endpoint::parse(text);
-    BOOST_OUTCOME_TRY(endpoint, Endpoint::parse(text.substr(0, text.size() - 1) + "1"));
-    endpoint.port = 0;
-    return endpoint;
-}
-
 }
--- a/Source/FaultProxy/FaultProxyAdmin.h
+++ b/Source/FaultProxy/FaultProxyAdmin.h
@@ -27,7 +27,4 @@
     FaultProxy& proxy_;
 };
 
-// Reads "ADDRESS:PORT" where the port may be 0, for an ephemeral one.
-Result<Endpoint> parseListenAddress(const std::string& text);
-
 }
--- a/Source/FaultProxy/main.cpp
+++ b/Source/FaultProxy/main.cpp
@@ -1,3 +1,4 @@
+#include "Core/ListenAddress.h"
 #include "Core/Log.h"
 #include "FaultProxy/FaultProxyAdmin.h"
 #include "Net/Http2Server.h"
--- a/Source/StandIns/BackendSpec.cpp
+++ b/Source/StandIns/BackendSpec.cpp
@@ -1,5 +1,6 @@
 #include "StandIns/BackendSpec.h"
 
+#include "Core/ListenAddress.h"
 #include "StandIns/FlagText.h"
 
 #include <fmt/format.h>
--- a/Source/StandIns/CallerRecords.cpp
+++ b/Source/StandIns/CallerRecords.cpp
@@ -28,6 +28,7 @@
     {
         return {
             { "outcome", std::string(nameOf(attempt.outcome)) },
+            { "answer_fault", std::string(nameOf(attempt.fault)) },
             { "status", attempt.status },
             { "balancer", attempt.balancer },
             { "sent_milliseconds", monotonicMilliseconds(attempt.sentAt) },
--- a/Source/StandIns/CallerRequests.cpp
+++ b/Source/StandIns/CallerRequests.cpp
@@ -28,6 +28,12 @@
         { RequestOutcome::WrongAnswer, "wrong_answer" },
     });
 
+    constexpr auto faultNames = makeNameTable<AnswerFault>({
+        { AnswerFault::None, "none" },
+        { AnswerFault::Incomplete, "incomplete" },
+        { AnswerFault::Foreign, "foreign" },
+    });
+
     std::string millisecondsText(Duration duration)
     {
         return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
@@ -61,6 +67,8 @@
 
 std::string_view nameOf(RequestOutcome outcome) { return outcomeNames.name(outcome); }
 
+std::string_view nameOf(AnswerFault fault) { return faultNames.name(fault); }
+
 CallerRequests::CallerRequests(CallerRequestOptions options, TimePoint start)
     : options_(std::move(options))
     , start_(start)
@@ -177,24 +185,27 @@
         result.outcome = saysNotExecuted(response) ? RequestOutcome::Refused : RequestOutcome::Unknown;
         return result;
     }
-    result.detail = faultOf(open, response);
-    result.outcome = result.detail.empty() ? RequestOutcome::Answered : RequestOutcome::WrongAnswer;
+    findFault(open, response, result);
+    result.outcome = result.fault == AnswerFault::None ? RequestOutcome::Answered : RequestOutcome::WrongAnswer;
     return result;
 }
 
-// What is wrong with a success, or nothing.
-std::string CallerRequests::faultOf(const Open& open, const HttpResponse& response)
+void CallerRequests::findFault(const Open& open, const HttpResponse& response, RequestTry& result)
 {
     const std::string_view server = response.header(stand_in_headers::backendServer);
     const std::string_view service = response.header(stand_in_headers::service);
     if (service != open.record.service) {
         ++counts_.wrongServiceAnswers;
-        return fmt::format("answered by service '{}'", service);
+        result.fault = AnswerFault::Foreign;
+        result.detail = fmt::format("answered by service '{}'", service);
+        return;
     }
-    if (response.body != answerBodyOf(open.record.key, server, open.answerBytes))
-        return fmt::format(
-            "{} bytes from '{}'; expected its {} bytes for this key", response.body.size(), server, open.answerBytes);
-    return {};
+    const std::string expected = answerBodyOf(open.record.key, server, open.answerBytes);
+    if (response.body == expected)
+        return;
+    result.fault = expected.starts_with(response.body) ? AnswerFault::Incomplete : AnswerFault::Foreign;
+    result.detail = fmt::format(
+        "{} bytes from '{}'; expected its {} bytes for this key", response.body.size(), server, open.answerBytes);
 }
 
 void CallerRequests::finish(std::uint64_t id, RequestOutcome outcome)
--- a/Source/StandIns/CallerRequests.h
+++ b/Source/StandIns/CallerRequests.h
@@ -54,8 +54,18 @@
 
 std::string_view nameOf(RequestOutcome);
 
+// What is wrong with a success that its caller could not take.
+enum class AnswerFault {
+    None,
+    Incomplete, // The beginning of the caller's own answer, cut short.
+    Foreign, // Anything else: the answer of another key, server or service.
+};
+
+std::string_view nameOf(AnswerFault);
+
 struct RequestTry {
     RequestOutcome outcome = RequestOutcome::Lost;
+    AnswerFault fault = AnswerFault::None;
     int status = 0;
     std::size_t balancer = 0;
     TimePoint sentAt;
@@ -133,7 +143,7 @@
     PlannedRequest planTry(std::uint64_t id, Open&, TimePoint now);
     RequestTry judge(const Open&, const HttpOutcome&);
     RequestTry judgeResponse(const Open&, const HttpResponse&);
-    std::string faultOf(const Open&, const HttpResponse&);
+    void findFault(const Open&, const HttpResponse&, RequestTry&);
     void finish(std::uint64_t id, RequestOutcome);
 
     CallerRequestOptions options_;
--- a/Source/StandIns/FabricMain.cpp
+++ b/Source/StandIns/FabricMain.cpp
@@ -1,3 +1,4 @@
+#include "Core/ListenAddress.h"
 #include "StandIns/FabricStandIn.h"
 #include "StandIns/FlagText.h"
 #include "StandIns/Program.h"
--- a/Source/StandIns/FlagText.cpp
+++ b/Source/StandIns/FlagText.cpp
@@ -20,18 +20,6 @@
     }
 }
 
-Result<Endpoint> parseListenAddress(std::string_view text)
-{
-    constexpr std::string_view ephemeral = ":0";
-    if (!text.ends_with(ephemeral))
-        return Endpoint::parse(text);
-
-    // Any other port will do to have the address read.
-    BOOST_OUTCOME_TRY(endpoint, Endpoint::parse(std::string(text.substr(0, text.size() - 1)) + "1"));
-    endpoint.port = 0;
-    return endpoint;
-}
-
 Result<double> parseNumber(std::string_view text)
 {
     const std::string copy(text);
--- a/Source/StandIns/FlagText.h
+++ b/Source/StandIns/FlagText.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "Core/Endpoint.h"
 #include "Core/Error.h"
 
 #include <string_view>
@@ -11,9 +10,6 @@
 // The parts of a text between separators, empty ones included.
 std::vector<std::string_view> splitText(std::string_view text, char separator);
 
-// Reads an address to listen on; unlike Endpoint::parse it takes a port of 0, which asks for an ephemeral port.
-Result<Endpoint> parseListenAddress(std::string_view text);
-
 // Reads a whole text as a number; fails with InvalidArgument when anything else stands in it.
 Result<double> parseNumber(std::string_view text);
 
--- a/Source/StandIns/Platform/PlatformStandInMain.cpp
+++ b/Source/StandIns/Platform/PlatformStandInMain.cpp
@@ -1,3 +1,4 @@
+#include "Core/ListenAddress.h"
 #include "StandIns/Platform/PlatformStandIn.h"
 
 #include <absl/flags/flag.h>
@@ -28,15 +29,6 @@
     absl::SetFlagsUsageConfig(config);
 }
 
-// Endpoint::parse takes no port 0, which here means an ephemeral one.
-Result<Endpoint> parseListenAddress(const std::string& text)
-{
-    if (!text.ends_with(":0"))
-        return Endpoint::parse(text);
-    BOOST_OUTCOME_TRY(address, Endpoint::parse(text.substr(0, text.size() - 1) + "1"));
-    return Endpoint { address.address, 0 };
-}
-
 int fail(const Error& error)
 {
     fmt::print(stderr, "wisteriadock-standin-platform: {}\n", error.toString());
--- a/Tests/Core/EndpointTest.cpp
+++ b/Tests/Core/EndpointTest.cpp
@@ -16,8 +16,8 @@
 
     TEST(EndpointTest, refusesMalformedTextAndNamesIt)
     {
-        for (const char* text : { "", "192.0.2.7", "192.0.2:1", "192.0.2.7:0", "192.0.2.7:65536", "a:1", ":1",
-                 "192.0.2.7:4x" }) {
+        for (const char* text :
+            { "", "192.0.2.7", "192.0.2:1", "192.0.2.7:0", "192.0.2.7:65536", "a:1", ":1", "192.0.2.7:4x" }) {
             SCOPED_TRACE(text);
             const auto endpoint = Endpoint::parse(text);
             ASSERT_FALSE(endpoint);
