Experiment: Add the scenario of keyed requests

The promise that work runs at most once and refusals are honest was shown by unit tests only. The scenario requests drives keyed requests through real processes, tries the same key elsewhere, and judges by the records of callers and backend servers alone.

A cut zone now also loses what is sent to its request addresses; connections between balancers do not tell their zone, so that this cut is stronger on one side and open on the other.

--- a/Source/Experiment/BackendFleet.cpp
+++ b/Source/Experiment/BackendFleet.cpp
@@ -50,6 +50,12 @@
     return boost::outcome_v2::success();
 }
 
+Result<nlohmann::json> BackendFleet::requestRecords()
+{
+    BOOST_OUTCOME_TRY(answer, client_.get(admin_, "/records?new_flows=no"));
+    return answer.value("servers", Json::object());
+}
+
 Result<ServerRecords> BackendFleet::records(bool withNewFlowTimes)
 {
     BOOST_OUTCOME_TRY(
--- a/Source/Experiment/BackendFleet.h
+++ b/Source/Experiment/BackendFleet.h
@@ -39,6 +39,8 @@
     // Where the servers send their replies to flow packets.
     Result<void> setReplyAddress(const Endpoint&);
     Result<ServerRecords> records(bool withNewFlowTimes);
+    // The servers' own records of every key that they ran, by name, as GET /records gives them.
+    Result<nlohmann::json> requestRecords();
 
 private:
     BackendFleet(AdminClient& client, std::unique_ptr<ChildProcess> process)
--- a/Source/Experiment/BalancerFleet.cpp
+++ b/Source/Experiment/BalancerFleet.cpp
@@ -66,6 +66,7 @@
         "[advertise]\nflow = {}\npeer = {}\nrequest = {}\n\n", flow.toString(), peer.toString(), request.toString());
     settings += fmt::format("[platform]\naddress = {}\n\n", platform.toString());
     settings += fmt::format("[flow]\npolicy = {}\n\n[drain]\nseconds = {}\n\n", options_.policy, drainSeconds);
+    settings += options_.furtherSettings;
     return boost::outcome_v2::success();
 }
 
--- a/Source/Experiment/BalancerFleet.h
+++ b/Source/Experiment/BalancerFleet.h
@@ -28,6 +28,8 @@
     std::string policy;
     // Sends the fabric's packets through the fault proxy too.
     bool fabricThroughProxy = false;
+    // Further sections of the settings files.
+    std::string furtherSettings = {};
 };
 
 // The balancers of a run. Each listens on a loopback address of its own and reaches the others and the platform through
--- /dev/null
+++ b/Source/Experiment/ConnectionResets.cpp
@@ -0,0 +1,58 @@
+#include "Experiment/ConnectionResets.h"
+
+namespace wisteriadock {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    // Nothing new begins in the last part, as in the schedule.
+    constexpr auto calmEnd = 3s;
+    constexpr auto resetLength = 50ms;
+    constexpr auto shortestGap = 150ms;
+    constexpr std::uint64_t gapSpreadMilliseconds = 200;
+
+}
+
+ConnectionResets::ConnectionResets(Deployment& deployment, const ExperimentOptions& options, TimePoint begin)
+    : deployment_(deployment)
+    , enabled_(options.faults == FaultMode::All)
+    , random_(options.seed)
+    , next_(begin + calmStart)
+    , last_(begin + options.length - calmEnd)
+{
+}
+
+Result<void> ConnectionResets::poll()
+{
+    if (!enabled_)
+        return boost::outcome_v2::success();
+    const TimePoint now = Clock::now();
+    if (!link_.empty() && now >= endsAt_) {
+        BOOST_OUTCOME_TRYV(end());
+    }
+    if (link_.empty() && now >= next_ && now < last_)
+        return begin();
+    return boost::outcome_v2::success();
+}
+
+Result<void> ConnectionResets::begin()
+{
+    const auto& servers = deployment_.plan().servers;
+    link_ = "backend/" + servers[random_() % servers.size()].name;
+    next_ += shortestGap + std::chrono::milliseconds(random_() % gapSpreadMilliseconds);
+    endsAt_ = Clock::now() + resetLength;
+    ++count_;
+    return deployment_.proxy().setFaults({ link_, "*" }, { .cut = true, .reset = true });
+}
+
+Result<void> ConnectionResets::end()
+{
+    if (link_.empty())
+        return boost::outcome_v2::success();
+    const std::string link = std::move(link_);
+    link_.clear();
+    return deployment_.proxy().setFaults({ link, "*" }, {});
+}
+
+}
--- a/Source/Experiment/Deployment.cpp
+++ b/Source/Experiment/Deployment.cpp
@@ -38,14 +38,28 @@
     platform_ = std::move(platform);
     BOOST_OUTCOME_TRY(backendServers, BackendFleet::start(starter_, client_, plan_));
     backendServers_ = std::move(backendServers);
+    BOOST_OUTCOME_TRYV(openBackendLinks());
     BOOST_OUTCOME_TRY(fabric, FabricControl::start(starter_, client_, seed));
     fabric_ = std::move(fabric);
-    balancers_
-        = std::make_unique<BalancerFleet>(BalancerSurroundings { starter_, client_, *proxy_, *platform_, *fabric_ },
-            plan_, BalancerFleetOptions { options_.experiment.policy, options_.fabricThroughProxy });
+    balancers_ = std::make_unique<BalancerFleet>(
+        BalancerSurroundings { starter_, client_, *proxy_, *platform_, *fabric_ }, plan_,
+        BalancerFleetOptions {
+            options_.experiment.policy, options_.fabricThroughProxy, options_.furtherBalancerSettings });
     return balancers_->add(options_.experiment.balancers);
 }
 
+Result<void> Deployment::openBackendLinks()
+{
+    if (!options_.backendsThroughProxy)
+        return boost::outcome_v2::success();
+    for (const PlannedServer& server : plan_.servers) {
+        BOOST_OUTCOME_TRY(link,
+            proxy_->putLink("backend/" + server.name, LinkProtocol::Tcp, backendServers_->requestAddress(server.name)));
+        backendLinks_[server.name] = link;
+    }
+    return boost::outcome_v2::success();
+}
+
 Result<void> Deployment::applyFirstConfiguration()
 {
     Configuration first;
@@ -73,7 +87,8 @@
     server.id = backendServerIdOf(planned.name);
     server.service = plan_.services[planned.service].id;
     server.flowAddress = backendServers_->flowAddress(planned.name);
-    server.requestAddress = backendServers_->requestAddress(planned.name);
+    const auto link = backendLinks_.find(planned.name);
+    server.requestAddress = link == backendLinks_.end() ? backendServers_->requestAddress(planned.name) : link->second;
     server.availabilityZone = planned.availabilityZone;
     return server;
 }
--- a/Source/Experiment/Deployment.h
+++ b/Source/Experiment/Deployment.h
@@ -8,7 +8,9 @@
 #include "Experiment/FleetPlan.h"
 #include "Experiment/PlatformControl.h"
 
+#include <map>
 #include <memory>
+#include <string>
 
 namespace wisteriadock {
 
@@ -17,6 +19,10 @@
     // Backend servers that run from the start and are configured later.
     std::size_t spareServers = 0;
     bool fabricThroughProxy = false;
+    // Balancers reach the backend servers' request addresses through links backend/NAME of the fault proxy.
+    bool backendsThroughProxy = false;
+    // Further sections of every balancer's settings file.
+    std::string furtherBalancerSettings = {};
 };
 
 // The whole system of a run, as separate processes: platform, fault proxy, backend servers, fabric and balancers, with
@@ -45,6 +51,7 @@
     Deployment(EventLoop&, const RunDirectory&, DeploymentOptions);
 
     Result<void> startProcesses();
+    Result<void> openBackendLinks();
     Result<void> applyFirstConfiguration();
 
     DeploymentOptions options_;
@@ -54,6 +61,8 @@
     std::unique_ptr<FaultProxyControl> proxy_;
     std::unique_ptr<PlatformControl> platform_;
     std::unique_ptr<BackendFleet> backendServers_;
+    // By server, where balancers send requests; empty without links.
+    std::map<std::string, Endpoint> backendLinks_;
     std::unique_ptr<FabricControl> fabric_;
     std::unique_ptr<BalancerFleet> balancers_;
     std::unique_ptr<ConfigurationOperator> operator_;
--- a/Source/Experiment/ExperimentOptions.h
+++ b/Source/Experiment/ExperimentOptions.h
@@ -27,10 +27,12 @@
     std::size_t balancers = 3;
     std::size_t backendServers = 19;
     std::chrono::seconds length { 10 };
-    // The flow policy that the balancers are told to use.
+    // The flow policy that the balancers are told to use; scenario requests: their request policy.
     std::string policy = "default";
     FaultMode faults = FaultMode::None;
     std::uint32_t flowsPerSecond = 200;
+    // Scenario requests.
+    std::uint32_t requestsPerSecond = 100;
     // Faults of the links between the fabric and the balancers (scenario path).
     std::chrono::milliseconds delay { 0 };
     double loss = 0;
--- /dev/null
+++ b/Source/Experiment/RequestJudge.cpp
@@ -0,0 +1,207 @@
+#include "Experiment/RequestJudge.h"
+
+#include "Core/NameTable.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace wisteriadock {
+
+namespace {
+
+    using Json = nlohmann::json;
+
+    constexpr std::size_t exampleLimit = 10;
+
+    constexpr auto outcomeNames = makeNameTable<TryOutcome>({
+        { TryOutcome::Answered, "answered" },
+        { TryOutcome::Refused, "refused" },
+        { TryOutcome::Unknown, "unknown" },
+        { TryOutcome::Lost, "lost" },
+        { TryOutcome::Cancelled, "cancelled" },
+        { TryOutcome::WrongAnswer, "wrong_answer" },
+    });
+
+    Error malformed(const char* where, const std::string& why)
+    {
+        return { ErrorCode::InvalidArgument, fmt::format("{}: {}", where, why) };
+    }
+
+    Result<TryRecord> tryOf(const Json& row)
+    {
+        TryRecord record;
+        const std::string name = row.at("outcome").get<std::string>();
+        const auto outcome = outcomeNames.value(name);
+        if (!outcome)
+            return malformed("the callers' records", fmt::format("unknown outcome '{}'", name));
+        record.outcome = *outcome;
+        record.isIncomplete = row.at("answer_fault") == "incomplete";
+        record.status = row.at("status").get<int>();
+        record.endedMilliseconds = row.at("ended_milliseconds").get<std::int64_t>();
+        return record;
+    }
+
+    Result<KeyTries> keyOf(const Json& row)
+    {
+        KeyTries key { row.at("key").get<std::string>(), {} };
+        for (const Json& each : row.at("tries")) {
+            BOOST_OUTCOME_TRY(record, tryOf(each));
+            key.tries.push_back(record);
+        }
+        if (key.tries.empty())
+            return malformed("the callers' records", fmt::format("key '{}' has no try", key.key));
+        return key;
+    }
+
+    bool saysNotRun(const TryRecord& record) { return record.outcome == TryOutcome::Refused && record.status != 0; }
+
+    // Refused by a connection that was never made, or by a stream's reset, which speaks of this try alone.
+    bool isRefusedWithoutAnswer(const TryRecord& record)
+    {
+        return record.outcome == TryOutcome::Refused && record.status == 0;
+    }
+
+    bool isUnknown(const TryRecord& record)
+    {
+        return record.outcome == TryOutcome::Unknown || record.outcome == TryOutcome::Lost
+            || record.outcome == TryOutcome::Cancelled;
+    }
+
+    // The last try that tells anything about the key; a try that reached nobody leaves the earlier word standing.
+    const TryRecord& lastWord(const KeyTries& key)
+    {
+        const auto found = std::find_if_not(key.tries.rbegin(), key.tries.rend(), isRefusedWithoutAnswer);
+        return found == key.tries.rend() ? key.tries.back() : *found;
+    }
+
+    bool isFalselyRefused(const KeyTries& key, const KeyRuns& runs)
+    {
+        if (runs.runs == 0)
+            return false;
+        const bool saidAfterStart = std::ranges::any_of(key.tries, [&](const TryRecord& record) {
+            return saysNotRun(record) && record.endedMilliseconds > runs.firstStartMilliseconds;
+        });
+        const bool allRefused = std::ranges::all_of(
+            key.tries, [](const TryRecord& record) { return record.outcome == TryOutcome::Refused; });
+        return saidAfterStart || allRefused || saysNotRun(lastWord(key));
+    }
+
+    bool isCut(const KeyTries& key)
+    {
+        const bool lost = std::ranges::any_of(
+            key.tries, [](const TryRecord& record) { return record.outcome == TryOutcome::Lost; });
+        return lost || lastWord(key).outcome == TryOutcome::Unknown;
+    }
+
+    std::string storyOf(const char* what, const std::string& key, const KeyTries* tries, const KeyRuns& runs)
+    {
+        std::string story = fmt::format("{} {}: {} runs", what, key, runs.runs);
+        if (runs.runs > 0)
+            story += fmt::format(", the first at {} ms", runs.firstStartMilliseconds);
+        if (!tries)
+            return story;
+        for (const TryRecord& record : tries->tries)
+            story += fmt::format(
+                "; {} {} at {} ms", outcomeNames.name(record.outcome), record.status, record.endedMilliseconds);
+        return story;
+    }
+
+    // Counts a promise that was broken and keeps the first few stories.
+    class Finder {
+    public:
+        explicit Finder(RequestFindings& findings)
+            : findings_(findings)
+        {
+        }
+
+        void count(std::uint64_t& counter, const char* what, const KeyTries& key, const KeyRuns& runs)
+        {
+            ++counter;
+            if (findings_.examples.size() < exampleLimit)
+                findings_.examples.push_back(storyOf(what, key.key, &key, runs));
+        }
+
+    private:
+        RequestFindings& findings_;
+    };
+
+}
+
+// A key or type that is missing throws inside the JSON library; the records are then not what this judge knows.
+Result<void> RequestJudge::readCallers(const Json& records)
+{
+    try {
+        for (const Json& row : records.at("requests")) {
+            BOOST_OUTCOME_TRY(key, keyOf(row));
+            addKey(std::move(key));
+        }
+    } catch (const Json::exception& exception) {
+        return malformed("the callers' records", exception.what());
+    }
+    return boost::outcome_v2::success();
+}
+
+Result<void> RequestJudge::readBackendServers(const Json& servers)
+{
+    try {
+        for (const auto& [server, record] : servers.items()) {
+            for (const auto& [key, row] : record.at("keys").items()) {
+                KeyRuns runs { row.at("runs").get<std::uint64_t>(), never };
+                for (const Json& run : row.at("records"))
+                    runs.firstStartMilliseconds
+                        = std::min(runs.firstStartMilliseconds, run.at("started_milliseconds").get<std::int64_t>());
+                addRun(key, runs);
+            }
+        }
+    } catch (const Json::exception& exception) {
+        return malformed("the backend servers' records", exception.what());
+    }
+    return boost::outcome_v2::success();
+}
+
+void RequestJudge::addKey(KeyTries key) { keys_.push_back(std::move(key)); }
+
+void RequestJudge::addRun(const std::string& key, const KeyRuns& runs)
+{
+    KeyRuns& all = runs_[key];
+    all.runs += runs.runs;
+    all.firstStartMilliseconds = std::min(all.firstStartMilliseconds, runs.firstStartMilliseconds);
+}
+
+RequestFindings RequestJudge::judge(std::int64_t firstFailureMilliseconds) const
+{
+    RequestFindings findings;
+    Finder finder(findings);
+    findings.keysRun = runs_.size();
+    findings.keysRecorded = keys_.size();
+    // Also counts keys that no caller recorded.
+    for (const auto& [key, runs] : runs_)
+        findings.doubleRuns += runs.runs > 1;
+    for (const KeyTries& key : keys_) {
+        const auto found = runs_.find(key.key);
+        const KeyRuns runs = found == runs_.end() ? KeyRuns() : found->second;
+        std::uint64_t shown = 0;
+        if (runs.runs > 1)
+            finder.count(shown, "double run", key, runs);
+        if (isFalselyRefused(key, runs))
+            finder.count(findings.falseRefusals, "false refusal", key, runs);
+        for (const TryRecord& record : key.tries) {
+            if (record.outcome == TryOutcome::WrongAnswer)
+                finder.count(record.isIncomplete ? findings.incompleteAnswers : findings.mixedAnswers,
+                    record.isIncomplete ? "incomplete answer" : "mixed answer", key, runs);
+        }
+        if (key.tries.back().endedMilliseconds < firstFailureMilliseconds && isCut(key))
+            finder.count(findings.cutInFlight, "cut in flight", key, runs);
+        const bool unknown = isUnknown(lastWord(key));
+        findings.unknownOutcomes += unknown;
+        if (unknown)
+            ++findings.unknownByStatus[lastWord(key).status];
+        findings.unknownThatRan += unknown && runs.runs > 0;
+        if (key.tries.back().outcome == TryOutcome::Answered && runs.runs == 0)
+            finder.count(findings.answeredWithoutRun, "answered without a run", key, runs);
+    }
+    return findings;
+}
+
+}
--- /dev/null
+++ b/Source/Experiment/RequestsScenario.cpp
@@ -0,0 +1,214 @@
+#include "Experiment/CallerRun.h"
+#include "Experiment/ConnectionResets.h"
+#include "Experiment/ControlMeter.h"
+#include "Experiment/RequestJudge.h"
+#include "Experiment/Scenario.h"
+#include "Experiment/StepRunner.h"
+
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+
+#include <algorithm>
+
+namespace wisteriadock {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr auto quietWindow = 2s;
+    constexpr auto sampleInterval = 1s;
+    constexpr auto pollInterval = 20ms;
+    // Work that a balancer still sends after the callers gave up belongs to the records too.
+    constexpr auto settlingTime = 3s;
+    // Further tries of a key, each at another balancer.
+    constexpr int requestRetries = 3;
+    constexpr std::string_view blindRetry = "blind_retry";
+
+    std::vector<Step> scheduleOf(const ExperimentOptions& options)
+    {
+        ScheduleOptions schedule;
+        schedule.seed = options.seed;
+        schedule.mode = options.faults;
+        schedule.length = options.length;
+        schedule.availabilityZones = options.availabilityZones;
+        schedule.balancers = options.balancers;
+        schedule.serviceOfServer = FleetPlan::make(options, 0).serviceOfFirstServers();
+        return makeSchedule(schedule);
+    }
+
+    DeploymentOptions deploymentOf(const ExperimentOptions& options, const std::vector<Step>& steps)
+    {
+        DeploymentOptions deployment;
+        deployment.experiment = options;
+        deployment.experiment.policy = "default";
+        deployment.spareServers = static_cast<std::size_t>(std::count_if(
+            steps.begin(), steps.end(), [](const Step& step) { return step.kind == StepKind::AddServer; }));
+        deployment.backendsThroughProxy = true;
+        deployment.furtherBalancerSettings = fmt::format("[request]\npolicy = {}\navailability_zones = {}\n\n",
+            options.policy, fmt::join(FleetPlan::make(options, 0).availabilityZones, ", "));
+        return deployment;
+    }
+
+    std::vector<std::string> callerArguments(const ExperimentOptions& options, const std::vector<Endpoint>& balancers)
+    {
+        std::string addresses;
+        for (const Endpoint& balancer : balancers)
+            addresses += (addresses.empty() ? "" : ",") + balancer.toString();
+        return { "--balancers=" + addresses, fmt::format("--requests_per_second={}", options.requestsPerSecond),
+            fmt::format("--request_retries={}", requestRetries) };
+    }
+
+    std::int64_t millisecondsOf(TimePoint at)
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(at.time_since_epoch()).count();
+    }
+
+    std::int64_t firstFailureOf(const std::vector<Step>& steps, TimePoint begin, const ExperimentOptions& options)
+    {
+        if (options.faults != FaultMode::All)
+            return RequestJudge::never;
+        std::int64_t first = millisecondsOf(begin + ConnectionResets::calmStart);
+        for (const Step& step : steps) {
+            if (!isPlannedChange(step.kind))
+                first = std::min(first, millisecondsOf(begin + step.at));
+        }
+        return first;
+    }
+
+    // One run: the system, its load and its steps.
+    class RequestsRun {
+    public:
+        RequestsRun(const ScenarioContext& context, Deployment& deployment, std::vector<Step> steps, CallerRun& caller)
+            : context_(context)
+            , deployment_(deployment)
+            , caller_(caller)
+            , firstFailure_(firstFailureOf(steps, caller.begin(), context.options))
+            , steps_(deployment, std::move(steps), caller.begin())
+            , resets_(deployment, context.options, caller.begin())
+        {
+        }
+
+        Result<void> drive(ControlMeter& control)
+        {
+            TimePoint nextSample = Clock::now();
+            while (!caller_.isOver()) {
+                BOOST_OUTCOME_TRYV(steps_.poll());
+                BOOST_OUTCOME_TRYV(resets_.poll());
+                if (Clock::now() >= nextSample) {
+                    nextSample += sampleInterval;
+                    BOOST_OUTCOME_TRYV(control.sample(steps_.began()));
+                }
+                BOOST_OUTCOME_TRYV(deployment_.loop().runUntil(Clock::now() + pollInterval));
+            }
+            BOOST_OUTCOME_TRYV(steps_.endAll());
+            BOOST_OUTCOME_TRYV(resets_.end());
+            BOOST_OUTCOME_TRYV(control.sample(steps_.began()));
+            BOOST_OUTCOME_TRYV(caller_.readResults(deployment_.loop()));
+            return deployment_.loop().runUntil(Clock::now() + settlingTime);
+        }
+
+        Result<Verdict> judge(const ControlMeter& control)
+        {
+            BOOST_OUTCOME_TRY(servers, deployment_.backendServers().requestRecords());
+            RequestJudge judge;
+            BOOST_OUTCOME_TRYV(judge.readCallers(caller_.records()));
+            BOOST_OUTCOME_TRYV(judge.readBackendServers(servers));
+            const RequestFindings findings = judge.judge(firstFailure_);
+            std::uint64_t wrongService = caller_.row("wrong_service_packets") + caller_.row("requests_wrong_service");
+            std::uint64_t unrecorded = 0;
+            for (const auto& [name, server] : servers.items()) {
+                wrongService += server.value("wrong_service_count", std::uint64_t(0));
+                unrecorded += server.value("unrecorded_runs", std::uint64_t(0));
+            }
+            report(findings, control, wrongService);
+            for (const std::string& example : findings.examples)
+                fmt::print(stderr, "{}\n", example);
+            return verdictOf(findings, control, wrongService, unrecorded);
+        }
+
+    private:
+        void report(const RequestFindings& findings, const ControlMeter& control, std::uint64_t wrongService)
+        {
+            Rows& rows = context_.rows;
+            const std::uint64_t sent = caller_.row("requests_sent");
+            const std::uint64_t answered = caller_.row("requests_answered");
+            for (const char* name : { "requests_sent", "requests_answered", "requests_refused" })
+                rows.set(name, caller_.row(name));
+            rows.set("double_runs", findings.doubleRuns);
+            rows.set("false_refusals", findings.falseRefusals);
+            rows.set("mixed_answers", findings.mixedAnswers);
+            rows.set("incomplete_answers", findings.incompleteAnswers);
+            rows.set("cut_in_flight", findings.cutInFlight);
+            rows.set("unknown_outcomes", findings.unknownOutcomes);
+            rows.set("unknown_outcomes_that_ran", findings.unknownThatRan);
+            for (const auto& [status, count] : findings.unknownByStatus)
+                rows.set(status == 0 ? "unknown_outcomes_lost" : fmt::format("unknown_outcomes_{}", status), count);
+            rows.set("goodput_fraction", sent == 0 ? 0.0 : static_cast<double>(answered) / static_cast<double>(sent));
+            rows.set("faults_injected", steps_.failures() + resets_.count() + control.proxyFaults());
+            rows.set("planned_changes", steps_.plannedChanges());
+            rows.set("backend_resets", resets_.count());
+            rows.set("request_tries_sent", caller_.row("request_tries_sent"));
+            rows.set("requests_skipped", caller_.row("requests_skipped"));
+            rows.set("keys_run", findings.keysRun);
+            rows.set("flows_established", caller_.row("flows_established"));
+            rows.set("flows_broken", caller_.row("flows_broken"));
+            rows.set("wrong_service_packets", wrongService);
+            control.report(rows);
+        }
+
+        Verdict verdictOf(const RequestFindings& findings, const ControlMeter& control, std::uint64_t wrongService,
+            std::uint64_t unrecorded)
+        {
+            const FaultMode mode = context_.options.faults;
+            Verdict verdict;
+            verdict.require(caller_.row("requests_answered") > 0, "no request was answered");
+            verdict.require(findings.keysRun > 0, "the backend servers recorded no run");
+            verdict.require(findings.doubleRuns == 0, "keys ran more than once");
+            verdict.require(findings.falseRefusals == 0, "keys ran although their callers were told that they did not");
+            verdict.require(findings.mixedAnswers == 0, "callers got answers that are not theirs");
+            verdict.require(findings.incompleteAnswers == 0, "callers got answers that are cut short");
+            verdict.require(findings.cutInFlight == 0, "requests in flight were cut off without an unplanned failure");
+            verdict.require(findings.answeredWithoutRun == 0, "requests were answered that no backend server ran");
+            verdict.require(wrongService == 0, "packets or answers of the wrong service");
+            verdict.require(mode == FaultMode::None || steps_.plannedChanges() > 0, "no change was made");
+            verdict.require(mode != FaultMode::All || steps_.failures() > 0, "no failure was injected");
+            verdict.require(control.overflowed() == 0, "the fault proxy ran out of room");
+            verdict.require(unrecorded == 0, "the backend servers ran out of room for records");
+            verdict.require(
+                findings.keysRecorded == caller_.row("requests_sent"), "the callers ran out of room for records");
+            const std::string ends = deployment_.balancers().unexpectedEnds();
+            verdict.require(ends.empty(), ends);
+            return verdict;
+        }
+
+        const ScenarioContext& context_;
+        Deployment& deployment_;
+        CallerRun& caller_;
+        std::int64_t firstFailure_;
+        StepRunner steps_;
+        ConnectionResets resets_;
+    };
+
+}
+
+Result<Verdict> runRequestsScenario(const ScenarioContext& context)
+{
+    const ExperimentOptions& options = context.options;
+    if (options.policy != "default" && options.policy != blindRetry) {
+        return Error { ErrorCode::InvalidArgument,
+            fmt::format("--policy: '{}' is neither default nor {}", options.policy, blindRetry) };
+    }
+    auto steps = scheduleOf(options);
+    BOOST_OUTCOME_TRY(deployment, Deployment::start(context.loop, context.directory, deploymentOf(options, steps)));
+    ControlMeter control(*deployment);
+    BOOST_OUTCOME_TRYV(control.measureQuietWindow(quietWindow));
+    BOOST_OUTCOME_TRY(caller,
+        CallerRun::start(*deployment, options, callerArguments(options, deployment->balancers().requestAddresses())));
+
+    RequestsRun run(context, *deployment, std::move(steps), *caller);
+    BOOST_OUTCOME_TRYV(run.drive(control));
+    return run.judge(control);
+}
+
+}
--- a/Source/Experiment/Scenario.h
+++ b/Source/Experiment/Scenario.h
@@ -48,5 +48,7 @@
 Result<Verdict> runPathScenario(const ScenarioContext&);
 // Flows through planned changes and failures.
 Result<Verdict> runFlowsScenario(const ScenarioContext&);
+// Keyed requests that must not run twice, through the same, with retries elsewhere.
+Result<Verdict> runRequestsScenario(const ScenarioContext&);
 
 }
--- a/Source/Experiment/StepRunner.cpp
+++ b/Source/Experiment/StepRunner.cpp
@@ -199,6 +199,9 @@
         BOOST_OUTCOME_TRYV(proxy.setFaults({ kind + inside, balancers.sourcesOutsideZone(zone) }, settings));
         BOOST_OUTCOME_TRYV(proxy.setFaults({ kind + outside, balancers.sourcesOfZone(zone) }, settings));
     }
+    // Connections between balancers do not tell their zone: nobody reaches the zone's request addresses over them,
+    // while its own balancers still reach others. That loses what is said about requests' keys.
+    BOOST_OUTCOME_TRYV(proxy.setFaults({ "request" + inside, "127.*" }, settings));
     return proxy.setFaults({ "platform" + inside, "127.*" }, settings);
 }
 
--- a/Source/Experiment/main.cpp
+++ b/Source/Experiment/main.cpp
@@ -14,9 +14,11 @@
 ABSL_FLAG(unsigned, balancers, 6, "Number of balancers at the start (1 to 100).");
 ABSL_FLAG(unsigned, backend_servers, 19, "Number of backend servers of both services (2 to 200).");
 ABSL_FLAG(unsigned, seconds, 10, "Length of the load (1 to 3600).");
-ABSL_FLAG(std::string, policy, "default", "Flow policy: default, modulo, consistent_hash or bounded_loads.");
+ABSL_FLAG(std::string, policy, "default",
+    "Flow policy: default, modulo, consistent_hash or bounded_loads; requests: default or blind_retry.");
 ABSL_FLAG(std::string, faults, "none", "What happens while load runs: none, planned or all.");
 ABSL_FLAG(unsigned, flows_per_second, 200, "Flows that callers open a second.");
+ABSL_FLAG(unsigned, requests_per_second, 100, "requests: requests that callers send a second.");
 ABSL_FLAG(unsigned, delay_ms, 0, "path: delay between the fabric and the balancers.");
 ABSL_FLAG(double, loss, 0, "path: share of packets lost between the fabric and the balancers (0 to 1).");
 ABSL_FLAG(bool, keep_files, false, "Keep the settings, logs and records of the processes.");
@@ -67,6 +69,9 @@
         options.faults = faults;
         BOOST_OUTCOME_TRY(flows, inRange("flows_per_second", absl::GetFlag(FLAGS_flows_per_second), 1, 100'000));
         options.flowsPerSecond = static_cast<std::uint32_t>(flows);
+        BOOST_OUTCOME_TRY(
+            requests, inRange("requests_per_second", absl::GetFlag(FLAGS_requests_per_second), 1, 10'000));
+        options.requestsPerSecond = static_cast<std::uint32_t>(requests);
         BOOST_OUTCOME_TRY(delay, inRange("delay_ms", absl::GetFlag(FLAGS_delay_ms), 0, 10'000));
         options.delay = std::chrono::milliseconds(delay);
         options.loss = absl::GetFlag(FLAGS_loss);
--- /dev/null
+++ b/Tests/Experiment/RequestJudgeTest.cpp
@@ -0,0 +1,140 @@
+#include "Experiment/RequestJudge.h"
+
+#include <gtest/gtest.h>
+
+namespace wisteriadock {
+namespace {
+
+    class RequestJudgeTest : public testing::Test {
+    protected:
+        static TryRecord answered(std::int64_t at) { return { TryOutcome::Answered, false, 200, at }; }
+        static TryRecord saidNo(std::int64_t at) { return { TryOutcome::Refused, false, 503, at }; }
+        static TryRecord notSent(std::int64_t at) { return { TryOutcome::Refused, false, 0, at }; }
+        static TryRecord unknown(std::int64_t at) { return { TryOutcome::Unknown, false, 409, at }; }
+        static TryRecord lost(std::int64_t at) { return { TryOutcome::Lost, false, 0, at }; }
+        static TryRecord wrong(bool isIncomplete) { return { TryOutcome::WrongAnswer, isIncomplete, 200, 100 }; }
+
+        // A key that ran at 50 ms, as often as said.
+        static RequestFindings findingsOf(
+            std::vector<TryRecord> tries, std::uint64_t runs = 1, std::int64_t firstFailure = RequestJudge::never)
+        {
+            RequestJudge judge;
+            judge.addKey({ "key", std::move(tries) });
+            if (runs > 0)
+                judge.addRun("key", { runs, 50 });
+            return judge.judge(firstFailure);
+        }
+    };
+
+    TEST_F(RequestJudgeTest, findsNothingInAKeyThatRanOnceAndWasAnswered)
+    {
+        const RequestFindings findings = findingsOf({ answered(100) });
+        EXPECT_EQ(findings.doubleRuns, 0U);
+        EXPECT_EQ(findings.falseRefusals, 0U);
+        EXPECT_EQ(findings.cutInFlight, 0U);
+        EXPECT_EQ(findings.unknownOutcomes, 0U);
+        EXPECT_EQ(findings.keysRun, 1U);
+        EXPECT_EQ(findings.keysRecorded, 1U);
+        EXPECT_TRUE(findings.examples.empty());
+    }
+
+    TEST_F(RequestJudgeTest, countsKeysThatRanTwiceOnOneServerOrOnTwo)
+    {
+        EXPECT_EQ(findingsOf({ answered(100) }, 2).doubleRuns, 1U);
+
+        RequestJudge judge;
+        judge.addKey({ "key", { answered(100) } });
+        judge.addRun("key", { 1, 50 });
+        judge.addRun("key", { 1, 70 });
+        judge.addRun("nobody's", { 3, 50 });
+        EXPECT_EQ(judge.judge(RequestJudge::never).doubleRuns, 2U);
+    }
+
+    TEST_F(RequestJudgeTest, aRefusalIsFalseWhenTheKeyRan)
+    {
+        {
+            SCOPED_TRACE("as the last word, also when the run began only afterwards");
+            EXPECT_EQ(findingsOf({ saidNo(100) }).falseRefusals, 1U);
+            EXPECT_EQ(findingsOf({ saidNo(40) }).falseRefusals, 1U);
+            EXPECT_EQ(findingsOf({ saidNo(40), notSent(60) }).falseRefusals, 1U);
+        }
+        {
+            SCOPED_TRACE("in the middle, when it came after the run began");
+            EXPECT_EQ(findingsOf({ lost(60), saidNo(70), answered(100) }).falseRefusals, 1U);
+            EXPECT_EQ(findingsOf({ saidNo(40), answered(100) }).falseRefusals, 0U);
+        }
+        {
+            SCOPED_TRACE("when every try was refused, by whatever means");
+            EXPECT_EQ(findingsOf({ notSent(100) }).falseRefusals, 1U);
+            EXPECT_EQ(findingsOf({ lost(60), notSent(100) }).falseRefusals, 0U);
+        }
+        {
+            SCOPED_TRACE("never of a key that did not run");
+            EXPECT_EQ(findingsOf({ saidNo(40), saidNo(100) }, 0).falseRefusals, 0U);
+        }
+    }
+
+    TEST_F(RequestJudgeTest, tellsCutAnswersFromThoseOfOthers)
+    {
+        EXPECT_EQ(findingsOf({ wrong(true) }).incompleteAnswers, 1U);
+        EXPECT_EQ(findingsOf({ wrong(true) }).mixedAnswers, 0U);
+        EXPECT_EQ(findingsOf({ wrong(false) }).mixedAnswers, 1U);
+        EXPECT_EQ(findingsOf({ wrong(false) }).incompleteAnswers, 0U);
+    }
+
+    TEST_F(RequestJudgeTest, aCutCountsUntilTheFirstFailure)
+    {
+        EXPECT_EQ(findingsOf({ lost(60), answered(100) }).cutInFlight, 1U);
+        EXPECT_EQ(findingsOf({ unknown(100) }).cutInFlight, 1U);
+        EXPECT_EQ(findingsOf({ unknown(60), answered(100) }).cutInFlight, 0U);
+        EXPECT_EQ(findingsOf({ notSent(60), answered(100) }).cutInFlight, 0U);
+        EXPECT_EQ(findingsOf({ lost(100) }, 1, 101).cutInFlight, 1U);
+        EXPECT_EQ(findingsOf({ lost(100) }, 1, 100).cutInFlight, 0U);
+    }
+
+    TEST_F(RequestJudgeTest, countsWhatCallersDoNotKnowInTheEnd)
+    {
+        const RequestFindings ran = findingsOf({ lost(60), notSent(100) });
+        EXPECT_EQ(ran.unknownOutcomes, 1U);
+        EXPECT_EQ(ran.unknownThatRan, 1U);
+        EXPECT_EQ(ran.unknownByStatus, (std::map<int, std::uint64_t> { { 0, 1 } }));
+        const RequestFindings didNotRun = findingsOf({ unknown(60) }, 0);
+        EXPECT_EQ(didNotRun.unknownOutcomes, 1U);
+        EXPECT_EQ(didNotRun.unknownThatRan, 0U);
+        EXPECT_EQ(findingsOf({ unknown(60), answered(100) }).unknownOutcomes, 0U);
+    }
+
+    TEST_F(RequestJudgeTest, missesNoRunOfAnAnsweredKey)
+    {
+        EXPECT_EQ(findingsOf({ answered(100) }, 0).answeredWithoutRun, 1U);
+        EXPECT_EQ(findingsOf({ answered(100) }).answeredWithoutRun, 0U);
+    }
+
+    TEST_F(RequestJudgeTest, readsTheRecordsOfBothEnds)
+    {
+        using Json = nlohmann::json;
+        RequestJudge judge;
+        const Json good = Json::parse(R"({"requests": [{"key": "a", "service": "tryon", "tries": [
+            {"outcome": "lost", "answer_fault": "none", "status": 0, "ended_milliseconds": 60},
+            {"outcome": "refused", "answer_fault": "none", "status": 503, "ended_milliseconds": 80}]}]})");
+        ASSERT_TRUE(judge.readCallers(good));
+        const Json servers = Json::parse(R"({
+            "tryon-01": {"keys": {"a": {"runs": 1, "records": [{"started_milliseconds": 70}]}}},
+            "tryon-02": {"keys": {"a": {"runs": 1, "records": [{"started_milliseconds": 90}]}}}})");
+        ASSERT_TRUE(judge.readBackendServers(servers));
+        const RequestFindings findings = judge.judge(RequestJudge::never);
+        EXPECT_EQ(findings.doubleRuns, 1U);
+        EXPECT_EQ(findings.falseRefusals, 1U);
+        ASSERT_FALSE(findings.examples.empty());
+        EXPECT_EQ(findings.examples.front(),
+            "double run a: 2 runs, the first at 70 ms; lost 0 at 60 ms; refused 503 at 80 ms");
+
+        EXPECT_FALSE(RequestJudge().readCallers(Json::object()));
+        EXPECT_FALSE(RequestJudge().readCallers(Json::parse(R"({"requests": [{"key": "a", "tries": []}]})")));
+        EXPECT_FALSE(RequestJudge().readCallers(Json::parse(R"({"requests": [{"key": "a", "tries": [
+            {"outcome": "odd", "answer_fault": "none", "status": 0, "ended_milliseconds": 60}]}]})")));
+        EXPECT_FALSE(RequestJudge().readBackendServers(Json::parse(R"({"tryon-01": {}})")));
+    }
+
+}
+}
--- a/Tests/StandIns/CallerRequestsTest.cpp
+++ b/Tests/StandIns/CallerRequestsTest.cpp
@@ -77,6 +77,24 @@
         EXPECT_EQ(foreign.wrongServiceAnswers, 1U);
     }
 
+    TEST_F(CallerRequestsTest, tellsACutAnswerFromAForeignOne)
+    {
+        const auto faultOf = [&](const std::function<void(HttpResponse&)>& spoil) {
+            CallerRequests requests(options(), clock_.now());
+            const PlannedRequest planned = onlyPlanned(requests);
+            HttpResponse answer = goodAnswer(planned.request);
+            spoil(answer);
+            requests.handle(planned.id, answer, clock_.now());
+            return requests.records().at(0).tries.at(0).fault;
+        };
+        EXPECT_EQ(faultOf([](HttpResponse&) {}), AnswerFault::None);
+        EXPECT_EQ(faultOf([](HttpResponse& answer) { answer.body.pop_back(); }), AnswerFault::Incomplete);
+        EXPECT_EQ(faultOf([](HttpResponse& answer) { answer.body.clear(); }), AnswerFault::Incomplete);
+        EXPECT_EQ(faultOf([](HttpResponse& answer) { answer.body.back() ^= 1; }), AnswerFault::Foreign);
+        EXPECT_EQ(faultOf([](HttpResponse& answer) { answer.body += 'x'; }), AnswerFault::Foreign);
+        EXPECT_EQ(faultOf([](HttpResponse& answer) { answer.headers[1].value = "scanintake"; }), AnswerFault::Foreign);
+    }
+
     TEST_F(CallerRequestsTest, tellsRefusedFromUnknownAndLost)
     {
         EXPECT_EQ(outcomeOf(HttpResponse { 503, {}, R"({"executed": "no"})" }), RequestOutcome::Refused);
