Experiment: Judge versions of the configuration with real processes

That an accepted version is in force everywhere within seconds and never goes back was shown by unit tests only. The scenario "configuration" lets operators apply with wisteriadock-ctl, also two at once from one base, while the platform loses answers, is out, is slow or is restored to an older copy, balancers are replaced in the middle of a roll-out, and a zone is cut off. A judge without I/O compares what operators were told with what each process served.

The faults of a cut zone stood in StepRunner and were needed twice; they are a function of their own now, unchanged.

Left: a lost outcome is counted by the number of answers that the platform lost, in which a balancer's own write at that moment would pass for one. The scenarios flows and requests were not run again after the move of the cut.

--- a/Source/Experiment/BalancerFleet.cpp
+++ b/Source/Experiment/BalancerFleet.cpp
@@ -195,6 +195,16 @@
         balancers_.begin(), balancers_.end(), [](const Balancer& balancer) { return !balancer.leaving; }));
 }
 
+std::vector<RunningBalancer> BalancerFleet::runningBalancers() const
+{
+    std::vector<RunningBalancer> result;
+    for (std::size_t i = 0; i < balancers_.size(); ++i) {
+        if (!balancers_[i].leaving)
+            result.push_back({ balancers_[i].name, zoneOf(i), balancers_[i].requestAddress });
+    }
+    return result;
+}
+
 std::string BalancerFleet::linkOf(const std::string& kind, std::size_t index) const
 {
     return fmt::format("{}/{}/b{}", kind, zoneOf(index) + 1, index + 1);
--- a/Source/Experiment/BalancerFleet.h
+++ b/Source/Experiment/BalancerFleet.h
@@ -23,6 +23,15 @@
     FabricControl& fabric;
 };
 
+// A balancer that was neither stopped nor killed.
+struct RunningBalancer {
+    std::string name;
+    // Index of its availability zone.
+    std::size_t zone = 0;
+    // Its own address, past the fault proxy.
+    Endpoint requestAddress;
+};
+
 // How the balancers of a run are set up.
 struct BalancerFleetOptions {
     std::string policy;
@@ -53,6 +62,10 @@
     Result<void> turnFabricAwayFrom(std::size_t);
 
     std::size_t running() const;
+    std::vector<RunningBalancer> runningBalancers() const;
+    // By the index of a start, as above.
+    bool isRunning(std::size_t index) const { return !balancers_[index].leaving; }
+    std::size_t started() const { return balancers_.size(); }
     std::size_t zoneOf(std::size_t index) const { return index % plan_.availabilityZones.size(); }
     // Patterns for the fault proxy, by index of the balancer or of its zone.
     std::string linkOf(const std::string& kind, std::size_t index) const;
--- /dev/null
+++ b/Source/Experiment/ConfigurationJudge.cpp
@@ -0,0 +1,166 @@
+#include "Experiment/ConfigurationJudge.h"
+
+#include <algorithm>
+
+namespace wisteriadock {
+
+void ConfigurationJudge::accepted(std::uint64_t version, const std::string& contentHash, TimePoint at)
+{
+    const auto [place, isNew] = accepted_.try_emplace(version, Acceptance { contentHash, at });
+    if (!isNew && place->second.contentHash != contentHash)
+        ++reusedVersions_;
+}
+
+void ConfigurationJudge::processStarted(const std::string& process, TimePoint at) { processes_[process].begin = at; }
+
+void ConfigurationJudge::processEnded(const std::string& process, TimePoint at) { processes_[process].end = at; }
+
+void ConfigurationJudge::cutBegan(const std::string& process, TimePoint at)
+{
+    processes_[process].cuts.push_back({ at });
+}
+
+void ConfigurationJudge::cutEnded(const std::string& process, TimePoint at)
+{
+    auto& cuts = processes_[process].cuts;
+    if (!cuts.empty())
+        cuts.back().end = std::min(cuts.back().end, at);
+}
+
+void ConfigurationJudge::showed(const std::string& process, std::uint64_t version, TimePoint at)
+{
+    auto& showings = processes_[process].showings;
+    if (showings.empty() || showings.back().version != version)
+        showings.push_back({ version, at });
+}
+
+void ConfigurationJudge::served(std::uint64_t version, const std::string& namedHash, const std::string& hashOfText)
+{
+    ++served_[{ version, namedHash, hashOfText }];
+}
+
+std::uint64_t ConfigurationJudge::partialApplies() const
+{
+    std::uint64_t count = reusedVersions_;
+    for (const auto& [content, times] : served_) {
+        const auto found = accepted_.find(content.version);
+        const bool isWhole = found != accepted_.end() && content.namedHash == found->second.contentHash
+            && content.hashOfText == found->second.contentHash;
+        count += isWhole ? 0 : 1;
+    }
+    return count;
+}
+
+std::uint64_t ConfigurationJudge::reversions(TimePoint end) const
+{
+    std::uint64_t count = 0;
+    for (const auto& [name, process] : processes_) {
+        for (std::size_t i = 1; i < process.showings.size(); ++i)
+            count += process.showings[i].version < process.showings[i - 1].version ? 1 : 0;
+
+        Duration inContact { 0 };
+        for (const Interval& interval : process.uncut(process.begin, std::min(end, process.end)))
+            inContact += interval.end - interval.begin;
+        const std::uint64_t last = process.showings.empty() ? 0 : process.showings.back().version;
+        if (inContact >= settleTime && last < versionInForceBefore(name))
+            ++count;
+    }
+    return count;
+}
+
+double ConfigurationJudge::inForceSecondsMax(TimePoint end) const
+{
+    Duration longest { 0 };
+    for (const auto& [version, acceptance] : accepted_) {
+        const TimePoint at = acceptanceOf(version);
+        for (const auto& [name, process] : processes_) {
+            const TimePoint reached = std::min({ process.reached(version), process.end, end });
+            for (const Interval& interval : process.uncut(std::max(at, process.begin), reached))
+                longest = std::max(longest, interval.end - interval.begin);
+        }
+    }
+    return std::chrono::duration<double>(longest).count();
+}
+
+bool ConfigurationJudge::isInForceEverywhere(std::uint64_t version) const
+{
+    return std::all_of(processes_.begin(), processes_.end(), [version](const auto& entry) {
+        const Process& process = entry.second;
+        const bool isCut = !process.cuts.empty() && process.cuts.back().end == TimePoint::max();
+        if (process.end != TimePoint::max() || isCut)
+            return true;
+        return !process.showings.empty() && process.showings.back().version >= version;
+    });
+}
+
+// The lowest of what all the others in reach had shown when the process started: none of them could show less any more.
+std::uint64_t ConfigurationJudge::versionInForceBefore(const std::string& process) const
+{
+    const TimePoint start = processes_.at(process).begin;
+    std::uint64_t lowest = 0;
+    bool hasOthers = false;
+    for (const auto& [name, other] : processes_) {
+        if (name == process || other.begin >= start || !other.isInReach(start))
+            continue;
+        const std::uint64_t shown = other.highestShownBy(start);
+        lowest = hasOthers ? std::min(lowest, shown) : shown;
+        hasOthers = true;
+    }
+    return lowest;
+}
+
+TimePoint ConfigurationJudge::acceptanceOf(std::uint64_t version) const
+{
+    TimePoint at = accepted_.at(version).at;
+    for (const auto& [name, process] : processes_) {
+        for (const Showing& showing : process.showings) {
+            if (showing.version == version)
+                at = std::min(at, showing.at);
+        }
+    }
+    return at;
+}
+
+bool ConfigurationJudge::Process::isInReach(TimePoint at) const
+{
+    if (at < begin || at >= end)
+        return false;
+    return std::none_of(
+        cuts.begin(), cuts.end(), [at](const Interval& cut) { return at >= cut.begin && at < cut.end; });
+}
+
+std::uint64_t ConfigurationJudge::Process::highestShownBy(TimePoint at) const
+{
+    std::uint64_t highest = 0;
+    for (const Showing& showing : showings) {
+        if (showing.at <= at)
+            highest = std::max(highest, showing.version);
+    }
+    return highest;
+}
+
+TimePoint ConfigurationJudge::Process::reached(std::uint64_t version) const
+{
+    for (const Showing& showing : showings) {
+        if (showing.version >= version)
+            return showing.at;
+    }
+    return TimePoint::max();
+}
+
+std::vector<ConfigurationJudge::Interval> ConfigurationJudge::Process::uncut(
+    TimePoint intervalBegin, TimePoint intervalEnd) const
+{
+    std::vector<Interval> result;
+    TimePoint from = intervalBegin;
+    for (const Interval& cut : cuts) {
+        if (from < std::min(cut.begin, intervalEnd))
+            result.push_back({ from, std::min(cut.begin, intervalEnd) });
+        from = std::max(from, cut.end);
+    }
+    if (from < intervalEnd)
+        result.push_back({ from, intervalEnd });
+    return result;
+}
+
+}
--- a/Source/Experiment/ConfigurationOperator.h
+++ b/Source/Experiment/ConfigurationOperator.h
@@ -28,6 +28,8 @@
     // it.
     Result<void> poll();
     bool isIdle() const { return !ctl_ && waiting_.empty(); }
+    // The file as it stands, accepted or not.
+    const Configuration& configuration() const { return configuration_; }
     std::uint64_t accepted() const { return accepted_; }
 
 private:
--- /dev/null
+++ b/Source/Experiment/ConfigurationRun.cpp
@@ -0,0 +1,336 @@
+#include "Experiment/ConfigurationRun.h"
+
+#include "Configuration/ConfigurationContent.h"
+#include "Configuration/ConfigurationWriter.h"
+#include "Experiment/ZoneFaults.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace wisteriadock {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr auto calmStart = 3s;
+    constexpr auto sampleInterval = 1s;
+    constexpr auto pollInterval = 10ms;
+    constexpr auto applyLimit = 70s;
+    constexpr auto inForceLimit = 5s;
+    // Applies run on for this long while a fault holds, so that it meets them at different moments.
+    constexpr auto faultLead = 100ms;
+    constexpr const char* copyName = "older";
+
+}
+
+ConfigurationRun::ConfigurationRun(const ScenarioContext& context, Deployment& deployment, ControlMeter& control)
+    : context_(context)
+    , deployment_(deployment)
+    , control_(control)
+    , client_(context.loop)
+    , watcher_(client_, deployment.balancers(), judge_)
+    , schedule_(context.options.seed, context.options.availabilityZones)
+    , configuration_(deployment.configurationOperator().configuration())
+{
+}
+
+Result<void> ConfigurationRun::drive()
+{
+    begin_ = Clock::now();
+    nextSample_ = begin_;
+    watcher_.noticeProcesses();
+    judge_.accepted(version_, contentHashOf(writeConfiguration(configuration_)), begin_);
+    BOOST_OUTCOME_TRY(before, deployment_.platform().counters());
+    countersBefore_ = before;
+    BOOST_OUTCOME_TRYV(goOn(calmStart));
+    stepsBegan_ = true;
+    while (Clock::now() < begin_ + context_.options.length) {
+        const ConfigurationStep step = schedule_.next();
+        log_.info(fmt::format("{}{}{}", nameOf(step.fault), step.races ? ", two operators" : "",
+            step.restarts ? ", a balancer is replaced" : ""));
+        BOOST_OUTCOME_TRYV(perform(step));
+        BOOST_OUTCOME_TRYV(settle());
+        BOOST_OUTCOME_TRYV(goOn(step.pause));
+    }
+    // So that the balancers that started last are judged too.
+    BOOST_OUTCOME_TRYV(goOn(ConfigurationJudge::settleTime));
+    end_ = Clock::now();
+    BOOST_OUTCOME_TRY(after, deployment_.platform().counters());
+    platformCallsPerSecond_ = static_cast<double>(after.calls - countersBefore_.calls)
+        / std::chrono::duration<double>(end_ - begin_).count();
+    return control_.sample(true);
+}
+
+Result<void> ConfigurationRun::perform(const ConfigurationStep& step)
+{
+    restartIsDue_ = step.restarts;
+    if (step.fault == ConfigurationFault::LoseAnswers)
+        return loseAnswers(step);
+    if (step.fault == ConfigurationFault::Restore)
+        return restoreOlderCopy(step);
+
+    const bool lasts = step.fault != ConfigurationFault::Race && step.fault != ConfigurationFault::RestartBalancer;
+    const TimePoint faultEnd = Clock::now() + step.length;
+    if (lasts) {
+        ++faults_;
+        BOOST_OUTCOME_TRYV(beginFault(step));
+        BOOST_OUTCOME_TRYV(goOn(faultLead));
+    }
+    BOOST_OUTCOME_TRYV(startApplies(step.races));
+    if (lasts) {
+        while (Clock::now() < faultEnd) {
+            BOOST_OUTCOME_TRYV(goOn(pollInterval));
+            BOOST_OUTCOME_TRYV(pollApplies(step));
+        }
+        BOOST_OUTCOME_TRYV(endFault(step));
+    }
+    return finishApplies(step);
+}
+
+// Every apply writes one part with a content of its own, and of those that run together one gets its head through: with
+// that many answers lost, the answer to the deciding write is among them.
+Result<void> ConfigurationRun::loseAnswers(const ConfigurationStep& step)
+{
+    const std::uint64_t writes = step.races ? 3 : 2;
+    BOOST_OUTCOME_TRY(before, deployment_.platform().counters());
+    BOOST_OUTCOME_TRYV(deployment_.platform().loseWriteAnswers(writes));
+    BOOST_OUTCOME_TRYV(startApplies(step.races));
+    BOOST_OUTCOME_TRYV(finishApplies(step));
+    BOOST_OUTCOME_TRYV(deployment_.platform().loseWriteAnswers(0));
+    BOOST_OUTCOME_TRY(after, deployment_.platform().counters());
+    faults_ += after.answersLost - before.answersLost;
+    if (after.answersLost - before.answersLost >= writes)
+        ++lostOutcomes_;
+    return boost::outcome_v2::success();
+}
+
+// What is accepted after the copy was taken is in force on all balancers before the platform forgets it.
+Result<void> ConfigurationRun::restoreOlderCopy(const ConfigurationStep& step)
+{
+    BOOST_OUTCOME_TRYV(deployment_.platform().takeSnapshot(copyName));
+    for (int i = 0; i < 2; ++i) {
+        BOOST_OUTCOME_TRYV(startApplies(false));
+        BOOST_OUTCOME_TRYV(finishApplies(step));
+    }
+    BOOST_OUTCOME_TRYV(settle());
+    ++faults_;
+    BOOST_OUTCOME_TRYV(deployment_.platform().restore(copyName));
+    restartIsDue_ = step.restarts;
+    if (restartIsDue_) {
+        BOOST_OUTCOME_TRYV(restartBalancer(step));
+    }
+    BOOST_OUTCOME_TRYV(goOn(step.length));
+    BOOST_OUTCOME_TRYV(startApplies(false));
+    return finishApplies(step);
+}
+
+Result<void> ConfigurationRun::beginFault(const ConfigurationStep& step)
+{
+    switch (step.fault) {
+    case ConfigurationFault::PlatformOutage:
+        return deployment_.platform().setDown(true);
+    case ConfigurationFault::SlowPlatform:
+        return deployment_.platform().setSlow(step.delay);
+    case ConfigurationFault::CutZone:
+        watcher_.cutBegan(step.zone);
+        return setZoneFaults(deployment_, step.zone, { .cut = true });
+    default:
+        return boost::outcome_v2::success();
+    }
+}
+
+Result<void> ConfigurationRun::endFault(const ConfigurationStep& step)
+{
+    switch (step.fault) {
+    case ConfigurationFault::PlatformOutage:
+        return deployment_.platform().setDown(false);
+    case ConfigurationFault::SlowPlatform:
+        return deployment_.platform().setSlow(0ms);
+    case ConfigurationFault::CutZone:
+        // Ends for the judge as soon as it ends for the balancers, but for the proxy's answer.
+        watcher_.cutEnded(step.zone);
+        return setZoneFaults(deployment_, step.zone, {});
+    default:
+        return boost::outcome_v2::success();
+    }
+}
+
+Result<void> ConfigurationRun::startApplies(bool races)
+{
+    races_ += races ? 1 : 0;
+    BOOST_OUTCOME_TRYV(startApply(races));
+    if (races) {
+        BOOST_OUTCOME_TRYV(startApply(races));
+    }
+    return boost::outcome_v2::success();
+}
+
+// Every apply writes a weight that none wrote before, so that no two have the same content.
+Result<void> ConfigurationRun::startApply(bool namesBase)
+{
+    ++sent_;
+    ConfigurationApplyRequest request;
+    request.id = fmt::format("apply-{}-{}", context_.options.seed, sent_);
+    request.author = fmt::format("operator-{}", applies_.size() + 1);
+    request.configuration = configuration_;
+    auto& servers = request.configuration.backendServers;
+    servers[sent_ % servers.size()].weight = static_cast<std::uint32_t>(BackendServer().weight + sent_);
+    if (namesBase)
+        request.baseVersion = version_;
+    request.platform = deployment_.platform().address();
+    request.balancers = deployment_.balancers().requestAddresses();
+    BOOST_OUTCOME_TRY(apply, ConfigurationApply::start(deployment_.starter(), std::move(request)));
+    applies_.push_back(std::move(apply));
+    return boost::outcome_v2::success();
+}
+
+Result<void> ConfigurationRun::pollApplies(const ConfigurationStep& step)
+{
+    for (const auto& apply : applies_) {
+        if (apply->isSettled())
+            continue;
+        BOOST_OUTCOME_TRYV(apply->poll());
+        if (!apply->isAccepted())
+            continue;
+        takeAccepted(*apply);
+        if (restartIsDue_) {
+            BOOST_OUTCOME_TRYV(restartBalancer(step));
+        }
+    }
+    return boost::outcome_v2::success();
+}
+
+Result<void> ConfigurationRun::finishApplies(const ConfigurationStep& step)
+{
+    const auto areSettled = [this] {
+        return std::all_of(applies_.begin(), applies_.end(), [](const auto& apply) { return apply->isSettled(); });
+    };
+    const TimePoint limit = Clock::now() + applyLimit;
+    while (!areSettled()) {
+        if (Clock::now() > limit)
+            return Error { ErrorCode::DeadlineExceeded, "the applies do not end" };
+        BOOST_OUTCOME_TRYV(goOn(pollInterval));
+        BOOST_OUTCOME_TRYV(pollApplies(step));
+    }
+    for (const auto& apply : applies_) {
+        refused_ += apply->isAccepted() ? 0 : 1;
+        lostOutcomes_ += apply->wasUnknown() ? 1 : 0;
+    }
+    if (applies_.size() > 1)
+        countRace();
+    else if (!applies_.front()->isAccepted())
+        ++refusedAlone_;
+    applies_.clear();
+    return boost::outcome_v2::success();
+}
+
+void ConfigurationRun::countRace()
+{
+    const auto winners
+        = std::count_if(applies_.begin(), applies_.end(), [](const auto& apply) { return apply->isAccepted(); });
+    const bool losersKnow = std::all_of(applies_.begin(), applies_.end(),
+        [](const auto& apply) { return apply->isAccepted() || apply->namesWinner(); });
+    if (winners == 1 && losersKnow)
+        return;
+    ++unfairRaces_;
+    for (const auto& apply : applies_) {
+        log_.warning(fmt::format("race: {}, version {}, reason {}", apply->isAccepted() ? "accepted" : "refused",
+            apply->version(), apply->reason()));
+    }
+}
+
+void ConfigurationRun::takeAccepted(const ConfigurationApply& apply)
+{
+    ++acceptedCount_;
+    judge_.accepted(apply.version(), apply.contentHash(), Clock::now());
+    log_.info(fmt::format("version {} was accepted", apply.version()));
+    configuration_ = apply.configuration();
+    version_ = apply.version();
+}
+
+Result<void> ConfigurationRun::restartBalancer(const ConfigurationStep& step)
+{
+    restartIsDue_ = false;
+    BalancerFleet& balancers = deployment_.balancers();
+    std::vector<std::size_t> running;
+    for (std::size_t i = 0; i < balancers.started(); ++i) {
+        if (balancers.isRunning(i))
+            running.push_back(i);
+    }
+    const std::size_t subject = running[step.draw % running.size()];
+    ++faults_;
+    ++restarts_;
+    balancers.kill(subject);
+    watcher_.noticeProcesses();
+    BOOST_OUTCOME_TRYV(balancers.turnFabricAwayFrom(subject));
+    BOOST_OUTCOME_TRYV(balancers.add(1));
+    watcher_.noticeProcesses();
+    return boost::outcome_v2::success();
+}
+
+Result<void> ConfigurationRun::settle()
+{
+    return goOn(Clock::now() + inForceLimit, [this] { return judge_.isInForceEverywhere(version_); });
+}
+
+Result<void> ConfigurationRun::goOn(Duration length)
+{
+    return goOn(Clock::now() + length, [] { return false; });
+}
+
+Result<void> ConfigurationRun::goOn(TimePoint end, const Condition& condition)
+{
+    while (!condition() && Clock::now() < end) {
+        if (Clock::now() >= nextSample_) {
+            nextSample_ = Clock::now() + sampleInterval;
+            BOOST_OUTCOME_TRYV(control_.sample(stepsBegan_));
+        }
+        watcher_.poll();
+        BOOST_OUTCOME_TRYV(context_.loop.runUntil(std::min(end, Clock::now() + pollInterval)));
+    }
+    return boost::outcome_v2::success();
+}
+
+Verdict ConfigurationRun::judge()
+{
+    const std::uint64_t partial = judge_.partialApplies();
+    const std::uint64_t reversions = judge_.reversions(end_);
+    const double inForce = judge_.inForceSecondsMax(end_);
+    Rows& rows = context_.rows;
+    rows.set("applies_sent", sent_);
+    rows.set("applies_accepted", acceptedCount_);
+    rows.set("applies_refused", refused_);
+    rows.set("applies_lost_outcome", lostOutcomes_);
+    rows.set("partial_applies", partial);
+    rows.set("reversions", reversions);
+    rows.set("in_force_seconds_max", inForce);
+    rows.set("platform_calls_per_second", platformCallsPerSecond_);
+    rows.set("races", races_);
+    rows.set("unfair_races", unfairRaces_);
+    rows.set("refused_alone", refusedAlone_);
+    rows.set("balancers_replaced", restarts_);
+    rows.set("status_answers", watcher_.answers());
+    rows.set("status_calls_failed", watcher_.failedCalls());
+    rows.set("faults_injected", faults_ + control_.proxyFaults());
+    control_.report(rows);
+
+    Verdict verdict;
+    verdict.require(acceptedCount_ > 0, "no apply was accepted");
+    verdict.require(lostOutcomes_ > 0, "no apply lost the answer to its deciding write");
+    verdict.require(faults_ > 0, "no fault was injected");
+    verdict.require(watcher_.answers() > 0, "no balancer showed its version");
+    verdict.require(partial == 0, "balancers served contents that were not accepted under that version");
+    verdict.require(reversions == 0, "balancers went back to lower versions");
+    verdict.require(inForce < std::chrono::duration<double>(inForceLimit).count(),
+        "an accepted version was not in force within 5 s on a balancer in reach");
+    verdict.require(unfairRaces_ == 0, "a race did not end with one winner and a loser who was told");
+    verdict.require(refusedAlone_ == 0, "an apply without a rival was refused");
+    verdict.require(control_.overflowed() == 0, "the fault proxy ran out of room");
+    const std::string ends = deployment_.balancers().unexpectedEnds();
+    verdict.require(ends.empty(), ends);
+    return verdict;
+}
+
+}
--- /dev/null
+++ b/Source/Experiment/ConfigurationRun.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "Experiment/ConfigurationApply.h"
+#include "Experiment/ConfigurationJudge.h"
+#include "Experiment/ConfigurationSchedule.h"
+#include "Experiment/ConfigurationWatcher.h"
+#include "Experiment/ControlMeter.h"
+#include "Experiment/Deployment.h"
+#include "Experiment/Scenario.h"
+
+#include "Core/Log.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace wisteriadock {
+
+// One run of the scenario "configuration": its operators, its faults, and what is counted meanwhile.
+class ConfigurationRun {
+public:
+    // All outlive this object.
+    ConfigurationRun(const ScenarioContext&, Deployment&, ControlMeter&);
+
+    Result<void> drive();
+    Verdict judge();
+
+private:
+    using Condition = std::function<bool()>;
+
+    Result<void> perform(const ConfigurationStep&);
+    Result<void> loseAnswers(const ConfigurationStep&);
+    Result<void> restoreOlderCopy(const ConfigurationStep&);
+    Result<void> beginFault(const ConfigurationStep&);
+    Result<void> endFault(const ConfigurationStep&);
+
+    // Starts one apply, or two of the same base at the same moment.
+    Result<void> startApplies(bool races);
+    Result<void> startApply(bool namesBase);
+    // Until every apply was accepted or refused.
+    Result<void> finishApplies(const ConfigurationStep&);
+    Result<void> pollApplies(const ConfigurationStep&);
+    void countRace();
+    void takeAccepted(const ConfigurationApply&);
+    Result<void> restartBalancer(const ConfigurationStep&);
+    // Until the newest version is in force on all, or the judge would count it as late anyway.
+    Result<void> settle();
+
+    // Goes on with watching and measuring until the condition holds.
+    Result<void> goOn(TimePoint end, const Condition& condition);
+    Result<void> goOn(Duration length);
+
+    const ScenarioContext& context_;
+    Deployment& deployment_;
+    ControlMeter& control_;
+    AdminClient client_;
+    ConfigurationJudge judge_;
+    ConfigurationWatcher watcher_;
+    ConfigurationSchedule schedule_;
+    Log log_ { "experiment" };
+
+    std::vector<std::unique_ptr<ConfigurationApply>> applies_;
+    // What was accepted last, and under which version.
+    Configuration configuration_;
+    std::uint64_t version_ = 1;
+    bool restartIsDue_ = false;
+    bool stepsBegan_ = false;
+    TimePoint nextSample_;
+    TimePoint begin_;
+    TimePoint end_;
+    PlatformControl::Counters countersBefore_;
+    double platformCallsPerSecond_ = 0;
+
+    std::uint64_t sent_ = 0;
+    std::uint64_t acceptedCount_ = 0;
+    std::uint64_t refused_ = 0;
+    std::uint64_t lostOutcomes_ = 0;
+    std::uint64_t races_ = 0;
+    // Races that did not end with one winner, and one loser who was told who won.
+    std::uint64_t unfairRaces_ = 0;
+    // Applies that were refused although nobody else applied.
+    std::uint64_t refusedAlone_ = 0;
+    std::uint64_t faults_ = 0;
+    std::uint64_t restarts_ = 0;
+};
+
+}
--- /dev/null
+++ b/Source/Experiment/ConfigurationWatcher.cpp
@@ -0,0 +1,88 @@
+#include "Experiment/ConfigurationWatcher.h"
+
+#include "Configuration/ConfigurationContent.h"
+
+#include <algorithm>
+
+namespace wisteriadock {
+
+namespace {
+
+    constexpr std::chrono::milliseconds interval { 200 };
+
+}
+
+void ConfigurationWatcher::poll()
+{
+    if (Clock::now() < next_)
+        return;
+    next_ = Clock::now() + interval;
+    noticeProcesses();
+    for (const RunningBalancer& balancer : balancers_.runningBalancers())
+        ask(balancer, watched_[balancer.name]);
+}
+
+void ConfigurationWatcher::noticeProcesses()
+{
+    const auto running = balancers_.runningBalancers();
+    const TimePoint now = Clock::now();
+    for (const RunningBalancer& balancer : running) {
+        if (!watched_.try_emplace(balancer.name, Watched { balancer.zone }).second)
+            continue;
+        judge_.processStarted(balancer.name, now);
+        if (cutZones_.contains(balancer.zone))
+            judge_.cutBegan(balancer.name, now);
+    }
+    std::erase_if(watched_, [&](const auto& entry) {
+        const bool runs = std::any_of(running.begin(), running.end(),
+            [&](const RunningBalancer& balancer) { return balancer.name == entry.first; });
+        if (!runs)
+            judge_.processEnded(entry.first, now);
+        return !runs;
+    });
+}
+
+void ConfigurationWatcher::cutBegan(std::size_t zone)
+{
+    cutZones_.insert(zone);
+    for (const auto& [name, watched] : watched_) {
+        if (watched.zone == zone)
+            judge_.cutBegan(name, Clock::now());
+    }
+}
+
+void ConfigurationWatcher::cutEnded(std::size_t zone)
+{
+    cutZones_.erase(zone);
+    for (const auto& [name, watched] : watched_) {
+        if (watched.zone == zone)
+            judge_.cutEnded(name, Clock::now());
+    }
+}
+
+void ConfigurationWatcher::ask(const RunningBalancer& balancer, Watched& watched)
+{
+    const auto status = client_.get(balancer.requestAddress, "/status");
+    if (!status) {
+        ++failedCalls_;
+        return;
+    }
+    ++answers_;
+    const auto version = status.value().value("configuration_version", std::uint64_t(0));
+    judge_.showed(balancer.name, version, Clock::now());
+    if (version != watched.versionRead)
+        readConfiguration(balancer, watched);
+}
+
+void ConfigurationWatcher::readConfiguration(const RunningBalancer& balancer, Watched& watched)
+{
+    const auto page = client_.get(balancer.requestAddress, "/wisteriadock/configuration");
+    if (!page) {
+        ++failedCalls_;
+        return;
+    }
+    watched.versionRead = page.value().value("version", std::uint64_t(0));
+    judge_.served(watched.versionRead, page.value().value("hash", ""), contentHashOf(page.value().value("text", "")));
+}
+
+}
--- a/Source/Experiment/PlatformControl.cpp
+++ b/Source/Experiment/PlatformControl.cpp
@@ -33,4 +33,41 @@
     return boost::outcome_v2::success();
 }
 
+Result<void> PlatformControl::setSlow(std::chrono::milliseconds delay)
+{
+    BOOST_OUTCOME_TRYV(client_.post(address_, "/admin/faults", { { "slow_ms", delay.count() } }));
+    return boost::outcome_v2::success();
+}
+
+Result<void> PlatformControl::loseWriteAnswers(std::uint64_t count)
+{
+    BOOST_OUTCOME_TRYV(
+        client_.post(address_, "/admin/faults", { { "lose_answers", { { "compare_and_swap", count } } } }));
+    return boost::outcome_v2::success();
+}
+
+Result<void> PlatformControl::takeSnapshot(const std::string& name)
+{
+    BOOST_OUTCOME_TRYV(client_.post(address_, "/admin/snapshot", { { "name", name } }));
+    return boost::outcome_v2::success();
+}
+
+Result<void> PlatformControl::restore(const std::string& name)
+{
+    BOOST_OUTCOME_TRYV(client_.post(address_, "/admin/restore", { { "name", name } }));
+    return boost::outcome_v2::success();
+}
+
+Result<PlatformControl::Counters> PlatformControl::counters()
+{
+    BOOST_OUTCOME_TRY(answer, client_.get(address_, "/admin/counters"));
+    Counters counters;
+    const Json calls = answer.value("calls", Json::object());
+    for (const auto& [name, count] : calls.items())
+        counters.calls += count.get<std::uint64_t>();
+    counters.calls += answer.value("calls_failed", std::uint64_t(0));
+    counters.answersLost = answer.value("answers_lost", std::uint64_t(0));
+    return counters;
+}
+
 }
--- a/Source/Experiment/PlatformControl.h
+++ b/Source/Experiment/PlatformControl.h
@@ -5,7 +5,9 @@
 #include "Platform/PlatformTypes.h"
 
 #include <chrono>
+#include <cstdint>
 #include <memory>
+#include <string>
 #include <vector>
 
 namespace wisteriadock {
@@ -20,6 +22,19 @@
     // The balancers see the list only after a lag.
     Result<void> setVms(const std::vector<Vm>&);
     Result<void> setDown(bool);
+    // Every call waits that long before it is acted on.
+    Result<void> setSlow(std::chrono::milliseconds);
+    // The next writes by compare-and-swap take effect, but their answers are lost. 0 ends it.
+    Result<void> loseWriteAnswers(std::uint64_t count);
+    Result<void> takeSnapshot(const std::string& name);
+    Result<void> restore(const std::string& name);
+
+    struct Counters {
+        // Calls of all kinds, a waiting watch as one, and calls that an outage refused.
+        std::uint64_t calls = 0;
+        std::uint64_t answersLost = 0;
+    };
+    Result<Counters> counters();
 
     static constexpr std::chrono::milliseconds vmListLag { 1000 };
 
--- a/Source/Experiment/Scenario.h
+++ b/Source/Experiment/Scenario.h
@@ -46,6 +46,8 @@
 
 // One flow and one request from end to end, and the path's own faults.
 Result<Verdict> runPathScenario(const ScenarioContext&);
+// Versions of the configuration through races, lost answers, outages, restores, restarts and cuts.
+Result<Verdict> runConfigurationScenario(const ScenarioContext&);
 // Flows through planned changes and failures.
 Result<Verdict> runFlowsScenario(const ScenarioContext&);
 // Keyed requests that must not run twice, through the same, with retries elsewhere.
--- a/Source/Experiment/StepRunner.cpp
+++ b/Source/Experiment/StepRunner.cpp
@@ -1,5 +1,7 @@
 #include "Experiment/StepRunner.h"
 
+#include "Experiment/ZoneFaults.h"
+
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -107,7 +109,7 @@
     case StepKind::CutOneWay:
         return cutOneWay(step, { .cut = true });
     case StepKind::CutZone:
-        return cutZone(step, { .cut = true });
+        return setZoneFaults(deployment_, step.subject, { .cut = true });
     case StepKind::PlatformOutage:
         return deployment_.platform().setDown(true);
     }
@@ -129,7 +131,7 @@
     case StepKind::CutOneWay:
         return cutOneWay(step, {});
     case StepKind::CutZone:
-        return cutZone(step, {});
+        return setZoneFaults(deployment_, step.subject, {});
     case StepKind::PlatformOutage:
         return deployment_.platform().setDown(false);
     default:
@@ -187,22 +189,4 @@
     return boost::outcome_v2::success();
 }
 
-// The fabric and the backend servers stay in reach, so that callers go on sending to both sides.
-Result<void> StepRunner::cutZone(const Step& step, const FaultSettings& settings)
-{
-    BalancerFleet& balancers = deployment_.balancers();
-    FaultProxyControl& proxy = deployment_.proxy();
-    const std::size_t zone = step.subject;
-    const std::string inside = fmt::format("/{}/*", zone + 1);
-    const std::string outside = fmt::format("/[!{}]/*", zone + 1);
-    for (const std::string kind : { "peer", "flow" }) {
-        BOOST_OUTCOME_TRYV(proxy.setFaults({ kind + inside, balancers.sourcesOutsideZone(zone) }, settings));
-        BOOST_OUTCOME_TRYV(proxy.setFaults({ kind + outside, balancers.sourcesOfZone(zone) }, settings));
-    }
-    // Connections between balancers do not tell their zone: nobody reaches the zone's request addresses over them,
-    // while its own balancers still reach others. That loses what is said about requests' keys.
-    BOOST_OUTCOME_TRYV(proxy.setFaults({ "request" + inside, "127.*" }, settings));
-    return proxy.setFaults({ "platform" + inside, "127.*" }, settings);
-}
-
 }
--- a/Source/Experiment/StepRunner.h
+++ b/Source/Experiment/StepRunner.h
@@ -38,7 +38,6 @@
     void changeWeight(const Step&);
     void addServer(const Step&);
     Result<void> cutOneWay(const Step&, const FaultSettings&);
-    Result<void> cutZone(const Step&, const FaultSettings&);
     const std::string& serverName(const Step& step) const { return deployment_.plan().servers[step.subject].name; }
 
     struct Ending {
