Flow: Keep an arbiter waiting while a report queues for its budget

A member that is asked while it reports now answers that it is busy. Parameters that were copied for each call are references.

--- a/Source/Flow/FlowTable.cpp
+++ b/Source/Flow/FlowTable.cpp
@@ -123,7 +123,7 @@
     shard.flows.emplace(key, Entry { server, secondsOf(now), 1 });
 }
 
-void FlowTable::install(std::shared_ptr<const RoutingState> routing)
+void FlowTable::install(const std::shared_ptr<const RoutingState>& routing)
 {
     for (const auto& shard : shards_) {
         const std::lock_guard lock(shard->mutex);
@@ -132,7 +132,7 @@
 }
 
 std::vector<KnownFlow> FlowTable::installAndCollect(
-    std::shared_ptr<const RoutingState> routing, const BucketSet& buckets, const BucketTable& table)
+    const std::shared_ptr<const RoutingState>& routing, const BucketSet& buckets, const BucketTable& table)
 {
     std::vector<KnownFlow> flows;
     for (const auto& shard : shards_) {
@@ -143,7 +143,7 @@
     return flows;
 }
 
-std::vector<KnownFlow> FlowTable::installAndCollectRare(std::shared_ptr<const RoutingState> routing)
+std::vector<KnownFlow> FlowTable::installAndCollectRare(const std::shared_ptr<const RoutingState>& routing)
 {
     std::vector<KnownFlow> flows;
     for (const auto& shard : shards_) {
--- a/Source/Flow/FlowTable.h
+++ b/Source/Flow/FlowTable.h
@@ -47,18 +47,18 @@
     RouteDecision route(FlowKey, const FlowPacket&, TimePoint now);
 
     // Puts new rules in force shard by shard.
-    void install(std::shared_ptr<const RoutingState>);
+    void install(const std::shared_ptr<const RoutingState>&);
 
     // Puts new rules in force and collects, under the same locks, the known flows in the given buckets that the table
     // would not send where they are. No flow can slip in between: whoever decides after it goes by the new rules.
     std::vector<KnownFlow> installAndCollect(
-        std::shared_ptr<const RoutingState>, const BucketSet&, const BucketTable& table);
+        const std::shared_ptr<const RoutingState>&, const BucketSet&, const BucketTable& table);
 
     std::vector<KnownFlow> collect(const BucketSet&, const BucketTable& table);
 
     // Puts new rules in force and collects the flows of which so few packets came here that perhaps no other balancer
     // has seen one.
-    std::vector<KnownFlow> installAndCollectRare(std::shared_ptr<const RoutingState>);
+    std::vector<KnownFlow> installAndCollectRare(const std::shared_ptr<const RoutingState>&);
 
     // Learns flows from another balancer. What is known already stays.
     void learn(const std::vector<KnownFlow>&, TimePoint now);
--- a/Source/Flow/ServiceChange.cpp
+++ b/Source/Flow/ServiceChange.cpp
@@ -157,8 +157,11 @@
         abandonLead(context);
     const bool reporting = promise_ && promise_->arbiter == from && promise_->generation == generation
         && promise_->report && !promise_->report->isComplete();
-    if (reporting)
+    if (reporting) {
+        // Parts may wait for the budget, so that the arbiter hears nothing for long.
+        context.send(from, message(FlowMessageKind::Busy, generation));
         return;
+    }
 
     promise_ = Promise { from, generation, std::nullopt, context.now, false };
     // The arbiter may be settled at an older generation than this balancer, and then lacks older exceptions too.
--- a/Source/Flow/ServiceIndex.cpp
+++ b/Source/Flow/ServiceIndex.cpp
@@ -6,7 +6,7 @@
 
 ServiceIndex::ServiceIndex() { publish(std::make_shared<Map>()); }
 
-void ServiceIndex::publish(std::shared_ptr<const Map> map)
+void ServiceIndex::publish(const std::shared_ptr<const Map>& map)
 {
     for (Stripe& stripe : stripes_) {
         const std::lock_guard lock(stripe.mutex);
--- a/Source/Flow/ServiceIndex.h
+++ b/Source/Flow/ServiceIndex.h
@@ -32,7 +32,7 @@
 
     ServiceIndex();
 
-    void publish(std::shared_ptr<const Map>);
+    void publish(const std::shared_ptr<const Map>&);
 
     // Calls the function with the service of the address, or null, and returns what it returns.
     template <typename Function> auto withService(Endpoint address, Function function)
