Core, Request: Give each type one name, and leave unreachable servers alone

Cause: RouteKind stood in Flow and Request, RefusalReason in Configuration and Request, in one namespace, so that the link order decided which names were printed. Now TryRouteKind and ApplyRefusal. Headers of Core are formatted as the check asks. And a zone that was cut off spent its retries on servers that it could not reach: a server that refused or was not reached is now left alone for a while, by the runner itself, and a doubtful one is taken last.

--- a/Source/Balancer/RequestControl.cpp
+++ b/Source/Balancer/RequestControl.cpp
@@ -205,9 +205,9 @@
         return;
     }
     const Route found = router_->route(attempt.key, *link_.view());
-    if (found.kind == RouteKind::Unreachable || ++opened.hops > mostHops)
+    if (found.kind == TryRouteKind::Unreachable || ++opened.hops > mostHops)
         refuseUnknown(id, attempt.problem.value_or(RefusalReason::HomeUnreachable));
-    else if (found.kind == RouteKind::Local)
+    else if (found.kind == TryRouteKind::Local)
         runner_.arrive(attempt, now);
     else
         forwarder_.forward(id, opened.request(), attempt.key.digest, attempt.problem, found.owner, attempt.deadline);
--- a/Source/Configuration/ApplyOperation.cpp
+++ b/Source/Configuration/ApplyOperation.cpp
@@ -38,7 +38,7 @@
     now_ = now;
     // Every key written out can make the canonical text longer than the operator's file.
     if (parts_.size() > maxContentParts)
-        return refuse(RefusalReason::BadStore,
+        return refuse(ApplyRefusal::BadStore,
             { fmt::format("the canonical text is longer than {} bytes", maxConfigurationBytes) });
     return goTo(Step::ReadHead);
 }
@@ -127,7 +127,7 @@
     if (!result && isPermanent(result.error().code)) {
         if (mayBeApplied_)
             return remainUnknown(result.error().toString());
-        return refuse(RefusalReason::BadStore, { result.error().toString() });
+        return refuse(ApplyRefusal::BadStore, { result.error().toString() });
     }
     return step_ == Step::WritePart ? handlePartSwap(result) : handleHeadSwap(result);
 }
@@ -137,7 +137,7 @@
     if (stored) {
         auto head = ConfigurationHead::parse(stored->value);
         if (!head)
-            return refuse(RefusalReason::UnreadableBase, { head.error().detail });
+            return refuse(ApplyRefusal::UnreadableBase, { head.error().detail });
         base_ = std::move(head).value();
         headRevision_ = stored->revision;
         // An earlier run of this apply got through.
@@ -146,8 +146,8 @@
     }
     if (request_.baseVersion && *request_.baseVersion != versionOf(base_)) {
         if (base_)
-            return refuseForWinner(RefusalReason::WrongBase, *base_);
-        return refuse(RefusalReason::WrongBase,
+            return refuseForWinner(ApplyRefusal::WrongBase, *base_);
+        return refuse(ApplyRefusal::WrongBase,
             { fmt::format("base version {} does not exist; there is no version yet", *request_.baseVersion) });
     }
     if (!base_)
@@ -177,7 +177,7 @@
 ApplyAction ApplyOperation::skipUnreadableBase(const std::string& why)
 {
     if (!request_.allowUnreadableBase)
-        return refuse(RefusalReason::UnreadableBase,
+        return refuse(ApplyRefusal::UnreadableBase,
             { why, "the change can't be checked against the version in force; --allow_unreadable_base skips that" });
     return checkAgainst(Configuration());
 }
@@ -186,7 +186,7 @@
 {
     auto broken = checkChange(base, request_.configuration, request_.allowed);
     if (!broken.empty())
-        return refuse(RefusalReason::BrokenRule, std::move(broken));
+        return refuse(ApplyRefusal::BrokenRule, std::move(broken));
     prepareHead();
     return goTo(Step::WritePart);
 }
@@ -219,7 +219,7 @@
 {
     if (part && part->value == parts_[partsWritten_])
         return writeNextPart();
-    return refuse(RefusalReason::BadStore,
+    return refuse(ApplyRefusal::BadStore,
         { fmt::format("{} holds another text than the one that its name stands for",
             contentPartKey(contentHash_, partsWritten_)) });
 }
@@ -270,11 +270,11 @@
     if (const AppliedVersion* mine = head->findApply(request_.applyId))
         return recognise(*mine);
     if (!mayBeApplied_)
-        return refuseForWinner(RefusalReason::LostRace, *head);
+        return refuseForWinner(ApplyRefusal::LostRace, *head);
     // Absent from a head that remembers everything since our base: another version took its place, and the write's
     // revision is gone for good. Any other head proves nothing.
     if (head->applied.version > versionOf(base_) && head->remembersSince(versionOf(base_)))
-        return refuseForWinner(RefusalReason::LostRace, *head);
+        return refuseForWinner(ApplyRefusal::LostRace, *head);
     return remainUnknown(fmt::format(
         "the head, now version {}, does not reach back to base version {}", head->applied.version, versionOf(base_)));
 }
@@ -283,7 +283,7 @@
 {
     if (mine.contentHash == contentHash_)
         return accept(mine.version);
-    return refuse(RefusalReason::ReusedApplyId,
+    return refuse(ApplyRefusal::ReusedApplyId,
         { fmt::format(
             "apply id {} was used for version {} already, which has other content", mine.applyId, mine.version) });
 }
@@ -299,7 +299,7 @@
     return outcome;
 }
 
-ApplyAction ApplyOperation::refuse(RefusalReason reason, std::vector<std::string> details)
+ApplyAction ApplyOperation::refuse(ApplyRefusal reason, std::vector<std::string> details)
 {
     ApplyOutcome outcome;
     outcome.status = ApplyStatus::Refused;
@@ -310,7 +310,7 @@
     return outcome;
 }
 
-ApplyAction ApplyOperation::refuseForWinner(RefusalReason reason, const ConfigurationHead& head)
+ApplyAction ApplyOperation::refuseForWinner(ApplyRefusal reason, const ConfigurationHead& head)
 {
     const std::uint64_t base = request_.baseVersion.value_or(versionOf(base_));
     const AppliedVersion* successor = head.successorOf(base);
--- a/Source/Configuration/ApplyOperation.h
+++ b/Source/Configuration/ApplyOperation.h
@@ -120,8 +120,8 @@
     void prepareHead();
 
     ApplyAction accept(std::uint64_t version, bool isUnchanged = false);
-    ApplyAction refuse(RefusalReason, std::vector<std::string> details);
-    ApplyAction refuseForWinner(RefusalReason, const ConfigurationHead&);
+    ApplyAction refuse(ApplyRefusal, std::vector<std::string> details);
+    ApplyAction refuseForWinner(ApplyRefusal, const ConfigurationHead&);
     ApplyAction remainUnknown(const std::string& why);
 
     ApplyRequest request_;
--- a/Source/Configuration/ApplyOutcome.cpp
+++ b/Source/Configuration/ApplyOutcome.cpp
@@ -13,20 +13,20 @@
         { ApplyStatus::Unknown, "unknown" },
     });
 
-    constexpr auto refusalReasonNames = makeNameTable<RefusalReason>({
-        { RefusalReason::None, "none" },
-        { RefusalReason::WrongBase, "wrong_base" },
-        { RefusalReason::LostRace, "lost_race" },
-        { RefusalReason::BrokenRule, "broken_rule" },
-        { RefusalReason::ReusedApplyId, "reused_apply_id" },
-        { RefusalReason::UnreadableBase, "unreadable_base" },
-        { RefusalReason::BadStore, "bad_store" },
+    constexpr auto refusalReasonNames = makeNameTable<ApplyRefusal>({
+        { ApplyRefusal::None, "none" },
+        { ApplyRefusal::WrongBase, "wrong_base" },
+        { ApplyRefusal::LostRace, "lost_race" },
+        { ApplyRefusal::BrokenRule, "broken_rule" },
+        { ApplyRefusal::ReusedApplyId, "reused_apply_id" },
+        { ApplyRefusal::UnreadableBase, "unreadable_base" },
+        { ApplyRefusal::BadStore, "bad_store" },
     });
 
 }
 
 std::string_view nameOf(ApplyStatus status) { return applyStatusNames.name(status); }
 
-std::string_view nameOf(RefusalReason reason) { return refusalReasonNames.name(reason); }
+std::string_view nameOf(ApplyRefusal reason) { return refusalReasonNames.name(reason); }
 
 }
--- a/Source/Configuration/ApplyOutcome.h
+++ b/Source/Configuration/ApplyOutcome.h
@@ -21,7 +21,7 @@
 std::string_view nameOf(ApplyStatus);
 
 // Why an apply was refused.
-enum class RefusalReason {
+enum class ApplyRefusal {
     None,
     WrongBase, // The given base version is not the newest one.
     LostRace, // Somebody else's version was accepted first.
@@ -31,11 +31,11 @@
     BadStore, // The platform holds something else under one of our keys, or can't hold ours.
 };
 
-std::string_view nameOf(RefusalReason);
+std::string_view nameOf(ApplyRefusal);
 
 struct ApplyOutcome {
     ApplyStatus status = ApplyStatus::Unknown;
-    RefusalReason reason = RefusalReason::None;
+    ApplyRefusal reason = ApplyRefusal::None;
     std::string applyId;
     // The accepted version; 0 unless accepted.
     std::uint64_t version = 0;
--- a/Source/Core/Clock.h
+++ b/Source/Core/Clock.h
@@ -12,8 +12,11 @@
 
 // Anything that tells the time: the runtime's clock in daemons, a ManualClock in tests.
 template <typename T>
-concept ClockSource = requires(const T& clock) {
-    { clock.now() } -> std::same_as<TimePoint>;
+concept ClockSource = requires(const T& clock)
+{
+    {
+        clock.now()
+        } -> std::same_as<TimePoint>;
 };
 
 // The runtime's monotonic clock.
--- a/Source/Core/Endpoint.h
+++ b/Source/Core/Endpoint.h
@@ -22,8 +22,7 @@
 
     auto operator<=>(const Endpoint&) const = default;
 
-    template <typename HashState>
-    friend HashState AbslHashValue(HashState state, const Endpoint& endpoint)
+    template <typename HashState> friend HashState AbslHashValue(HashState state, const Endpoint& endpoint)
     {
         return HashState::combine(std::move(state), endpoint.address, endpoint.port);
     }
@@ -31,8 +30,7 @@
 
 }
 
-template <>
-struct std::hash<wisteriadock::Endpoint> {
+template <> struct std::hash<wisteriadock::Endpoint> {
     std::size_t operator()(const wisteriadock::Endpoint& endpoint) const noexcept
     {
         return std::hash<std::uint64_t>()((std::uint64_t(endpoint.address) << 16) | endpoint.port);
--- a/Source/Core/Error.h
+++ b/Source/Core/Error.h
@@ -36,7 +36,6 @@
 };
 
 // Outcome of a fallible call. Reading the value of a failed result is a broken invariant and stops the process.
-template <typename T>
-using Result = boost::outcome_v2::basic_result<T, Error, boost::outcome_v2::policy::terminate>;
+template <typename T> using Result = boost::outcome_v2::basic_result<T, Error, boost::outcome_v2::policy::terminate>;
 
 }
--- a/Source/Core/Identifiers.h
+++ b/Source/Core/Identifiers.h
@@ -8,14 +8,12 @@
 namespace wisteriadock {
 
 // A number that names one thing of one kind; numbers of different kinds do not mix.
-template <typename Kind>
-struct Identifier {
+template <typename Kind> struct Identifier {
     std::uint32_t value = 0;
 
     auto operator<=>(const Identifier&) const = default;
 
-    template <typename HashState>
-    friend HashState AbslHashValue(HashState state, const Identifier& id)
+    template <typename HashState> friend HashState AbslHashValue(HashState state, const Identifier& id)
     {
         return HashState::combine(std::move(state), id.value);
     }
@@ -33,7 +31,6 @@
 
 }
 
-template <typename Kind>
-struct std::hash<wisteriadock::Identifier<Kind>> {
+template <typename Kind> struct std::hash<wisteriadock::Identifier<Kind>> {
     std::size_t operator()(const wisteriadock::Identifier<Kind>& id) const noexcept { return id.value; }
 };
--- a/Source/Core/NameTable.h
+++ b/Source/Core/NameTable.h
@@ -10,8 +10,7 @@
 
 // Maps the values of an enum to the names that files, logs and metrics show, in both directions.
 // Tables are small and constant, so look-ups are linear.
-template <typename Enum, std::size_t Size>
-class NameTable {
+template <typename Enum, std::size_t Size> class NameTable {
 public:
     using Row = std::pair<Enum, std::string_view>;
 
--- a/Source/Ctl/StateChange.h
+++ b/Source/Ctl/StateChange.h
@@ -86,7 +86,7 @@
 
     void finish(const ApplyOutcome& outcome)
     {
-        const bool lost = outcome.reason == RefusalReason::LostRace || outcome.reason == RefusalReason::WrongBase;
+        const bool lost = outcome.reason == ApplyRefusal::LostRace || outcome.reason == ApplyRefusal::WrongBase;
         if (lost && attempts_ < maxStateChangeAttempts)
             attempt();
         else
--- a/Source/Request/Admission.cpp
+++ b/Source/Request/Admission.cpp
@@ -12,6 +12,7 @@
 
     constexpr std::chrono::milliseconds shortestBackOff { 50 };
     constexpr std::chrono::milliseconds longestBackOff { 2000 };
+    constexpr std::chrono::milliseconds doubtTime { 2000 };
 
 }
 
@@ -75,7 +76,7 @@
 Admission::Server* Admission::freeServer(ServiceId service, TimePoint now)
 {
     Server* best = nullptr;
-    double bestUse = 1;
+    double bestUse = 2;
     std::uint32_t equals = 0;
     for (auto& [id, server] : servers_) {
         if (server.settings.service != service)
@@ -83,9 +84,14 @@
         const std::uint32_t slots = openSlots(server, now);
         if (server.inUse >= slots)
             continue;
-        const double use = static_cast<double>(server.inUse) / slots;
+        // One that failed lately is taken only when no other is free, so that few attempts are spent on finding out.
+        const bool isDoubtful = server.backOff > std::chrono::milliseconds(0) && now < server.closedUntil + doubtTime;
+        const double doubt = isDoubtful ? 1 : 0;
+        const double use = doubt + static_cast<double>(server.inUse) / slots;
+        if (use > bestUse)
+            continue;
         equals = use < bestUse ? 1 : equals + 1;
-        if (use < bestUse || (use == bestUse && random_() % equals == 0)) {
+        if (use < bestUse || random_() % equals == 0) {
             best = &server;
             bestUse = use;
         }
@@ -229,7 +235,10 @@
     if (!message.isLent)
         return;
     std::optional<ServiceQueue::Entry> entry;
-    if (service) {
+    // A server that this balancer can't reach may well be reached by the lender; its slot is of no use here.
+    const auto server = servers_.find(message.server);
+    const bool isUsable = server == servers_.end() || now >= server->second.closedUntil;
+    if (service && isUsable) {
         for (const WorkId work : queues_[*service].removeHopeless(now))
             refuse(work, *service, RefusalReason::Overloaded, now);
         entry = queues_[*service].takeNext();
--- a/Source/Request/RequestRouter.cpp
+++ b/Source/Request/RequestRouter.cpp
@@ -49,10 +49,10 @@
     if (!pair)
         return {};
     if (pair->owner == self_)
-        return { RouteKind::Local, self_ };
+        return { TryRouteKind::Local, self_ };
     if (!isReachable(pair->owner, view))
-        return { RouteKind::Unreachable, pair->owner };
-    return { RouteKind::Forward, pair->owner };
+        return { TryRouteKind::Unreachable, pair->owner };
+    return { TryRouteKind::Forward, pair->owner };
 }
 
 }
--- a/Source/Request/RequestRouter.h
+++ b/Source/Request/RequestRouter.h
@@ -12,14 +12,14 @@
 namespace wisteriadock {
 
 // Where a keyed request goes.
-enum class RouteKind {
+enum class TryRouteKind {
     Local, // This balancer owns the key: give it to the RequestRunner.
     Forward, // To the owner, over its request address.
     Unreachable, // Nobody who can vouch for the key can be reached: refuse at once as unknown.
 };
 
 struct Route {
-    RouteKind kind = RouteKind::Unreachable;
+    TryRouteKind kind = TryRouteKind::Unreachable;
     Holder owner;
 };
 
--- a/Source/Request/RequestRunner.cpp
+++ b/Source/Request/RequestRunner.cpp
@@ -146,6 +146,9 @@
     if (!work)
         return;
     work->mayHaveRun = work->mayHaveRun || mayHaveRun(kind);
+    // Unreachable or full: other work would fare no better there, and each attempt costs from the budget.
+    if (!mayHaveRun(kind))
+        admission_.shed(work->server, std::chrono::milliseconds(0), now);
     admission_.release(id, false, now);
     const bool isWanted = !work->waiters.empty() && now < work->deadline;
     if (isWanted && retries_.takeRetry(kind, !work->key, work->attempts)) {
@@ -182,8 +185,10 @@
 void RequestRunner::collect(TimePoint now)
 {
     for (bool isSettled = false; !isSettled;) {
-        if (keeper_.takeOwnershipChanged())
-            retryParked(now);
+        if (keeper_.takeOwnershipChanged()) {
+            for (const KeyedTry& attempt : parked_.takeAll())
+                decide(attempt, now);
+        }
         const std::vector<SlotGrant> grants = admission_.takeGrants();
         const std::vector<SlotRefusal> slotRefusals = admission_.takeRefusals();
         for (const SlotGrant& grant : grants)
@@ -334,8 +339,6 @@
     collect(now);
 }
 
-std::vector<RequestAction> RequestRunner::takeActions() { return std::exchange(actions_, {}); }
-
 std::optional<std::string> RequestRunner::issueTicket(std::uint64_t high, std::uint64_t low) const
 {
     if (!keeper_.mayAct())
@@ -390,10 +393,4 @@
         actions_.emplace_back(CancelWork { work.id });
 }
 
-void RequestRunner::retryParked(TimePoint now)
-{
-    for (const KeyedTry& attempt : parked_.takeAll())
-        decide(attempt, now);
-}
-
 }
--- a/Source/Request/RequestRunner.h
+++ b/Source/Request/RequestRunner.h
@@ -14,6 +14,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace wisteriadock {
@@ -56,7 +57,8 @@
 
     void workAnswered(WorkId, const WholeAnswer&, TimePoint now);
     void workFailed(WorkId, HttpFailureKind, TimePoint now);
-    // The server said that it has no room, with 503 or 429 or by refusing the stream. Call it before workFailed.
+    // The server named a time for which it has no room. Call it before workFailed, which pauses a server that refused
+    // or could not be reached by itself.
     void serverShed(BackendServerId server, std::chrono::milliseconds retryAfter, TimePoint now)
     {
         admission_.shed(server, retryAfter, now);
@@ -66,7 +68,7 @@
     // To be called about every 20 ms.
     void tick(TimePoint now);
 
-    std::vector<RequestAction> takeActions();
+    std::vector<RequestAction> takeActions() { return std::exchange(actions_, {}); }
 
     // The text of a fresh ticket; nothing while this balancer knows no ownership epoch of its zone.
     std::optional<std::string> issueTicket(std::uint64_t high, std::uint64_t low) const;
@@ -104,7 +106,6 @@
     void expireWaiters(TimePoint now);
     void expireWaiter(Work&, TryId, TimePoint now);
     void expireClaims(TimePoint now);
-    void retryParked(TimePoint now);
 
     RunnerSettings settings_;
     BucketKeeper keeper_;
--- a/Tests/Configuration/ApplyOperationTest.cpp
+++ b/Tests/Configuration/ApplyOperationTest.cpp
@@ -65,7 +65,7 @@
         {
             SCOPED_TRACE("an apply id that was used before");
             EXPECT_EQ(apply(example_, "first").version, 1U);
-            EXPECT_EQ(apply(variant(9), "first").reason, RefusalReason::ReusedApplyId);
+            EXPECT_EQ(apply(variant(9), "first").reason, ApplyRefusal::ReusedApplyId);
             EXPECT_EQ(driver_.head().applied.version, 2U);
         }
         {
@@ -73,13 +73,13 @@
             ApplyRequest stale = request(variant(3), "fourth");
             stale.baseVersion = 1;
             const ApplyOutcome outcome = driver_.run(stale);
-            EXPECT_EQ(outcome.reason, RefusalReason::WrongBase);
+            EXPECT_EQ(outcome.reason, ApplyRefusal::WrongBase);
             EXPECT_EQ(outcome.winner->applyId, "second");
 
             Configuration idle = example_;
             for (BackendServer& server : idle.backendServers)
                 server.state = BackendServerState::Draining;
-            EXPECT_EQ(apply(idle, "fifth").reason, RefusalReason::BrokenRule);
+            EXPECT_EQ(apply(idle, "fifth").reason, ApplyRefusal::BrokenRule);
             EXPECT_EQ(driver_.head().applied.version, 2U);
         }
     }
@@ -116,7 +116,7 @@
             driver_.fates = { SwapFate::LostBeforeEffect };
             driver_.afterHeadSwap = [this] { apply(variant(7), "winner"); };
             const ApplyOutcome outcome = apply(variant(6), "loser");
-            EXPECT_EQ(outcome.reason, RefusalReason::LostRace);
+            EXPECT_EQ(outcome.reason, ApplyRefusal::LostRace);
             EXPECT_EQ(outcome.winner->applyId, "winner");
         }
     }
@@ -128,7 +128,7 @@
         driver_.beforeHeadSwap = [this] { apply(variant(2), "wins"); };
         const ApplyOutcome outcome = apply(variant(3), "loses");
         EXPECT_EQ(outcome.status, ApplyStatus::Refused);
-        EXPECT_EQ(outcome.reason, RefusalReason::LostRace);
+        EXPECT_EQ(outcome.reason, ApplyRefusal::LostRace);
         ASSERT_TRUE(outcome.winner);
         EXPECT_EQ(outcome.winner->applyId, "wins");
         EXPECT_EQ(outcome.baseVersion, 1U);
@@ -204,7 +204,7 @@
             SCOPED_TRACE("a part of the version in force is missing");
             driver_.values.erase(contentPartKey(driver_.head().applied.contentHash, 0));
             ApplyRequest next = request(variant(2), "second");
-            EXPECT_EQ(driver_.run(next).reason, RefusalReason::UnreadableBase);
+            EXPECT_EQ(driver_.run(next).reason, ApplyRefusal::UnreadableBase);
             next.allowUnreadableBase = true;
             EXPECT_EQ(driver_.run(next).status, ApplyStatus::Accepted);
         }
@@ -212,7 +212,7 @@
             SCOPED_TRACE("another text lies under our content's name");
             const std::string text = "[service x]";
             driver_.values[contentPartKey(driver_.head().applied.contentHash, 0)].value = text;
-            EXPECT_EQ(apply(variant(2), "third").reason, RefusalReason::BadStore);
+            EXPECT_EQ(apply(variant(2), "third").reason, ApplyRefusal::BadStore);
         }
         {
             SCOPED_TRACE("a platform that was restored: versions jump above those that balancers have in force");
--- a/Tests/Request/ClaimStoryTest.cpp
+++ b/Tests/Request/ClaimStoryTest.cpp
@@ -386,6 +386,25 @@
     EXPECT_EQ(group.take<AnswerTry>(owner).size(), 1u);
 }
 
+// Symptom: a zone that is cut off refuses most of its own work as overloaded.
+// Sequence: servers beyond the cut can't be reached; each request is sent there three times within a millisecond.
+// Cause: choosing a server again at once that has just proved unreachable.
+TEST(ClaimStory, ServerThatCannotBeReachedIsLeftAloneForAWhile)
+{
+    RunnerGroup group(2);
+    group.settle({ 0, 1 });
+    group.arrive(0, group.keyOf(0, 1));
+    group.deliver();
+    const auto first = group.take<StartWork>(0);
+    ASSERT_EQ(first.size(), 1u);
+    group[0].workFailed(first[0].work, HttpFailureKind::NotSent, group.now());
+    group.deliver();
+    EXPECT_TRUE(group.take<StartWork>(0).empty());
+    group.advance(milliseconds(100));
+    group.deliver();
+    EXPECT_EQ(group.take<StartWork>(0).size(), 1u);
+}
+
 TEST(ClaimStory, RefusalsUnderAnOverloadShareOneQuestion)
 {
     RunnerGroup group(2, {}, 2);
--- a/Tests/Request/FakeBalancer.cpp
+++ b/Tests/Request/FakeBalancer.cpp
@@ -218,9 +218,9 @@
     if (now >= local.request.deadline)
         return refuseUnknown(id, RefusalReason::DeadlinePassed);
     const Route found = life_->router->route(local.request.key, life_->view);
-    if (found.kind == RouteKind::Unreachable || ++local.hops > maxHops)
+    if (found.kind == TryRouteKind::Unreachable || ++local.hops > maxHops)
         return refuseUnknown(id, RefusalReason::HomeUnreachable);
-    if (found.kind == RouteKind::Local) {
+    if (found.kind == TryRouteKind::Local) {
         KeyedTry attempt { id, local.request.key, hashString(local.request.name),
             cluster_.backends.configuration().services[0].id, local.request.deadline, std::nullopt };
         life_->runner->arrive(attempt, now);
@@ -349,8 +349,6 @@
                     if (incarnation_ != life)
                         return;
                     const TimePoint now = cluster_.world.now();
-                    if (!reply.answer && reply.failure == HttpFailureKind::Refused)
-                        life_->runner->serverShed(start.server, milliseconds(0), now);
                     if (reply.answer)
                         life_->runner->workAnswered(start.work, reply.answer, now);
                     else
