--- a/Tests/Request/ClaimStoryTest.cpp
+++ b/Tests/Request/ClaimStoryTest.cpp
@@ -160,8 +160,9 @@
     group.advance(milliseconds(150));
     group.deliver(cutOff(0));
 
+    // The news of the epoch is lost, so the backup's answer alone must do.
     group.arriveBad(0, key, RefusalReason::AbsurdDeadline);
-    group.deliver();
+    group.deliver(without<TermNews>());
     EXPECT_EQ(group.takeRefusal(0).executed, Executed::Unknown);
 }
 
