Experiment: Draw the schedule of flows and requests in one place

Cause: both scenarios built their schedule and counted added servers by copies of the same lines; a step added to one would have been missed in the other. Ruled out: a base class for scenarios, since only these lines are shared.

--- a/Source/Experiment/FlowsScenario.cpp
+++ b/Source/Experiment/FlowsScenario.cpp
@@ -2,6 +2,7 @@
 #include "Experiment/CallerRun.h"
 #include "Experiment/ControlMeter.h"
 #include "Experiment/Scenario.h"
+#include "Experiment/ScenarioSchedule.h"
 #include "Experiment/StepRunner.h"
 
 #include <fmt/format.h>
@@ -18,24 +19,6 @@
     constexpr auto sampleInterval = 1s;
     constexpr auto pollInterval = 20ms;
 
-    std::vector<Step> scheduleOf(const ExperimentOptions& options)
-    {
-        ScheduleOptions schedule;
-        schedule.seed = options.seed;
-        schedule.mode = options.faults;
-        schedule.length = options.length;
-        schedule.availabilityZones = options.availabilityZones;
-        schedule.balancers = options.balancers;
-        schedule.serviceOfServer = FleetPlan::make(options, 0).serviceOfFirstServers();
-        return makeSchedule(schedule);
-    }
-
-    std::size_t addedServers(const std::vector<Step>& steps)
-    {
-        return static_cast<std::size_t>(std::count_if(
-            steps.begin(), steps.end(), [](const Step& step) { return step.kind == StepKind::AddServer; }));
-    }
-
     // One run: the system, its load, its steps and what is measured meanwhile.
     class FlowsRun {
     public:
--- a/Source/Experiment/RequestsScenario.cpp
+++ b/Source/Experiment/RequestsScenario.cpp
@@ -3,6 +3,7 @@
 #include "Experiment/ControlMeter.h"
 #include "Experiment/RequestJudge.h"
 #include "Experiment/Scenario.h"
+#include "Experiment/ScenarioSchedule.h"
 #include "Experiment/StepRunner.h"
 
 #include <fmt/format.h>
@@ -25,25 +26,12 @@
     constexpr int requestRetries = 3;
     constexpr std::string_view blindRetry = "blind_retry";
 
-    std::vector<Step> scheduleOf(const ExperimentOptions& options)
-    {
-        ScheduleOptions schedule;
-        schedule.seed = options.seed;
-        schedule.mode = options.faults;
-        schedule.length = options.length;
-        schedule.availabilityZones = options.availabilityZones;
-        schedule.balancers = options.balancers;
-        schedule.serviceOfServer = FleetPlan::make(options, 0).serviceOfFirstServers();
-        return makeSchedule(schedule);
-    }
-
     DeploymentOptions deploymentOf(const ExperimentOptions& options, const std::vector<Step>& steps)
     {
         DeploymentOptions deployment;
         deployment.experiment = options;
         deployment.experiment.policy = "default";
-        deployment.spareServers = static_cast<std::size_t>(std::count_if(
-            steps.begin(), steps.end(), [](const Step& step) { return step.kind == StepKind::AddServer; }));
+        deployment.spareServers = addedServers(steps);
         deployment.backendsThroughProxy = true;
         deployment.furtherBalancerSettings = fmt::format("[request]\npolicy = {}\navailability_zones = {}\n\n",
             options.policy, fmt::join(FleetPlan::make(options, 0).availabilityZones, ", "));
