--- a/Source/Balancer/BalancerDaemon.h
+++ b/Source/Balancer/BalancerDaemon.h
@@ -5,7 +5,6 @@
 #include "Balancer/ConfigurationFeed.h"
 #include "Balancer/PacketPath.h"
 #include "Balancer/PeerControl.h"
-#include "Balancer/PeerLink.h"
 #include "Balancer/RequestControl.h"
 #include "Balancer/RequestDecisions.h"
 #include "Balancer/RequestFront.h"
@@ -14,6 +13,7 @@
 #include "Core/Error.h"
 #include "Core/Log.h"
 #include "Net/MetricsEndpoint.h"
+#include "Peers/PeerLink.h"
 #include "Platform/PlatformClient.h"
 
 #include <boost/asio/io_context.hpp>
--- a/Source/Balancer/ConfigurationFeed.cpp
+++ b/Source/Balancer/ConfigurationFeed.cpp
@@ -1,7 +1,7 @@
 #include "Balancer/ConfigurationFeed.h"
 
-#include "Balancer/ConfigurationWatchers.h"
 #include "Configuration/ConfigurationContent.h"
+#include "Peers/ConfigurationWatchers.h"
 
 #include <fmt/format.h>
 
--- a/Source/Balancer/HolderLink.h
+++ b/Source/Balancer/HolderLink.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "Balancer/Http2ClientPool.h"
-#include "Balancer/PeerLink.h"
 #include "Balancer/RequestMessageCodec.h"
 #include "Membership/Member.h"
 #include "Net/Http2Server.h"
+#include "Peers/PeerLink.h"
 
 #include <boost/asio/io_context.hpp>
 
--- a/Source/Balancer/PacketWorker.cpp
+++ b/Source/Balancer/PacketWorker.cpp
@@ -1,12 +1,16 @@
 #include "Balancer/PacketWorker.h"
 
-#include "Balancer/PacketBatch.h"
+#include "PacketIo/PacketBatch.h"
 #include "Wire/ProxyHeader.h"
 
+#include <array>
+
 namespace wisteriadock {
 
 namespace {
 
+    static_assert(largestProxyHeader <= largestPacketHead);
+
     // No batch takes nearly as long, unless the process did not run meanwhile.
     constexpr std::chrono::milliseconds longestBatch { 500 };
 
@@ -94,7 +98,9 @@
         };
         break;
     }
-    batch_->queue(header, packet.value().payload, decision.destination);
+    std::array<std::uint8_t, largestProxyHeader> head {};
+    const std::size_t headBytes = encodeProxyHeader(header, head);
+    batch_->queue(std::span(head.data(), headBytes), packet.value().payload, decision.destination);
 }
 
 }
--- a/Source/Balancer/PacketWorker.h
+++ b/Source/Balancer/PacketWorker.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "Balancer/PacketCounters.h"
-#include "Balancer/PacketSocket.h"
 #include "Core/Identifiers.h"
 #include "Flow/FlowEngine.h"
+#include "PacketIo/PacketSocket.h"
 
 #include <atomic>
 #include <memory>
--- a/Source/Balancer/PeerConfiguration.h
+++ b/Source/Balancer/PeerConfiguration.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "Balancer/Backoff.h"
 #include "Balancer/ConfigurationRead.h"
 #include "Core/Clock.h"
 #include "Core/Log.h"
 #include "Membership/Member.h"
 #include "Net/Http2Client.h"
+#include "Peers/Backoff.h"
 
 #include <boost/asio/io_context.hpp>
 
--- a/Source/Balancer/PeerControl.h
+++ b/Source/Balancer/PeerControl.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "Balancer/PeerLink.h"
 #include "Configuration/Configuration.h"
 #include "Core/Clock.h"
 #include "Core/Log.h"
 #include "Flow/FlowEngine.h"
 #include "Membership/Membership.h"
+#include "Peers/PeerLink.h"
 #include "Platform/PlatformTypes.h"
 
 #include <boost/asio/io_context.hpp>
--- a/Source/Balancer/PlatformWatch.h
+++ b/Source/Balancer/PlatformWatch.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "Balancer/Backoff.h"
 #include "Core/Clock.h"
 #include "Core/Log.h"
+#include "Peers/Backoff.h"
 #include "Platform/PlatformClient.h"
 
 #include <cstdint>
--- a/Source/Balancer/VmListFeed.h
+++ b/Source/Balancer/VmListFeed.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "Balancer/Backoff.h"
 #include "Core/Clock.h"
 #include "Membership/Member.h"
 #include "Membership/Membership.h"
+#include "Peers/Backoff.h"
 #include "Platform/PlatformClient.h"
 
 #include <cstdint>
--- /dev/null
+++ b/Source/Forward/FlowBook.cpp
@@ -0,0 +1,137 @@
+#include "Forward/FlowBook.h"
+
+#include <algorithm>
+
+namespace wisteriadock {
+
+namespace {
+
+    // Sequence numbers wrap around: true when a lies behind b by less than half of the range.
+    bool isAfter(std::uint32_t a, std::uint32_t b) { return static_cast<std::int32_t>(a - b) > 0; }
+
+    void noteLife(ServerObservation& seen, TimePoint now)
+    {
+        seen.lastProgress = now;
+        seen.waitingSince = TimePoint::max();
+        seen.failures = 0;
+        seen.leftOutUntil = TimePoint::min();
+    }
+
+}
+
+FlowMemory* FlowBook::find(const FlowEnds& ends)
+{
+    const auto found = flows_.find(ends);
+    return found == flows_.end() ? nullptr : &found->second;
+}
+
+void FlowBook::noteTry(const FlowEnds& ends, KnownServer& server, std::uint32_t copies, TimePoint now)
+{
+    if (server.seen.waitingSince == TimePoint::max())
+        server.seen.waitingSince = now;
+    if (flows_.size() >= limit)
+        return;
+    const auto [entry, isNew] = flows_.try_emplace(ends);
+    FlowMemory& flow = entry->second;
+    if (isNew)
+        flow.openedAt = now;
+    else if (flow.token != server.token)
+        flow.formerTries = { flow.token, flow.formerTries[0] };
+    if (flow.token != server.token) {
+        count(flow.token, -1, flow.isBusy ? -1 : 0);
+        count(server.token, 1, 0);
+        flow.isBusy = false;
+    }
+    flow.token = server.token;
+    flow.isOpen = false;
+    flow.copies = copies;
+    flow.triedAt = now;
+    flow.lastSeen = now;
+}
+
+FlowProgress FlowBook::noteTraffic(const TokenPacket& packet, KnownServer& server, TimePoint now)
+{
+    FlowProgress progress;
+    const std::uint32_t end = packet.sequence + packet.payloadBytes;
+    auto entry = flows_.find(packet.ends);
+    if (entry == flows_.end()) {
+        if (flows_.size() >= limit || packet.finishes || packet.resets)
+            return progress;
+        entry = flows_.try_emplace(packet.ends).first;
+        FlowMemory& flow = entry->second;
+        flow.token = server.token;
+        flow.isOpen = true;
+        flow.acknowledged = packet.acknowledgement;
+        flow.sequenceEnd = packet.sequence;
+        count(server.token, 1, 0);
+    }
+    FlowMemory& flow = entry->second;
+    if (flow.token != server.token) {
+        count(flow.token, -1, flow.isBusy ? -1 : 0);
+        count(server.token, 1, flow.isBusy ? 1 : 0);
+        flow.token = server.token;
+    }
+    flow.lastSeen = now;
+    if (!flow.isOpen) {
+        flow.isOpen = true;
+        flow.acknowledged = packet.acknowledgement;
+        flow.sequenceEnd = packet.sequence;
+        progress.hasAnswered = true;
+        // A copy in between leaves open which of the tries was answered.
+        if (flow.copies == 0)
+            progress.openingTime = now - flow.openedAt;
+    } else if (packet.acknowledges && isAfter(packet.acknowledgement, flow.acknowledged)) {
+        flow.acknowledged = packet.acknowledgement;
+        progress.hasAnswered = true;
+        if (flow.isBusy && now - flow.busySince > std::chrono::milliseconds(0)) {
+            progress.answerTime = now - flow.busySince;
+            setBusy(flow, false, now);
+        }
+    }
+    if (progress.hasAnswered)
+        noteLife(server.seen, now);
+    if (isAfter(end, flow.sequenceEnd)) {
+        flow.sequenceEnd = end;
+        if (packet.payloadBytes > 0)
+            setBusy(flow, true, now);
+    }
+    if (packet.finishes || packet.resets) {
+        forget(flow);
+        flows_.erase(entry);
+    }
+    return progress;
+}
+
+void FlowBook::tick(TimePoint now)
+{
+    absl::erase_if(flows_, [&](auto& row) {
+        FlowMemory& flow = row.second;
+        const auto lifetime = flow.isOpen ? activeFor : openingFor;
+        if (now - flow.lastSeen < lifetime)
+            return false;
+        forget(flow);
+        return true;
+    });
+}
+
+void FlowBook::count(std::uint32_t token, int flows, int busy)
+{
+    KnownServer* server = token == 0 ? nullptr : directory_.findByToken(token);
+    if (!server)
+        return;
+    server->seen.flows = static_cast<std::uint32_t>(std::max(0, static_cast<int>(server->seen.flows) + flows));
+    server->seen.busy = static_cast<std::uint32_t>(std::max(0, static_cast<int>(server->seen.busy) + busy));
+}
+
+void FlowBook::setBusy(FlowMemory& flow, bool isBusy, TimePoint now)
+{
+    if (isBusy && !flow.isBusy)
+        flow.busySince = now;
+    if (isBusy != flow.isBusy)
+        count(flow.token, 0, isBusy ? 1 : -1);
+    flow.isBusy = isBusy;
+}
+
+void FlowBook::forget(FlowMemory& flow) { count(flow.token, -1, flow.isBusy ? -1 : 0); }
+
+}
--- /dev/null
+++ b/Source/Forward/FlowBook.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "Core/Clock.h"
+#include "Forward/ServerDirectory.h"
+#include "Forward/TokenPacket.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+
+namespace wisteriadock {
+
+// What this balancer remembers of one flow whose packets it saw lately. It only improves choices: a packet of an open
+// flow is routed by its token, also by a balancer that has never seen the flow.
+struct FlowMemory {
+    // The server's token; of an opening flow, that of the server tried last.
+    std::uint32_t token = 0;
+    // One behind the last byte that the caller sent, and the last one that it acknowledged.
+    std::uint32_t sequenceEnd = 0;
+    std::uint32_t acknowledged = 0;
+    bool isOpen = false;
+    // A request was sent and nothing of its answer acknowledged yet.
+    bool isBusy = false;
+    TimePoint lastSeen;
+    // When the opening packet was forwarded first and last, or the request in progress was sent.
+    TimePoint openedAt;
+    TimePoint triedAt;
+    TimePoint busySince;
+    // Servers that were tried and did not answer, latest first; 0 for none.
+    std::array<std::uint32_t, 2> formerTries {};
+    // What the opening packet was logged as, so that the end of the flow can be found by it.
+    std::uint32_t copies = 0;
+};
+
+// What a packet of an open flow told about its server.
+struct FlowProgress {
+    // The caller acknowledged something new, so the server answers.
+    bool hasAnswered = false;
+    // How long the flow took to open, or a request to be answered, when the packet shows that.
+    std::optional<Duration> openingTime;
+    std::optional<Duration> answerTime;
+};
+
+// The flows that this balancer saw lately, and how many of them each server has. All counters of ServerObservation that
+// stem from flows are kept here.
+class FlowBook {
+public:
+    // Memories over this number are not made; the flows are served without. About 130 bytes each.
+    static constexpr std::size_t limit = 200000;
+    // A flow that sent nothing for so long no longer counts as load: callers pause for about a second.
+    static constexpr std::chrono::milliseconds activeFor { 3000 };
+    // An opening that led nowhere is over after the caller's last copy and a little more.
+    static constexpr std::chrono::milliseconds openingFor { 2000 };
+
+    explicit FlowBook(ServerDirectory& directory)
+        : directory_(directory)
+    {
+    }
+
+    FlowMemory* find(const FlowEnds&);
+    // Remembers that the opening packet went to this server.
+    void noteTry(const FlowEnds&, KnownServer&, std::uint32_t copies, TimePoint now);
+    // Learns from a packet of an open flow that is on its way to this server.
+    FlowProgress noteTraffic(const TokenPacket&, KnownServer&, TimePoint now);
+    // Forgets flows that were silent for long.
+    void tick(TimePoint now);
+
+    std::size_t size() const { return flows_.size(); }
+
+private:
+    void count(std::uint32_t token, int flows, int busy);
+    void setBusy(FlowMemory&, bool, TimePoint now);
+    void forget(FlowMemory&);
+
+    ServerDirectory& directory_;
+    absl::flat_hash_map<FlowEnds, FlowMemory> flows_;
+};
+
+}
--- /dev/null
+++ b/Source/Forward/ForwardingConfiguration.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "Core/Endpoint.h"
+#include "Forward/TokenPacket.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace wisteriadock {
+
+// A service that takes part of a route's new flows.
+struct RouteShare {
+    std::string service;
+    std::uint32_t weight = 1;
+
+    bool operator==(const RouteShare&) const = default;
+};
+
+// An address and port that callers use, and where its new flows go.
+struct FlowRoute {
+    std::string name;
+    Endpoint address;
+    std::vector<RouteShare> shares;
+
+    bool operator==(const FlowRoute&) const = default;
+};
+
+// One version of the operators' configuration, as far as flows need it.
+struct ForwardingConfiguration {
+    std::uint64_t version = 0;
+    std::vector<FlowRoute> routes;
+    // A flow that carried nothing for so long may be forgotten.
+    std::chrono::milliseconds idleTimeout { 0 };
+};
+
+// Finds routes by address.
+class RouteTable {
+public:
+    RouteTable() = default;
+    explicit RouteTable(const ForwardingConfiguration&);
+
+    // Null when no route has the address.
+    const FlowRoute* find(Endpoint) const;
+    std::size_t size() const { return routes_.size(); }
+
+private:
+    absl::flat_hash_map<Endpoint, FlowRoute> routes_;
+};
+
+// The service of a new flow, in proportion to the weights. It depends on the flow and the route alone, so copies of an
+// opening packet get the same service at every balancer. Null when no share has a weight.
+const std::string* serviceOf(const FlowRoute&, const FlowEnds&);
+
+}
--- /dev/null
+++ b/Source/Forward/OpeningPolicy.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "Core/Clock.h"
+#include "Forward/FlowBook.h"
+#include "Forward/ServerDirectory.h"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+namespace wisteriadock {
+
+struct OpeningSettings {
+    // What a server of another availability zone must be less loaded by, in requests for each of its slots.
+    float zonePenalty = 0.5F;
+    // How much of a request an open flow without one counts as.
+    float idleFlowWeight = 0.1F;
+    // How much slower a server is that has just started.
+    float coldFactor = 1.6F;
+    // An opening that waits for longer speaks against its server: the first answer takes a few milliseconds.
+    std::chrono::milliseconds openingPatience { 60 };
+    // How long a silent server is left out at first and at most; one flow at a time then tries it again.
+    std::chrono::milliseconds firstLeaveOut { 500 };
+    std::chrono::milliseconds longestLeaveOut { 4000 };
+};
+
+// The choice for one opening packet, with what decided it.
+struct OpeningChoice {
+    // Null when the service has no server that may take flows.
+    KnownServer* server = nullptr;
+    // How many servers may take flows, and how many of those were passed over as silent.
+    std::uint32_t eligible = 0;
+    std::uint32_t silent = 0;
+    // The chosen server's load in requests for each slot, as far as this balancer knows.
+    float load = 0;
+    // All were silent, so that silence was not held against them.
+    bool isDesperate = false;
+    // A server that was left out gets this flow as a trial.
+    bool isTrial = false;
+};
+
+// Chooses the backend server of a new flow: the one with the least known work, the own availability zone first, and
+// none that seems dead while others do not. Equal servers are told apart by a hash of flow and server, so balancers
+// that know nothing yet choose alike.
+class OpeningPolicy {
+public:
+    OpeningPolicy(std::string availabilityZone, OpeningSettings settings = {})
+        : availabilityZone_(std::move(availabilityZone))
+        , settings_(settings)
+    {
+    }
+
+    // former is what is remembered of the flow, or null. The servers that it tried are avoided.
+    OpeningChoice choose(
+        const std::vector<KnownServer*>& servers, const FlowEnds&, const FlowMemory* former, TimePoint now) const;
+
+    // Leaves the server out when an opening has waited too long for it. True when that is new.
+    bool review(KnownServer&, TimePoint now) const;
+
+private:
+    float costOf(const KnownServer&, TimePoint now) const;
+    float loadOf(const KnownServer&, TimePoint now) const;
+
+    std::string availabilityZone_;
+    OpeningSettings settings_;
+};
+
+}
--- /dev/null
+++ b/Source/Forward/ServerDirectory.cpp
@@ -0,0 +1,170 @@
+#include "Forward/ServerDirectory.h"
+
+#include "Core/NameTable.h"
+
+#include <algorithm>
+
+namespace wisteriadock {
+
+namespace {
+
+    constexpr auto stateNames = makeNameTable<ServerState>({
+        { ServerState::Ready, "ready" },
+        { ServerState::Draining, "draining" },
+        { ServerState::Doubtful, "doubtful" },
+        { ServerState::Gone, "gone" },
+        { ServerState::Ended, "ended" },
+    });
+
+    bool isOver(ServerState state) { return state == ServerState::Gone || state == ServerState::Ended; }
+
+    ServerState stateOf(const RegisteredServer& entry)
+    {
+        return entry.readiness == ServerReadiness::Ready ? ServerState::Ready : ServerState::Draining;
+    }
+
+}
+
+std::string_view nameOf(ServerState state) { return stateNames.name(state); }
+
+ServerDirectory::Transitions ServerDirectory::put(const RegisteredServer& entry, std::uint64_t revision, TimePoint now)
+{
+    Transitions transitions;
+    auto& slot = records_[entry.id];
+    const bool isNew = !slot;
+    if (isNew) {
+        slot = std::make_unique<KnownServer>();
+        slot->token = tokenOf(entry.number);
+        slot->since = now;
+        slot->state = stateOf(entry);
+    }
+    KnownServer& record = *slot;
+    record.entry = entry;
+    record.revision = revision;
+    record.warmUntil = now + entry.warmupLeft;
+    if (isNew) {
+        claimToken(record);
+        transitions.push_back({ entry.id, entry.service, entry.availabilityZone, record.state, record.state, true });
+    }
+    enter(record, stateOf(entry), now, transitions);
+    endFormerAt(record, now, transitions);
+    index();
+    return transitions;
+}
+
+ServerDirectory::Transitions ServerDirectory::remove(const std::string& id, bool inDoubt, TimePoint now)
+{
+    Transitions transitions;
+    KnownServer* record = find(id);
+    if (!record || isOver(record->state))
+        return transitions;
+    const bool mayReturn = inDoubt && record->state != ServerState::Draining;
+    enter(*record, mayReturn ? ServerState::Doubtful : ServerState::Gone, now, transitions);
+    index();
+    return transitions;
+}
+
+ServerDirectory::Transitions ServerDirectory::tick(TimePoint now)
+{
+    Transitions transitions;
+    for (auto& [id, record] : records_) {
+        if (record->state == ServerState::Doubtful && now - record->since >= settings_.doubt)
+            enter(*record, ServerState::Gone, now, transitions);
+    }
+    const std::size_t before = records_.size();
+    absl::erase_if(records_, [&](const auto& row) {
+        const KnownServer& record = *row.second;
+        const bool isForgotten = isOver(record.state) && now - record.since >= settings_.retention;
+        if (!isForgotten)
+            return false;
+        const auto claimed = byToken_.find(record.token);
+        if (claimed != byToken_.end() && claimed->second == &record)
+            byToken_.erase(claimed);
+        return true;
+    });
+    if (!transitions.empty() || records_.size() != before)
+        index();
+    return transitions;
+}
+
+KnownServer* ServerDirectory::findByToken(std::uint32_t token)
+{
+    const auto found = byToken_.find(token);
+    return found == byToken_.end() ? nullptr : found->second;
+}
+
+KnownServer* ServerDirectory::find(const std::string& id)
+{
+    const auto found = records_.find(id);
+    return found == records_.end() ? nullptr : found->second.get();
+}
+
+const std::vector<KnownServer*>& ServerDirectory::serversOf(const std::string& service) const
+{
+    static const std::vector<KnownServer*> none;
+    const auto found = byService_.find(service);
+    return found == byService_.end() ? none : found->second;
+}
+
+std::size_t ServerDirectory::countOf(ServerState state) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(records_.begin(), records_.end(), [&](const auto& row) { return row.second->state == state; }));
+}
+
+void ServerDirectory::enter(KnownServer& record, ServerState state, TimePoint now, Transitions& transitions)
+{
+    if (record.state == state)
+        return;
+    const RegisteredServer& entry = record.entry;
+    transitions.push_back({ entry.id, entry.service, entry.availabilityZone, record.state, state, false });
+    record.state = state;
+    record.since = now;
+}
+
+// An address is given to another server only after its former one has ended, so of two entries there the one that was
+// written first belongs to a process that is over, even while its entry has not lapsed yet. Without this, callers would
+// get new flows to a server that is dead, and callers of its open flows would wait for nobody.
+void ServerDirectory::endFormerAt(const KnownServer& changed, TimePoint now, Transitions& transitions)
+{
+    KnownServer* newest = nullptr;
+    for (auto& [id, record] : records_) {
+        const bool isThere = record->entry.address == changed.entry.address;
+        if (isThere && (!newest || record->revision > newest->revision))
+            newest = record.get();
+    }
+    for (auto& [id, record] : records_) {
+        if (record->entry.address == changed.entry.address && record.get() != newest)
+            enter(*record, ServerState::Ended, now, transitions);
+    }
+}
+
+// Two incarnations with one token: packets go to the one whose id is smaller, at every balancer, and the other gets no
+// flows. An incarnation that is over gives way only when it is forgotten, since its flows may be open.
+void ServerDirectory::claimToken(KnownServer& record)
+{
+    const auto [claimed, isFree] = byToken_.try_emplace(record.token, &record);
+    if (isFree)
+        return;
+    KnownServer& other = *claimed->second;
+    const bool otherHoldsFlows = isOver(other.state) || other.entry.id < record.entry.id;
+    KnownServer& loser = otherHoldsFlows ? record : other;
+    loser.isAmbiguous = true;
+    claimed->second = otherHoldsFlows ? &other : &record;
+}
+
+void ServerDirectory::index()
+{
+    for (auto& [service, servers] : byService_)
+        servers.clear();
+    for (auto& [id, record] : records_) {
+        if (!isOver(record->state))
+            byService_[record->entry.service].push_back(record.get());
+    }
+    // The order must not depend on the hash table's, so that equal views choose alike.
+    for (auto& [service, servers] : byService_)
+        std::ranges::sort(
+            servers, [](const KnownServer* a, const KnownServer* b) { return a->entry.id < b->entry.id; });
+}
+
+}
--- /dev/null
+++ b/Source/Forward/ServerDirectory.h
@@ -0,0 +1,124 @@
+#pragma once
+
+#include "Core/Clock.h"
+#include "Forward/RegisteredServer.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace wisteriadock {
+
+// What a balancer believes of a backend server.
+enum class ServerState {
+    Ready,
+    Draining,
+    Doubtful, // Its entry vanished while entries may vanish of servers that live; it may be back soon.
+    Gone, // Its entry vanished. It may still hold flows, when it left slowly or only lost the store.
+    Ended, // Another incarnation has its address, so its process is certainly over.
+};
+
+std::string_view nameOf(ServerState);
+
+// What this balancer sees of a server in the packets that it forwards; callers' packets only, as servers answer callers
+// directly.
+struct ServerObservation {
+    // Open flows that were active lately, and those of them with a request in progress.
+    std::uint32_t flows = 0;
+    std::uint32_t busy = 0;
+    // When a packet last proved that the server answers.
+    TimePoint lastProgress = TimePoint::min();
+    // Since when an opening packet waits for any sign of the server; TimePoint::max() when none does.
+    TimePoint waitingSince = TimePoint::max();
+    // Tries that the server left unanswered since its last sign of life.
+    std::uint32_t failures = 0;
+    // Until when it gets no new flows.
+    TimePoint leftOutUntil = TimePoint::min();
+    // What other balancers of the zone said of their flows to it.
+    float loadElsewhere = 0;
+};
+
+struct KnownServer {
+    RegisteredServer entry;
+    std::uint32_t token = 0;
+    // The store's revision of the entry.
+    std::uint64_t revision = 0;
+    ServerState state = ServerState::Ready;
+    // When the state was entered.
+    TimePoint since;
+    TimePoint warmUntil;
+    // Another living server has the same token, so packets could not be told apart: it gets no flows.
+    bool isAmbiguous = false;
+    ServerObservation seen;
+
+    bool mayTakeFlows() const
+    {
+        return (state == ServerState::Ready || state == ServerState::Doubtful) && !isAmbiguous;
+    }
+};
+
+struct DirectorySettings {
+    // How long a vanished entry may be back after an outage of the store (the store's operators promise two seconds).
+    std::chrono::milliseconds doubt { 2000 };
+    // How long servers that are gone stay known by their tokens: flows last up to a minute (the platform's bound).
+    std::chrono::milliseconds retention { 75000 };
+};
+
+// A change of what the balancer believes of one server, for the log.
+struct ServerTransition {
+    std::string id;
+    std::string service;
+    std::string availabilityZone;
+    ServerState before = ServerState::Ready;
+    ServerState after = ServerState::Ready;
+    bool isNew = false;
+};
+
+// The backend servers that registered themselves: by service, and by token. Forgets nobody whose flows may be open.
+class ServerDirectory {
+public:
+    using Transitions = std::vector<ServerTransition>;
+
+    explicit ServerDirectory(DirectorySettings settings = {})
+        : settings_(settings)
+    {
+    }
+
+    // A server's entry was written, at a revision of the store.
+    Transitions put(const RegisteredServer&, std::uint64_t revision, TimePoint now);
+    // Its entry vanished. In doubt a ready server keeps getting flows for a while, because it may be back.
+    Transitions remove(const std::string& id, bool inDoubt, TimePoint now);
+    // Ends doubts and forgets servers whose flows are over.
+    Transitions tick(TimePoint now);
+
+    // Null for a token that nobody here knows.
+    KnownServer* findByToken(std::uint32_t token);
+    KnownServer* find(const std::string& id);
+    // The servers of a service that are not gone; empty for a service without any.
+    const std::vector<KnownServer*>& serversOf(const std::string& service) const;
+
+    std::size_t size() const { return records_.size(); }
+    std::size_t countOf(ServerState) const;
+    template <typename Visit> void forEach(const Visit& visit)
+    {
+        for (auto& [id, record] : records_)
+            visit(*record);
+    }
+
+private:
+    void enter(KnownServer&, ServerState, TimePoint now, Transitions&);
+    void endFormerAt(const KnownServer&, TimePoint now, Transitions&);
+    void claimToken(KnownServer&);
+    void index();
+
+    DirectorySettings settings_;
+    absl::flat_hash_map<std::string, std::unique_ptr<KnownServer>> records_;
+    absl::flat_hash_map<std::uint32_t, KnownServer*> byToken_;
+    absl::flat_hash_map<std::string, std::vector<KnownServer*>> byService_;
+};
+
+}
--- /dev/null
+++ b/Source/Forward/TokenRouter.cpp
@@ -0,0 +1,170 @@
+#include "Forward/TokenRouter.h"
+
+#include "Core/NameTable.h"
+
+#include <utility>
+
+namespace wisteriadock {
+
+namespace {
+
+    constexpr auto verdictNames = makeNameTable<PacketVerdict>({
+        { PacketVerdict::Forward, "forward" },
+        { PacketVerdict::Reset, "reset" },
+        { PacketVerdict::Drop, "drop" },
+    });
+
+    constexpr auto reasonNames = makeNameTable<PacketReason>({
+        { PacketReason::Opened, "opened" },
+        { PacketReason::OpenedAgain, "opened_again" },
+        { PacketReason::OpenedElsewhere, "opened_elsewhere" },
+        { PacketReason::Established, "established" },
+        { PacketReason::ServerEnded, "server_ended" },
+        { PacketReason::NoServer, "no_server" },
+        { PacketReason::NoRoute, "no_route" },
+        { PacketReason::NoConfiguration, "no_configuration" },
+        { PacketReason::TokenMissing, "token_missing" },
+        { PacketReason::TokenUnknown, "token_unknown" },
+        { PacketReason::ForeignAnswer, "foreign_answer" },
+    });
+    static_assert(reasonNames.rows().size() == packetReasons);
+
+    PacketDecision drop(PacketReason reason)
+    {
+        PacketDecision decision;
+        decision.verdict = PacketVerdict::Drop;
+        decision.reason = reason;
+        return decision;
+    }
+
+}
+
+std::string_view nameOf(PacketVerdict verdict) { return verdictNames.name(verdict); }
+
+std::string_view nameOf(PacketReason reason) { return reasonNames.name(reason); }
+
+TokenRouter::TokenRouter(RouterSettings settings)
+    : settings_(std::move(settings))
+    , policy_(settings_.availabilityZone, settings_.opening)
+    , directory_(settings_.directory)
+    , flows_(directory_)
+{
+}
+
+bool TokenRouter::applyConfiguration(const ForwardingConfiguration& configuration)
+{
+    if (configuration.version <= version_)
+        return false;
+    routes_ = RouteTable(configuration);
+    version_ = configuration.version;
+    return true;
+}
+
+ServerDirectory::Transitions TokenRouter::putServer(
+    const RegisteredServer& entry, std::uint64_t revision, TimePoint now)
+{
+    return directory_.put(entry, revision, now);
+}
+
+ServerDirectory::Transitions TokenRouter::removeServer(const std::string& id, bool inDoubt, TimePoint now)
+{
+    return directory_.remove(id, inDoubt, now);
+}
+
+ServerDirectory::Transitions TokenRouter::tick(TimePoint now)
+{
+    flows_.tick(now);
+    return directory_.tick(now);
+}
+
+PacketDecision TokenRouter::route(const TokenPacket& packet, TimePoint now)
+{
+    if (packet.opens && packet.acknowledges)
+        return drop(PacketReason::ForeignAnswer);
+    return packet.opens ? routeOpening(packet, now) : routeEstablished(packet, now);
+}
+
+PacketDecision TokenRouter::routeOpening(const TokenPacket& packet, TimePoint now)
+{
+    if (version_ == 0)
+        return drop(PacketReason::NoConfiguration);
+    const FlowRoute* route = routes_.find(packet.ends.route);
+    if (!route)
+        return refuse(packet, PacketReason::NoRoute);
+    const std::string* service = serviceOf(*route, packet.ends);
+    if (!service)
+        return refuse(packet, PacketReason::NoServer);
+
+    const FlowMemory* former = flows_.find(packet.ends);
+    PacketDecision decision;
+    decision.verdict = PacketVerdict::Forward;
+    decision.service = service;
+    decision.copies = packet.acknowledgement;
+    if (KnownServer* again = formerServerFor(former, *service, now)) {
+        decision.reason = PacketReason::OpenedAgain;
+        decision.server = again;
+        if (!former->isOpen)
+            flows_.noteTry(packet.ends, *again, packet.acknowledgement, now);
+        return decision;
+    }
+    if (former && !former->isOpen) {
+        KnownServer* silent = directory_.findByToken(former->token);
+        if (silent && silent->seen.lastProgress < former->triedAt && policy_.review(*silent, now))
+            decision.leftOut = silent;
+    }
+    decision.choice = policy_.choose(directory_.serversOf(*service), packet.ends, former, now);
+    if (!decision.choice.server)
+        return refuse(packet, PacketReason::NoServer);
+    decision.reason = former ? PacketReason::OpenedElsewhere : PacketReason::Opened;
+    decision.server = decision.choice.server;
+    flows_.noteTry(packet.ends, *decision.choice.server, packet.acknowledgement, now);
+    return decision;
+}
+
+// Two servers that both answer one opening leave the caller with the token of one and the sequence of the other, and
+// the flow never works. So a copy goes to the same server for as long as that one gives signs of life, or the flow is
+// open there already and the copy was only late.
+KnownServer* TokenRouter::formerServerFor(const FlowMemory* former, const std::string& service, TimePoint)
+{
+    KnownServer* server = former ? directory_.findByToken(former->token) : nullptr;
+    if (!server)
+        return nullptr;
+    if (former->isOpen)
+        return server;
+    const bool isStillRight = server->mayTakeFlows() && server->entry.service == service;
+    const bool hasLivedSince = server->seen.lastProgress >= former->triedAt;
+    return isStillRight && hasLivedSince ? server : nullptr;
+}
+
+PacketDecision TokenRouter::routeEstablished(const TokenPacket& packet, TimePoint now)
+{
+    if (packet.token == 0)
+        return drop(PacketReason::TokenMissing);
+    KnownServer* server = directory_.findByToken(packet.token);
+    if (!server)
+        return drop(PacketReason::TokenUnknown);
+    PacketDecision decision;
+    decision.server = server;
+    if (server->state == ServerState::Ended) {
+        decision.verdict = packet.resets ? PacketVerdict::Drop : PacketVerdict::Reset;
+        decision.reason = PacketReason::ServerEnded;
+        return decision;
+    }
+    decision.verdict = PacketVerdict::Forward;
+    decision.reason = PacketReason::Established;
+    decision.progress = flows_.noteTraffic(packet, *server, now);
+    return decision;
+}
+
+// The first copies are answered with silence: news of a route or a server may be on its way, and the caller asks again
+// by itself. With its last copy it is told at once, instead of being left to wait for its own time limit.
+PacketDecision TokenRouter::refuse(const TokenPacket& packet, PacketReason reason) const
+{
+    PacketDecision decision;
+    decision.copies = packet.acknowledgement;
+    decision.verdict = packet.acknowledgement >= settings_.lastCopy ? PacketVerdict::Reset : PacketVerdict::Drop;
+    decision.reason = reason;
+    return decision;
+}
+
+}
--- /dev/null
+++ b/Source/Forward/TokenRouter.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "Core/Clock.h"
+#include "Forward/FlowBook.h"
+#include "Forward/ForwardingConfiguration.h"
+#include "Forward/OpeningPolicy.h"
+#include "Forward/ServerDirectory.h"
+#include "Forward/TokenPacket.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace wisteriadock {
+
+// What to do with a packet.
+enum class PacketVerdict {
+    Forward, // To the server, as it is, under the token of the decision.
+    Reset, // Answer the caller with a reset.
+    Drop,
+};
+
+// Why. Each reason has a counter of its own, and the log names it.
+enum class PacketReason {
+    Opened, // A new flow got its server.
+    OpenedAgain, // A copy of an opening packet goes where the former one went.
+    OpenedElsewhere, // A copy goes to another server, since the former one is silent or takes no flows any more.
+    Established, // A packet of an open flow, found by its token.
+    ServerEnded, // The flow's server is certainly over.
+    NoServer, // The route's service has no server that takes flows.
+    NoRoute, // No route has the address.
+    NoConfiguration, // This balancer does not know the routes yet.
+    TokenMissing, // Not an opening packet, and without a token.
+    TokenUnknown, // A token that nobody here knows; it is never guessed.
+    ForeignAnswer, // An answer to an opening, which only servers send, and never to servers.
+};
+
+inline constexpr std::size_t packetReasons = 11;
+
+std::string_view nameOf(PacketVerdict);
+std::string_view nameOf(PacketReason);
+
+struct PacketDecision {
+    PacketVerdict verdict = PacketVerdict::Drop;
+    PacketReason reason = PacketReason::NoConfiguration;
+    // The server that the packet is for, or null. Valid until the directory changes.
+    const KnownServer* server = nullptr;
+    // The service of a new flow, or null.
+    const std::string* service = nullptr;
+    // What decided an opening.
+    OpeningChoice choice;
+    // How often this caller has sent the opening packet before.
+    std::uint32_t copies = 0;
+    FlowProgress progress;
+    // The server was silent for so long that this packet's decision left it out.
+    const KnownServer* leftOut = nullptr;
+};
+
+struct RouterSettings {
+    std::string availabilityZone;
+    OpeningSettings opening;
+    DirectorySettings directory;
+    // The caller's copy of an opening packet that is the last one; after it, the caller gives up.
+    std::uint32_t lastCopy = 2;
+};
+
+// Routes packets by their return token, and new flows by the opening policy. It needs no arbiter and no state that
+// another balancer holds: any balancer that knows the directory routes any packet of any flow. One thread calls it.
+class TokenRouter {
+public:
+    explicit TokenRouter(RouterSettings);
+    TokenRouter(const TokenRouter&) = delete;
+    TokenRouter& operator=(const TokenRouter&) = delete;
+
+    // False for a version that is not newer than the one held: versions never go back.
+    bool applyConfiguration(const ForwardingConfiguration&);
+    ServerDirectory::Transitions putServer(const RegisteredServer&, std::uint64_t revision, TimePoint now);
+    ServerDirectory::Transitions removeServer(const std::string& id, bool inDoubt, TimePoint now);
+    // Call it a few times a second while there are flows or servers in doubt.
+    ServerDirectory::Transitions tick(TimePoint now);
+
+    PacketDecision route(const TokenPacket&, TimePoint now);
+
+    // 0 before the first configuration.
+    std::uint64_t configurationVersion() const { return version_; }
+    ServerDirectory& directory() { return directory_; }
+    const FlowBook& flows() const { return flows_; }
+    std::size_t routes() const { return routes_.size(); }
+
+private:
+    PacketDecision routeOpening(const TokenPacket&, TimePoint now);
+    PacketDecision routeEstablished(const TokenPacket&, TimePoint now);
+    PacketDecision refuse(const TokenPacket&, PacketReason) const;
+    // The server that a copy of an opening packet shall go to again, or null for another choice.
+    KnownServer* formerServerFor(const FlowMemory*, const std::string& service, TimePoint now);
+
+    RouterSettings settings_;
+    OpeningPolicy policy_;
+    ServerDirectory directory_;
+    FlowBook flows_;
+    RouteTable routes_;
+    std::uint64_t version_ = 0;
+};
+
+}
--- /dev/null
+++ b/Source/Forwarder/Forwarder.h
@@ -0,0 +1,308 @@
+#pragma once
+
+#include "Core/EventLog.h"
+#include "Forward/TokenRouter.h"
+#include "Forwarder/ForwarderLife.h"
+#include "Forwarder/ForwarderLog.h"
+#include "Forwarder/ForwarderMetrics.h"
+#include "Forwarder/ForwarderSettings.h"
+#include "Forwarder/NewsApplier.h"
+#include "Forwarder/PeerNews.h"
+#include "Forwarder/SettingsWatch.h"
+#include "Forwarder/StoreLink.h"
+#include "Forwarder/TokenPacketPath.h"
+#include "Net/Http1Server.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <csignal>
+#include <memory>
+#include <string>
+#include <unistd.h>
+#include <utility>
+
+namespace wisteriadock {
+
+// The forwarder: takes flow packets with a return token on an entry VM and hands them to backend servers that register
+// themselves in the platform's store. It decides nothing itself; it gives packets, answers, messages and ticks to the
+// parts that do, and does what they say. Everything runs on one thread: these VMs have a fraction of one core.
+template <typename Adapter> class Forwarder {
+public:
+    // Fails with Unavailable when an address can't be bound.
+    static Result<std::unique_ptr<Forwarder>> start(const ForwarderSettings& settings, std::string settingsPath)
+    {
+        std::unique_ptr<Forwarder> forwarder(new Forwarder(settings, std::move(settingsPath)));
+        BOOST_OUTCOME_TRY(forwarder->open());
+        return forwarder;
+    }
+    Forwarder(const Forwarder&) = delete;
+    Forwarder& operator=(const Forwarder&) = delete;
+
+    // Serves until a planned stop is over.
+    void run()
+    {
+        const TimePoint now = Clock::now();
+        log_.write(LogLevel::Info, "process", "started",
+            Event()
+                .add("version", WISTERIADOCK_VERSION)
+                .add("flow", settings_.flow.toString())
+                .add("peer", settings_.peer.toString())
+                .add("store", settings_.store.toString())
+                .add("seeds", std::uint64_t(settings_.seeds.size())),
+            now);
+        store_.start(now);
+        peers_->start(now);
+        packets_->start();
+        awaitSignal();
+        awaitBeat();
+        context_.run();
+    }
+
+private:
+    // Membership asks for a tick at least each 250 ms; log lines wait no longer either.
+    static constexpr std::chrono::milliseconds beat { 250 };
+    // Settings may change without a signal.
+    static constexpr std::chrono::seconds settingsCheck { 2 };
+
+    Forwarder(const ForwarderSettings& settings, std::string settingsPath)
+        : settings_(settings)
+        , settingsWatch_(std::move(settingsPath))
+        , startedAt_(Clock::now())
+        , incarnation_(static_cast<std::uint64_t>(
+              std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch())
+                  .count()))
+        , seed_(balancerIdOf(settings.vm).value ^ incarnation_)
+        , log_({ settings.vm, settings.availabilityZone, incarnation_ }, STDOUT_FILENO, settings.logBudget)
+        , lines_(log_)
+        , router_(routerSettings(settings))
+        , life_({ .grace = settings.grace })
+        , applier_(router_, lines_, metrics_)
+        , signals_(context_, SIGTERM, SIGINT, SIGHUP)
+        , timer_(context_)
+        , store_(context_, settings.store, seed_, metrics_, [this](const StoreFeedAction& action) { perform(action); })
+    {
+        log_.setLevel(settings.logLevel);
+    }
+
+    static RouterSettings routerSettings(const ForwarderSettings& settings)
+    {
+        RouterSettings router;
+        router.availabilityZone = settings.availabilityZone;
+        // A quarter more than a flow lasts, for packets that are still on their way.
+        router.directory.retention
+            = std::chrono::duration_cast<std::chrono::milliseconds>(settings.longestFlow) * 5 / 4;
+        return router;
+    }
+
+    Result<void> open()
+    {
+        BOOST_OUTCOME_TRY(socket, PacketSocket::open(settings_.flow));
+        BOOST_OUTCOME_TRY(peers,
+            PeerNews::open(context_, self(), settings_.seeds, seed_, log_, metrics_,
+                [this](const NewsChanged& news) { handleNews(news); }));
+        peers_ = std::move(peers);
+        packets_ = std::make_unique<TokenPacketPath<Adapter>>(
+            context_, std::move(socket), router_, peers_->exchange(), life_, lines_, metrics_);
+        BOOST_OUTCOME_TRY(ready, Http1Server::listen(context_, settings_.ready, [this](const HttpRequest& request) {
+            return answer(request);
+        }));
+        ready_ = std::move(ready);
+        if (!settings_.metrics.isSet())
+            return boost::outcome_v2::success();
+        BOOST_OUTCOME_TRY(metrics, Http1Server::listen(context_, settings_.metrics, [this](const HttpRequest& request) {
+            return answer(request);
+        }));
+        metricsServer_ = std::move(metrics);
+        return boost::outcome_v2::success();
+    }
+
+    Member self() const
+    {
+        Member member;
+        member.id = balancerIdOf(settings_.vm);
+        member.name = settings_.vm;
+        member.availabilityZone = settings_.availabilityZone;
+        member.peerAddress = settings_.peer;
+        member.flowAddress = settings_.flow;
+        member.requestAddress = settings_.peer;
+        member.incarnation = incarnation_;
+        return member;
+    }
+
+    HttpResponse answer(const HttpRequest& request)
+    {
+        HttpResponse response;
+        if (request.path == Adapter::readinessPath) {
+            response.status = life_.isReady() ? 200 : 503;
+        } else if (request.path == "/metrics") {
+            response.headers = { { "content-type", "text/plain; version=0.0.4" } };
+            response.body = metrics_.text(readings());
+        } else {
+            response.status = 404;
+        }
+        return response;
+    }
+
+    ForwarderMetrics::Readings readings()
+    {
+        ForwarderMetrics::Readings readings;
+        readings.configurationVersion = router_.configurationVersion();
+        readings.newsRevision = peers_->exchange().book().completeTo();
+        readings.flows = router_.flows().size();
+        readings.members = peers_->members();
+        readings.isReady = life_.isReady();
+        readings.isStoreLost = store_.feed().isLost();
+        readings.isWatching = store_.feed().isWatching();
+        readings.logLines = log_.buffer().lines();
+        readings.logDropped = log_.buffer().dropped();
+        readings.logLeftOut = log_.leftOut();
+        readings.peerBytes = peers_->bytesTransferred();
+        readings.storeBytes = store_.bytesTransferred();
+        readings.directory = &router_.directory();
+        return readings;
+    }
+
+    void handleNews(const NewsChanged& news)
+    {
+        const TimePoint now = Clock::now();
+        applier_.apply(news, now);
+        const bool isInformed = router_.configurationVersion() > 0 && peers_->exchange().book().completeTo() > 0;
+        if (isInformed && life_.noteInformed()) {
+            log_.write(LogLevel::Info, "process", "ready",
+                Event()
+                    .add("after_ms", now - startedAt_)
+                    .add("configuration_version", router_.configurationVersion())
+                    .add("revision", news.revision)
+                    .add("servers", std::uint64_t(router_.directory().size()))
+                    .add("source", news.source),
+                now);
+            log_.flush(now);
+        }
+    }
+
+    void perform(const StoreFeedAction& action)
+    {
+        const TimePoint now = Clock::now();
+        if (const auto* news = std::get_if<StoreNews>(&action)) {
+            peers_->handleStore(news->delta, now);
+        } else if (const auto* lost = std::get_if<StoreLost>(&action)) {
+            log_.write(LogLevel::Warning, "store", "lost", Event().add("error", lost->error.toString()), now);
+        } else if (const auto* regained = std::get_if<StoreRegained>(&action)) {
+            log_.write(LogLevel::Info, "store", "regained", Event().add("away_ms", regained->away), now);
+        }
+    }
+
+    void awaitBeat()
+    {
+        timer_.expires_after(beat);
+        timer_.async_wait([this](const boost::system::error_code& error) {
+            if (error)
+                return;
+            onBeat(Clock::now());
+        });
+    }
+
+    void onBeat(TimePoint now)
+    {
+        peers_->tick(now);
+        store_.update(peers_->exchange().book().completeTo(), peers_->shallWatch() && !life_.isStopping(),
+            peers_->exchange().behindSince(), now);
+        store_.tick(now);
+        for (const ServerTransition& transition : router_.tick(now))
+            lines_.transition(transition, peers_->exchange().book().completeTo(), "time", now);
+        if (now - lastSettingsCheck_ >= settingsCheck) {
+            lastSettingsCheck_ = now;
+            if (settingsWatch_.hasChanged())
+                reload("file", now);
+        }
+        if (life_.isOver(now)) {
+            end(now);
+            return;
+        }
+        log_.flush(now);
+        awaitBeat();
+    }
+
+    void end(TimePoint now)
+    {
+        log_.write(LogLevel::Info, "process", "stopped", Event().add("ran_ms", now - startedAt_), now);
+        log_.flush(now);
+        context_.stop();
+    }
+
+    void awaitSignal()
+    {
+        signals_.async_wait([this](const boost::system::error_code& error, int signal) {
+            if (error)
+                return;
+            const TimePoint now = Clock::now();
+            if (signal == SIGHUP)
+                reload("signal", now);
+            else
+                stop(now);
+            awaitSignal();
+        });
+    }
+
+    void stop(TimePoint now)
+    {
+        if (!life_.stop(now))
+            return;
+        log_.write(LogLevel::Info, "process", "stopping", Event().add("grace_ms", Duration(settings_.grace)), now);
+        peers_->leave(now);
+    }
+
+    void reload(const char* cause, TimePoint now)
+    {
+        const auto fresh = settingsWatch_.read();
+        if (!fresh) {
+            log_.write(LogLevel::Error, "settings", "refused",
+                Event().add("cause", cause).add("error", fresh.error().toString()), now);
+            return;
+        }
+        std::string waiting;
+        for (const std::string& name : settings_.differencesThatNeedRestart(fresh.value()))
+            waiting += (waiting.empty() ? "" : ",") + name;
+        log_.write(LogLevel::Info, "settings", "reloaded",
+            Event()
+                .add("cause", cause)
+                .add("seeds_changed", fresh.value().seeds != settings_.seeds)
+                .add("log_changed",
+                    fresh.value().logLevel != settings_.logLevel || fresh.value().logBudget != settings_.logBudget)
+                .add("needs_restart", waiting),
+            now);
+        settings_.logLevel = fresh.value().logLevel;
+        settings_.logBudget = fresh.value().logBudget;
+        log_.setLevel(settings_.logLevel);
+        log_.setBudget(settings_.logBudget);
+        if (settings_.seeds != fresh.value().seeds) {
+            settings_.seeds = fresh.value().seeds;
+            peers_->setSeeds(settings_.seeds, now);
+        }
+    }
+
+    ForwarderSettings settings_;
+    SettingsWatch settingsWatch_;
+    const TimePoint startedAt_;
+    const std::uint64_t incarnation_;
+    const std::uint64_t seed_;
+    boost::asio::io_context context_ { 1 };
+    EventLog log_;
+    ForwarderLog lines_;
+    ForwarderMetrics metrics_;
+    TokenRouter router_;
+    ForwarderLife life_;
+    NewsApplier<Adapter> applier_;
+    boost::asio::signal_set signals_;
+    boost::asio::steady_timer timer_;
+    std::unique_ptr<PeerNews> peers_;
+    StoreLink<Adapter> store_;
+    std::unique_ptr<TokenPacketPath<Adapter>> packets_;
+    std::unique_ptr<Http1Server> ready_;
+    std::unique_ptr<Http1Server> metricsServer_;
+    TimePoint lastSettingsCheck_ = startedAt_;
+};
+
+}
--- /dev/null
+++ b/Source/Forwarder/ForwarderLife.cpp
@@ -0,0 +1,31 @@
+#include "Forwarder/ForwarderLife.h"
+
+#include <algorithm>
+
+namespace wisteriadock {
+
+bool ForwarderLife::noteInformed()
+{
+    const bool isNew = !isInformed_;
+    isInformed_ = true;
+    return isNew;
+}
+
+bool ForwarderLife::stop(TimePoint now)
+{
+    if (stoppingSince_)
+        return false;
+    stoppingSince_ = now;
+    return true;
+}
+
+bool ForwarderLife::isOver(TimePoint now) const
+{
+    if (!stoppingSince_)
+        return false;
+    if (now - *stoppingSince_ >= settings_.grace - settings_.margin)
+        return true;
+    return now - std::max(lastPacket_, *stoppingSince_) >= settings_.quiet;
+}
+
+}
--- /dev/null
+++ b/Source/Forwarder/ForwarderLog.cpp
@@ -0,0 +1,116 @@
+#include "Forwarder/ForwarderLog.h"
+
+namespace wisteriadock {
+
+namespace {
+
+    LogLevel levelOf(const PacketDecision& decision)
+    {
+        if (decision.reason == PacketReason::Established)
+            return LogLevel::Debug;
+        return decision.verdict == PacketVerdict::Forward ? LogLevel::Info : LogLevel::Warning;
+    }
+
+    // How long ago; negative when it never was.
+    double ageOf(TimePoint then, TimePoint now)
+    {
+        return then == TimePoint::min() ? -1.0 : std::chrono::duration<double, std::milli>(now - then).count();
+    }
+
+}
+
+std::string flowNameOf(const FlowEnds& ends) { return ends.caller.toString() + ">" + ends.route.toString(); }
+
+void ForwarderLog::packet(const TokenPacket& packet, const PacketDecision& decision, std::uint64_t configurationVersion,
+    std::uint64_t revision, TimePoint now)
+{
+    const LogLevel level = levelOf(decision);
+    const std::string_view reason = nameOf(decision.reason);
+    if (level < log_.level() || !log_.admits("flow", reason, now))
+        return;
+    Event event;
+    event.add("flow", flowNameOf(packet.ends)).add("verdict", nameOf(decision.verdict));
+    if (packet.opens)
+        event.add("copies", decision.copies);
+    else
+        event.add("token", packet.token);
+    event.add("configuration_version", configurationVersion).add("revision", revision);
+    if (decision.service)
+        event.add("service", *decision.service);
+    if (const KnownServer* server = decision.server) {
+        event.add("server", server->entry.id).add("server_zone", server->entry.availabilityZone);
+        event.add("server_state", nameOf(server->state)).add("server_revision", server->revision);
+        event.add("silent_ms", ageOf(server->seen.lastProgress, now));
+        event.add("flows", server->seen.flows).add("busy", server->seen.busy);
+    }
+    if (decision.choice.server) {
+        event.add("load", static_cast<double>(decision.choice.load)).add("eligible", decision.choice.eligible);
+        event.add("silent", decision.choice.silent).add("trial", decision.choice.isTrial);
+        event.add("desperate", decision.choice.isDesperate);
+    }
+    log_.writeAdmitted(level, "flow", reason, event, now);
+}
+
+void ForwarderLog::malformed(std::size_t bytes, const Endpoint& sender, TimePoint now)
+{
+    if (!log_.admits("flow", "malformed", now))
+        return;
+    log_.writeAdmitted(LogLevel::Warning, "flow", "malformed",
+        Event().add("bytes", std::uint64_t(bytes)).add("sender", sender.toString()), now);
+}
+
+void ForwarderLog::transition(
+    const ServerTransition& transition, std::uint64_t revision, const std::string& source, TimePoint now)
+{
+    log_.write(LogLevel::Info, "server", nameOf(transition.after),
+        Event()
+            .add("server", transition.id)
+            .add("service", transition.service)
+            .add("server_zone", transition.availabilityZone)
+            .add("before", transition.isNew ? "unknown" : nameOf(transition.before))
+            .add("revision", revision)
+            .add("source", source),
+        now);
+}
+
+void ForwarderLog::configuration(std::uint64_t version, std::size_t routes, std::uint64_t revision,
+    const std::string& source, bool isTaken, TimePoint now)
+{
+    log_.write(LogLevel::Info, "configuration", isTaken ? "taken" : "older_ignored",
+        Event()
+            .add("version", version)
+            .add("routes", std::uint64_t(routes))
+            .add("revision", revision)
+            .add("source", source),
+        now);
+}
+
+void ForwarderLog::unreadable(const std::string& key, const Error& error, TimePoint now)
+{
+    log_.write(LogLevel::Error, "news", "refused", Event().add("key", key).add("error", error.toString()), now);
+}
+
+void ForwarderLog::news(const NewsChanged& news, TimePoint now)
+{
+    log_.write(LogLevel::Debug, "news", "taken",
+        Event()
+            .add("source", news.source)
+            .add("items", std::uint64_t(news.items.size()))
+            .add("revision", news.revision)
+            .add("in_doubt", news.isInDoubt),
+        now);
+}
+
+void ForwarderLog::leftOut(const KnownServer& server, TimePoint now)
+{
+    log_.write(LogLevel::Warning, "server", "left_out",
+        Event()
+            .add("server", server.entry.id)
+            .add("service", server.entry.service)
+            .add("failures", server.seen.failures)
+            .add("silent_ms", ageOf(server.seen.lastProgress, now))
+            .add("for_ms", server.seen.leftOutUntil - now),
+        now);
+}
+
+}
--- /dev/null
+++ b/Source/Forwarder/ForwarderLog.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "Core/EventLog.h"
+#include "Forward/TokenRouter.h"
+#include "News/NewsExchange.h"
+
+#include <string>
+
+namespace wisteriadock {
+
+// The forwarder's log lines, one function for each kind of event (docs/OPERATIONS.md lists them). A flow is named by
+// the addresses and ports of its two ends, "CALLER>ROUTE", which callers and packet captures show too.
+class ForwarderLog {
+public:
+    explicit ForwarderLog(EventLog& log)
+        : log_(log)
+    {
+    }
+
+    // Says what was decided for a packet and by which inputs. Packets of open flows that went their way are only
+    // logged at the level debug.
+    void packet(const TokenPacket&, const PacketDecision&, std::uint64_t configurationVersion, std::uint64_t revision,
+        TimePoint now);
+    void malformed(std::size_t bytes, const Endpoint& sender, TimePoint now);
+    void transition(const ServerTransition&, std::uint64_t revision, const std::string& source, TimePoint now);
+    void configuration(std::uint64_t version, std::size_t routes, std::uint64_t revision, const std::string& source,
+        bool isTaken, TimePoint now);
+    void unreadable(const std::string& key, const Error&, TimePoint now);
+    void news(const NewsChanged&, TimePoint now);
+    void leftOut(const KnownServer&, TimePoint now);
+
+    EventLog& events() { return log_; }
+
+private:
+    EventLog& log_;
+};
+
+// "192.0.2.7:40001>198.51.100.1:443".
+std::string flowNameOf(const FlowEnds&);
+
+}
--- /dev/null
+++ b/Source/Forwarder/ForwarderSettings.cpp
@@ -0,0 +1,82 @@
+#include "Forwarder/ForwarderSettings.h"
+
+#include "Settings/SettingsFile.h"
+#include "Settings/SettingsReader.h"
+
+namespace wisteriadock {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr std::uint32_t largestLogBudget = 1'000'000;
+
+    void readAddresses(SettingsReader& reader, ForwarderSettings& settings)
+    {
+        SectionReader& listen = reader.section("listen", Presence::Required);
+        listen.endpoint("flow", settings.flow, Presence::Required);
+        listen.endpoint("ready", settings.ready, Presence::Required);
+        listen.endpoint("peer", settings.peer, Presence::Required);
+        listen.endpoint("metrics", settings.metrics);
+        reader.section("store", Presence::Required).endpoint("address", settings.store, Presence::Required);
+        reader.section("peers").endpoints("seed_vms", settings.seeds);
+    }
+
+    void readLog(SettingsReader& reader, ForwarderSettings& settings)
+    {
+        SectionReader& section = reader.section("log");
+        std::string text(nameOf(settings.logLevel));
+        section.text("level", text);
+        if (const auto parsed = parseLogLevel(text))
+            settings.logLevel = parsed.value();
+        else
+            section.addProblem("level", "debug, info, warning or error");
+        section.integer<std::uint32_t>("lines_per_second_and_kind", settings.logBudget, 1, largestLogBudget);
+    }
+
+}
+
+Result<ForwarderSettings> ForwarderSettings::parse(const std::string& file, const std::string& text)
+{
+    const IniDocument document = IniDocument::parse(file, text);
+    SettingsReader reader(document);
+    ForwarderSettings settings;
+    SectionReader& forwarder = reader.section("forwarder", Presence::Required);
+    forwarder.name("vm", settings.vm, Presence::Required);
+    forwarder.name("availability_zone", settings.availabilityZone, Presence::Required);
+    readAddresses(reader, settings);
+    SectionReader& limits = reader.section("limits");
+    limits.milliseconds("longest_flow_milliseconds", settings.longestFlow, 1000ms, 86'400'000ms);
+    limits.milliseconds("grace_milliseconds", settings.grace, 0ms, 3'600'000ms);
+    readLog(reader, settings);
+    const SettingsProblems problems = reader.finish();
+    if (!problems.isEmpty())
+        return problems.toError();
+    return settings;
+}
+
+Result<ForwarderSettings> ForwarderSettings::load(const std::string& path)
+{
+    BOOST_OUTCOME_TRY(text, readFile(path));
+    return parse(path, text);
+}
+
+std::vector<std::string> ForwarderSettings::differencesThatNeedRestart(const ForwarderSettings& other) const
+{
+    std::vector<std::string> names;
+    const auto compare = [&](bool isSame, const char* name) {
+        if (!isSame)
+            names.emplace_back(name);
+    };
+    compare(vm == other.vm, "forwarder.vm");
+    compare(availabilityZone == other.availabilityZone, "forwarder.availability_zone");
+    compare(flow == other.flow, "listen.flow");
+    compare(ready == other.ready, "listen.ready");
+    compare(peer == other.peer, "listen.peer");
+    compare(metrics == other.metrics, "listen.metrics");
+    compare(store == other.store, "store.address");
+    compare(longestFlow == other.longestFlow, "limits.longest_flow_milliseconds");
+    return names;
+}
+
+}
--- /dev/null
+++ b/Source/Forwarder/ForwarderSettings.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "Core/Endpoint.h"
+#include "Core/Error.h"
+#include "Core/Log.h"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace wisteriadock {
+
+// The settings of wisteriadock-forwarder, read whole from an INI file (docs/operators/forwarder.md).
+struct ForwarderSettings {
+    std::string vm;
+    std::string availabilityZone;
+
+    // Flow packets arrive here, and readiness checks, messages of other balancers and reads of metrics.
+    Endpoint flow;
+    Endpoint ready;
+    Endpoint peer;
+    Endpoint metrics;
+    Endpoint store;
+    // VMs whose balancers may know the others. Only the addresses count: all balancers listen on the same peer port.
+    std::vector<Endpoint> seeds;
+
+    // The longest life of a flow.
+    std::chrono::seconds longestFlow { 60 };
+    // From the order to stop until the process is killed.
+    std::chrono::milliseconds grace { 6000 };
+
+    LogLevel logLevel = LogLevel::Info;
+    std::uint32_t logBudget = 200;
+
+    // Reads the file. All problems are reported at once, each with its line and what was expected.
+    static Result<ForwarderSettings> load(const std::string& path);
+    static Result<ForwarderSettings> parse(const std::string& file, const std::string& text);
+
+    // The names of the settings that differ and take effect only at the next start.
+    std::vector<std::string> differencesThatNeedRestart(const ForwarderSettings& other) const;
+};
+
+}
--- /dev/null
+++ b/Source/Forwarder/PeerNews.cpp
@@ -0,0 +1,223 @@
+#include "Forwarder/PeerNews.h"
+
+#include "Peers/ConfigurationWatchers.h"
+#include "Wire/PeerMessageCodec.h"
+
+#include <boost/asio/post.hpp>
+#include <fmt/format.h>
+
+#include <charconv>
+#include <utility>
+
+namespace wisteriadock {
+
+namespace {
+
+    // A request for news is this path and the revision after which it is wanted.
+    constexpr std::string_view newsPath = "/news/";
+    constexpr std::chrono::milliseconds fetchWithin { 800 };
+
+    Http2Limits fetchLimits()
+    {
+        Http2Limits limits;
+        limits.bodyBytes = largestNews;
+        limits.connectTimeout = fetchWithin;
+        // All balancers of a large zone may fetch at once after a start.
+        limits.connections = 256;
+        return limits;
+    }
+
+    const char* boolName(bool value) { return value ? "true" : "false"; }
+
+}
+
+Result<std::unique_ptr<PeerNews>> PeerNews::open(boost::asio::io_context& context, const Member& self,
+    std::vector<Endpoint> seeds, std::uint64_t seed, EventLog& log, ForwarderMetrics& metrics, Handler handler)
+{
+    std::unique_ptr<PeerNews> news(
+        new PeerNews(context, self, std::move(seeds), seed, log, metrics, std::move(handler)));
+    PeerNews* target = news.get();
+    BOOST_OUTCOME_TRY(link,
+        PeerLink::open(context, self.peerAddress,
+            [target](const PeerEnvelope& envelope, const Endpoint& sender) { target->receive(envelope, sender); }));
+    news->link_ = std::move(link);
+    BOOST_OUTCOME_TRY(server,
+        Http2Server::listen(
+            context, self.requestAddress, [target](const auto& exchange) { target->answer(exchange); }, fetchLimits()));
+    news->server_ = std::move(server);
+    return news;
+}
+
+PeerNews::PeerNews(boost::asio::io_context& context, const Member& self, std::vector<Endpoint> seeds,
+    std::uint64_t seed, EventLog& log, ForwarderMetrics& metrics, Handler handler)
+    : context_(context)
+    , address_(self.peerAddress)
+    , seeds_(std::move(seeds))
+    , log_(log)
+    , metrics_(metrics)
+    , handler_(std::move(handler))
+    , membership_({}, self, seed, Clock::now())
+    , exchange_(self.availabilityZone, seed)
+{
+}
+
+PeerNews::~PeerNews() = default;
+
+void PeerNews::start(TimePoint now)
+{
+    adviseSeeds(now);
+    // Watchers are chosen among those that serve, and until somebody watches nobody learns enough to be ready. Nothing
+    // has to be learned from others before packets can be routed by their tokens.
+    perform(membership_.setSelfState(MemberState::Serving, now), now);
+    tick(now);
+}
+
+void PeerNews::adviseSeeds(TimePoint now)
+{
+    VmListReceived advice;
+    for (const Endpoint& seed : seeds_) {
+        if (seed.address != address_.address)
+            advice.vms.push_back({ { seed.address, address_.port }, false });
+    }
+    perform(membership_.handle(advice, now), now);
+}
+
+void PeerNews::setSeeds(std::vector<Endpoint> seeds, TimePoint now)
+{
+    seeds_ = std::move(seeds);
+    adviseSeeds(now);
+}
+
+void PeerNews::tick(TimePoint now)
+{
+    if (exchange_.book().completeTo() > toldRevision_) {
+        toldRevision_ = exchange_.book().completeTo();
+        perform(membership_.setConfigurationVersion(toldRevision_, now), now);
+    }
+    perform(membership_.tick(now), now);
+    perform(exchange_.tick(now), now);
+}
+
+void PeerNews::handleStore(const NewsDelta& delta, TimePoint now) { perform(exchange_.handleStore(delta, now), now); }
+
+void PeerNews::leave(TimePoint now) { perform(membership_.leave(now), now); }
+
+bool PeerNews::shallWatch() const { return shallWatchConfiguration(*membership_.view()); }
+
+std::uint64_t PeerNews::bytesTransferred() const
+{
+    return link_->bytesTransferred() + server_->bytesTransferred() + fetchedBytes_;
+}
+
+void PeerNews::receive(const PeerEnvelope& envelope, const Endpoint& sender)
+{
+    const TimePoint now = Clock::now();
+    if (envelope.kind != PeerMessageKind::News) {
+        perform(membership_.handle(PeerMessageReceived { sender, envelope }, now), now);
+        return;
+    }
+    if (const auto delta = decodeMessage<NewsDelta>(envelope.payload))
+        perform(exchange_.handlePush(envelope.sender, delta.value(), now), now);
+}
+
+void PeerNews::answer(const std::shared_ptr<Http2Exchange>& exchange)
+{
+    const std::string& path = exchange->request().path;
+    std::uint64_t after = 0;
+    const char* end = path.data() + path.size();
+    const bool isKnown
+        = path.starts_with(newsPath) && std::from_chars(path.data() + newsPath.size(), end, after).ptr == end;
+    HttpResponse response;
+    if (!isKnown) {
+        response.status = 404;
+        exchange->respond(std::move(response));
+        return;
+    }
+    const std::vector<std::uint8_t> body = encodeMessage(exchange_.book().since(after));
+    response.body.assign(body.begin(), body.end());
+    exchange->respond(std::move(response));
+}
+
+void PeerNews::perform(const MembershipActions& actions, TimePoint now)
+{
+    for (const MembershipAction& action : actions) {
+        if (const auto* message = std::get_if<SendPeerMessage>(&action)) {
+            link_->send(message->to, message->envelope);
+            continue;
+        }
+        const auto& view = std::get<MembersViewChanged>(action).view;
+        perform(exchange_.handleView(view, now), now);
+    }
+}
+
+void PeerNews::perform(const NewsActions& actions, TimePoint now)
+{
+    for (const NewsAction& action : actions) {
+        if (const auto* push = std::get_if<PushNews>(&action)) {
+            this->push(*push);
+        } else if (const auto* fetch = std::get_if<FetchNews>(&action)) {
+            this->fetch(*fetch);
+        } else {
+            const auto& changed = std::get<NewsChanged>(action);
+            if (changed.source != "store" && exchange_.behindSince())
+                metrics_.observeNewsLag(now - *exchange_.behindSince());
+            handler_(changed);
+        }
+    }
+}
+
+void PeerNews::push(const PushNews& push)
+{
+    link_->send(push.to,
+        { .sender = membership_.view()->self,
+            .senderIncarnation = membership_.selfIncarnation(),
+            .kind = PeerMessageKind::News,
+            .payload = encodeMessage(push.delta) });
+}
+
+void PeerNews::fetch(const FetchNews& fetch)
+{
+    const Member* member = membership_.view()->find(fetch.from);
+    const std::string source = member ? member->name : "unknown";
+    if (fetcher_)
+        fetchedBytes_ += fetcher_->bytesTransferred();
+    fetcher_ = std::make_unique<Http2Client>(context_, fetch.address, fetchLimits());
+    HttpRequest request;
+    request.path = fmt::format("{}{}", newsPath, fetch.after);
+    request.authority = fetch.address.toString();
+    fetcher_->send(std::move(request), Clock::now() + fetchWithin,
+        [this, source](const HttpOutcome& outcome) { handleFetched(source, outcome); });
+}
+
+void PeerNews::handleFetched(const std::string& source, const HttpOutcome& outcome)
+{
+    const TimePoint now = Clock::now();
+    const bool isAnswer = outcome && outcome.value().status == 200;
+    if (!isAnswer) {
+        metrics_.countFetch("no_answer");
+        perform(exchange_.handleNoAnswer(now), now);
+        return;
+    }
+    const std::string& body = outcome.value().body;
+    const auto delta = decodeMessage<NewsDelta>(
+        std::span(reinterpret_cast<const std::uint8_t*>(body.data()), body.size()), largestNews);
+    if (!delta) {
+        metrics_.countFetch("unreadable");
+        log_.write(LogLevel::Error, "news", "fetch_unreadable",
+            Event().add("source", source).add("error", delta.error().toString()), now);
+        perform(exchange_.handleNoAnswer(now), now);
+        return;
+    }
+    metrics_.countFetch("ok");
+    log_.write(LogLevel::Info, "news", "fetched",
+        Event()
+            .add("source", source)
+            .add("items", std::uint64_t(delta.value().items.size()))
+            .add("from", delta.value().from)
+            .add("to", delta.value().to)
+            .add("whole", boolName(delta.value().isWhole)),
+        now);
+    perform(exchange_.handleAnswer(source, delta.value(), now), now);
+}
+
+}
--- /dev/null
+++ b/Source/Forwarder/PeerNews.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "Core/EventLog.h"
+#include "Forwarder/ForwarderMetrics.h"
+#include "Membership/Membership.h"
+#include "Net/Http2Client.h"
+#include "Net/Http2Server.h"
+#include "News/NewsExchange.h"
+#include "Peers/PeerLink.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace wisteriadock {
+
+// This balancer among the others: runs membership and the exchange of news over datagrams, and answers and sends
+// requests for news that is too large for them (HTTP/2). Everything happens on the thread of the io_context.
+class PeerNews {
+public:
+    using Handler = std::function<void(const NewsChanged&)>;
+
+    // Fails with Unavailable when the address can't be bound for datagrams or connections. The handler runs for each
+    // piece of news, whoever told of it.
+    static Result<std::unique_ptr<PeerNews>> open(boost::asio::io_context&, const Member& self,
+        std::vector<Endpoint> seeds, std::uint64_t seed, EventLog&, ForwarderMetrics&, Handler);
+    ~PeerNews();
+    PeerNews(const PeerNews&) = delete;
+    PeerNews& operator=(const PeerNews&) = delete;
+
+    void start(TimePoint now);
+    // Call it every 100 to 250 ms.
+    void tick(TimePoint now);
+    // News that this balancer read from the store.
+    void handleStore(const NewsDelta&, TimePoint now);
+    // A planned stop begins.
+    void leave(TimePoint now);
+    void setSeeds(std::vector<Endpoint> seeds, TimePoint now);
+
+    // Whether this balancer is among those that watch the store.
+    bool shallWatch() const;
+    const NewsExchange& exchange() const { return exchange_; }
+    std::size_t members() const { return membership_.view()->members.size(); }
+    std::uint64_t bytesTransferred() const;
+
+private:
+    PeerNews(boost::asio::io_context&, const Member& self, std::vector<Endpoint> seeds, std::uint64_t seed, EventLog&,
+        ForwarderMetrics&, Handler);
+
+    void receive(const PeerEnvelope&, const Endpoint& sender);
+    void answer(const std::shared_ptr<Http2Exchange>&);
+    void perform(const MembershipActions&, TimePoint now);
+    void perform(const NewsActions&, TimePoint now);
+    void push(const PushNews&);
+    void fetch(const FetchNews&);
+    void handleFetched(const std::string& source, const HttpOutcome&);
+    void logMembers(const MembersView& before, const MembersView& after, TimePoint now);
+    void adviseSeeds(TimePoint now);
+
+    boost::asio::io_context& context_;
+    const Endpoint address_;
+    std::vector<Endpoint> seeds_;
+    EventLog& log_;
+    ForwarderMetrics& metrics_;
+    Handler handler_;
+    Membership membership_;
+    NewsExchange exchange_;
+    std::unique_ptr<PeerLink> link_;
+    std::unique_ptr<Http2Server> server_;
+    std::unique_ptr<Http2Client> fetcher_;
+    std::uint64_t toldRevision_ = 0;
+    std::uint64_t fetchedBytes_ = 0;
+};
+
+}
--- /dev/null
+++ b/Source/Forwarder/SettingsWatch.cpp
@@ -0,0 +1,33 @@
+#include "Forwarder/SettingsWatch.h"
+
+#include <sys/stat.h>
+#include <utility>
+
+namespace wisteriadock {
+
+SettingsWatch::SettingsWatch(std::string path)
+    : path_(std::move(path))
+    , last_(stamp())
+{
+}
+
+bool SettingsWatch::hasChanged()
+{
+    const Stamp now = stamp();
+    // A file that is just being replaced may be missing for a moment.
+    if (now == last_ || now.size < 0)
+        return false;
+    last_ = now;
+    return true;
+}
+
+SettingsWatch::Stamp SettingsWatch::stamp() const
+{
+    struct stat found { };
+    if (::stat(path_.c_str(), &found) != 0)
+        return {};
+    constexpr std::int64_t nanosecondsPerSecond = 1'000'000'000;
+    return { found.st_ino, found.st_size, found.st_mtim.tv_sec * nanosecondsPerSecond + found.st_mtim.tv_nsec };
+}
+
+}
--- /dev/null
+++ b/Source/Forwarder/StoreLink.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "Forwarder/ForwarderMetrics.h"
+#include "Net/Http1Client.h"
+#include "News/StoreFeed.h"
+#include "Platform/KeyValueClient.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <string>
+#include <utility>
+
+namespace wisteriadock {
+
+// Sends what StoreFeed asks for to the platform's store, and gives it the answers.
+template <typename Adapter> class StoreLink {
+public:
+    // Runs with the actions that concern others: StoreNews, StoreLost, StoreRegained.
+    using Handler = std::function<void(const StoreFeedAction&)>;
+
+    StoreLink(boost::asio::io_context& context, Endpoint store, std::uint64_t seed, ForwarderMetrics& metrics,
+        Handler handler)
+        : client_(context, store, Http1Limits {})
+        , feed_(seed)
+        , metrics_(metrics)
+        , handler_(std::move(handler))
+    {
+    }
+
+    void start(TimePoint now) { perform(feed_.start(now)); }
+    void update(std::uint64_t completeTo, bool shallWatch, std::optional<TimePoint> behindSince, TimePoint now)
+    {
+        perform(feed_.update(completeTo, shallWatch, behindSince, now));
+    }
+    void tick(TimePoint now) { perform(feed_.tick(now)); }
+
+    const StoreFeed& feed() const { return feed_; }
+    std::uint64_t bytesTransferred() const { return client_.http().bytesTransferred(); }
+
+private:
+    void perform(const StoreFeedActions& actions)
+    {
+        for (const StoreFeedAction& action : actions) {
+            if (const auto* list = std::get_if<SendList>(&action))
+                send(*list);
+            else if (const auto* watch = std::get_if<SendWatch>(&action))
+                send(*watch);
+            else
+                handler_(action);
+        }
+    }
+
+    void send(const SendList& list)
+    {
+        const TimePoint sent = Clock::now();
+        client_.send(list.call, sent + list.within, [this, sent](const Result<PlatformPage>& page) {
+            const TimePoint now = Clock::now();
+            count("list", page, now - sent);
+            perform(feed_.handlePage(page, now));
+        });
+    }
+
+    void send(const SendWatch& watch)
+    {
+        const TimePoint sent = Clock::now();
+        client_.send(watch.call, sent + watch.within,
+            [this, sent, number = watch.number](const Result<PlatformChanges>& changes) {
+                const TimePoint now = Clock::now();
+                count("watch", changes, now - sent);
+                perform(feed_.handleChanges(number, changes, now));
+            });
+    }
+
+    template <typename Value> void count(const char* call, const Result<Value>& result, Duration took)
+    {
+        // An idle connection of a store that stopped answering is as silent as the one that was just given up.
+        if (!result)
+            client_.http().closeIdle();
+        metrics_.countStoreCall(call, result ? "ok" : std::string(nameOf(result.error().code)), took);
+    }
+
+    KeyValueClient<Http1Client, typename Adapter::StoreDialect> client_;
+    StoreFeed feed_;
+    ForwarderMetrics& metrics_;
+    Handler handler_;
+};
+
+}
--- /dev/null
+++ b/Source/Forwarder/TokenPacketPath.h
@@ -0,0 +1,117 @@
+#pragma once
+
+#include "Forward/TokenRouter.h"
+#include "Forwarder/ForwarderLife.h"
+#include "Forwarder/ForwarderLog.h"
+#include "Forwarder/ForwarderMetrics.h"
+#include "News/NewsExchange.h"
+#include "PacketIo/PacketBatch.h"
+#include "PacketIo/PacketSocket.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/posix/stream_descriptor.hpp>
+
+#include <span>
+#include <utility>
+
+namespace wisteriadock {
+
+// The packets' way through the process: reads them in batches, asks the router, and sends them on in one call.
+template <typename Adapter> class TokenPacketPath {
+public:
+    TokenPacketPath(boost::asio::io_context& context, PacketSocket socket, TokenRouter& router,
+        const NewsExchange& news, ForwarderLife& life, ForwarderLog& log, ForwarderMetrics& metrics)
+        : socket_(std::move(socket))
+        , descriptor_(context, socket_.descriptor())
+        , router_(router)
+        , news_(news)
+        , life_(life)
+        , log_(log)
+        , metrics_(metrics)
+        , batch_(PacketWait::Never, Adapter::largestPacket)
+    {
+    }
+    // The socket closes its descriptor itself.
+    ~TokenPacketPath() { descriptor_.release(); }
+    TokenPacketPath(const TokenPacketPath&) = delete;
+    TokenPacketPath& operator=(const TokenPacketPath&) = delete;
+
+    void start() { await(); }
+
+private:
+    // So many batches are handled before other work of the process gets its turn.
+    static constexpr int batchesInARow = 4;
+
+    void await()
+    {
+        descriptor_.async_wait(
+            boost::asio::posix::stream_descriptor::wait_read, [this](const boost::system::error_code& error) {
+                if (error)
+                    return;
+                receive();
+                await();
+            });
+    }
+
+    void receive()
+    {
+        for (int i = 0; i < batchesInARow; ++i) {
+            const unsigned received = batch_.receive(socket_.descriptor());
+            if (received == 0)
+                return;
+            const TimePoint now = Clock::now();
+            for (unsigned index = 0; index < received; ++index)
+                route(index, now);
+            if (const unsigned failed = batch_.send(socket_.descriptor()))
+                metrics_.countSendFailures(failed);
+        }
+    }
+
+    void route(unsigned index, TimePoint now)
+    {
+        const std::span<const std::uint8_t> datagram = batch_.datagram(index);
+        const auto packet = Adapter::decodePacket(datagram);
+        if (!packet) {
+            metrics_.countMalformed();
+            log_.malformed(datagram.size(), batch_.sender(index), now);
+            return;
+        }
+        life_.notePacket(now);
+        const PacketDecision decision = router_.route(*packet, now);
+        metrics_.countPacket(decision.reason, decision.verdict);
+        metrics_.observe(decision.progress);
+        log_.packet(*packet, decision, router_.configurationVersion(), news_.book().completeTo(), now);
+        if (decision.leftOut)
+            log_.leftOut(*decision.leftOut, now);
+        if (decision.verdict == PacketVerdict::Forward)
+            forward(index, *decision.server);
+        else if (decision.verdict == PacketVerdict::Reset)
+            reset(*packet);
+    }
+
+    void forward(unsigned index, const KnownServer& server)
+    {
+        const std::span<std::uint8_t> packet = batch_.mutableDatagram(index);
+        Adapter::writeToken(packet, server.token);
+        const auto prefix = Adapter::serverPrefix(server.entry.number);
+        batch_.queue(prefix, packet, server.entry.address);
+    }
+
+    // Callers take packets on the port on which the forwarder takes theirs.
+    void reset(const TokenPacket& cause)
+    {
+        const auto head = Adapter::encodeReset(cause);
+        batch_.queue(head, {}, { cause.ends.caller.address, socket_.address().port });
+    }
+
+    PacketSocket socket_;
+    boost::asio::posix::stream_descriptor descriptor_;
+    TokenRouter& router_;
+    const NewsExchange& news_;
+    ForwarderLife& life_;
+    ForwarderLog& log_;
+    ForwarderMetrics& metrics_;
+    PacketBatch batch_;
+};
+
+}
--- /dev/null
+++ b/Source/Net/Http1Server.cpp
@@ -0,0 +1,159 @@
+#include "Net/Http1Server.h"
+
+#include "Net/AsioEndpoint.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <fmt/format.h>
+
+#include <optional>
+#include <set>
+#include <utility>
+
+namespace wisteriadock {
+
+namespace http = boost::beast::http;
+using boost::asio::ip::tcp;
+using ErrorValue = boost::system::error_code;
+
+namespace {
+
+    // Checks come every half second; a connection without a request for this long belongs to nobody any more.
+    constexpr auto idleLimit = std::chrono::seconds(15);
+    // Nothing that this server answers takes a body.
+    constexpr std::uint64_t bodyLimit = 4096;
+    constexpr std::uint32_t headerLimit = 8192;
+    // More connections than monitors and routers need; it bounds descriptors and memory.
+    constexpr std::size_t connectionLimit = 64;
+
+}
+
+struct Http1Server::Shared {
+    tcp::acceptor acceptor;
+    Handler handler;
+    std::set<std::shared_ptr<Connection>> connections {};
+};
+
+class Http1Server::Connection : public std::enable_shared_from_this<Connection> {
+public:
+    Connection(std::weak_ptr<Shared> owner, tcp::socket socket)
+        : owner_(std::move(owner))
+        , socket_(std::move(socket))
+        , timer_(socket_.get_executor())
+    {
+    }
+
+    void read()
+    {
+        parser_.emplace();
+        parser_->header_limit(headerLimit);
+        parser_->body_limit(bodyLimit);
+        timer_.expires_after(idleLimit);
+        timer_.async_wait([self = shared_from_this()](const ErrorValue& error) {
+            if (!error)
+                self->close();
+        });
+        http::async_read(socket_, buffer_, *parser_, [self = shared_from_this()](const ErrorValue& error, std::size_t) {
+            error ? self->close() : self->answer();
+        });
+    }
+
+    void close()
+    {
+        timer_.cancel();
+        ErrorValue ignored;
+        socket_.close(ignored);
+        if (const auto owner = owner_.lock())
+            owner->connections.erase(shared_from_this());
+    }
+
+private:
+    void answer()
+    {
+        const auto owner = owner_.lock();
+        if (!owner)
+            return;
+        const auto& message = parser_->get();
+        HttpRequest request;
+        request.method = std::string(message.method_string());
+        request.path = std::string(message.target());
+        HttpResponse response = owner->handler(request);
+        response_ = {};
+        response_.result(static_cast<unsigned>(response.status));
+        response_.version(message.version());
+        for (const HttpHeader& header : response.headers)
+            response_.set(header.name, header.value);
+        response_.body() = std::move(response.body);
+        response_.keep_alive(message.keep_alive());
+        response_.prepare_payload();
+        http::async_write(socket_, response_, [self = shared_from_this()](const ErrorValue& error, std::size_t) {
+            error || !self->response_.keep_alive() ? self->close() : self->read();
+        });
+    }
+
+    std::weak_ptr<Shared> owner_;
+    tcp::socket socket_;
+    boost::asio::steady_timer timer_;
+    boost::beast::flat_buffer buffer_;
+    std::optional<http::request_parser<http::string_body>> parser_;
+    http::response<http::string_body> response_;
+};
+
+Result<std::unique_ptr<Http1Server>> Http1Server::listen(
+    boost::asio::io_context& context, Endpoint endpoint, Handler handler)
+{
+    tcp::acceptor acceptor(context);
+    ErrorValue error;
+    acceptor.open(tcp::v4(), error);
+    if (!error)
+        acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    if (!error)
+        acceptor.bind(toTcp(endpoint), error);
+    if (!error)
+        acceptor.listen(boost::asio::socket_base::max_listen_connections, error);
+    if (error)
+        return Error { ErrorCode::Unavailable,
+            fmt::format("can't listen on {}: {}", endpoint.toString(), error.message()) };
+    auto shared = std::make_shared<Shared>(Shared { std::move(acceptor), std::move(handler) });
+    accept(shared);
+    return std::unique_ptr<Http1Server>(new Http1Server(std::move(shared)));
+}
+
+Http1Server::Http1Server(std::shared_ptr<Shared> shared)
+    : shared_(std::move(shared))
+{
+}
+
+Http1Server::~Http1Server()
+{
+    ErrorValue ignored;
+    shared_->acceptor.close(ignored);
+    const auto connections = shared_->connections;
+    for (const auto& connection : connections)
+        connection->close();
+}
+
+Endpoint Http1Server::address() const
+{
+    ErrorValue ignored;
+    return fromAsio(shared_->acceptor.local_endpoint(ignored));
+}
+
+void Http1Server::accept(const std::shared_ptr<Shared>& shared)
+{
+    shared->acceptor.async_accept([weak = std::weak_ptr(shared)](const ErrorValue& error, tcp::socket socket) {
+        const auto owner = weak.lock();
+        if (!owner || error == boost::asio::error::operation_aborted)
+            return;
+        if (!error && owner->connections.size() < connectionLimit) {
+            auto connection = std::make_shared<Connection>(owner, std::move(socket));
+            owner->connections.insert(connection);
+            connection->read();
+        }
+        accept(owner);
+    });
+}
+
+}
--- /dev/null
+++ b/Source/News/NewsExchange.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include "Core/Clock.h"
+#include "Core/Endpoint.h"
+#include "Core/Identifiers.h"
+#include "Membership/Member.h"
+#include "News/NewsBook.h"
+#include "News/NewsMessages.h"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace wisteriadock {
+
+struct NewsSettings {
+    // How long a balancer waits for news to be pushed to it, once it has heard that others have it, before it asks.
+    std::chrono::milliseconds patience { 300 };
+    // How long an answer may take, before another balancer is asked.
+    std::chrono::milliseconds answerWithin { 800 };
+    // Payload of a push; more is fetched by the receiver.
+    std::size_t pushBytes = 1100;
+};
+
+// Small news for one balancer, in a datagram.
+struct PushNews {
+    Endpoint to;
+    NewsDelta delta;
+};
+
+// Ask this balancer for everything after the revision; give the answer to handleAnswer(), or call handleNoAnswer().
+struct FetchNews {
+    BalancerId from;
+    Endpoint address;
+    std::uint64_t after = 0;
+};
+
+// Something became new: the rest of the process shall act on it.
+struct NewsChanged {
+    std::vector<NewsItem> items;
+    bool isInDoubt = false;
+    // Who told it: the store, or a balancer.
+    std::string source;
+    // The book is complete up to here.
+    std::uint64_t revision = 0;
+};
+
+using NewsAction = std::variant<PushNews, FetchNews, NewsChanged>;
+using NewsActions = std::vector<NewsAction>;
+
+// Spreads the platform's news among balancers. Those that watch the store push what they learn to the others of their
+// availability zone. Membership tells everybody how far everybody is; a balancer that stays behind fetches from one
+// that is ahead, so news gets around also when pushes are lost, when all watchers of a zone are turned away by the
+// store, and when only another zone reaches it. The shell calls it from one thread and does what the actions say.
+class NewsExchange {
+public:
+    NewsExchange(std::string availabilityZone, std::uint64_t seed, NewsSettings settings = {});
+
+    // News of the store itself, which this balancer shares with its zone.
+    NewsActions handleStore(const NewsDelta&, TimePoint now);
+    NewsActions handlePush(BalancerId sender, const NewsDelta&, TimePoint now);
+    NewsActions handleAnswer(const std::string& sender, const NewsDelta&, TimePoint now);
+    NewsActions handleNoAnswer(TimePoint now);
+    NewsActions handleView(std::shared_ptr<const MembersView>, TimePoint now);
+    NewsActions tick(TimePoint now);
+
+    const NewsBook& book() const { return book_; }
+    // When tick() should be called next, if nothing happens before; none when there is nothing to wait for.
+    std::optional<TimePoint> nextTick() const;
+    // Since when others are known to be ahead of this balancer; none when nobody is.
+    std::optional<TimePoint> behindSince() const { return behindSince_; }
+
+private:
+    NewsActions merge(const std::string& source, const NewsDelta&, TimePoint now);
+    void push(const NewsDelta&, NewsActions&) const;
+    void review(TimePoint now, NewsActions&);
+    const Member* chooseSource();
+    std::uint64_t newestElsewhere() const;
+    // How far a member is, by what it pushed and by what membership says.
+    std::uint64_t revisionOf(const Member&) const;
+
+    const std::string availabilityZone_;
+    const NewsSettings settings_;
+    std::mt19937_64 random_;
+    NewsBook book_;
+    std::shared_ptr<const MembersView> view_;
+    // The revisions of pushes, which are ahead of what membership tells.
+    std::map<BalancerId, std::uint64_t> heard_;
+    std::optional<TimePoint> behindSince_;
+    // When the fetch in progress is given up.
+    std::optional<TimePoint> fetchUntil_;
+    std::optional<BalancerId> lastSource_;
+};
+
+}
--- /dev/null
+++ b/Source/News/NewsMessages.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <msgpack.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace wisteriadock {
+
+// One key of the platform's key-value service as it was written last, or the note that it was removed.
+struct NewsItem {
+    std::string key;
+    std::string value;
+    std::uint64_t revision = 0;
+    bool isRemoved = false;
+
+    MSGPACK_DEFINE_ARRAY(key, value, revision, isRemoved);
+    bool operator==(const NewsItem&) const = default;
+};
+
+// What changed after one revision and up to another. Between balancers it travels as a datagram when it is small, and
+// as the answer to a request otherwise.
+struct NewsDelta {
+    // Complete for a receiver that has everything up to here.
+    std::uint64_t from = 0;
+    std::uint64_t to = 0;
+    // Everything there is: keys that it does not name do not exist.
+    bool isWhole = false;
+    // The sender's contact with the store was troubled lately, so that vanished entries may be back soon.
+    bool isInDoubt = false;
+    std::vector<NewsItem> items;
+
+    MSGPACK_DEFINE_ARRAY(from, to, isWhole, isInDoubt, items);
+};
+
+// The largest answer to a request for news: a large directory and a large configuration.
+inline constexpr std::size_t largestNews = std::size_t(8) * 1024 * 1024;
+
+}
--- /dev/null
+++ b/Source/News/StoreFeed.cpp
@@ -0,0 +1,181 @@
+#include "News/StoreFeed.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace wisteriadock {
+
+namespace {
+
+    NewsItem newsOf(const PlatformItem& item) { return { item.key, item.value, item.revision, item.isRemoved }; }
+
+}
+
+StoreFeed::StoreFeed(std::uint64_t seed, StoreFeedSettings settings)
+    : settings_(settings)
+    , backoff_(settings.shortestPause, settings.longestPause, seed)
+{
+}
+
+StoreFeedActions StoreFeed::start(TimePoint)
+{
+    StoreFeedActions actions;
+    list(actions);
+    return actions;
+}
+
+void StoreFeed::list(StoreFeedActions& actions)
+{
+    state_ = State::Listing;
+    pauseUntil_.reset();
+    if (!listRevision_)
+        listed_.clear();
+    const std::string after = listed_.empty() ? std::string() : listed_.back().key;
+    actions.emplace_back(SendList { { "", after, mayListStale_ }, settings_.listWithin });
+}
+
+StoreFeedActions StoreFeed::handlePage(const Result<PlatformPage>& page, TimePoint now)
+{
+    StoreFeedActions actions;
+    if (state_ != State::Listing)
+        return actions;
+    if (!page) {
+        noteFailure(page.error(), now, actions);
+        listRevision_.reset();
+        pause(State::PausingBeforeList, backoff_.next(), now);
+        return actions;
+    }
+    noteSuccess(now, actions);
+    // Pages are no snapshot: whatever changes while they are read has a higher revision than the first of them, and the
+    // watch from there tells of it.
+    if (!listRevision_)
+        listRevision_ = page.value().revision;
+    for (const PlatformItem& item : page.value().items)
+        listed_.push_back(newsOf(item));
+    if (page.value().hasMore && !page.value().items.empty()) {
+        list(actions);
+        return actions;
+    }
+    NewsDelta delta { 0, *listRevision_, true, isTroubled(now), std::move(listed_) };
+    completeTo_ = std::max(completeTo_, delta.to);
+    listed_.clear();
+    listRevision_.reset();
+    mayListStale_ = false;
+    actions.emplace_back(StoreNews { std::move(delta) });
+    state_ = State::Idle;
+    if (shallWatch_)
+        watch(now, actions);
+    return actions;
+}
+
+void StoreFeed::watch(TimePoint now, StoreFeedActions& actions)
+{
+    state_ = State::Watching;
+    pauseUntil_.reset();
+    watchedSince_ = now;
+    ++watchNumber_;
+    actions.emplace_back(SendWatch {
+        { "", completeTo_, settings_.watchFor }, settings_.watchFor + settings_.answerWithin, watchNumber_ });
+}
+
+StoreFeedActions StoreFeed::handleChanges(std::uint64_t number, const Result<PlatformChanges>& changes, TimePoint now)
+{
+    StoreFeedActions actions;
+    // The answer to a watch that was taken for silent comes late; its news is contained in the next one.
+    if (state_ != State::Watching || number != watchNumber_)
+        return actions;
+    if (!changes && changes.error().code == ErrorCode::NotFound) {
+        // The store no longer has the history since then. What vanished meanwhile shows only in a whole listing, which
+        // must not be an old one.
+        mayListStale_ = false;
+        list(actions);
+        return actions;
+    }
+    if (!changes) {
+        noteFailure(changes.error(), now, actions);
+        pause(State::PausingBeforeWatch, backoff_.next(), now);
+        return actions;
+    }
+    noteSuccess(now, actions);
+    const auto removals = static_cast<std::size_t>(
+        std::ranges::count_if(changes.value().items, [](const PlatformItem& item) { return item.isRemoved; }));
+    NewsDelta delta;
+    delta.from = completeTo_;
+    delta.to = std::max(changes.value().revision, completeTo_);
+    delta.isInDoubt = isTroubled(now) || removals >= settings_.massRemoval;
+    for (const PlatformItem& item : changes.value().items)
+        delta.items.push_back(newsOf(item));
+    completeTo_ = delta.to;
+    const bool isNews = !delta.items.empty();
+    if (isNews || delta.to > delta.from)
+        actions.emplace_back(StoreNews { std::move(delta) });
+    if (!shallWatch_)
+        state_ = State::Idle;
+    else if (isNews)
+        pause(State::PausingBeforeWatch, settings_.gather, now);
+    else
+        watch(now, actions);
+    return actions;
+}
+
+StoreFeedActions StoreFeed::update(
+    std::uint64_t completeTo, bool shallWatch, std::optional<TimePoint> behindSince, TimePoint now)
+{
+    StoreFeedActions actions;
+    completeTo_ = std::max(completeTo_, completeTo);
+    shallWatch_ = shallWatch;
+    if (state_ == State::Idle && shallWatch_ && completeTo_ > 0)
+        watch(now, actions);
+    const bool isSilent = state_ == State::Watching && behindSince
+        && now - std::max(*behindSince, watchedSince_) > settings_.silentAfter;
+    if (isSilent) {
+        noteFailure({ ErrorCode::DeadlineExceeded, "the watch is silent while others have news" }, now, actions);
+        watch(now, actions);
+    }
+    return actions;
+}
+
+StoreFeedActions StoreFeed::tick(TimePoint now)
+{
+    StoreFeedActions actions;
+    if (!pauseUntil_ || now < *pauseUntil_)
+        return actions;
+    pauseUntil_.reset();
+    // Others told everything while the store was silent, so nothing is left to list.
+    const bool needsList = state_ == State::PausingBeforeList && (completeTo_ == 0 || !mayListStale_);
+    if (needsList)
+        list(actions);
+    else if (shallWatch_)
+        watch(now, actions);
+    else
+        state_ = State::Idle;
+    return actions;
+}
+
+bool StoreFeed::isTroubled(TimePoint now) const { return lostSince_ || now < troubledUntil_; }
+
+void StoreFeed::pause(State state, std::chrono::milliseconds time, TimePoint now)
+{
+    state_ = state;
+    pauseUntil_ = now + time;
+}
+
+void StoreFeed::noteFailure(const Error& error, TimePoint now, StoreFeedActions& actions)
+{
+    if (lostSince_)
+        return;
+    lostSince_ = now;
+    actions.emplace_back(StoreLost { error });
+}
+
+void StoreFeed::noteSuccess(TimePoint now, StoreFeedActions& actions)
+{
+    backoff_.reset();
+    if (!lostSince_)
+        return;
+    actions.emplace_back(StoreRegained { now - *lostSince_ });
+    lostSince_.reset();
+    troubledUntil_ = now + settings_.doubtAfterTrouble;
+}
+
+}
--- /dev/null
+++ b/Source/News/StoreFeed.h
@@ -0,0 +1,121 @@
+#pragma once
+
+#include "Core/Clock.h"
+#include "Core/Error.h"
+#include "News/NewsMessages.h"
+#include "Peers/Backoff.h"
+#include "Platform/PlatformCalls.h"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace wisteriadock {
+
+struct StoreFeedSettings {
+    // How long the store holds a watch open. Short enough that a connection which went silent is noticed well before
+    // news is due everywhere; each second of it saves half a call a second in a zone.
+    std::chrono::milliseconds watchFor { 2500 };
+    // How much longer an answer may take than the store was asked to wait, and how long any other answer may take.
+    std::chrono::milliseconds answerWithin { 700 };
+    std::chrono::milliseconds listWithin { 1500 };
+    // Pause after news, so that a series of changes costs one call and not one for each.
+    std::chrono::milliseconds gather { 100 };
+    // Between two tries while the store does not answer.
+    std::chrono::milliseconds shortestPause { 150 };
+    std::chrono::milliseconds longestPause { 1000 };
+    // A watch that has not answered this long after others had the news is taken for silent.
+    std::chrono::milliseconds silentAfter { 700 };
+    // For how long after an outage vanished entries are doubtful.
+    std::chrono::milliseconds doubtAfterTrouble { 5000 };
+    // So many entries that vanish at once are taken for the work of an outage that this balancer did not see.
+    std::size_t massRemoval = 3;
+};
+
+// Read a page of everything; give the outcome to handlePage().
+struct SendList {
+    ListCall call;
+    std::chrono::milliseconds within { 0 };
+};
+
+// Wait for changes; give the outcome to handleChanges() with the same number.
+struct SendWatch {
+    ChangesCall call;
+    std::chrono::milliseconds within { 0 };
+    std::uint64_t number = 0;
+};
+
+// News for NewsExchange::handleStore().
+struct StoreNews {
+    NewsDelta delta;
+};
+
+// The store stopped answering this balancer, or does so again.
+struct StoreLost {
+    Error error;
+};
+struct StoreRegained {
+    Duration away { 0 };
+};
+
+using StoreFeedAction = std::variant<SendList, SendWatch, StoreNews, StoreLost, StoreRegained>;
+using StoreFeedActions = std::vector<StoreFeedAction>;
+
+// Keeps a balancer informed by the platform's store: one listing at the start, and then watches, if this balancer is
+// among those that watch. Any answer may be lost, late or refused to this balancer only, and any connection may go
+// silent for good, so every call has a time limit and another one follows after a pause.
+class StoreFeed {
+public:
+    StoreFeed(std::uint64_t seed, StoreFeedSettings settings = {});
+
+    StoreFeedActions start(TimePoint now);
+    StoreFeedActions handlePage(const Result<PlatformPage>&, TimePoint now);
+    StoreFeedActions handleChanges(std::uint64_t number, const Result<PlatformChanges>&, TimePoint now);
+    // What the process knows, from whatever source, and whether it shall watch.
+    StoreFeedActions update(
+        std::uint64_t completeTo, bool shallWatch, std::optional<TimePoint> behindSince, TimePoint now);
+    StoreFeedActions tick(TimePoint now);
+    // When tick() should be called next; none when there is nothing to wait for.
+    std::optional<TimePoint> nextTick() const { return pauseUntil_; }
+
+    bool isLost() const { return lostSince_.has_value(); }
+    bool isWatching() const { return state_ == State::Watching; }
+    // Vanished entries may be back soon.
+    bool isTroubled(TimePoint now) const;
+
+private:
+    enum class State {
+        Idle, // Others watch.
+        Listing,
+        Watching,
+        PausingBeforeList,
+        PausingBeforeWatch,
+    };
+
+    void list(StoreFeedActions&);
+    void watch(TimePoint now, StoreFeedActions&);
+    void pause(State, std::chrono::milliseconds, TimePoint now);
+    void noteFailure(const Error&, TimePoint now, StoreFeedActions&);
+    void noteSuccess(TimePoint now, StoreFeedActions&);
+
+    const StoreFeedSettings settings_;
+    Backoff backoff_;
+    State state_ = State::Idle;
+    bool shallWatch_ = false;
+    std::uint64_t completeTo_ = 0;
+    std::uint64_t watchNumber_ = 0;
+    TimePoint watchedSince_;
+    std::optional<TimePoint> pauseUntil_;
+    std::optional<TimePoint> lostSince_;
+    TimePoint troubledUntil_ = TimePoint::min();
+    // The pages of the listing in progress.
+    std::vector<NewsItem> listed_;
+    std::optional<std::uint64_t> listRevision_;
+    // A first reading may be old, since there is nothing yet that it could take back.
+    bool mayListStale_ = true;
+};
+
+}
--- a/Source/Balancer/PacketBatch.cpp
+++ b/Source/PacketIo/PacketBatch.cpp
@@ -1,18 +1,23 @@
-#include "Balancer/PacketBatch.h"
+#include "PacketIo/PacketBatch.h"
 
-#include "Balancer/SocketAddress.h"
+#include "PacketIo/SocketAddress.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace wisteriadock {
 
-PacketBatch::PacketBatch()
-    : bytes_(capacity * largestPacket)
+PacketBatch::PacketBatch(PacketWait wait, std::size_t largestDatagram)
+    : wait_(wait)
+    , largestDatagram_(largestDatagram)
+    , bytes_(capacity * largestDatagram)
 {
     for (std::size_t i = 0; i < capacity; ++i) {
-        incomingParts_[i] = { .iov_base = bytes_.data() + i * largestPacket, .iov_len = largestPacket };
+        incomingParts_[i] = { .iov_base = bytes_.data() + i * largestDatagram, .iov_len = largestDatagram };
         incoming_[i].msg_hdr.msg_iov = &incomingParts_[i];
         incoming_[i].msg_hdr.msg_iovlen = 1;
+        incoming_[i].msg_hdr.msg_name = &senders_[i];
+        incoming_[i].msg_hdr.msg_namelen = sizeof(senders_[i]);
 
         Outgoing& outgoing = outgoing_[i];
         msghdr& head = outgoingHeads_[i].msg_hdr;
@@ -25,7 +30,8 @@
 unsigned PacketBatch::receive(int descriptor)
 {
     queued_ = 0;
-    const int received = ::recvmmsg(descriptor, incoming_.data(), capacity, MSG_WAITFORONE, nullptr);
+    const int flags = wait_ == PacketWait::ForOne ? MSG_WAITFORONE : MSG_DONTWAIT;
+    const int received = ::recvmmsg(descriptor, incoming_.data(), capacity, flags, nullptr);
     received_ = received > 0 ? static_cast<unsigned>(received) : 0;
     return received_;
 }
@@ -35,9 +41,17 @@
     const mmsghdr& message = incoming_[index];
     if (message.msg_hdr.msg_flags & MSG_TRUNC)
         return {};
-    return { bytes_.data() + index * largestPacket, message.msg_len };
+    return { bytes_.data() + index * largestDatagram_, message.msg_len };
 }
 
+std::span<std::uint8_t> PacketBatch::mutableDatagram(unsigned index)
+{
+    const std::span<const std::uint8_t> bytes = datagram(index);
+    return { bytes_.data() + index * largestDatagram_, bytes.size() };
+}
+
+Endpoint PacketBatch::sender(unsigned index) const { return toEndpoint(senders_[index]); }
+
 void PacketBatch::queue(std::span<const std::uint8_t> datagram, Endpoint destination)
 {
     Outgoing& outgoing = nextOutgoing(destination);
@@ -45,10 +59,11 @@
     outgoingHeads_[queued_ - 1].msg_hdr.msg_iovlen = 1;
 }
 
-void PacketBatch::queue(const ProxyHeader& header, std::span<const std::uint8_t> payload, Endpoint destination)
+void PacketBatch::queue(std::span<const std::uint8_t> head, std::span<const std::uint8_t> payload, Endpoint destination)
 {
     Outgoing& outgoing = nextOutgoing(destination);
-    outgoing.parts[0] = { .iov_base = outgoing.header.data(), .iov_len = encodeProxyHeader(header, outgoing.header) };
+    std::copy(head.begin(), head.end(), outgoing.head.begin());
+    outgoing.parts[0] = { .iov_base = outgoing.head.data(), .iov_len = head.size() };
     outgoing.parts[1] = { .iov_base = const_cast<std::uint8_t*>(payload.data()), .iov_len = payload.size() };
     outgoingHeads_[queued_ - 1].msg_hdr.msg_iovlen = 2;
 }
--- a/Source/Balancer/PacketSocket.cpp
+++ b/Source/PacketIo/PacketSocket.cpp
@@ -1,6 +1,6 @@
-#include "Balancer/PacketSocket.h"
+#include "PacketIo/PacketSocket.h"
 
-#include "Balancer/SocketAddress.h"
+#include "PacketIo/SocketAddress.h"
 
 #include <fmt/format.h>
 
--- a/Source/Balancer/Backoff.cpp
+++ b/Source/Peers/Backoff.cpp
@@ -1,4 +1,4 @@
-#include "Balancer/Backoff.h"
+#include "Peers/Backoff.h"
 
 #include <algorithm>
 
--- a/Source/Balancer/PeerLink.cpp
+++ b/Source/Peers/PeerLink.cpp
@@ -1,4 +1,4 @@
-#include "Balancer/PeerLink.h"
+#include "Peers/PeerLink.h"
 
 namespace wisteriadock {
 
--- a/Source/Platform/PlatformClient.h
+++ b/Source/Platform/PlatformClient.h
@@ -2,12 +2,12 @@
 
 #include "Core/Endpoint.h"
 #include "Net/Http2Client.h"
+#include "Platform/KeyValueClient.h"
 #include "Platform/Platform.h"
-#include "Platform/PlatformCall.h"
+#include "Platform/PlatformDialect.h"
 
 #include <boost/asio/io_context.hpp>
 
-#include <memory>
 #include <string>
 #include <vector>
 
@@ -22,7 +22,6 @@
     template <typename Value> using Callback = std::function<void(Result<Value>)>;
 
     PlatformClient(boost::asio::io_context&, Endpoint platform, Http2Limits = {});
-    ~PlatformClient();
     PlatformClient(const PlatformClient&) = delete;
     PlatformClient& operator=(const PlatformClient&) = delete;
 
@@ -40,26 +39,10 @@
     void listVms(TimePoint deadline, Callback<std::vector<Vm>>);
 
     // For the control-traffic metrics.
-    std::uint64_t bytesTransferred() const { return http_.bytesTransferred(); }
+    std::uint64_t bytesTransferred() const { return client_.http().bytesTransferred(); }
 
 private:
-    // Callbacks of calls that end unsent, waiting for the io_context's next turn.
-    using Refusals = std::vector<std::function<void()>>;
-
-    struct Call {
-        PlatformCall kind;
-        Result<std::string> body;
-        TimePoint deadline;
-    };
-
-    template <typename Value, typename Decode> void send(Call, Decode, Callback<Value>);
-    void refuseLater(std::function<void()>);
-    static void run(Refusals&);
-
-    boost::asio::io_context& context_;
-    std::string authority_;
-    std::shared_ptr<Refusals> refusals_ = std::make_shared<Refusals>();
-    Http2Client http_;
+    KeyValueClient<Http2Client, PlatformDialect> client_;
 };
 
 static_assert(PlatformService<PlatformClient>);
--- a/Source/Wire/PeerMessage.cpp
+++ b/Source/Wire/PeerMessage.cpp
@@ -16,6 +16,7 @@
         { PeerMessageKind::Configuration, "configuration" },
         { PeerMessageKind::FlowControl, "flow_control" },
         { PeerMessageKind::Request, "request" },
+        { PeerMessageKind::News, "news" },
     });
 
     bool isKnown(PeerMessageKind kind)
--- a/Source/Wire/PeerMessageCodec.h
+++ b/Source/Wire/PeerMessageCodec.h
@@ -28,13 +28,13 @@
 // Reads what encodeMessage wrote. Input that is short, too long, garbage or of other types gives InvalidArgument.
 // Fields that are missing at the end keep their defaults and unknown ones after the end are skipped, so that balancers
 // of two versions understand each other while one replaces the other.
-template <typename Message> Result<Message> decodeMessage(std::span<const std::uint8_t> bytes)
+template <typename Message>
+Result<Message> decodeMessage(std::span<const std::uint8_t> bytes, std::size_t largest = largestPeerDatagram)
 {
-    if (bytes.empty() || bytes.size() > largestPeerDatagram)
+    if (bytes.empty() || bytes.size() > largest)
         return Error { ErrorCode::InvalidArgument, "message of " + std::to_string(bytes.size()) + " bytes" };
     // Without limits a few bytes that claim a huge array make the decoder reserve gigabytes.
-    const msgpack::unpack_limit limit(largestPeerDatagram, largestPeerDatagram, largestPeerDatagram,
-        largestPeerDatagram, largestPeerDatagram, deepestPeerMessage);
+    const msgpack::unpack_limit limit(largest, largest, largest, largest, largest, deepestPeerMessage);
     // The library reports by exceptions, which end here.
     try {
         std::size_t offset = 0;
--- a/Tests/Balancer/ConfigurationWatchersTest.cpp
+++ b/Tests/Balancer/ConfigurationWatchersTest.cpp
@@ -1,4 +1,4 @@
-#include "Balancer/ConfigurationWatchers.h"
+#include "Peers/ConfigurationWatchers.h"
 
 #include <gtest/gtest.h>
 
