Forward: Try another zone with one flow at a time

Change: a zone without a sign of life in the last second gets one flow at a time and is left out after a failure; the zone penalty is 1.25 requests a slot, an idle flow counts 0.05. The directory indexes lazily and by address, as a listing of 12,000 was quadratic.

--- a/Source/Forward/OpeningPolicy.cpp
+++ b/Source/Forward/OpeningPolicy.cpp
@@ -31,7 +31,7 @@
 }
 
 OpeningChoice OpeningPolicy::choose(
-    const std::vector<KnownServer*>& servers, const FlowEnds& ends, const FlowMemory* former, TimePoint now) const
+    const std::vector<KnownServer*>& servers, const FlowEnds& ends, const FlowMemory* former, TimePoint now)
 {
     OpeningChoice choice;
     Candidate best;
@@ -48,7 +48,7 @@
         const bool isLeftOut = server->seen.leftOutUntil > now;
         const bool awaitsTrial = server->seen.failures > 0 && server->seen.waitingSince != TimePoint::max();
         Candidate* group = &best;
-        if (isLeftOut || awaitsTrial) {
+        if (isLeftOut || awaitsTrial || isOutOfReach(server->entry.availabilityZone, now)) {
             ++choice.silent;
             group = &bestSilent;
         } else if (wasTried(former, server->token)) {
@@ -81,14 +81,59 @@
     if (!waitsTooLong)
         return false;
     // The wait is over; once the time is up, the next flow to this server is a trial and waits anew.
-    const auto doublings = std::min<std::uint32_t>(seen.failures, 8);
-    const auto pause = std::min(settings_.firstLeaveOut * (1 << doublings), settings_.longestLeaveOut);
+    const auto pause = leaveOutAfter(seen.failures);
     ++seen.failures;
     seen.waitingSince = TimePoint::max();
     seen.leftOutUntil = now + pause;
     return true;
 }
 
+std::chrono::milliseconds OpeningPolicy::leaveOutAfter(std::uint32_t failures) const
+{
+    constexpr std::uint32_t mostDoublings = 8;
+    return std::min(settings_.firstLeaveOut * (1 << std::min(failures, mostDoublings)), settings_.longestLeaveOut);
+}
+
+bool OpeningPolicy::isUnproven(const Zone& zone, TimePoint now) const
+{
+    return zone.lastProgress == TimePoint::min() || now - zone.lastProgress > settings_.zoneProof;
+}
+
+// When a zone is cut off, every server of another zone is silent at once, and the busier the own servers are, the more
+// the others tempt: in such a cut two of three new flows went to the far side, each server being tried for itself. So
+// another zone that has not been heard of lately gets one flow at a time, and none for a while after that one failed.
+bool OpeningPolicy::isOutOfReach(const std::string& availabilityZone, TimePoint now)
+{
+    if (availabilityZone == availabilityZone_)
+        return false;
+    Zone& zone = otherZones_[availabilityZone];
+    if (zone.waitingSince != TimePoint::max() && now - zone.waitingSince > settings_.openingPatience) {
+        zone.waitingSince = TimePoint::max();
+        zone.leftOutUntil = now + leaveOutAfter(zone.failures);
+        ++zone.failures;
+    }
+    const bool isBeingTried = zone.waitingSince != TimePoint::max();
+    return zone.leftOutUntil > now || (isBeingTried && isUnproven(zone, now));
+}
+
+void OpeningPolicy::noteTry(const KnownServer& server, TimePoint now)
+{
+    if (server.entry.availabilityZone == availabilityZone_)
+        return;
+    Zone& zone = otherZones_[server.entry.availabilityZone];
+    if (zone.waitingSince == TimePoint::max() && isUnproven(zone, now))
+        zone.waitingSince = now;
+}
+
+void OpeningPolicy::noteProgress(const KnownServer& server, TimePoint now)
+{
+    if (server.entry.availabilityZone == availabilityZone_)
+        return;
+    Zone& zone = otherZones_[server.entry.availabilityZone];
+    zone = {};
+    zone.lastProgress = now;
+}
+
 float OpeningPolicy::loadOf(const KnownServer& server, TimePoint) const
 {
     const ServerObservation& seen = server.seen;
--- a/Source/Forward/OpeningPolicy.h
+++ b/Source/Forward/OpeningPolicy.h
@@ -4,6 +4,8 @@
 #include "Forward/FlowBook.h"
 #include "Forward/ServerDirectory.h"
 
+#include <absl/container/flat_hash_map.h>
+
 #include <chrono>
 #include <cstdint>
 #include <string>
@@ -12,16 +14,18 @@
 
 struct OpeningSettings {
     // What a server of another availability zone must be less loaded by, in requests for each of its slots.
-    float zonePenalty = 0.5F;
+    float zonePenalty = 1.25F;
     // How much of a request an open flow without one counts as.
-    float idleFlowWeight = 0.1F;
+    float idleFlowWeight = 0.05F;
     // How much slower a server is that has just started.
     float coldFactor = 1.6F;
     // An opening that waits for longer speaks against its server: the first answer takes a few milliseconds.
-    std::chrono::milliseconds openingPatience { 60 };
+    std::chrono::milliseconds openingPatience { 150 };
     // How long a silent server is left out at first and at most; one flow at a time then tries it again.
     std::chrono::milliseconds firstLeaveOut { 500 };
     std::chrono::milliseconds longestLeaveOut { 4000 };
+    // Another zone that gave no sign of life for so long may be cut off: it gets one new flow at a time.
+    std::chrono::milliseconds zoneProof { 1000 };
 };
 
 // The choice for one opening packet, with what decided it.
@@ -52,17 +56,33 @@
 
     // former is what is remembered of the flow, or null. The servers that it tried are avoided.
     OpeningChoice choose(
-        const std::vector<KnownServer*>& servers, const FlowEnds&, const FlowMemory* former, TimePoint now) const;
+        const std::vector<KnownServer*>& servers, const FlowEnds&, const FlowMemory* former, TimePoint now);
 
+    // An opening packet goes to the server.
+    void noteTry(const KnownServer&, TimePoint now);
+    // The server gave a sign of life.
+    void noteProgress(const KnownServer&, TimePoint now);
     // Leaves the server out when an opening has waited too long for it. True when that is new.
     bool review(KnownServer&, TimePoint now) const;
 
 private:
+    // What is known of another availability zone as a whole.
+    struct Zone {
+        TimePoint lastProgress = TimePoint::min();
+        TimePoint waitingSince = TimePoint::max();
+        std::uint32_t failures = 0;
+        TimePoint leftOutUntil = TimePoint::min();
+    };
+
+    bool isOutOfReach(const std::string& availabilityZone, TimePoint now);
+    bool isUnproven(const Zone&, TimePoint now) const;
+    std::chrono::milliseconds leaveOutAfter(std::uint32_t failures) const;
     float costOf(const KnownServer&, TimePoint now) const;
     float loadOf(const KnownServer&, TimePoint now) const;
 
     std::string availabilityZone_;
     OpeningSettings settings_;
+    absl::flat_hash_map<std::string, Zone> otherZones_;
 };
 
 }
--- a/Source/Forward/ServerDirectory.cpp
+++ b/Source/Forward/ServerDirectory.cpp
@@ -39,6 +39,12 @@
         slot->state = stateOf(entry);
     }
     KnownServer& record = *slot;
+    if (isNew) {
+        byAddress_[entry.address].push_back(&record);
+    } else if (record.entry.address != entry.address) {
+        std::erase(byAddress_[record.entry.address], &record);
+        byAddress_[entry.address].push_back(&record);
+    }
     record.entry = entry;
     record.revision = revision;
     record.warmUntil = now + entry.warmupLeft;
@@ -48,7 +54,7 @@
     }
     enter(record, stateOf(entry), now, transitions);
     endFormerAt(record, now, transitions);
-    index();
+    isIndexed_ = false;
     return transitions;
 }
 
@@ -60,7 +66,7 @@
         return transitions;
     const bool mayReturn = inDoubt && record->state != ServerState::Draining;
     enter(*record, mayReturn ? ServerState::Doubtful : ServerState::Gone, now, transitions);
-    index();
+    isIndexed_ = false;
     return transitions;
 }
 
@@ -77,16 +83,25 @@
         const bool isForgotten = isOver(record.state) && now - record.since >= settings_.retention;
         if (!isForgotten)
             return false;
-        const auto claimed = byToken_.find(record.token);
-        if (claimed != byToken_.end() && claimed->second == &record)
-            byToken_.erase(claimed);
+        forget(record);
         return true;
     });
     if (!transitions.empty() || records_.size() != before)
-        index();
+        isIndexed_ = false;
     return transitions;
 }
 
+void ServerDirectory::forget(const KnownServer& record)
+{
+    const auto claimed = byToken_.find(record.token);
+    if (claimed != byToken_.end() && claimed->second == &record)
+        byToken_.erase(claimed);
+    const auto there = byAddress_.find(record.entry.address);
+    std::erase(there->second, &record);
+    if (there->second.empty())
+        byAddress_.erase(there);
+}
+
 KnownServer* ServerDirectory::findByToken(std::uint32_t token)
 {
     const auto found = byToken_.find(token);
@@ -99,8 +114,10 @@
     return found == records_.end() ? nullptr : found->second.get();
 }
 
-const std::vector<KnownServer*>& ServerDirectory::serversOf(const std::string& service) const
+const std::vector<KnownServer*>& ServerDirectory::serversOf(const std::string& service)
 {
+    if (!isIndexed_)
+        index();
     static const std::vector<KnownServer*> none;
     const auto found = byService_.find(service);
     return found == byService_.end() ? none : found->second;
@@ -127,14 +144,10 @@
 // get new flows to a server that is dead, and callers of its open flows would wait for nobody.
 void ServerDirectory::endFormerAt(const KnownServer& changed, TimePoint now, Transitions& transitions)
 {
-    KnownServer* newest = nullptr;
-    for (auto& [id, record] : records_) {
-        const bool isThere = record->entry.address == changed.entry.address;
-        if (isThere && (!newest || record->revision > newest->revision))
-            newest = record.get();
-    }
-    for (auto& [id, record] : records_) {
-        if (record->entry.address == changed.entry.address && record.get() != newest)
+    const std::vector<KnownServer*>& there = byAddress_[changed.entry.address];
+    const KnownServer* newest = *std::ranges::max_element(there, {}, &KnownServer::revision);
+    for (KnownServer* record : there) {
+        if (record != newest)
             enter(*record, ServerState::Ended, now, transitions);
     }
 }
@@ -155,6 +168,7 @@
 
 void ServerDirectory::index()
 {
+    isIndexed_ = true;
     for (auto& [service, servers] : byService_)
         servers.clear();
     for (auto& [id, record] : records_) {
--- a/Source/Forward/ServerDirectory.h
+++ b/Source/Forward/ServerDirectory.h
@@ -98,8 +98,8 @@
     // Null for a token that nobody here knows.
     KnownServer* findByToken(std::uint32_t token);
     KnownServer* find(const std::string& id);
-    // The servers of a service that are not gone; empty for a service without any.
-    const std::vector<KnownServer*>& serversOf(const std::string& service) const;
+    // The servers of a service that are not gone, in the order of their ids; empty for a service without any.
+    const std::vector<KnownServer*>& serversOf(const std::string& service);
 
     std::size_t size() const { return records_.size(); }
     std::size_t countOf(ServerState) const;
@@ -113,12 +113,17 @@
     void enter(KnownServer&, ServerState, TimePoint now, Transitions&);
     void endFormerAt(const KnownServer&, TimePoint now, Transitions&);
     void claimToken(KnownServer&);
+    void forget(const KnownServer&);
     void index();
 
     DirectorySettings settings_;
     absl::flat_hash_map<std::string, std::unique_ptr<KnownServer>> records_;
     absl::flat_hash_map<std::uint32_t, KnownServer*> byToken_;
+    // Every incarnation that had the address, also those that are over.
+    absl::flat_hash_map<Endpoint, std::vector<KnownServer*>> byAddress_;
+    // Made anew when it is asked for after a change, since a listing changes thousands of servers at once.
     absl::flat_hash_map<std::string, std::vector<KnownServer*>> byService_;
+    bool isIndexed_ = true;
 };
 
 }
--- a/Source/Forward/TokenRouter.cpp
+++ b/Source/Forward/TokenRouter.cpp
@@ -117,6 +117,7 @@
         return refuse(packet, PacketReason::NoServer);
     decision.reason = former ? PacketReason::OpenedElsewhere : PacketReason::Opened;
     decision.server = decision.choice.server;
+    policy_.noteTry(*decision.choice.server, now);
     flows_.noteTry(packet.ends, *decision.choice.server, packet.acknowledgement, now);
     return decision;
 }
@@ -153,6 +154,8 @@
     decision.verdict = PacketVerdict::Forward;
     decision.reason = PacketReason::Established;
     decision.progress = flows_.noteTraffic(packet, *server, now);
+    if (decision.progress.hasAnswered)
+        policy_.noteProgress(*server, now);
     return decision;
 }
 
