Net, platform, Forwarder: Test codecs, HTTP/1.1 and the life of the process

Change: an HTTP/1.1 answer may come later, which a stand-in of the store needs for watches; the readiness listener answers at once as before.

--- a/Source/Forwarder/Forwarder.h
+++ b/Source/Forwarder/Forwarder.h
@@ -104,15 +104,14 @@
         peers_ = std::move(peers);
         packets_ = std::make_unique<TokenPacketPath<Adapter>>(
             context_, std::move(socket), router_, peers_->exchange(), life_, lines_, metrics_);
-        BOOST_OUTCOME_TRY(ready, Http1Server::listen(context_, settings_.ready, [this](const HttpRequest& request) {
-            return answer(request);
-        }));
+        const auto onRequest = [this](const std::shared_ptr<Http1Exchange>& exchange) {
+            exchange->respond(answer(exchange->request()));
+        };
+        BOOST_OUTCOME_TRY(ready, Http1Server::listen(context_, settings_.ready, onRequest));
         ready_ = std::move(ready);
         if (!settings_.metrics.isSet())
             return boost::outcome_v2::success();
-        BOOST_OUTCOME_TRY(metrics, Http1Server::listen(context_, settings_.metrics, [this](const HttpRequest& request) {
-            return answer(request);
-        }));
+        BOOST_OUTCOME_TRY(metrics, Http1Server::listen(context_, settings_.metrics, onRequest));
         metricsServer_ = std::move(metrics);
         return boost::outcome_v2::success();
     }
--- a/Source/Net/Http1Server.cpp
+++ b/Source/Net/Http1Server.cpp
@@ -70,8 +70,37 @@
     }
 
 private:
+    // Ties the answer to a connection that may have ended meanwhile.
+    class Exchange : public Http1Exchange {
+    public:
+        Exchange(std::shared_ptr<Connection> connection, HttpRequest request)
+            : connection_(std::move(connection))
+            , request_(std::move(request))
+        {
+        }
+        ~Exchange() override
+        {
+            if (connection_)
+                connection_->close();
+        }
+        Exchange(const Exchange&) = delete;
+        Exchange& operator=(const Exchange&) = delete;
+
+        const HttpRequest& request() const override { return request_; }
+        void respond(HttpResponse response) override
+        {
+            if (const auto connection = std::exchange(connection_, nullptr))
+                connection->write(std::move(response));
+        }
+
+    private:
+        std::shared_ptr<Connection> connection_;
+        HttpRequest request_;
+    };
+
     void answer()
     {
+        timer_.cancel();
         const auto owner = owner_.lock();
         if (!owner)
             return;
@@ -79,14 +108,20 @@
         HttpRequest request;
         request.method = std::string(message.method_string());
         request.path = std::string(message.target());
-        HttpResponse response = owner->handler(request);
+        owner->handler(std::make_shared<Exchange>(shared_from_this(), std::move(request)));
+    }
+
+    void write(HttpResponse response)
+    {
+        if (!socket_.is_open())
+            return;
         response_ = {};
         response_.result(static_cast<unsigned>(response.status));
-        response_.version(message.version());
+        response_.version(parser_->get().version());
         for (const HttpHeader& header : response.headers)
             response_.set(header.name, header.value);
         response_.body() = std::move(response.body);
-        response_.keep_alive(message.keep_alive());
+        response_.keep_alive(parser_->get().keep_alive());
         response_.prepare_payload();
         http::async_write(socket_, response_, [self = shared_from_this()](const ErrorValue& error, std::size_t) {
             error || !self->response_.keep_alive() ? self->close() : self->read();
--- /dev/null
+++ b/Tests/Forwarder/ForwarderSettingsTest.cpp
@@ -0,0 +1,92 @@
+#include "Forwarder/ForwarderSettings.h"
+#include "Forwarder/SettingsWatch.h"
+
+#include <gtest/gtest.h>
+
+#include <filesystem>
+#include <fstream>
+
+namespace wisteriadock {
+
+namespace {
+
+    constexpr const char* wholeText = R"([forwarder]
+vm = edge-walu-1
+availability_zone = walu
+
+[listen]
+flow = 10.1.0.10:8172
+ready = 10.1.0.10:8167
+peer = 10.1.0.10:7720
+metrics = 10.1.0.10:9464
+
+[store]
+address = 10.200.1.7:8169
+
+[peers]
+seed_vms = 10.1.0.10:8166,10.2.0.40:8166
+
+[limits]
+longest_flow_milliseconds = 60000
+grace_milliseconds = 6000
+
+[log]
+level = warning
+lines_per_second_and_kind = 50
+)";
+
+    TEST(ForwarderSettingsTest, aWholeFileIsRead)
+    {
+        const auto settings = ForwarderSettings::parse("file", wholeText);
+        ASSERT_TRUE(settings) << settings.error().detail;
+        EXPECT_EQ(settings.value().vm, "edge-walu-1");
+        EXPECT_EQ(settings.value().store, Endpoint::parse("10.200.1.7:8169").value());
+        EXPECT_EQ(settings.value().seeds.size(), 2U);
+        EXPECT_EQ(settings.value().longestFlow, std::chrono::seconds(60));
+        EXPECT_EQ(settings.value().logLevel, LogLevel::Warning);
+    }
+
+    TEST(ForwarderSettingsTest, allProblemsAreToldAtOnceWithTheirPlaces)
+    {
+        std::string text = wholeText;
+        text.replace(text.find("10.1.0.10:8172"), 14, "nowhere");
+        text.replace(text.find("[store]"), 7, "[stroe]");
+        text.replace(text.find("level = warning"), 15, "level = loud");
+        text.replace(text.find("grace_milliseconds = 6000"), 25, "grace_milliseconds = -1");
+        const auto settings = ForwarderSettings::parse("file", text);
+        ASSERT_FALSE(settings);
+        for (const char* part : { "flow = nowhere", "[store]", "[stroe]", "level = loud", "grace_milliseconds = -1" })
+            EXPECT_NE(settings.error().detail.find(part), std::string::npos) << part << "\n" << settings.error().detail;
+    }
+
+    TEST(ForwarderSettingsTest, whatNeedsARestartIsNamed)
+    {
+        const ForwarderSettings before = ForwarderSettings::parse("file", wholeText).value();
+        ForwarderSettings after = before;
+        EXPECT_TRUE(before.differencesThatNeedRestart(after).empty());
+        after.seeds.clear();
+        after.logLevel = LogLevel::Debug;
+        EXPECT_TRUE(before.differencesThatNeedRestart(after).empty());
+        after.store.port = 1;
+        after.vm = "other";
+        EXPECT_EQ(
+            before.differencesThatNeedRestart(after), (std::vector<std::string> { "forwarder.vm", "store.address" }));
+    }
+
+    TEST(ForwarderSettingsTest, aChangeOfTheFileIsNoticedOnce)
+    {
+        const std::filesystem::path path
+            = std::filesystem::temp_directory_path() / ("settings-" + std::to_string(::getpid()));
+        std::ofstream(path) << wholeText;
+        SettingsWatch watch(path.string());
+        EXPECT_FALSE(watch.hasChanged());
+        std::ofstream(path) << wholeText << "\n; changed\n";
+        EXPECT_TRUE(watch.hasChanged());
+        EXPECT_FALSE(watch.hasChanged());
+        std::filesystem::remove(path);
+        EXPECT_FALSE(watch.hasChanged());
+    }
+
+}
+
+}
--- /dev/null
+++ b/Tests/Net/Http1Test.cpp
@@ -0,0 +1,138 @@
+#include "Net/Http1Client.h"
+#include "Net/Http1Server.h"
+
+#include <gtest/gtest.h>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+#include <chrono>
+#include <optional>
+
+namespace wisteriadock {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    struct Http1Test : testing::Test {
+        boost::asio::io_context context;
+        std::vector<std::shared_ptr<Http1Exchange>> held;
+        std::unique_ptr<Http1Server> server = listen();
+
+        std::unique_ptr<Http1Server> listen()
+        {
+            auto result = Http1Server::listen(
+                context, { 0x7F000001, 0 }, [this](const std::shared_ptr<Http1Exchange>& exchange) {
+                    if (exchange->request().path == "/held") {
+                        held.push_back(exchange);
+                        return;
+                    }
+                    HttpResponse response;
+                    response.status = exchange->request().path == "/ready" ? 200 : 404;
+                    response.body = exchange->request().path;
+                    exchange->respond(std::move(response));
+                });
+            return std::move(result).value();
+        }
+
+        // Runs until the callback has come.
+        HttpOutcome call(Http1Client& client, const std::string& path, Duration within = 10s)
+        {
+            std::optional<HttpOutcome> outcome;
+            HttpRequest request;
+            request.path = path;
+            request.authority = "test";
+            client.send(std::move(request), Clock::now() + within, [&](HttpOutcome result) { outcome = result; });
+            EXPECT_FALSE(outcome.has_value()) << "the callback ran inside the call";
+            while (!outcome)
+                context.run_one();
+            return *outcome;
+        }
+    };
+
+    TEST_F(Http1Test, requestsAreAnsweredOnOneConnectionAfterTheOther)
+    {
+        Http1Client client(context, server->address());
+        for (int i = 0; i < 3; ++i) {
+            const HttpOutcome outcome = call(client, "/ready");
+            ASSERT_TRUE(outcome);
+            EXPECT_EQ(outcome.value().status, 200);
+            EXPECT_EQ(outcome.value().body, "/ready");
+        }
+        EXPECT_EQ(call(client, "/other").value().status, 404);
+    }
+
+    TEST_F(Http1Test, anAnswerMayComeLater)
+    {
+        Http1Client client(context, server->address());
+        std::optional<HttpOutcome> outcome;
+        HttpRequest request;
+        request.path = "/held";
+        client.send(std::move(request), Clock::now() + 10s, [&](HttpOutcome result) { outcome = result; });
+        while (held.empty())
+            context.run_one();
+        EXPECT_TRUE(call(client, "/ready"));
+        held.front()->respond({ .status = 200, .headers = {}, .body = "late" });
+        while (!outcome)
+            context.run_one();
+        EXPECT_EQ(outcome->value().body, "late");
+    }
+
+    // Symptom: a balancer heard nothing more from the store, for good.
+    // Sequence: its connection goes silent without a reset.
+    // Cause: a read without a time limit.
+    TEST_F(Http1Test, aSilentConnectionIsGivenUpAndNotUsedAgain)
+    {
+        Http1Client client(context, server->address());
+        const HttpOutcome silent = call(client, "/held", 50ms);
+        ASSERT_FALSE(silent);
+        EXPECT_EQ(silent.error().kind, HttpFailureKind::DeadlineExceeded);
+        EXPECT_EQ(call(client, "/ready").value().body, "/ready");
+    }
+
+    TEST_F(Http1Test, aServerThatIsNotThereMeansNothingWasSent)
+    {
+        const Endpoint nobody = listen()->address();
+        Http1Client client(context, nobody);
+        const HttpOutcome outcome = call(client, "/ready");
+        ASSERT_FALSE(outcome);
+        EXPECT_EQ(outcome.error().kind, HttpFailureKind::NotSent);
+    }
+
+    TEST_F(Http1Test, openRequestsEndWithTheClient)
+    {
+        std::optional<HttpOutcome> outcome;
+        {
+            Http1Client client(context, server->address());
+            HttpRequest request;
+            request.path = "/held";
+            client.send(std::move(request), Clock::now() + 10s, [&](HttpOutcome result) { outcome = result; });
+            while (held.empty())
+                context.run_one();
+        }
+        ASSERT_TRUE(outcome.has_value());
+        EXPECT_EQ(outcome->error().kind, HttpFailureKind::Cancelled);
+        held.clear();
+        context.poll();
+    }
+
+    TEST_F(Http1Test, whatIsNoRequestClosesTheConnection)
+    {
+        boost::asio::ip::tcp::socket socket(context);
+        const Endpoint address = server->address();
+        socket.connect({ boost::asio::ip::address_v4(address.address), address.port });
+        boost::asio::write(socket, boost::asio::buffer(std::string("\x01\x02garbage\r\n\r\n")));
+        std::optional<boost::system::error_code> ended;
+        char byte = 0;
+        boost::asio::async_read(socket, boost::asio::buffer(&byte, 1),
+            [&](const boost::system::error_code& error, std::size_t) { ended = error; });
+        while (!ended)
+            context.run_one();
+        EXPECT_TRUE(*ended);
+    }
+
+}
+
+}
--- /dev/null
+++ b/Tests/PlatformAdapter/StoredValuesTest.cpp
@@ -0,0 +1,102 @@
+#include "platform/StoredValues.h"
+
+#include <gtest/gtest.h>
+
+#include <random>
+
+namespace wisteriadock::platform {
+
+namespace {
+
+    constexpr const char* entryText = R"({"service":"tryon7","address":"10.128.0.9:8080","zone":"walu","version":"v4",
+        "maxConcurrency":3,"state":"draining","warmupLeftMs":1500,"sequence":9,"newField":{"a":1}})";
+
+    constexpr const char* configurationText = R"({"version":41,"routes":[
+        {"name":"r-1","hostname":"198.18.0.1","prefix":"/8443/","type":"idempotent","timeoutMs":1000,"service":"tryon7"},
+        {"name":"r-2","hostname":"198.18.0.2","prefix":"/80/","type":"upload","backends":[
+            {"service":"tryon7","weight":90},{"service":"scan2","weight":10}]}],
+        "services":[],"limits":{"idleTimeoutMs":15000}})";
+
+    TEST(StoredValuesTest, aServerEntryIsReadWhole)
+    {
+        const auto server = decodeServer("i-7f3a91c2", entryText);
+        ASSERT_TRUE(server) << server.error().toString();
+        EXPECT_EQ(server.value().number, 0x7F3A91C2U);
+        EXPECT_EQ(server.value().service, "tryon7");
+        EXPECT_EQ(server.value().address, Endpoint::parse("10.128.0.9:8080").value());
+        EXPECT_EQ(server.value().slots, 3U);
+        EXPECT_EQ(server.value().readiness, ServerReadiness::Draining);
+        EXPECT_EQ(server.value().warmupLeft, std::chrono::milliseconds(1500));
+        const auto again = decodeServer("i-7f3a91c2", encodeServer(server.value()));
+        EXPECT_EQ(again.value(), server.value());
+    }
+
+    TEST(StoredValuesTest, aConfigurationIsReadWhole)
+    {
+        const auto configuration = decodeConfiguration(configurationText);
+        ASSERT_TRUE(configuration) << configuration.error().toString();
+        EXPECT_EQ(configuration.value().version, 41U);
+        ASSERT_EQ(configuration.value().routes.size(), 2U);
+        EXPECT_EQ(configuration.value().routes[0].address, Endpoint::parse("198.18.0.1:8443").value());
+        EXPECT_EQ(configuration.value().routes[1].shares[1].service, "scan2");
+        EXPECT_EQ(configuration.value().routes[1].shares[1].weight, 10U);
+        EXPECT_EQ(configuration.value().idleTimeout, std::chrono::seconds(15));
+        const auto again = decodeConfiguration(encodeConfiguration(configuration.value()));
+        EXPECT_EQ(again.value().routes, configuration.value().routes);
+    }
+
+    TEST(StoredValuesTest, whatCannotBeReadIsRefusedWithItsPlace)
+    {
+        const auto expectProblem = [](const std::string& entry, const std::string& place) {
+            const auto server = decodeServer("i-1", entry);
+            ASSERT_FALSE(server) << entry;
+            EXPECT_NE(server.error().detail.find(place), std::string::npos) << server.error().detail;
+        };
+        expectProblem("", "JSON object");
+        expectProblem("[]", "JSON object");
+        expectProblem(R"({"service":7})", "'service': found 7, expected a string");
+        expectProblem(R"({"service":"a","address":"nowhere"})", "nowhere");
+        expectProblem(
+            R"({"service":"a","address":"1.2.3.4:5","zone":"z","maxConcurrency":-1})", "'maxConcurrency': found -1");
+        expectProblem(R"({"service":"a","address":"1.2.3.4:5","zone":"z","maxConcurrency":1,"state":"tired"})",
+            "'state': found 'tired', expected ready or draining");
+
+        for (const char* route : { R"({"name":"r","hostname":"198.18.0.1","prefix":"8443","service":"a"})",
+                 R"({"name":"r","hostname":"198.18.0.1","prefix":"/0/","service":"a"})",
+                 R"({"name":"r","hostname":"198.18.0.1","prefix":"/99999/","service":"a"})",
+                 R"({"name":"r","hostname":"example","prefix":"/80/","service":"a"})",
+                 R"({"name":"r","hostname":"198.18.0.1","prefix":"/80/"})", "7" })
+            EXPECT_FALSE(decodeConfiguration(std::string(R"({"version":1,"routes":[)") + route + "]}")) << route;
+        EXPECT_FALSE(decodeConfiguration(R"({"routes":[]})"));
+        EXPECT_FALSE(decodeConfiguration(R"({"version":1})"));
+    }
+
+    TEST(StoredValuesTest, keysAreToldApart)
+    {
+        EXPECT_EQ(serverIdOf("servers/i-1"), "i-1");
+        EXPECT_EQ(serverIdOf(serverKeyOf("i-2")), "i-2");
+        EXPECT_FALSE(serverIdOf("servers/").has_value());
+        EXPECT_FALSE(serverIdOf("op/config").has_value());
+    }
+
+    // Every text with random changes is either read or refused; none stops the process.
+    TEST(StoredValuesTest, changedTextsAreReadOrRefused)
+    {
+        std::mt19937 random(11);
+        const auto change = [&](std::string text) {
+            for (std::uint32_t i = random() % 6; i > 0; --i)
+                text[random() % text.size()] = static_cast<char>(random());
+            text.resize(random() % 8 == 0 ? random() % text.size() : text.size());
+            return text;
+        };
+        int read = 0;
+        for (int round = 0; round < 20000; ++round) {
+            read += bool(decodeServer("i-1", change(entryText)));
+            read += bool(decodeConfiguration(change(configurationText)));
+        }
+        EXPECT_GT(read, 100);
+    }
+
+}
+
+}
