Soak: Run forwarders under seeded faults and judge them from outside

Change: wisteriadock-soak starts forwarders as separate processes on loopback addresses of their own, behind the fault proxy's links; store, routers, callers and backend servers are stand-ins in the platform's form, written through platform/'s codecs. 23 kinds of steps overlap, then everything is killed. The judge asks callers and servers only.

--- /dev/null
+++ b/Source/Soak/SoakCallers.cpp
@@ -0,0 +1,197 @@
+#include "Soak/SoakCallers.h"
+
+#include "Soak/SoakPacket.h"
+#include "platform/PacketLayout.h"
+
+#include <algorithm>
+#include <array>
+
+namespace wisteriadock {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr std::size_t requestBytes = 100;
+    constexpr auto secondCopyAfter = 400ms;
+    constexpr auto firstCopyAfter = 200ms;
+    constexpr auto openingFails = 800ms;
+    constexpr auto longestPause = 1600ms;
+    constexpr auto requestFails = 3000ms;
+    constexpr auto thinkingTime = 300ms;
+    constexpr std::uint32_t requestsOfLongFlow = 40;
+
+}
+
+Result<std::unique_ptr<SoakCallers>> SoakCallers::open(
+    boost::asio::io_context& context, Endpoint own, std::uint64_t seed, const SoakCallerEvents& events)
+{
+    std::unique_ptr<SoakCallers> callers(new SoakCallers(own, seed, events));
+    BOOST_OUTCOME_TRY(socket,
+        UdpSocket::bind(context, own, [target = callers.get()](const Endpoint&, std::span<const std::uint8_t> bytes) {
+            target->receive(bytes);
+        }));
+    callers->socket_ = std::move(socket);
+    return callers;
+}
+
+SoakCallers::SoakCallers(Endpoint own, std::uint64_t seed, const SoakCallerEvents& events)
+    : own_(own)
+    , random_(seed)
+    , events_(events)
+{
+}
+
+void SoakCallers::openFlows(std::size_t count, TimePoint now)
+{
+    for (std::size_t i = 0; i < count && !routes_.empty(); ++i) {
+        // Ports are not used again within a run, so that late packets of one flow never belong to another.
+        if (nextPort_ == 0)
+            return;
+        const std::uint16_t port = nextPort_++;
+        Flow& flow = flows_[port];
+        flow.ends = { { own_.address, port }, routes_[random_.next() % routes_.size()] };
+        flow.isLong = random_.next() % 2 == 0;
+        flow.requestsLeft = flow.isLong ? requestsOfLongFlow : 1;
+        // Far from the end of the range: the stand-ins do not wrap around.
+        flow.sequence = static_cast<std::uint32_t>(random_.next() & 0x0FFFFFFF);
+        flow.askedAt = now;
+        sendOpening(flow, now);
+    }
+}
+
+const SoakCallers::Opening* SoakCallers::openingOf(const FlowEnds& ends) const
+{
+    const auto found = flows_.find(ends.caller.port);
+    return found == flows_.end() ? nullptr : &found->second.opening;
+}
+
+void SoakCallers::tick(TimePoint now)
+{
+    std::vector<std::uint16_t> failed;
+    for (auto& [port, flow] : flows_) {
+        if (now < flow.againAt)
+            continue;
+        if (flow.state == State::Idle) {
+            ask(flow, now);
+        } else if (flow.state == State::Opening) {
+            if (flow.copies == 2)
+                failed.push_back(port);
+            else
+                ++flow.copies, sendOpening(flow, now);
+        } else if (now - flow.askedAt > requestFails) {
+            failed.push_back(port);
+        } else {
+            flow.pause = std::min<std::chrono::milliseconds>(2 * flow.pause, longestPause);
+            flow.againAt = now + flow.pause;
+            sendRequest(flow);
+        }
+    }
+    for (const std::uint16_t port : failed)
+        end(port, true);
+}
+
+void SoakCallers::sendOpening(Flow& flow, TimePoint now)
+{
+    constexpr std::array<std::chrono::milliseconds, 3> waits { firstCopyAfter, secondCopyAfter, openingFails };
+    flow.againAt = now + waits[flow.copies];
+    TokenPacket packet;
+    packet.opens = true;
+    packet.sequence = flow.sequence;
+    packet.acknowledgement = flow.copies;
+    send(flow, packet, 0);
+    flow.opening = { now, flow.lastBalancer };
+}
+
+void SoakCallers::ask(Flow& flow, TimePoint now)
+{
+    flow.state = State::Asking;
+    flow.askedAt = now;
+    flow.pause = firstCopyAfter;
+    flow.againAt = now + flow.pause;
+    sendRequest(flow);
+}
+
+void SoakCallers::sendRequest(Flow& flow)
+{
+    TokenPacket packet;
+    packet.acknowledges = true;
+    packet.token = flow.token;
+    packet.sequence = flow.sequence;
+    packet.acknowledgement = flow.acknowledgement;
+    send(flow, packet, requestBytes);
+}
+
+void SoakCallers::send(Flow& flow, TokenPacket packet, std::size_t payloadBytes)
+{
+    packet.ends = flow.ends;
+    const std::vector<std::uint8_t> payload(payloadBytes, 0x2A);
+    const auto [balancer, name] = events_.routePacket(flow.ends);
+    flow.lastBalancer = name;
+    if (balancer.isSet())
+        socket_->send(balancer, sealPacket(packet, payload));
+}
+
+void SoakCallers::receive(std::span<const std::uint8_t> datagram)
+{
+    const TimePoint now = Clock::now();
+    const auto packet = platform::decodePacket(datagram);
+    if (!packet)
+        return events_.onChangedPacket();
+    const std::uint16_t port = packet->ends.route.port;
+    const auto found = flows_.find(port);
+    if (found == flows_.end() || packet->ends.caller != found->second.ends.route)
+        return;
+    Flow& flow = found->second;
+    if (packet->resets && hasNoSum(datagram)) {
+        events_.onReset(flow.ends, flow.lastBalancer, flow.state != State::Opening);
+        return end(port, flow.state != State::Idle);
+    }
+    if (!isSealed(datagram))
+        return events_.onChangedPacket();
+    if (packet->resets)
+        return end(port, flow.state != State::Idle);
+    takeAnswer(flow, *packet, now);
+}
+
+void SoakCallers::takeAnswer(Flow& flow, const TokenPacket& packet, TimePoint now)
+{
+    flow.token = packet.token;
+    if (packet.opens) {
+        if (flow.state != State::Opening)
+            return;
+        flow.sequence += 1;
+        flow.acknowledgement = packet.sequence + 1;
+        return ask(flow, now);
+    }
+    const bool isAnswer = flow.state == State::Asking && packet.payloadBytes > 0
+        && packet.acknowledgement == flow.sequence + requestBytes && packet.sequence == flow.acknowledgement;
+    if (!isAnswer)
+        return;
+    events_.onRequest(true, flow.lastBalancer, flow.ends.route, flow.askedAt);
+    flow.sequence += requestBytes;
+    flow.acknowledgement += packet.payloadBytes;
+    flow.state = State::Idle;
+    flow.againAt = now + thinkingTime;
+    TokenPacket confirmation;
+    confirmation.acknowledges = true;
+    confirmation.token = flow.token;
+    confirmation.sequence = flow.sequence;
+    confirmation.acknowledgement = flow.acknowledgement;
+    confirmation.finishes = --flow.requestsLeft == 0;
+    send(flow, confirmation, 0);
+    if (confirmation.finishes)
+        flows_.erase(flow.ends.caller.port);
+}
+
+void SoakCallers::end(std::uint16_t port, bool hasFailed)
+{
+    const auto found = flows_.find(port);
+    if (hasFailed) {
+        const Flow& flow = found->second;
+        events_.onRequest(false, flow.lastBalancer, flow.ends.route, flow.askedAt);
+    }
+    flows_.erase(found);
+}
+
+}
--- /dev/null
+++ b/Source/Soak/SoakJudge.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "Core/Clock.h"
+#include "Forward/ForwardingConfiguration.h"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace wisteriadock {
+
+struct SoakBounds {
+    // Machines and the store must have been undisturbed for so long before a bound holds.
+    std::chrono::milliseconds calm { 4000 };
+    // From the store's acknowledgement that a server drains or a configuration is written to the last opening packet
+    // that may follow the former state.
+    std::chrono::milliseconds drain { 3000 };
+    std::chrono::milliseconds configuration { 3000 };
+    // From the moment that everything is back after all was killed.
+    std::chrono::milliseconds recovery { 12000 };
+};
+
+// Checks what balancers promise, from what callers and backend servers see: it never asks a balancer. All times are
+// those of the run's clock.
+class SoakJudge {
+public:
+    explicit SoakJudge(SoakBounds bounds = {})
+        : bounds_(bounds)
+    {
+    }
+
+    // What was disturbed, and until when: one balancer by its name, or the store, or everything.
+    void disturb(const std::string& balancer, TimePoint until);
+    void disturbStore(TimePoint until);
+    void disturbAll(TimePoint until);
+    bool isCalm(const std::string& balancer, TimePoint now) const;
+
+    // The store acknowledged these.
+    void noteConfiguration(const ForwardingConfiguration&, TimePoint now);
+    void noteServerLeaves(const std::string& server, TimePoint now);
+
+    // A server took the opening packet of a flow, sent by the caller at a time through a balancer.
+    void noteOpening(const std::string& server, const std::string& service, Endpoint route, const std::string& balancer,
+        TimePoint sent, TimePoint now);
+    // A server got a packet that its sender did not write so, or a caller did.
+    void noteChangedPacket(const std::string& where);
+    // A caller got a reset that no server sent, for an open flow of a server that lives or not.
+    void noteReset(const std::string& flow, const std::string& balancer, bool isOpen, bool serverLives, TimePoint now);
+    // A request ended.
+    void noteRequest(bool isServed, const std::string& balancer, Endpoint route, TimePoint sent, TimePoint now);
+    // A balancer's process ended although nobody ended it, or not as a planned stop should.
+    void noteExit(const std::string& balancer, int code, bool wasExpected);
+    // Everything was started again after all was killed.
+    void noteAllBack(TimePoint now) { allBack_ = now; }
+
+    // Counts what remains to be judged at the end.
+    void finish();
+
+    const std::vector<std::string>& violations() const { return violations_; }
+    std::uint64_t requests() const { return served_ + unserved_; }
+    std::uint64_t served() const { return served_; }
+    std::uint64_t openings() const { return openings_; }
+    std::uint64_t resets() const { return resets_; }
+    std::uint64_t calmRequests() const { return calmServed_ + calmUnserved_; }
+
+private:
+    struct Version {
+        ForwardingConfiguration configuration;
+        TimePoint at;
+    };
+
+    void violate(std::string text);
+    bool allows(const ForwardingConfiguration&, Endpoint route, const std::string& service) const;
+
+    SoakBounds bounds_;
+    std::map<std::string, TimePoint> disturbedUntil_;
+    TimePoint storeDisturbedUntil_ = TimePoint::min();
+    std::vector<Version> versions_;
+    std::map<std::string, TimePoint> leaving_;
+    TimePoint allBack_ = TimePoint::max();
+    std::uint64_t served_ = 0;
+    std::uint64_t unserved_ = 0;
+    std::uint64_t calmServed_ = 0;
+    std::uint64_t calmUnserved_ = 0;
+    std::uint64_t recoveredServed_ = 0;
+    std::uint64_t recoveredUnserved_ = 0;
+    std::uint64_t openings_ = 0;
+    std::uint64_t resets_ = 0;
+    std::uint64_t omitted_ = 0;
+    std::vector<std::string> violations_;
+};
+
+}
--- /dev/null
+++ b/Source/Soak/SoakRun.cpp
@@ -0,0 +1,556 @@
+#include "Soak/SoakRun.h"
+
+#include "Core/Hash.h"
+#include "platform/StoredValues.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <csignal>
+#include <fstream>
+#include <unistd.h>
+
+namespace wisteriadock {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    // All forwarders of a run use the same ports, each on an address of its own.
+    constexpr std::uint16_t flowPort = 18172;
+    constexpr std::uint16_t readyPort = 18167;
+    constexpr std::uint16_t peerPort = 17720;
+    constexpr std::uint16_t serverPort = 18080;
+
+    constexpr auto tickPeriod = 20ms;
+    constexpr auto checkPeriod = 500ms;
+    constexpr auto heartbeat = 700ms;
+    constexpr int missesThatCount = 2;
+    constexpr auto startLimit = 20s;
+    constexpr std::uint32_t firstServerHost = 20;
+    constexpr std::uint32_t callerHost = 200;
+    constexpr auto grace = 3000ms;
+
+    const std::array<const char*, 2> services { "tryon", "scanintake" };
+
+    // Routes are addresses that only stand in packets.
+    Endpoint routeOf(std::uint32_t number) { return { 0xC6120000 + number, 443 }; }
+
+    std::string zoneName(std::size_t zone) { return fmt::format("zone-{}", zone); }
+
+}
+
+SoakRun::SoakRun(const SoakOptions& options, const SoakPlan& plan, EventLoop& loop, const RunDirectory& directory)
+    : options_(options)
+    , plan_(plan)
+    , loop_(loop)
+    , directory_(directory)
+    , proxy_(loop.context(), plan.seed)
+    , random_(plan.seed ^ 0xF10F5)
+{
+    serverEvents_.onChangedPacket = [this](const RegisteredServer& server) { judge_.noteChangedPacket(server.id); };
+    serverEvents_.onOpening = [this](const RegisteredServer& server, const FlowEnds& ends) {
+        for (const auto& callers : callers_) {
+            if (const SoakCallers::Opening* opening = callers->openingOf(ends);
+                opening && opening->sent != TimePoint()) {
+                judge_.noteOpening(
+                    server.id, server.service, ends.route, opening->balancer, opening->sent, Clock::now());
+                return;
+            }
+        }
+    };
+    callerEvents_.onChangedPacket = [this] { judge_.noteChangedPacket("a caller"); };
+    callerEvents_.onRequest = [this](bool isServed, const std::string& balancer, Endpoint route, TimePoint sent) {
+        judge_.noteRequest(isServed, balancer, route, sent, Clock::now());
+    };
+    callerEvents_.onReset = [this](const FlowEnds& ends, const std::string& balancer, bool isOpen) {
+        const bool serverLives = std::ranges::any_of(servers_, [&](const auto& server) { return server->holds(ends); });
+        judge_.noteReset(fmt::format("{}>{}", ends.caller.toString(), ends.route.toString()), balancer, isOpen,
+            serverLives, Clock::now());
+    };
+    callerEvents_.routePacket = [this](const FlowEnds& ends) { return routePacket(ends); };
+}
+
+SoakRun::~SoakRun() = default;
+
+Result<void> SoakRun::run()
+{
+    BOOST_OUTCOME_TRY(build());
+    startedAt_ = Clock::now();
+    lastTick_ = startedAt_;
+    const TimePoint end = startedAt_ + plan_.length;
+    while (Clock::now() < end) {
+        BOOST_OUTCOME_TRY(loop_.runUntil(Clock::now() + tickPeriod));
+        tick(Clock::now());
+    }
+    judge_.finish();
+    keepLogs();
+    return boost::outcome_v2::success();
+}
+
+Result<void> SoakRun::build()
+{
+    // A network of its own for each run, so that runs beside each other don't meet.
+    network_ = static_cast<std::uint8_t>(16 + (static_cast<std::uint64_t>(::getpid()) * 7 + plan_.seed) % 200);
+    BOOST_OUTCOME_TRY(store, SoakStore::open(loop_.context(), { 0x7F000001, 0 }));
+    store_ = std::move(store);
+    for (std::uint32_t number = 1; number <= 4; ++number)
+        configuration_.routes.push_back(
+            { fmt::format("route-{}", number), routeOf(number), { { services[number % 2], 1 } } });
+    configuration_.version = 1;
+    writeConfiguration();
+    for (std::size_t zone = 0; zone < options_.availabilityZones; ++zone) {
+        const auto base = 0x7F000000U | (std::uint32_t(network_) << 16) | (static_cast<std::uint32_t>(zone + 1) << 8);
+        for (std::size_t i = 0; i < options_.serversPerZone; ++i)
+            openServer(services[i % 2], zoneName(zone),
+                { base + firstServerHost + static_cast<std::uint32_t>(i), serverPort });
+        BOOST_OUTCOME_TRY(callers,
+            SoakCallers::open(loop_.context(), { base + callerHost, flowPort }, plan_.seed + zone, callerEvents_));
+        callers_.push_back(std::move(callers));
+    }
+    BOOST_OUTCOME_TRY(buildBalancers());
+    return loop_.waitUntil(
+        [this] {
+            const TimePoint now = Clock::now();
+            for (Balancer& balancer : balancers_)
+                checkReadiness(balancer);
+            watchProcesses(now);
+            return std::ranges::all_of(balancers_, [](const Balancer& balancer) { return balancer.misses == 0; });
+        },
+        startLimit, "all forwarders are ready");
+}
+
+Result<void> SoakRun::buildBalancers()
+{
+    for (std::size_t zone = 0; zone < options_.availabilityZones; ++zone) {
+        for (std::size_t i = 0; i < options_.balancersPerZone; ++i) {
+            Balancer balancer;
+            balancer.name = fmt::format("vm-{}-{}", zone, i);
+            balancer.availabilityZone = zoneName(zone);
+            balancer.address = { 0x7F000000U | (std::uint32_t(network_) << 16)
+                    | (static_cast<std::uint32_t>(zone + 1) << 8) | static_cast<std::uint32_t>(i + 1),
+                0 };
+            balancer.packetLink = "packets-" + balancer.name;
+            balancer.storeLink = "store-" + balancer.name;
+            const Endpoint any { 0x7F000001, 0 };
+            BOOST_OUTCOME_TRY(packets,
+                proxy_.putLink(
+                    { balancer.packetLink, LinkProtocol::Udp, any, { balancer.address.address, flowPort } }));
+            BOOST_OUTCOME_TRY(store, proxy_.putLink({ balancer.storeLink, LinkProtocol::Tcp, any, store_->address() }));
+            balancer.packetEntry = packets;
+            balancer.storeEntry = store;
+            balancer.readiness = std::make_unique<Http1Client>(
+                loop_.context(), Endpoint { balancer.address.address, readyPort }, Http1Limits {});
+            judge_.disturb(balancer.name, Clock::now());
+            balancers_.push_back(std::move(balancer));
+        }
+    }
+    for (Balancer& balancer : balancers_) {
+        BOOST_OUTCOME_TRY(startBalancer(balancer));
+    }
+    return boost::outcome_v2::success();
+}
+
+Result<void> SoakRun::writeSettings(const Balancer& balancer) const
+{
+    const auto at = [&](std::uint16_t port) { return Endpoint { balancer.address.address, port }.toString(); };
+    std::string seeds;
+    for (std::size_t i = 0; i < std::min<std::size_t>(3, balancers_.size()); ++i)
+        seeds += (i == 0 ? "" : ",") + Endpoint { balancers_[i].address.address, peerPort }.toString();
+    const std::string text = fmt::format("[forwarder]\nvm = {}\navailability_zone = {}\n[listen]\nflow = {}\nready = "
+                                         "{}\npeer = {}\n[store]\naddress = {}\n[peers]\nseed_vms = {}\n"
+                                         "[limits]\ngrace_milliseconds = {}\n; written at start {}\n",
+        balancer.name, balancer.availabilityZone, at(flowPort), at(readyPort), at(peerPort),
+        balancer.storeEntry.toString(), seeds, grace.count(), balancer.starts);
+    BOOST_OUTCOME_TRY(directory_.write(balancer.name + ".ini", text));
+    return boost::outcome_v2::success();
+}
+
+Result<void> SoakRun::startBalancer(Balancer& balancer)
+{
+    ++balancer.starts;
+    BOOST_OUTCOME_TRY(writeSettings(balancer));
+    const auto settings = directory_.path() / (balancer.name + ".ini");
+    BOOST_OUTCOME_TRY(process,
+        ChildProcess::start(loop_.context(),
+            { fmt::format("{}-{}", balancer.name, balancer.starts), options_.program,
+                { "--settings=" + settings.string() }, directory_.path() }));
+    balancer.process = std::move(process);
+    balancer.isEndExpected = false;
+    balancer.isStopping = false;
+    balancer.startAt.reset();
+    judge_.disturb(balancer.name, Clock::now());
+    return boost::outcome_v2::success();
+}
+
+void SoakRun::openServer(const std::string& service, const std::string& zone, Endpoint address)
+{
+    RegisteredServer entry;
+    entry.number = ++nextServerNumber_ * 0x9E3779B1;
+    entry.id = fmt::format("i-{:012x}", entry.number);
+    entry.service = service;
+    entry.address = address;
+    entry.availabilityZone = zone;
+    entry.slots = 4;
+    auto server = SoakServer::open(loop_.context(), entry, flowPort, serverEvents_);
+    if (!server)
+        return;
+    servers_.push_back(std::move(server).value());
+    writeEntry(*servers_.back());
+}
+
+void SoakRun::writeEntry(const SoakServer& server)
+{
+    store_->put(platform::serverKeyOf(server.entry().id), platform::encodeServer(server.entry()));
+}
+
+void SoakRun::writeConfiguration()
+{
+    store_->put(std::string(platform::configurationKey), platform::encodeConfiguration(configuration_));
+    judge_.noteConfiguration(configuration_, Clock::now());
+    std::vector<Endpoint> routes;
+    for (const FlowRoute& route : configuration_.routes)
+        routes.push_back(route.address);
+    for (const auto& callers : callers_)
+        callers->setRoutes(routes);
+}
+
+void SoakRun::tick(TimePoint now)
+{
+    while (nextStep_ < plan_.steps.size() && now >= startedAt_ + plan_.steps[nextStep_].at)
+        perform(plan_.steps[nextStep_++], now);
+    std::vector<Later> due;
+    std::erase_if(later_, [&](Later& later) {
+        const bool isDue = now >= later.at;
+        if (isDue)
+            due.push_back(std::move(later));
+        return isDue;
+    });
+    for (const Later& later : due)
+        later.action();
+    watchProcesses(now);
+    for (Balancer& balancer : balancers_)
+        checkReadiness(balancer);
+    flowsDue_ += std::chrono::duration<double>(now - lastTick_).count() * static_cast<double>(options_.flowsPerSecond);
+    lastTick_ = now;
+    for (; flowsDue_ >= 1; --flowsDue_)
+        callers_[random_.next() % callers_.size()]->openFlows(1, now);
+    for (const auto& callers : callers_)
+        callers->tick(now);
+}
+
+void SoakRun::checkReadiness(Balancer& balancer)
+{
+    if (balancer.isCheckOpen)
+        return;
+    balancer.isCheckOpen = true;
+    HttpRequest request;
+    request.path = "/readiness";
+    request.authority = "router";
+    balancer.readiness->send(std::move(request), Clock::now() + checkPeriod, [this, &balancer](HttpOutcome outcome) {
+        const bool isReady = outcome && outcome.value().status == 200;
+        balancer.misses = isReady ? 0 : std::min(balancer.misses + 1, missesThatCount);
+        after(checkPeriod, Clock::now(), [&balancer] { balancer.isCheckOpen = false; });
+    });
+    // Before the run has begun there is no tick that would open the next check.
+    if (startedAt_ == TimePoint())
+        after(0ms, Clock::now(), [] {});
+}
+
+void SoakRun::watchProcesses(TimePoint now)
+{
+    if (startedAt_ == TimePoint()) {
+        for (Later& later : std::exchange(later_, {}))
+            later.action();
+    }
+    for (Balancer& balancer : balancers_) {
+        if (balancer.wakeAt && now >= *balancer.wakeAt) {
+            balancer.process->signal(SIGCONT);
+            balancer.wakeAt.reset();
+            balancer.isPaused = false;
+            judge_.disturb(balancer.name, now);
+        }
+        const bool hasEnded = balancer.process && !balancer.process->running();
+        if (hasEnded) {
+            const int code = balancer.process->exitCode().value_or(-1);
+            // 128 and the signal: killed by this run.
+            if (!balancer.isEndExpected || balancer.isStopping)
+                judge_.noteExit(balancer.name, code, balancer.isEndExpected);
+            std::ofstream(directory_.path() / (balancer.process->name() + ".log")) << balancer.process->output();
+            balancer.process.reset();
+            judge_.disturb(balancer.name, now);
+            if (!balancer.startAt)
+                balancer.startAt = now + 200ms;
+        }
+        if (!balancer.process && balancer.startAt && now >= *balancer.startAt)
+            (void)startBalancer(balancer);
+    }
+}
+
+std::pair<Endpoint, std::string> SoakRun::routePacket(const FlowEnds& ends) const
+{
+    const std::size_t zone = ((ends.caller.address >> 8) & 0xFF) - 1;
+    std::vector<const Balancer*> all;
+    std::vector<const Balancer*> ready;
+    for (const Balancer& balancer : balancers_) {
+        if (balancer.availabilityZone != zoneName(zone))
+            continue;
+        all.push_back(&balancer);
+        if (balancer.misses < missesThatCount)
+            ready.push_back(&balancer);
+    }
+    const auto& chosen = 2 * ready.size() < all.size() ? all : ready;
+    const Balancer& balancer
+        = *chosen[hashPair(ends.caller.port, ends.route.address ^ ends.caller.address) % chosen.size()];
+    return { balancer.packetEntry, balancer.name };
+}
+
+void SoakRun::perform(const SoakStep& step, TimePoint now)
+{
+    switch (step.kind) {
+    case SoakStepKind::KillBalancer:
+    case SoakStepKind::StopBalancer:
+    case SoakStepKind::PauseBalancer:
+    case SoakStepKind::ReloadBalancer:
+    case SoakStepKind::StoreCutOff:
+    case SoakStepKind::StoreResets:
+    case SoakStepKind::StoreOneWay:
+    case SoakStepKind::PacketsLost:
+    case SoakStepKind::PacketsDoubled:
+    case SoakStepKind::PacketsReordered:
+        return performOnBalancer(step, balancers_[step.target % balancers_.size()], now);
+    case SoakStepKind::KillAll:
+        judge_.disturbAll(now + step.length);
+        for (Balancer& balancer : balancers_) {
+            if (balancer.process)
+                balancer.process->signal(SIGKILL);
+            balancer.isEndExpected = true;
+            balancer.isStopping = false;
+            balancer.wakeAt.reset();
+            balancer.startAt = now + step.length;
+        }
+        judge_.noteAllBack(now + step.length);
+        return;
+    case SoakStepKind::StoreBusy:
+    case SoakStepKind::StoreSilent:
+    case SoakStepKind::StoreSlow:
+    case SoakStepKind::StoreForgets:
+    case SoakStepKind::StoreLapses:
+        return performOnStore(step, now);
+    case SoakStepKind::ServerCrashes:
+    case SoakStepKind::ServerDrains:
+    case SoakStepKind::ServerReplacedInPlace:
+    case SoakStepKind::ServerFull:
+        return performOnServer(step, now);
+    case SoakStepKind::RouteAdded:
+    case SoakStepKind::RouteRemoved:
+    case SoakStepKind::ConfigurationStorm:
+        return performOnConfiguration(step, now);
+    }
+}
+
+void SoakRun::performOnBalancer(const SoakStep& step, Balancer& balancer, TimePoint now)
+{
+    FaultSettings faults;
+    switch (step.kind) {
+    case SoakStepKind::KillBalancer:
+        judge_.disturb(balancer.name, now + step.length);
+        if (balancer.process)
+            balancer.process->signal(SIGKILL);
+        balancer.isEndExpected = true;
+        balancer.isStopping = false;
+        balancer.wakeAt.reset();
+        balancer.startAt = now + step.length;
+        return;
+    case SoakStepKind::StopBalancer:
+        judge_.disturb(balancer.name, now + grace);
+        if (!balancer.process || balancer.isEndExpected || balancer.wakeAt)
+            return;
+        balancer.process->signal(SIGTERM);
+        balancer.isEndExpected = true;
+        balancer.isStopping = true;
+        return;
+    case SoakStepKind::PauseBalancer:
+        judge_.disturb(balancer.name, now + step.length);
+        if (!balancer.process || balancer.isEndExpected)
+            return;
+        balancer.process->signal(SIGSTOP);
+        balancer.wakeAt = now + step.length;
+        return;
+    case SoakStepKind::ReloadBalancer:
+        (void)writeSettings(balancer);
+        if (balancer.process && !balancer.isEndExpected)
+            balancer.process->signal(SIGHUP);
+        return;
+    case SoakStepKind::StoreCutOff:
+        faults.cut = true;
+        judge_.disturb(balancer.name, now + step.length);
+        return setLink(balancer.storeLink, faults, true, step.length, now);
+    case SoakStepKind::StoreResets:
+        faults.cut = true;
+        faults.reset = true;
+        judge_.disturb(balancer.name, now + step.length);
+        return setLink(balancer.storeLink, faults, true, step.length, now);
+    case SoakStepKind::StoreOneWay:
+        faults.cut = true;
+        judge_.disturb(balancer.name, now + step.length);
+        return setLink(balancer.storeLink, faults, false, step.length, now);
+    case SoakStepKind::PacketsLost:
+        faults.loss = 0.2;
+        break;
+    case SoakStepKind::PacketsDoubled:
+        faults.duplicate = 0.5;
+        break;
+    default:
+        faults.reorder = 0.3;
+        faults.jitter = 20ms;
+        break;
+    }
+    judge_.disturb(balancer.name, now + step.length);
+    setLink(balancer.packetLink, faults, true, step.length, now);
+}
+
+void SoakRun::setLink(const std::string& link, const FaultSettings& faults, bool bothWays,
+    std::chrono::milliseconds length, TimePoint now)
+{
+    proxy_.setFaults({ link }, Direction::ToSource, faults);
+    if (bothWays)
+        proxy_.setFaults({ link }, Direction::ToTarget, faults);
+    after(length, now, [this, link] {
+        proxy_.setFaults({ link }, Direction::ToSource, {});
+        proxy_.setFaults({ link }, Direction::ToTarget, {});
+    });
+}
+
+void SoakRun::setStore(SoakStore::Trouble trouble, std::chrono::milliseconds length, TimePoint now)
+{
+    judge_.disturbStore(now + length);
+    store_->setTrouble(trouble);
+    after(length, now, [this] { store_->setTrouble(SoakStore::Trouble::None); });
+}
+
+void SoakRun::performOnStore(const SoakStep& step, TimePoint now)
+{
+    switch (step.kind) {
+    case SoakStepKind::StoreBusy:
+        return setStore(SoakStore::Trouble::Busy, step.length, now);
+    case SoakStepKind::StoreSilent:
+        return setStore(SoakStore::Trouble::Silent, step.length, now);
+    case SoakStepKind::StoreSlow:
+        return setStore(SoakStore::Trouble::Slow, step.length, now);
+    case SoakStepKind::StoreForgets:
+        store_->forgetHistory();
+        return judge_.disturbStore(now);
+    default:
+        break;
+    }
+    setStore(SoakStore::Trouble::Busy, step.length, now);
+    for (std::size_t i = 0; i < servers_.size(); i += 3) {
+        const std::string id = servers_[i]->entry().id;
+        after(step.length / 2, now, [this, id] { store_->remove(platform::serverKeyOf(id)); });
+        after(step.length + 1500ms, now, [this, id] {
+            for (const auto& server : servers_) {
+                if (server->entry().id == id)
+                    writeEntry(*server);
+            }
+        });
+    }
+    judge_.disturbStore(now + step.length + 1500ms);
+}
+
+void SoakRun::crash(std::size_t index, TimePoint now)
+{
+    const std::string id = servers_[index]->entry().id;
+    servers_.erase(servers_.begin() + static_cast<std::ptrdiff_t>(index));
+    after(3 * heartbeat, now, [this, id] {
+        store_->remove(platform::serverKeyOf(id));
+        judge_.noteServerLeaves(id, Clock::now());
+    });
+}
+
+void SoakRun::performOnServer(const SoakStep& step, TimePoint now)
+{
+    const std::size_t index = step.target % servers_.size();
+    SoakServer& server = *servers_[index];
+    const RegisteredServer entry = server.entry();
+    switch (step.kind) {
+    case SoakStepKind::ServerFull:
+        server.setFull(true);
+        after(step.length, now, [this, id = entry.id] {
+            for (const auto& other : servers_) {
+                if (other->entry().id == id)
+                    other->setFull(false);
+            }
+        });
+        return;
+    case SoakStepKind::ServerCrashes:
+        crash(index, now);
+        return after(
+            step.length + 2s, now, [this, entry] { openServer(entry.service, entry.availabilityZone, entry.address); });
+    case SoakStepKind::ServerReplacedInPlace:
+        crash(index, now);
+        // The platform gives an address away after two seconds, to whichever service.
+        return after(2s, now, [this, entry] {
+            openServer(entry.service == services[0] ? services[1] : services[0], entry.availabilityZone, entry.address);
+            // The service that lost a server gets one elsewhere.
+            openServer(entry.service, entry.availabilityZone, { entry.address.address + 50, entry.address.port });
+        });
+    default:
+        break;
+    }
+    server.drain();
+    writeEntry(server);
+    judge_.noteServerLeaves(entry.id, now);
+    openServer(entry.service, entry.availabilityZone, { entry.address.address + 100, entry.address.port });
+    after(5s, now, [this, id = entry.id] {
+        std::erase_if(servers_, [&](const auto& other) { return other->entry().id == id; });
+        store_->remove(platform::serverKeyOf(id));
+    });
+}
+
+void SoakRun::performOnConfiguration(const SoakStep& step, TimePoint now)
+{
+    constexpr std::size_t fewestRoutes = 3;
+    constexpr int versionsOfStorm = 8;
+    const auto write = [this] {
+        configuration_.version += 1 + random_.next() % 5;
+        writeConfiguration();
+    };
+    switch (step.kind) {
+    case SoakStepKind::RouteAdded:
+        ++nextRoute_;
+        configuration_.routes.push_back(
+            { fmt::format("route-{}", nextRoute_), routeOf(nextRoute_), { { services[step.target % 2], 1 } } });
+        return write();
+    case SoakStepKind::RouteRemoved:
+        if (configuration_.routes.size() > fewestRoutes)
+            configuration_.routes.erase(configuration_.routes.begin()
+                + static_cast<std::ptrdiff_t>(step.target % configuration_.routes.size()));
+        return write();
+    default:
+        for (int i = 0; i < versionsOfStorm; ++i)
+            after(i * 150ms, now, write);
+        return;
+    }
+}
+
+void SoakRun::after(std::chrono::milliseconds time, TimePoint now, std::function<void()> action)
+{
+    later_.push_back({ now + time, std::move(action) });
+}
+
+void SoakRun::keepLogs() const
+{
+    for (const Balancer& balancer : balancers_) {
+        if (balancer.process)
+            std::ofstream(directory_.path() / (balancer.process->name() + ".log")) << balancer.process->output();
+    }
+    std::ofstream plan(directory_.path() / "plan.txt");
+    for (const SoakStep& step : plan_.steps)
+        plan << step.toString() << "\n";
+    for (const std::string& violation : judge_.violations())
+        plan << violation << "\n";
+}
+
+}
--- /dev/null
+++ b/Source/Soak/SoakRun.h
@@ -0,0 +1,124 @@
+#pragma once
+
+#include "Experiment/ChildProcess.h"
+#include "Experiment/EventLoop.h"
+#include "Experiment/RunDirectory.h"
+#include "FaultProxy/FaultProxy.h"
+#include "Net/Http1Client.h"
+#include "Soak/SoakCallers.h"
+#include "Soak/SoakJudge.h"
+#include "Soak/SoakSchedule.h"
+#include "Soak/SoakServer.h"
+#include "Soak/SoakStore.h"
+
+#include <cstdint>
+#include <filesystem>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace wisteriadock {
+
+struct SoakOptions {
+    // wisteriadock-forwarder.
+    std::filesystem::path program;
+    std::size_t availabilityZones = 3;
+    std::size_t balancersPerZone = 2;
+    std::size_t serversPerZone = 4;
+    std::size_t flowsPerSecond = 60;
+};
+
+// One run of a plan: real forwarders as separate processes on loopback, and in this process the callers, routers,
+// backend servers and the store, all of them behind the fault proxy's links. Every address is of this run alone.
+class SoakRun {
+public:
+    SoakRun(const SoakOptions&, const SoakPlan&, EventLoop&, const RunDirectory&);
+    ~SoakRun();
+    SoakRun(const SoakRun&) = delete;
+    SoakRun& operator=(const SoakRun&) = delete;
+
+    // Fails when the run could not be made; what was broken stands in the judge.
+    Result<void> run();
+
+    const SoakJudge& judge() const { return judge_; }
+
+private:
+    struct Balancer {
+        std::string name;
+        std::string availabilityZone;
+        Endpoint address; // Its own, without a port.
+        std::string packetLink;
+        std::string storeLink;
+        Endpoint packetEntry; // Where routers send.
+        Endpoint storeEntry; // Where it finds the store.
+        std::unique_ptr<ChildProcess> process;
+        std::unique_ptr<Http1Client> readiness;
+        // Counts missed checks; two take it out of the rotation.
+        int misses = 2;
+        bool isCheckOpen = false;
+        // Why it is expected to be down, and when it is started again.
+        bool isEndExpected = false;
+        bool isStopping = false;
+        bool isPaused = false;
+        std::optional<TimePoint> startAt;
+        std::optional<TimePoint> wakeAt;
+        std::uint32_t starts = 0;
+    };
+
+    // Things to be undone or done later.
+    struct Later {
+        TimePoint at;
+        std::function<void()> action;
+    };
+
+    Result<void> build();
+    Result<void> buildBalancers();
+    Result<void> startBalancer(Balancer&);
+    Result<void> writeSettings(const Balancer&) const;
+    void openServer(const std::string& service, const std::string& zone, Endpoint address);
+    void writeEntry(const SoakServer&);
+    void writeConfiguration();
+
+    void tick(TimePoint now);
+    void checkReadiness(Balancer&);
+    void watchProcesses(TimePoint now);
+    std::pair<Endpoint, std::string> routePacket(const FlowEnds&) const;
+    void perform(const SoakStep&, TimePoint now);
+    void performOnBalancer(const SoakStep&, Balancer&, TimePoint now);
+    void performOnStore(const SoakStep&, TimePoint now);
+    void performOnServer(const SoakStep&, TimePoint now);
+    void performOnConfiguration(const SoakStep&, TimePoint now);
+    void setStore(SoakStore::Trouble, std::chrono::milliseconds, TimePoint now);
+    void setLink(
+        const std::string& link, const FaultSettings&, bool bothWays, std::chrono::milliseconds, TimePoint now);
+    void crash(std::size_t server, TimePoint now);
+    void after(std::chrono::milliseconds, TimePoint now, std::function<void()>);
+    void keepLogs() const;
+
+    const SoakOptions options_;
+    const SoakPlan plan_;
+    EventLoop& loop_;
+    const RunDirectory& directory_;
+    FaultProxy proxy_;
+    SoakJudge judge_;
+    SoakServerEvents serverEvents_;
+    SoakCallerEvents callerEvents_;
+    std::uint8_t network_ = 0;
+    std::unique_ptr<SoakStore> store_;
+    std::vector<Balancer> balancers_;
+    std::vector<std::unique_ptr<SoakServer>> servers_;
+    std::vector<std::unique_ptr<SoakCallers>> callers_;
+    ForwardingConfiguration configuration_;
+    std::vector<Later> later_;
+    std::uint64_t nextServerNumber_ = 0x1000;
+    std::uint32_t nextRoute_ = 10;
+    SeededRandom random_;
+    double flowsDue_ = 0;
+    TimePoint lastTick_;
+    std::size_t nextStep_ = 0;
+    TimePoint startedAt_;
+};
+
+}
--- /dev/null
+++ b/Source/Soak/SoakSchedule.cpp
@@ -0,0 +1,95 @@
+#include "Soak/SoakSchedule.h"
+
+#include "Core/NameTable.h"
+#include "StandIns/SeededRandom.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace wisteriadock {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr auto stepNames = makeNameTable<SoakStepKind>({
+        { SoakStepKind::KillBalancer, "kill_balancer" },
+        { SoakStepKind::StopBalancer, "stop_balancer" },
+        { SoakStepKind::PauseBalancer, "pause_balancer" },
+        { SoakStepKind::ReloadBalancer, "reload_balancer" },
+        { SoakStepKind::KillAll, "kill_all" },
+        { SoakStepKind::StoreBusy, "store_busy" },
+        { SoakStepKind::StoreSilent, "store_silent" },
+        { SoakStepKind::StoreSlow, "store_slow" },
+        { SoakStepKind::StoreForgets, "store_forgets" },
+        { SoakStepKind::StoreLapses, "store_lapses" },
+        { SoakStepKind::StoreCutOff, "store_cut_off" },
+        { SoakStepKind::StoreResets, "store_resets" },
+        { SoakStepKind::StoreOneWay, "store_one_way" },
+        { SoakStepKind::PacketsLost, "packets_lost" },
+        { SoakStepKind::PacketsDoubled, "packets_doubled" },
+        { SoakStepKind::PacketsReordered, "packets_reordered" },
+        { SoakStepKind::ServerCrashes, "server_crashes" },
+        { SoakStepKind::ServerDrains, "server_drains" },
+        { SoakStepKind::ServerReplacedInPlace, "server_replaced_in_place" },
+        { SoakStepKind::ServerFull, "server_full" },
+        { SoakStepKind::RouteAdded, "route_added" },
+        { SoakStepKind::RouteRemoved, "route_removed" },
+        { SoakStepKind::ConfigurationStorm, "configuration_storm" },
+    });
+    static_assert(stepNames.rows().size() == soakStepKinds);
+
+    // Steps begin within this part of the run; the rest is for recovery.
+    constexpr double troubledPart = 0.55;
+    constexpr double quietBeginning = 0.1;
+    constexpr double stepsPerSecond = 0.9;
+    constexpr double seriesChance = 0.25;
+
+    SoakStep drawStep(SeededRandom& random, std::chrono::milliseconds at)
+    {
+        SoakStep step;
+        step.at = at;
+        do
+            step.kind = stepNames.rows()[random.next() % soakStepKinds].first;
+        while (step.kind == SoakStepKind::KillAll);
+        step.target = static_cast<std::uint32_t>(random.next() % 1000);
+        step.length = std::chrono::milliseconds(static_cast<int>(random.nextBetween(500, 4000)));
+        return step;
+    }
+
+}
+
+std::string_view nameOf(SoakStepKind kind) { return stepNames.name(kind); }
+
+std::string SoakStep::toString() const
+{
+    return fmt::format(
+        "{:.2f} s {} (target {}, {} ms)", static_cast<double>(at.count()) / 1000, nameOf(kind), target, length.count());
+}
+
+SoakPlan drawSoakPlan(std::uint64_t seed, std::chrono::milliseconds length)
+{
+    SeededRandom random(seed);
+    SoakPlan plan { seed, length, {} };
+    const auto total = static_cast<double>(length.count());
+    const auto count = static_cast<int>(total / 1000 * troubledPart * stepsPerSecond);
+    for (int i = 0; i < count; ++i) {
+        const double at = random.nextBetween(quietBeginning, troubledPart) * total;
+        const SoakStep step = drawStep(random, std::chrono::milliseconds(static_cast<int>(at)));
+        plan.steps.push_back(step);
+        if (random.nextUniform() >= seriesChance)
+            continue;
+        // The same again, soon, for another target.
+        SoakStep next = step;
+        next.at += std::chrono::milliseconds(static_cast<int>(random.nextBetween(100, 1200)));
+        next.target = static_cast<std::uint32_t>(random.next() % 1000);
+        plan.steps.push_back(next);
+    }
+    plan.steps.push_back({ std::chrono::milliseconds(static_cast<int>(total * troubledPart)), SoakStepKind::KillAll, 0,
+        std::chrono::milliseconds(static_cast<int>(random.nextBetween(300, 1200))) });
+    std::ranges::stable_sort(plan.steps, {}, &SoakStep::at);
+    return plan;
+}
+
+}
--- /dev/null
+++ b/Source/Soak/SoakSchedule.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace wisteriadock {
+
+// What is done to the system from outside.
+enum class SoakStepKind {
+    KillBalancer, // SIGKILL, started again after the step's time.
+    StopBalancer, // SIGTERM, started again once it ended.
+    PauseBalancer, // SIGSTOP for the step's time.
+    ReloadBalancer, // Settings rewritten, and SIGHUP.
+    KillAll,
+    StoreBusy,
+    StoreSilent,
+    StoreSlow,
+    StoreForgets, // Its history is gone.
+    StoreLapses, // Busy, and the entries of some servers vanish meanwhile and come back after it.
+    StoreCutOff, // One balancer does not reach the store.
+    StoreResets, // One balancer's connections to the store are reset.
+    StoreOneWay, // The store's answers do not reach one balancer.
+    PacketsLost, // Of one balancer, as are the next two.
+    PacketsDoubled,
+    PacketsReordered,
+    ServerCrashes, // Without a word; its entry vanishes after three heartbeats.
+    ServerDrains, // And another one takes its place.
+    ServerReplacedInPlace, // Crashes; another service's server gets its address.
+    ServerFull, // Takes no new flows for a while.
+    RouteAdded,
+    RouteRemoved,
+    ConfigurationStorm, // Versions in quick succession.
+};
+
+inline constexpr std::size_t soakStepKinds = 23;
+
+std::string_view nameOf(SoakStepKind);
+
+struct SoakStep {
+    std::chrono::milliseconds at { 0 };
+    SoakStepKind kind = SoakStepKind::KillBalancer;
+    // Picks the balancer or server among those there are.
+    std::uint32_t target = 0;
+    std::chrono::milliseconds length { 0 };
+
+    std::string toString() const;
+};
+
+struct SoakPlan {
+    std::uint64_t seed = 1;
+    std::chrono::milliseconds length { 20000 };
+    std::vector<SoakStep> steps;
+};
+
+// The schedule of a seed: steps that overlap and come in series, then everything is killed, and a calm time in which
+// everything has to work again. The same seed and length give the same schedule on every machine.
+SoakPlan drawSoakPlan(std::uint64_t seed, std::chrono::milliseconds length);
+
+}
--- /dev/null
+++ b/Source/Soak/SoakServer.cpp
@@ -0,0 +1,115 @@
+#include "Soak/SoakServer.h"
+
+#include "Soak/SoakPacket.h"
+#include "platform/PacketLayout.h"
+
+#include <algorithm>
+#include <array>
+#include <tuple>
+
+namespace wisteriadock {
+
+namespace {
+
+    constexpr std::size_t answerBytes = 200;
+
+    bool isBefore(const FlowEnds& a, const FlowEnds& b)
+    {
+        return std::tie(a.caller, a.route) < std::tie(b.caller, b.route);
+    }
+
+}
+
+Result<std::unique_ptr<SoakServer>> SoakServer::open(
+    boost::asio::io_context& context, RegisteredServer entry, std::uint16_t callerPort, const SoakServerEvents& events)
+{
+    std::unique_ptr<SoakServer> server(new SoakServer(std::move(entry), callerPort, events));
+    BOOST_OUTCOME_TRY(socket,
+        UdpSocket::bind(context, server->entry_.address,
+            [target = server.get()](const Endpoint&, std::span<const std::uint8_t> bytes) { target->receive(bytes); }));
+    server->socket_ = std::move(socket);
+    return server;
+}
+
+SoakServer::SoakServer(RegisteredServer entry, std::uint16_t callerPort, const SoakServerEvents& events)
+    : entry_(std::move(entry))
+    , callerPort_(callerPort)
+    , events_(events)
+    , flows_(&isBefore)
+{
+}
+
+void SoakServer::receive(std::span<const std::uint8_t> datagram)
+{
+    if (datagram.size() < platform::serverPrefixBytes)
+        return events_.onChangedPacket(entry_);
+    const auto own = platform::serverPrefix(entry_.number);
+    // Packets for an earlier server at this address are none of its business.
+    if (!std::equal(own.begin(), own.end(), datagram.begin()))
+        return;
+    const auto bytes = datagram.subspan(platform::serverPrefixBytes);
+    const auto packet = platform::decodePacket(bytes);
+    if (!packet || !isSealed(bytes))
+        return events_.onChangedPacket(entry_);
+    packet->opens ? takeOpening(*packet) : takeTraffic(*packet);
+}
+
+void SoakServer::takeOpening(const TokenPacket& packet)
+{
+    if (isFull_)
+        return;
+    const auto [entry, isNew] = flows_.try_emplace(packet.ends);
+    Flow& flow = entry->second;
+    if (isNew) {
+        flow.ownSequence = nextSequence_ += 1000;
+        flow.callerSequence = packet.sequence + 1;
+        events_.onOpening(entry_, packet.ends);
+    }
+    flow.token = packet.token;
+    TokenPacket answer;
+    answer.opens = true;
+    answer.sequence = flow.ownSequence;
+    reply(packet.ends, flow, answer);
+}
+
+void SoakServer::takeTraffic(const TokenPacket& packet)
+{
+    const auto entry = flows_.find(packet.ends);
+    if (entry == flows_.end()) {
+        TokenPacket reset;
+        reset.resets = true;
+        reset.sequence = packet.acknowledgement;
+        if (!packet.resets)
+            reply(packet.ends, { 0, 0, packet.token, false }, reset);
+        return;
+    }
+    Flow& flow = entry->second;
+    if (packet.token != 0)
+        flow.token = packet.token;
+    flow.isOpen = true;
+    if (packet.finishes || packet.resets) {
+        flows_.erase(entry);
+        return;
+    }
+    if (packet.payloadBytes == 0)
+        return;
+    // A request that was answered before is answered again alike, since the caller did not get it.
+    flow.callerSequence = std::max(flow.callerSequence, packet.sequence + packet.payloadBytes);
+    TokenPacket answer;
+    answer.acknowledges = true;
+    answer.sequence = packet.acknowledgement;
+    const std::array<std::uint8_t, answerBytes> body {};
+    reply(packet.ends, flow, answer, body);
+}
+
+void SoakServer::reply(
+    const FlowEnds& ends, const Flow& flow, TokenPacket packet, std::span<const std::uint8_t> payload)
+{
+    packet.ends = { ends.route, ends.caller };
+    packet.token = flow.token;
+    packet.acknowledgement = flow.callerSequence;
+    packet.acknowledges = !packet.resets;
+    socket_->send({ ends.caller.address, callerPort_ }, sealPacket(packet, payload));
+}
+
+}
--- /dev/null
+++ b/Source/Soak/SoakStore.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "Net/Http1Server.h"
+#include "Platform/PlatformCalls.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace wisteriadock {
+
+// A stand-in for the platform's store in its own protocol, with the faults that it may have.
+class SoakStore {
+public:
+    enum class Trouble {
+        None,
+        Busy, // Answers that nothing was done.
+        Silent, // Takes calls and never answers.
+        Slow,
+    };
+
+    static Result<std::unique_ptr<SoakStore>> open(boost::asio::io_context&, Endpoint);
+    SoakStore(const SoakStore&) = delete;
+    SoakStore& operator=(const SoakStore&) = delete;
+
+    Endpoint address() const { return server_->address(); }
+
+    void put(const std::string& key, std::string value);
+    void remove(const std::string& key);
+    // Answers of watches from before now say that their history is gone.
+    void forgetHistory() { forgottenTo_ = revision_; }
+    void setTrouble(Trouble trouble) { trouble_ = trouble; }
+    std::uint64_t calls() const { return calls_; }
+
+private:
+    struct Waiting {
+        std::shared_ptr<Http1Exchange> exchange;
+        ChangesCall call;
+        std::shared_ptr<boost::asio::steady_timer> timer;
+    };
+
+    explicit SoakStore(boost::asio::io_context& context)
+        : context_(context)
+    {
+    }
+
+    void handle(const std::shared_ptr<Http1Exchange>&);
+    void answer(const std::shared_ptr<Http1Exchange>&);
+    void watch(const std::shared_ptr<Http1Exchange>&, const ChangesCall&);
+    PlatformChanges changesAfter(const ChangesCall&) const;
+    void answerWaiting();
+
+    boost::asio::io_context& context_;
+    std::unique_ptr<Http1Server> server_;
+    std::map<std::string, PlatformItem> items_;
+    std::vector<PlatformItem> history_;
+    std::uint64_t revision_ = 1;
+    std::uint64_t forgottenTo_ = 0;
+    std::uint64_t calls_ = 0;
+    Trouble trouble_ = Trouble::None;
+    std::map<std::uint64_t, Waiting> waiting_;
+    std::uint64_t nextWaiting_ = 0;
+    std::vector<std::shared_ptr<Http1Exchange>> neverAnswered_;
+};
+
+}
