FlowStory, Forwarder: Lead from a request's id to its cause

Cause: with logs alone one could not tell which flow a request used, when its bytes were repeated, or that a server was left out at the choice of another flow. Change: lines for requests that begin (with the id that the packet shows), repeated bytes, late answers, servers left out and back; wisteriadock-flow-story puts the lines of all balancers about one request, flow or server in order. Routes are set at the start, and a run without requests is a violation.

--- /dev/null
+++ b/Source/FlowStory/FlowStory.cpp
@@ -0,0 +1,113 @@
+#include "FlowStory/FlowStory.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <set>
+
+namespace wisteriadock {
+
+namespace {
+
+    // Keys that describe() shows elsewhere or that are the same in every line.
+    constexpr std::array<std::string_view, 8> leadingKeys { "steady_ms", "time_of_day_s", "level", "part", "event",
+        "vm", "availability_zone", "incarnation" };
+
+    bool fits(const LogLine& line, const FlowStoryQuery& query, const std::set<std::string>& flows)
+    {
+        const std::string flow = line.text("flow");
+        if (flow.empty())
+            return false;
+        const bool isFlow = query.flow.empty() || flow == query.flow || flow.starts_with(query.flow + ">");
+        const bool isServer = query.server.empty() || line.text("server") == query.server;
+        const bool isRequest = query.request.empty() || flows.contains(flow);
+        return isFlow && isServer && isRequest;
+    }
+
+    bool isCircumstance(const LogLine& line, const std::set<std::string>& servers, const std::set<std::string>& vms)
+    {
+        const std::string part = line.text("part");
+        if (part == "server")
+            return servers.contains(line.text("server"));
+        if (part == "configuration" || part == "store" || part == "process" || part == "settings" || part == "news")
+            return vms.contains(line.text("vm"));
+        return false;
+    }
+
+}
+
+std::string LogLine::text(std::string_view key) const
+{
+    const auto field = fields.find(std::string(key));
+    return field != fields.end() && field->is_string() ? field->get<std::string>() : std::string();
+}
+
+std::vector<LogLine> readLogLines(std::istream& input, std::size_t& unreadable)
+{
+    std::vector<LogLine> lines;
+    for (std::string text; std::getline(input, text);) {
+        const std::size_t begin = text.find('{');
+        if (begin == std::string::npos)
+            continue;
+        LogLine line { 0, nlohmann::ordered_json::parse(text.substr(begin), nullptr, false) };
+        const bool isLine = line.fields.is_object() && line.fields.contains("part")
+            && line.fields.contains("time_of_day_s") && line.fields["time_of_day_s"].is_number();
+        if (!isLine) {
+            ++unreadable;
+            continue;
+        }
+        line.timeOfDay = line.fields["time_of_day_s"].get<double>();
+        lines.push_back(std::move(line));
+    }
+    return lines;
+}
+
+Result<std::vector<LogLine>> storyOf(std::vector<LogLine> lines, const FlowStoryQuery& query)
+{
+    if (query.request.empty() && query.flow.empty() && query.server.empty())
+        return Error { ErrorCode::InvalidArgument, "name a request, a flow or a server" };
+    std::ranges::stable_sort(lines, {}, &LogLine::timeOfDay);
+    std::set<std::string> flows;
+    for (const LogLine& line : lines) {
+        if (!query.request.empty() && line.text("request") == query.request)
+            flows.insert(line.text("flow"));
+    }
+    std::set<std::string> servers;
+    std::set<std::string> vms;
+    const LogLine* first = nullptr;
+    const LogLine* last = nullptr;
+    for (const LogLine& line : lines) {
+        if (!fits(line, query, flows))
+            continue;
+        first = first ? first : &line;
+        last = &line;
+        servers.insert(line.text("server"));
+        vms.insert(line.text("vm"));
+    }
+    if (!first)
+        return Error { ErrorCode::NotFound, fmt::format("none of {} lines fits", lines.size()) };
+    const double around = std::chrono::duration<double>(query.around).count();
+    const double from = first->timeOfDay - around;
+    const double to = last->timeOfDay + around;
+    std::vector<LogLine> story;
+    for (const LogLine& line : lines) {
+        const bool isNear = line.timeOfDay >= from && line.timeOfDay <= to;
+        if (fits(line, query, flows) || (isNear && isCircumstance(line, servers, vms)))
+            story.push_back(line);
+    }
+    return story;
+}
+
+std::string describe(const LogLine& line, double firstTime)
+{
+    std::string text = fmt::format(
+        "{:10.6f} {:<16} {}.{}", line.timeOfDay - firstTime, line.text("vm"), line.text("part"), line.text("event"));
+    for (const auto& [key, value] : line.fields.items()) {
+        if (std::ranges::count(leadingKeys, key) == 0)
+            text += fmt::format(" {}={}", key, value.is_string() ? value.get<std::string>() : value.dump());
+    }
+    return text;
+}
+
+}
--- a/Source/Forward/FlowBook.cpp
+++ b/Source/Forward/FlowBook.cpp
@@ -88,12 +88,17 @@
             setBusy(flow, false, now);
         }
     }
-    if (progress.hasAnswered)
+    if (progress.hasAnswered) {
+        progress.isBack = server.seen.failures > 0;
         noteLife(server.seen, now);
+    }
     if (isAfter(end, flow.sequenceEnd)) {
         flow.sequenceEnd = end;
+        progress.beginsRequest = packet.payloadBytes > 0 && !flow.isBusy;
         if (packet.payloadBytes > 0)
             setBusy(flow, true, now);
+    } else {
+        progress.repeats = packet.payloadBytes > 0;
     }
     if (packet.finishes || packet.resets) {
         forget(flow);
--- a/Source/Forward/FlowBook.h
+++ b/Source/Forward/FlowBook.h
@@ -39,9 +39,14 @@
 struct FlowProgress {
     // The caller acknowledged something new, so the server answers.
     bool hasAnswered = false;
+    // It had been left out as silent.
+    bool isBack = false;
     // How long the flow took to open, or a request to be answered, when the packet shows that.
     std::optional<Duration> openingTime;
     std::optional<Duration> answerTime;
+    // The packet begins a request, or repeats bytes that the caller sent before.
+    bool beginsRequest = false;
+    bool repeats = false;
 };
 
 // The flows that this balancer saw lately, and how many of them each server has. All counters of ServerObservation that
--- a/Source/Forward/OpeningPolicy.cpp
+++ b/Source/Forward/OpeningPolicy.cpp
@@ -43,7 +43,8 @@
         if (!server->mayTakeFlows())
             continue;
         ++choice.eligible;
-        review(*server, now);
+        if (review(*server, now))
+            choice.leftOut.push_back(server);
         const Candidate candidate { server, costOf(*server, now), hashPair(flowHash, server->entry.number) };
         const bool isLeftOut = server->seen.leftOutUntil > now;
         const bool awaitsTrial = server->seen.failures > 0 && server->seen.waitingSince != TimePoint::max();
--- a/Source/Forward/OpeningPolicy.h
+++ b/Source/Forward/OpeningPolicy.h
@@ -9,6 +9,7 @@
 #include <chrono>
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace wisteriadock {
 
@@ -41,6 +42,8 @@
     bool isDesperate = false;
     // A server that was left out gets this flow as a trial.
     bool isTrial = false;
+    // Servers that were left out by this look at them.
+    std::vector<const KnownServer*> leftOut {};
 };
 
 // Chooses the backend server of a new flow: the one with the least known work, the own availability zone first, and
--- a/Source/Forward/TokenRouter.cpp
+++ b/Source/Forward/TokenRouter.cpp
@@ -107,12 +107,15 @@
             flows_.noteTry(packet.ends, *again, packet.acknowledgement, now);
         return decision;
     }
+    const KnownServer* leftOut = nullptr;
     if (former && !former->isOpen) {
         KnownServer* silent = directory_.findByToken(former->token);
         if (silent && silent->seen.lastProgress < former->triedAt && policy_.review(*silent, now))
-            decision.leftOut = silent;
+            leftOut = silent;
     }
     decision.choice = policy_.choose(directory_.serversOf(*service), packet.ends, former, now);
+    if (leftOut)
+        decision.choice.leftOut.push_back(leftOut);
     if (!decision.choice.server)
         return refuse(packet, PacketReason::NoServer);
     decision.reason = former ? PacketReason::OpenedElsewhere : PacketReason::Opened;
--- a/Source/Forward/TokenRouter.h
+++ b/Source/Forward/TokenRouter.h
@@ -53,8 +53,6 @@
     // How often this caller has sent the opening packet before.
     std::uint32_t copies = 0;
     FlowProgress progress;
-    // The server was silent for so long that this packet's decision left it out.
-    const KnownServer* leftOut = nullptr;
 };
 
 struct RouterSettings {
--- a/Source/Forwarder/ForwarderLog.cpp
+++ b/Source/Forwarder/ForwarderLog.cpp
@@ -51,6 +51,30 @@
     log_.writeAdmitted(level, "flow", reason, event, now);
 }
 
+void ForwarderLog::progress(
+    const TokenPacket& packet, const PacketDecision& decision, std::string_view requestId, TimePoint now)
+{
+    const FlowProgress& progress = decision.progress;
+    const bool isSlow = progress.answerTime && *progress.answerTime > slowAnswer;
+    if (!progress.beginsRequest && !progress.repeats && !isSlow)
+        return;
+    const char* name = progress.beginsRequest ? "request" : progress.repeats ? "repeated" : "answered_late";
+    const LogLevel level = progress.beginsRequest ? LogLevel::Info : LogLevel::Warning;
+    if (level < log_.level() || !log_.admits("flow", name, now))
+        return;
+    const KnownServer& server = *decision.server;
+    Event event;
+    event.add("flow", flowNameOf(packet.ends));
+    if (!requestId.empty())
+        event.add("request", requestId);
+    event.add("server", server.entry.id).add("server_state", nameOf(server.state));
+    event.add("silent_ms", ageOf(server.seen.lastProgress, now));
+    event.add("flows", server.seen.flows).add("busy", server.seen.busy);
+    if (progress.answerTime)
+        event.add("former_answer_ms", *progress.answerTime);
+    log_.writeAdmitted(level, "flow", name, event, now);
+}
+
 void ForwarderLog::malformed(std::size_t bytes, const Endpoint& sender, TimePoint now)
 {
     if (!log_.admits("flow", "malformed", now))
@@ -113,4 +137,10 @@
         now);
 }
 
+void ForwarderLog::back(const KnownServer& server, TimePoint now)
+{
+    log_.write(LogLevel::Info, "server", "back",
+        Event().add("server", server.entry.id).add("service", server.entry.service), now);
+}
+
 }
--- a/Source/Forwarder/ForwarderLog.h
+++ b/Source/Forwarder/ForwarderLog.h
@@ -5,6 +5,7 @@
 #include "News/NewsExchange.h"
 
 #include <string>
+#include <string_view>
 
 namespace wisteriadock {
 
@@ -12,6 +13,9 @@
 // the addresses and ports of its two ends, "CALLER>ROUTE", which callers and packet captures show too.
 class ForwarderLog {
 public:
+    // An answer that takes longer than this is logged: half of what the users' callers wait for at most.
+    static constexpr std::chrono::milliseconds slowAnswer { 250 };
+
     explicit ForwarderLog(EventLog& log)
         : log_(log)
     {
@@ -21,6 +25,8 @@
     // logged at the level debug.
     void packet(const TokenPacket&, const PacketDecision&, std::uint64_t configurationVersion, std::uint64_t revision,
         TimePoint now);
+    // What a packet of an open flow showed: a request that begins, one that is repeated, an answer that came late.
+    void progress(const TokenPacket&, const PacketDecision&, std::string_view requestId, TimePoint now);
     void malformed(std::size_t bytes, const Endpoint& sender, TimePoint now);
     void transition(const ServerTransition&, std::uint64_t revision, const std::string& source, TimePoint now);
     void configuration(std::uint64_t version, std::size_t routes, std::uint64_t revision, const std::string& source,
@@ -28,6 +34,7 @@
     void unreadable(const std::string& key, const Error&, TimePoint now);
     void news(const NewsChanged&, TimePoint now);
     void leftOut(const KnownServer&, TimePoint now);
+    void back(const KnownServer&, TimePoint now);
 
     EventLog& events() { return log_; }
 
--- a/Source/Forwarder/TokenPacketPath.h
+++ b/Source/Forwarder/TokenPacketPath.h
@@ -81,8 +81,13 @@
         metrics_.countPacket(decision.reason, decision.verdict);
         metrics_.observe(decision.progress);
         log_.packet(*packet, decision, router_.configurationVersion(), news_.book().completeTo(), now);
-        if (decision.leftOut)
-            log_.leftOut(*decision.leftOut, now);
+        for (const KnownServer* server : decision.choice.leftOut)
+            log_.leftOut(*server, now);
+        if (decision.progress.isBack)
+            log_.back(*decision.server, now);
+        if (decision.reason == PacketReason::Established)
+            log_.progress(*packet, decision,
+                decision.progress.beginsRequest ? Adapter::requestIdOf(datagram) : std::string_view(), now);
         if (decision.verdict == PacketVerdict::Forward)
             forward(index, *decision.server);
         else if (decision.verdict == PacketVerdict::Reset)
--- a/Source/Soak/SoakJudge.cpp
+++ b/Source/Soak/SoakJudge.cpp
@@ -120,6 +120,9 @@
 
 void SoakJudge::finish()
 {
+    // A run in which nothing could be seen has proved nothing.
+    if (served_ < fewRequests || openings_ < fewRequests)
+        violate(fmt::format("SERVICE: only {} requests were served and {} flows opened", served_, openings_));
     if (calmRequests() >= fewRequests && shareOf(calmServed_, calmUnserved_) < calmShare)
         violate(fmt::format("SERVICE: {} of {} requests were served while all was calm", calmServed_, calmRequests()));
     if (allBack_ != TimePoint::max() && recoveredServed_ + recoveredUnserved_ >= fewRequests
--- a/Source/Soak/SoakRun.cpp
+++ b/Source/Soak/SoakRun.cpp
@@ -99,7 +99,6 @@
         configuration_.routes.push_back(
             { fmt::format("route-{}", number), routeOf(number), { { services[number % 2], 1 } } });
     configuration_.version = 1;
-    writeConfiguration();
     for (std::size_t zone = 0; zone < options_.availabilityZones; ++zone) {
         const auto base = 0x7F000000U | (std::uint32_t(network_) << 16) | (static_cast<std::uint32_t>(zone + 1) << 8);
         for (std::size_t i = 0; i < options_.serversPerZone; ++i)
@@ -109,6 +108,7 @@
             SoakCallers::open(loop_.context(), { base + callerHost, flowPort }, plan_.seed + zone, callerEvents_));
         callers_.push_back(std::move(callers));
     }
+    writeConfiguration();
     BOOST_OUTCOME_TRY(buildBalancers());
     return loop_.waitUntil(
         [this] {
--- a/Tests/Forward/TokenRouterTest.cpp
+++ b/Tests/Forward/TokenRouterTest.cpp
@@ -166,8 +166,8 @@
             SCOPED_TRACE("the copy goes elsewhere");
             const PacketDecision copy = route(opening(1, 1));
             EXPECT_NE(copy.server->entry.id, dead);
-            ASSERT_NE(copy.leftOut, nullptr);
-            EXPECT_EQ(copy.leftOut->entry.id, dead);
+            ASSERT_EQ(copy.choice.leftOut.size(), 1U);
+            EXPECT_EQ(copy.choice.leftOut.front()->entry.id, dead);
         }
         const auto countTo = [&](std::uint32_t from, std::uint32_t flows) {
             int count = 0;
@@ -195,7 +195,7 @@
             SCOPED_TRACE("a sign of life brings it back");
             const std::uint32_t token = router.directory().find(dead)->token;
             route(data(900, token, 1001, 5001, 0));
-            route(data(900, token, 1001, 5100, 0));
+            EXPECT_TRUE(route(data(900, token, 1001, 5100, 0)).progress.isBack);
             EXPECT_GT(countTo(300, 60), 10);
         }
     }
