--- /dev/null
+++ b/Tests/News/DecisionFleet.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "Forward/ForwardFixture.h"
+#include "News/NewsExchange.h"
+#include "News/StoreFeed.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace wisteriadock {
+
+// Several balancers' decisions in virtual time: each has a feed of the store, an exchange of news and a token router.
+// The store, the messages between balancers and the gossip of revisions are played by this class, with seeded faults.
+class DecisionFleet {
+public:
+    static constexpr std::size_t zones = 2;
+    static constexpr std::size_t balancersPerZone = 3;
+    // The first ones of each zone watch the store.
+    static constexpr std::size_t watchersPerZone = 2;
+
+    struct Balancer {
+        std::string name;
+        std::string availabilityZone;
+        BalancerId id;
+        std::unique_ptr<StoreFeed> feed;
+        std::unique_ptr<NewsExchange> exchange;
+        std::unique_ptr<TokenRouter> router;
+        bool isFrozen = false;
+        bool isTurnedAway = false;
+        std::uint64_t newestVersion = 0;
+    };
+
+    explicit DecisionFleet(std::uint32_t seed);
+
+    // The operators' and the servers' writes.
+    void writeConfiguration(std::uint64_t version, const std::vector<std::string>& servicesByRoute);
+    void writeServer(const RegisteredServer&);
+    void removeServer(const RegisteredServer&);
+    void forgetHistory() { forgottenTo_ = revision_; }
+
+    // Starts a balancer, or starts it anew with nothing.
+    void start(std::size_t index);
+    void advance(Duration);
+    std::vector<Balancer>& balancers() { return balancers_; }
+    TimePoint now() const { return clock_.now(); }
+    std::uint64_t revision() const { return revision_; }
+    std::mt19937& random() { return random_; }
+    static Endpoint routeOf(std::size_t number) { return { 0xC6120000 + static_cast<std::uint32_t>(number), 443 }; }
+    std::uint64_t regressions() const { return regressions_; }
+
+    bool isStoreDown = false;
+    double loss = 0;
+
+private:
+    struct Event {
+        TimePoint at;
+        std::uint64_t order = 0;
+        std::function<void()> action;
+    };
+
+    void put(const std::string& key, std::string value, bool isRemoved);
+    void schedule(Duration, std::function<void()>);
+    void perform(std::size_t, const StoreFeedActions&);
+    void perform(std::size_t, const NewsActions&);
+    void apply(Balancer&, const NewsChanged&);
+    void answerList(std::size_t);
+    void answerWatch(std::size_t, const SendWatch&, TimePoint until);
+    void beat();
+    bool isLost() { return std::uniform_real_distribution<>()(random_) < loss; }
+
+    ManualClock clock_;
+    std::mt19937 random_;
+    std::vector<Balancer> balancers_;
+    std::vector<std::uint64_t> lives_;
+    std::map<std::string, PlatformItem> items_;
+    std::vector<PlatformItem> history_;
+    std::map<std::string, RegisteredServer> servers_;
+    std::map<std::uint64_t, ForwardingConfiguration> configurations_;
+    std::uint64_t revision_ = 1;
+    std::uint64_t forgottenTo_ = 0;
+    std::uint64_t regressions_ = 0;
+    std::uint64_t nextOrder_ = 0;
+    std::vector<Event> events_;
+    TimePoint nextBeat_;
+};
+
+}
