News, Forwarder: Leave the first reading to the store, and spread requests for news

Change: who knows nothing asks others only if the store is lost or 1.5 s passed; another zone is asked 0.6 s later, watchers at once, which then tell their zone; in zones of more than 12 requests spread over 0.5 s and whoever has the news tells four others.

--- a/Source/Forward/FlowBook.cpp
+++ b/Source/Forward/FlowBook.cpp
@@ -94,11 +94,14 @@
     }
     if (isAfter(end, flow.sequenceEnd)) {
         flow.sequenceEnd = end;
+        flow.lastNewBytes = now;
         progress.beginsRequest = packet.payloadBytes > 0 && !flow.isBusy;
         if (packet.payloadBytes > 0)
             setBusy(flow, true, now);
-    } else {
-        progress.repeats = packet.payloadBytes > 0;
+    } else if (packet.payloadBytes > 0) {
+        const bool isOutOfOrder = now - flow.lastNewBytes < reorderedFor;
+        progress.mayBeHead = isOutOfOrder;
+        progress.repeats = !isOutOfOrder;
     }
     if (packet.finishes || packet.resets) {
         forget(flow);
--- a/Source/Forward/FlowBook.h
+++ b/Source/Forward/FlowBook.h
@@ -29,6 +29,8 @@
     TimePoint openedAt;
     TimePoint triedAt;
     TimePoint busySince;
+    // When bytes came that the caller had not sent before.
+    TimePoint lastNewBytes;
     // Servers that were tried and did not answer, latest first; 0 for none.
     std::array<std::uint32_t, 2> formerTries {};
     // What the opening packet was logged as, so that the end of the flow can be found by it.
@@ -44,8 +46,11 @@
     // How long the flow took to open, or a request to be answered, when the packet shows that.
     std::optional<Duration> openingTime;
     std::optional<Duration> answerTime;
-    // The packet begins a request, or repeats bytes that the caller sent before.
+    // The packet begins a request.
     bool beginsRequest = false;
+    // It may be the head of the request that began just before, since the network changes the order of packets.
+    bool mayBeHead = false;
+    // It repeats bytes that the caller sent long enough before to have missed an acknowledgement.
     bool repeats = false;
 };
 
@@ -59,6 +64,8 @@
     static constexpr std::chrono::milliseconds activeFor { 3000 };
     // An opening that led nowhere is over after the caller's last copy and a little more.
     static constexpr std::chrono::milliseconds openingFor { 2000 };
+    // Packets of one request that come out of order are closer together; callers repeat bytes after 200 ms.
+    static constexpr std::chrono::milliseconds reorderedFor { 100 };
 
     explicit FlowBook(ServerDirectory& directory)
         : directory_(directory)
--- a/Source/Forwarder/Forwarder.h
+++ b/Source/Forwarder/Forwarder.h
@@ -189,6 +189,7 @@
         if (const auto* news = std::get_if<StoreNews>(&action)) {
             peers_->handleStore(news->delta, now);
         } else if (const auto* lost = std::get_if<StoreLost>(&action)) {
+            peers_->setRole(peers_->shallWatch(), true);
             log_.write(LogLevel::Warning, "store", "lost", Event().add("error", lost->error.toString()), now);
         } else if (const auto* regained = std::get_if<StoreRegained>(&action)) {
             log_.write(LogLevel::Info, "store", "regained", Event().add("away_ms", regained->away), now);
@@ -207,6 +208,7 @@
 
     void onBeat(TimePoint now)
     {
+        peers_->setRole(peers_->shallWatch(), store_.feed().isLost());
         peers_->tick(now);
         store_.update(peers_->exchange().book().completeTo(), peers_->shallWatch() && !life_.isStopping(),
             peers_->exchange().behindSince(), now);
--- a/Source/Forwarder/ForwarderLog.cpp
+++ b/Source/Forwarder/ForwarderLog.cpp
@@ -21,8 +21,8 @@
 
 std::string flowNameOf(const FlowEnds& ends) { return ends.caller.toString() + ">" + ends.route.toString(); }
 
-void ForwarderLog::packet(const TokenPacket& packet, const PacketDecision& decision, std::uint64_t configurationVersion,
-    std::uint64_t revision, TimePoint now)
+void ForwarderLog::packet(const TokenPacket& packet, const PacketDecision& decision, std::string_view requestId,
+    std::uint64_t configurationVersion, std::uint64_t revision, TimePoint now)
 {
     const LogLevel level = levelOf(decision);
     const std::string_view reason = nameOf(decision.reason);
@@ -34,6 +34,8 @@
         event.add("copies", decision.copies);
     else
         event.add("token", packet.token);
+    if (!requestId.empty())
+        event.add("request", requestId);
     event.add("configuration_version", configurationVersion).add("revision", revision);
     if (decision.service)
         event.add("service", *decision.service);
@@ -56,10 +58,11 @@
 {
     const FlowProgress& progress = decision.progress;
     const bool isSlow = progress.answerTime && *progress.answerTime > slowAnswer;
-    if (!progress.beginsRequest && !progress.repeats && !isSlow)
+    const bool isRequest = progress.beginsRequest || (progress.mayBeHead && !requestId.empty());
+    if (!isRequest && !progress.repeats && !isSlow)
         return;
-    const char* name = progress.beginsRequest ? "request" : progress.repeats ? "repeated" : "answered_late";
-    const LogLevel level = progress.beginsRequest ? LogLevel::Info : LogLevel::Warning;
+    const char* name = isRequest ? "request" : progress.repeats ? "repeated" : "answered_late";
+    const LogLevel level = isRequest ? LogLevel::Info : LogLevel::Warning;
     if (level < log_.level() || !log_.admits("flow", name, now))
         return;
     const KnownServer& server = *decision.server;
--- a/Source/Forwarder/ForwarderLog.h
+++ b/Source/Forwarder/ForwarderLog.h
@@ -23,8 +23,8 @@
 
     // Says what was decided for a packet and by which inputs. Packets of open flows that went their way are only
     // logged at the level debug.
-    void packet(const TokenPacket&, const PacketDecision&, std::uint64_t configurationVersion, std::uint64_t revision,
-        TimePoint now);
+    void packet(const TokenPacket&, const PacketDecision&, std::string_view requestId,
+        std::uint64_t configurationVersion, std::uint64_t revision, TimePoint now);
     // What a packet of an open flow showed: a request that begins, one that is repeated, an answer that came late.
     void progress(const TokenPacket&, const PacketDecision&, std::string_view requestId, TimePoint now);
     void malformed(std::size_t bytes, const Endpoint& sender, TimePoint now);
--- a/Source/Forwarder/PeerNews.h
+++ b/Source/Forwarder/PeerNews.h
@@ -40,6 +40,8 @@
     void leave(TimePoint now);
     void setSeeds(std::vector<Endpoint> seeds, TimePoint now);
 
+    // What StoreFeed says of the store, and whether this balancer watches it.
+    void setRole(bool isWatcher, bool isStoreLost) { exchange_.setRole(isWatcher, isStoreLost); }
     // Whether this balancer is among those that watch the store.
     bool shallWatch() const;
     const NewsExchange& exchange() const { return exchange_; }
--- a/Source/Forwarder/TokenPacketPath.h
+++ b/Source/Forwarder/TokenPacketPath.h
@@ -12,6 +12,7 @@
 #include <boost/asio/posix/stream_descriptor.hpp>
 
 #include <span>
+#include <string_view>
 #include <utility>
 
 namespace wisteriadock {
@@ -80,20 +81,29 @@
         const PacketDecision decision = router_.route(*packet, now);
         metrics_.countPacket(decision.reason, decision.verdict);
         metrics_.observe(decision.progress);
-        log_.packet(*packet, decision, router_.configurationVersion(), news_.book().completeTo(), now);
+        const std::string_view requestId = showsRequest(*packet, decision) ? Adapter::requestIdOf(datagram) : "";
+        log_.packet(*packet, decision, requestId, router_.configurationVersion(), news_.book().completeTo(), now);
         for (const KnownServer* server : decision.choice.leftOut)
             log_.leftOut(*server, now);
         if (decision.progress.isBack)
             log_.back(*decision.server, now);
         if (decision.reason == PacketReason::Established)
-            log_.progress(*packet, decision,
-                decision.progress.beginsRequest ? Adapter::requestIdOf(datagram) : std::string_view(), now);
+            log_.progress(*packet, decision, requestId, now);
         if (decision.verdict == PacketVerdict::Forward)
             forward(index, *decision.server);
         else if (decision.verdict == PacketVerdict::Reset)
             reset(*packet);
     }
 
+    // Whether the log names the request of this packet: where one begins, and where one fails.
+    static bool showsRequest(const TokenPacket& packet, const PacketDecision& decision)
+    {
+        const bool hasFailed = decision.verdict != PacketVerdict::Forward;
+        const FlowProgress& progress = decision.progress;
+        return packet.payloadBytes > 0
+            && (hasFailed || progress.beginsRequest || progress.mayBeHead || progress.repeats);
+    }
+
     void forward(unsigned index, const KnownServer& server)
     {
         const std::span<std::uint8_t> packet = batch_.mutableDatagram(index);
--- a/Source/News/NewsExchange.cpp
+++ b/Source/News/NewsExchange.cpp
@@ -55,10 +55,18 @@
 {
     fetchUntil_.reset();
     NewsActions actions = merge(sender, delta, now);
+    if (!actions.empty())
+        isWatcher_ ? push(delta, actions) : announce(actions);
     review(now, actions);
     return actions;
 }
 
+void NewsExchange::setRole(bool isWatcher, bool isStoreLost)
+{
+    isWatcher_ = isWatcher;
+    isStoreLost_ = isStoreLost;
+}
+
 NewsActions NewsExchange::handleNoAnswer(TimePoint now)
 {
     fetchUntil_.reset();
@@ -91,7 +99,7 @@
     if (fetchUntil_)
         return fetchUntil_;
     if (behindSince_)
-        return *behindSince_ + settings_.patience;
+        return *behindSince_ + patienceFor(true);
     return std::nullopt;
 }
 
@@ -115,11 +123,30 @@
         // Complete for nobody: it only tells how far the sender is.
         small.from = small.to;
     }
+    for (const Member* member : othersInZone())
+        actions.emplace_back(PushNews { member->peerAddress, small });
+}
+
+// All of a large zone asking its two watchers for a large configuration would keep their links busy for seconds.
+void NewsExchange::announce(NewsActions& actions)
+{
+    std::vector<const Member*> others = view_ ? othersInZone() : std::vector<const Member*>();
+    if (others.size() < settings_.largeZone)
+        return;
+    const NewsDelta announcement { book_.completeTo(), book_.completeTo(), false, false, {} };
+    for (std::size_t i = 0; i < settings_.announcements; ++i)
+        actions.emplace_back(PushNews { others[random_() % others.size()]->peerAddress, announcement });
+}
+
+std::vector<const Member*> NewsExchange::othersInZone() const
+{
+    std::vector<const Member*> others;
     for (const Member& member : view_->members) {
         const bool isOther = member.id != view_->self && member.availabilityZone == availabilityZone_;
         if (isOther && isReachable(member))
-            actions.emplace_back(PushNews { member.peerAddress, small });
+            others.push_back(&member);
     }
+    return others;
 }
 
 void NewsExchange::review(TimePoint now, NewsActions& actions)
@@ -128,38 +155,50 @@
         behindSince_.reset();
         return;
     }
-    if (!behindSince_)
+    if (!behindSince_) {
         behindSince_ = now;
-    // A balancer that knows nothing serves nobody, so it does not wait.
-    const bool isDue = book_.completeTo() == 0 || now - *behindSince_ >= settings_.patience;
-    if (!isDue || fetchUntil_)
-        return;
-    const Member* source = chooseSource();
-    if (!source)
+        const bool isLarge = othersInZone().size() >= settings_.largeZone;
+        jitter_
+            = isLarge ? random_() % (settings_.spread.count() + 1) * std::chrono::milliseconds(1) : Duration::zero();
+    }
+    std::vector<const Member*> candidates = sources(true);
+    const bool hasNearSource = !candidates.empty();
+    if (!hasNearSource)
+        candidates = sources(false);
+    if (fetchUntil_ || candidates.empty() || now - *behindSince_ < patienceFor(hasNearSource))
         return;
+    const Member* source = choose(std::move(candidates));
     fetchUntil_ = now + settings_.answerWithin;
     lastSource_ = source->id;
     actions.emplace_back(FetchNews { source->id, source->requestAddress, book_.completeTo() });
 }
 
-// The own zone first, since bytes between zones are dear, and not the one that was asked last, which may be silent.
-const Member* NewsExchange::chooseSource()
+Duration NewsExchange::patienceFor(bool hasNearSource) const
+{
+    // Everything at once is much, and the store gives it to many more quickly than a balancer on a thin link does.
+    if (book_.completeTo() == 0)
+        return isStoreLost_ ? Duration::zero() : settings_.firstPatience;
+    const bool mayAskAtOnce = hasNearSource || isWatcher_;
+    return settings_.patience + jitter_ + (mayAskAtOnce ? Duration::zero() : Duration(settings_.farPatience));
+}
+
+std::vector<const Member*> NewsExchange::sources(bool isNear) const
 {
-    std::vector<const Member*> near;
-    std::vector<const Member*> far;
+    std::vector<const Member*> found;
     for (const Member& member : view_->members) {
         const bool isAhead = member.id != view_->self && revisionOf(member) > book_.completeTo();
-        if (!isAhead || !isReachable(member))
-            continue;
-        (member.availabilityZone == availabilityZone_ ? near : far).push_back(&member);
-    }
-    for (auto* group : { &near, &far }) {
-        if (group->size() + (group == &near ? far.size() : near.size()) > 1)
-            std::erase_if(*group, [&](const Member* member) { return member->id == lastSource_; });
-        if (!group->empty())
-            return (*group)[random_() % group->size()];
+        if (isAhead && isReachable(member) && (member.availabilityZone == availabilityZone_) == isNear)
+            found.push_back(&member);
     }
-    return nullptr;
+    return found;
+}
+
+// Not the one that was asked last, which may be silent, if there is another.
+const Member* NewsExchange::choose(std::vector<const Member*> members)
+{
+    if (members.size() > 1)
+        std::erase_if(members, [&](const Member* member) { return member->id == lastSource_; });
+    return members[random_() % members.size()];
 }
 
 std::uint64_t NewsExchange::newestElsewhere() const
--- a/Source/News/NewsExchange.h
+++ b/Source/News/NewsExchange.h
@@ -22,6 +22,17 @@
 struct NewsSettings {
     // How long a balancer waits for news to be pushed to it, once it has heard that others have it, before it asks.
     std::chrono::milliseconds patience { 300 };
+    // How much longer it waits before it asks another zone, since bytes between zones are dear: its zone's watchers ask
+    // first, and tell the others.
+    std::chrono::milliseconds farPatience { 600 };
+    // How long one that knows nothing yet leaves it to the store, which answers everybody at once, before it asks
+    // others for everything.
+    std::chrono::milliseconds firstPatience { 1500 };
+    // In a zone of more than this many, requests spread over a time, and whoever has been answered tells a few others,
+    // so that not all ask the watchers.
+    std::size_t largeZone = 12;
+    std::chrono::milliseconds spread { 500 };
+    std::size_t announcements = 4;
     // How long an answer may take, before another balancer is asked.
     std::chrono::milliseconds answerWithin { 800 };
     // Payload of a push; more is fetched by the receiver.
@@ -67,6 +78,8 @@
     NewsActions handlePush(BalancerId sender, const NewsDelta&, TimePoint now);
     NewsActions handleAnswer(const std::string& sender, const NewsDelta&, TimePoint now);
     NewsActions handleNoAnswer(TimePoint now);
+    // Whether this balancer watches the store, and whether the store answers it.
+    void setRole(bool isWatcher, bool isStoreLost);
     NewsActions handleView(std::shared_ptr<const MembersView>, TimePoint now);
     NewsActions tick(TimePoint now);
 
@@ -79,8 +92,12 @@
 private:
     NewsActions merge(const std::string& source, const NewsDelta&, TimePoint now);
     void push(const NewsDelta&, NewsActions&) const;
+    void announce(NewsActions&);
+    Duration patienceFor(bool hasNearSource) const;
+    std::vector<const Member*> othersInZone() const;
     void review(TimePoint now, NewsActions&);
-    const Member* chooseSource();
+    std::vector<const Member*> sources(bool isNear) const;
+    const Member* choose(std::vector<const Member*> members);
     std::uint64_t newestElsewhere() const;
     // How far a member is, by what it pushed and by what membership says.
     std::uint64_t revisionOf(const Member&) const;
@@ -96,6 +113,10 @@
     // When the fetch in progress is given up.
     std::optional<TimePoint> fetchUntil_;
     std::optional<BalancerId> lastSource_;
+    bool isWatcher_ = false;
+    bool isStoreLost_ = false;
+    // This balancer's own part of NewsSettings::spread, drawn anew for each wait.
+    Duration jitter_ {};
 };
 
 }
--- a/Tests/News/DecisionFleet.cpp
+++ b/Tests/News/DecisionFleet.cpp
@@ -127,6 +127,7 @@
         perform(index, balancer.exchange->handleView(view, now()));
         perform(index, balancer.exchange->tick(now()));
         const bool shallWatch = index % balancersPerZone < watchersPerZone;
+        balancer.exchange->setRole(shallWatch, balancer.feed->isLost());
         perform(index,
             balancer.feed->update(
                 balancer.exchange->book().completeTo(), shallWatch, balancer.exchange->behindSince(), now()));
