--- /dev/null
+++ b/Source/Flow/ServiceChangeLead.cpp
@@ -0,0 +1,161 @@
+// How a balancer leads the change of a service's table, asks for what it missed, and hands its flows over.
+#include "Flow/ServiceChange.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace wisteriadock {
+
+namespace {
+
+    constexpr int syncRequestRetries = 2;
+
+    BucketSet allBuckets() { return BucketSet().set(); }
+
+}
+
+void ServiceChange::reviewLead(const ChangeContext& context)
+{
+    const bool isArbiter = arbiter(context) == context.view.self;
+    if (lead_ && !isArbiter)
+        abandonLead(context);
+    if (lead_ && lead_->generation() < target_)
+        lead_.reset();
+    const bool hasReason = settled_ != target_ || wantedFactors_ != factors_;
+    const bool mayLead = isArbiter && !promise_ && deliveries_.isEmpty() && target_ != 0 && hasReason;
+    if (!lead_ && mayLead)
+        startLead(context);
+    if (!lead_)
+        return;
+    lead_->sendRequests(message(FlowMessageKind::ReportRequest, lead_->generation()), context);
+    if (lead_->isComplete(context)) {
+        switchOver(context);
+    } else if (lead_->patienceIsOver(context)) {
+        // Other factors can wait until everybody answers again; the operators' word cannot.
+        const bool onlyFactors = TableGeneration(lead_->generation()).version() == TableGeneration(settled_).version();
+        if (onlyFactors) {
+            abandonLead(context);
+            return;
+        }
+        ++forcedCount_;
+        switchOver(context);
+    }
+}
+
+void ServiceChange::startLead(const ChangeContext& context)
+{
+    ++startedCount_;
+    std::uint64_t generation = target_;
+    if (wantedFactors_ != factors_) {
+        // A number that an abandoned change had is never given again: others may still know it by other factors.
+        const std::uint64_t switched = TableGeneration(std::max(answer_, target_)).factorsRevision();
+        const std::uint64_t highest = std::max({ switched, factorsRevision_, numberedRevision_ });
+        numberedRevision_ = TableGeneration::nextRevision(highest, context.view.self);
+        generation = TableGeneration(version_, numberedRevision_).number();
+        makeTable(generation, wantedFactors_);
+    }
+    lead_.emplace(generation);
+    publish(context);
+}
+
+void ServiceChange::abandonLead(const ChangeContext& context)
+{
+    const FlowMessage release = message(FlowMessageKind::Release, lead_->generation());
+    context.forEachOther([&](const Member& member) { context.send(member.id, release); });
+    lead_.reset();
+    publish(context);
+}
+
+void ServiceChange::switchOver(const ChangeContext& context)
+{
+    const ReportCollection reports = std::move(*lead_);
+    lead_.reset();
+    const std::uint64_t previouslySettled = settled_;
+    const BucketSet buckets
+        = previouslySettled == 0 ? allBuckets() : tables_.doubtfulBuckets(previouslySettled, reports.generation());
+    settled_ = reports.generation();
+    answer_ = settled_;
+    ++settledCount_;
+    adoptFactorsOf(settled_);
+    const auto exceptions = flows_.installAndCollect(routingFor(context), buckets, *tables_.find(settled_));
+    deliverAfterSwitch(reports, previouslySettled, exceptions, context);
+    tables_.forgetBelow(settled_);
+}
+
+void ServiceChange::deliverAfterSwitch(const ReportCollection& reports, std::uint64_t previouslySettled,
+    const std::vector<KnownFlow>& exceptions, const ChangeContext& context)
+{
+    const auto changedParts = cutIntoParts(exceptions);
+    std::shared_ptr<const FlowParts> allParts;
+    context.forEachOther([&](const Member& member) {
+        context.send(member.id, message(FlowMessageKind::Switch, settled_));
+        // Whoever decided by the same table holds all older exceptions; anybody else needs them too.
+        const bool heldTheSame = previouslySettled != 0 && reports.settledGenerationOf(member.id) == previouslySettled;
+        if (!heldTheSame && !allParts)
+            allParts = cutIntoParts(flows_.collect(allBuckets(), *tables_.find(settled_)));
+        deliveries_.start(member.id, settled_, heldTheSame ? changedParts : allParts, context.now);
+    });
+    deliveries_.sendDue(message(FlowMessageKind::Exceptions, settled_), context);
+}
+
+void ServiceChange::sendReport(const ChangeContext& context)
+{
+    if (!promise_ || !promise_->report)
+        return;
+    sendParts(*promise_->report, promise_->arbiter, message(FlowMessageKind::Report, promise_->generation), context);
+}
+
+void ServiceChange::sendParts(PartSender& parts, BalancerId to, FlowMessage header, const ChangeContext& context)
+{
+    while (const auto part = parts.nextDue(context.now, context.settings.retryInterval)) {
+        parts.fill(header, *part);
+        if (!context.budget.take(estimatedBytes(header.groups)))
+            return;
+        context.send(to, header);
+        parts.markSent(*part, context.now);
+    }
+}
+
+void ServiceChange::requestSync(const ChangeContext& context)
+{
+    if (!protectsFlows_ || target_ == 0 || settled_ == target_ || promise_ || lead_)
+        return;
+    const auto helper = arbiter(context);
+    if (!helper || *helper == context.view.self)
+        return;
+    if (syncRequestedAt_ && context.now - *syncRequestedAt_ < syncRequestRetries * context.settings.retryInterval)
+        return;
+    syncRequestedAt_ = context.now;
+    context.send(*helper, message(FlowMessageKind::SyncRequest, target_));
+}
+
+// Without this, a flow whose few packets all came here would be unknown to the rest, and broken by the next change that
+// moves its bucket.
+void ServiceChange::handOver(const ChangeContext& context)
+{
+    if (!leaves_ || lead_ || promise_ || owesExceptions() || !isSettled())
+        return;
+    const auto receiver = context.otherArbiterOf(service_);
+    const bool lost = handover_ && !handover_->parts.isComplete() && handover_->to != receiver;
+    if (!handover_ || lost) {
+        handover_.emplace(Handover { receiver.value_or(BalancerId {}), PartSender(cutIntoParts({}), context.now) });
+        const auto flows = flows_.installAndCollectRare(routingFor(context));
+        if (receiver)
+            handover_->parts = PartSender(cutIntoParts(flows), context.now);
+        else
+            handover_->parts.acknowledgeAll();
+    }
+    if (receiver)
+        sendParts(handover_->parts, handover_->to, message(FlowMessageKind::Handover, settled_), context);
+}
+
+void ServiceChange::handleHandover(BalancerId from, const FlowMessage& handover, const ChangeContext& context)
+{
+    flows_.learn(flowsOf(handover.groups), context.now);
+    FlowMessage ack = message(FlowMessageKind::HandoverAck, handover.targetGeneration);
+    ack.list = handover.list;
+    ack.part = handover.part;
+    context.send(from, ack);
+}
+
+}
--- a/Source/Soak/SoakRun.h
+++ b/Source/Soak/SoakRun.h
@@ -11,6 +11,8 @@
 #include "Soak/SoakServer.h"
 #include "Soak/SoakStore.h"
 
+#include <array>
+#include <chrono>
 #include <cstdint>
 #include <filesystem>
 #include <functional>
@@ -45,6 +47,13 @@
     const SoakJudge& judge() const { return judge_; }
 
 private:
+    // The platform's bound for a planned stop, shortened.
+    static constexpr std::chrono::milliseconds grace { 3000 };
+    static constexpr std::array<const char*, 2> services { "tryon", "scanintake" };
+
+    // Routes are addresses that only stand in packets.
+    static Endpoint routeOf(std::uint32_t number) { return { 0xC6120000 + number, 443 }; }
+
     struct Balancer {
         std::string name;
         std::string availabilityZone;
--- /dev/null
+++ b/Source/Soak/SoakSteps.cpp
@@ -0,0 +1,250 @@
+// What class SoakRun does at each step of its plan.
+#include "Soak/SoakRun.h"
+
+#include "platform/StoredValues.h"
+
+#include <fmt/format.h>
+
+#include <csignal>
+
+namespace wisteriadock {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    // Three heartbeats of this length and a server's entry lapses.
+    constexpr auto heartbeat = 700ms;
+
+}
+
+void SoakRun::perform(const SoakStep& step, TimePoint now)
+{
+    switch (step.kind) {
+    case SoakStepKind::KillBalancer:
+    case SoakStepKind::StopBalancer:
+    case SoakStepKind::PauseBalancer:
+    case SoakStepKind::ReloadBalancer:
+    case SoakStepKind::StoreCutOff:
+    case SoakStepKind::StoreResets:
+    case SoakStepKind::StoreOneWay:
+    case SoakStepKind::PacketsLost:
+    case SoakStepKind::PacketsDoubled:
+    case SoakStepKind::PacketsReordered:
+        return performOnBalancer(step, balancers_[step.target % balancers_.size()], now);
+    case SoakStepKind::KillAll:
+        judge_.disturbAll(now + step.length);
+        for (Balancer& balancer : balancers_) {
+            if (balancer.process)
+                balancer.process->signal(SIGKILL);
+            balancer.isEndExpected = true;
+            balancer.isStopping = false;
+            balancer.wakeAt.reset();
+            balancer.startAt = now + step.length;
+        }
+        judge_.noteAllBack(now + step.length);
+        return;
+    case SoakStepKind::StoreBusy:
+    case SoakStepKind::StoreSilent:
+    case SoakStepKind::StoreSlow:
+    case SoakStepKind::StoreForgets:
+    case SoakStepKind::StoreLapses:
+        return performOnStore(step, now);
+    case SoakStepKind::ServerCrashes:
+    case SoakStepKind::ServerDrains:
+    case SoakStepKind::ServerReplacedInPlace:
+    case SoakStepKind::ServerFull:
+        return performOnServer(step, now);
+    case SoakStepKind::RouteAdded:
+    case SoakStepKind::RouteRemoved:
+    case SoakStepKind::ConfigurationStorm:
+        return performOnConfiguration(step, now);
+    }
+}
+
+void SoakRun::performOnBalancer(const SoakStep& step, Balancer& balancer, TimePoint now)
+{
+    FaultSettings faults;
+    switch (step.kind) {
+    case SoakStepKind::KillBalancer:
+        judge_.disturb(balancer.name, now + step.length);
+        if (balancer.process)
+            balancer.process->signal(SIGKILL);
+        balancer.isEndExpected = true;
+        balancer.isStopping = false;
+        balancer.wakeAt.reset();
+        balancer.startAt = now + step.length;
+        return;
+    case SoakStepKind::StopBalancer:
+        judge_.disturb(balancer.name, now + grace);
+        if (!balancer.process || balancer.isEndExpected || balancer.wakeAt)
+            return;
+        balancer.process->signal(SIGTERM);
+        balancer.isEndExpected = true;
+        balancer.isStopping = true;
+        return;
+    case SoakStepKind::PauseBalancer:
+        judge_.disturb(balancer.name, now + step.length);
+        if (!balancer.process || balancer.isEndExpected)
+            return;
+        balancer.process->signal(SIGSTOP);
+        balancer.wakeAt = now + step.length;
+        return;
+    case SoakStepKind::ReloadBalancer:
+        (void)writeSettings(balancer);
+        if (balancer.process && !balancer.isEndExpected)
+            balancer.process->signal(SIGHUP);
+        return;
+    case SoakStepKind::StoreCutOff:
+        faults.cut = true;
+        judge_.disturb(balancer.name, now + step.length);
+        return setLink(balancer.storeLink, faults, true, step.length, now);
+    case SoakStepKind::StoreResets:
+        faults.cut = true;
+        faults.reset = true;
+        judge_.disturb(balancer.name, now + step.length);
+        return setLink(balancer.storeLink, faults, true, step.length, now);
+    case SoakStepKind::StoreOneWay:
+        faults.cut = true;
+        judge_.disturb(balancer.name, now + step.length);
+        return setLink(balancer.storeLink, faults, false, step.length, now);
+    case SoakStepKind::PacketsLost:
+        faults.loss = 0.2;
+        break;
+    case SoakStepKind::PacketsDoubled:
+        faults.duplicate = 0.5;
+        break;
+    default:
+        faults.reorder = 0.3;
+        faults.jitter = 20ms;
+        break;
+    }
+    judge_.disturb(balancer.name, now + step.length);
+    setLink(balancer.packetLink, faults, true, step.length, now);
+}
+
+void SoakRun::setLink(const std::string& link, const FaultSettings& faults, bool bothWays,
+    std::chrono::milliseconds length, TimePoint now)
+{
+    proxy_.setFaults({ link }, Direction::ToSource, faults);
+    if (bothWays)
+        proxy_.setFaults({ link }, Direction::ToTarget, faults);
+    after(length, now, [this, link] {
+        proxy_.setFaults({ link }, Direction::ToSource, {});
+        proxy_.setFaults({ link }, Direction::ToTarget, {});
+    });
+}
+
+void SoakRun::setStore(SoakStore::Trouble trouble, std::chrono::milliseconds length, TimePoint now)
+{
+    judge_.disturbStore(now + length);
+    store_->setTrouble(trouble);
+    after(length, now, [this] { store_->setTrouble(SoakStore::Trouble::None); });
+}
+
+void SoakRun::performOnStore(const SoakStep& step, TimePoint now)
+{
+    switch (step.kind) {
+    case SoakStepKind::StoreBusy:
+        return setStore(SoakStore::Trouble::Busy, step.length, now);
+    case SoakStepKind::StoreSilent:
+        return setStore(SoakStore::Trouble::Silent, step.length, now);
+    case SoakStepKind::StoreSlow:
+        return setStore(SoakStore::Trouble::Slow, step.length, now);
+    case SoakStepKind::StoreForgets:
+        store_->forgetHistory();
+        return judge_.disturbStore(now);
+    default:
+        break;
+    }
+    setStore(SoakStore::Trouble::Busy, step.length, now);
+    for (std::size_t i = 0; i < servers_.size(); i += 3) {
+        const std::string id = servers_[i]->entry().id;
+        after(step.length / 2, now, [this, id] { store_->remove(platform::serverKeyOf(id)); });
+        after(step.length + 1500ms, now, [this, id] {
+            for (const auto& server : servers_) {
+                if (server->entry().id == id)
+                    writeEntry(*server);
+            }
+        });
+    }
+    judge_.disturbStore(now + step.length + 1500ms);
+}
+
+void SoakRun::crash(std::size_t index, TimePoint now)
+{
+    const std::string id = servers_[index]->entry().id;
+    servers_.erase(servers_.begin() + static_cast<std::ptrdiff_t>(index));
+    after(3 * heartbeat, now, [this, id] {
+        store_->remove(platform::serverKeyOf(id));
+        judge_.noteServerLeaves(id, Clock::now());
+    });
+}
+
+void SoakRun::performOnServer(const SoakStep& step, TimePoint now)
+{
+    const std::size_t index = step.target % servers_.size();
+    SoakServer& server = *servers_[index];
+    const RegisteredServer entry = server.entry();
+    switch (step.kind) {
+    case SoakStepKind::ServerFull:
+        server.setFull(true);
+        after(step.length, now, [this, id = entry.id] {
+            for (const auto& other : servers_) {
+                if (other->entry().id == id)
+                    other->setFull(false);
+            }
+        });
+        return;
+    case SoakStepKind::ServerCrashes:
+        crash(index, now);
+        return after(
+            step.length + 2s, now, [this, entry] { openServer(entry.service, entry.availabilityZone, entry.address); });
+    case SoakStepKind::ServerReplacedInPlace:
+        crash(index, now);
+        // The platform gives an address away after two seconds, to whichever service.
+        return after(2s, now, [this, entry] {
+            openServer(entry.service == services[0] ? services[1] : services[0], entry.availabilityZone, entry.address);
+            // The service that lost a server gets one elsewhere.
+            openServer(entry.service, entry.availabilityZone, { entry.address.address + 50, entry.address.port });
+        });
+    default:
+        break;
+    }
+    server.drain();
+    writeEntry(server);
+    judge_.noteServerLeaves(entry.id, now);
+    openServer(entry.service, entry.availabilityZone, { entry.address.address + 100, entry.address.port });
+    after(5s, now, [this, id = entry.id] {
+        std::erase_if(servers_, [&](const auto& other) { return other->entry().id == id; });
+        store_->remove(platform::serverKeyOf(id));
+    });
+}
+
+void SoakRun::performOnConfiguration(const SoakStep& step, TimePoint now)
+{
+    constexpr std::size_t fewestRoutes = 3;
+    constexpr int versionsOfStorm = 8;
+    const auto write = [this] {
+        configuration_.version += 1 + random_.next() % 5;
+        writeConfiguration();
+    };
+    switch (step.kind) {
+    case SoakStepKind::RouteAdded:
+        ++nextRoute_;
+        configuration_.routes.push_back(
+            { fmt::format("route-{}", nextRoute_), routeOf(nextRoute_), { { services[step.target % 2], 1 } } });
+        return write();
+    case SoakStepKind::RouteRemoved:
+        if (configuration_.routes.size() > fewestRoutes)
+            configuration_.routes.erase(configuration_.routes.begin()
+                + static_cast<std::ptrdiff_t>(step.target % configuration_.routes.size()));
+        return write();
+    default:
+        for (int i = 0; i < versionsOfStorm; ++i)
+            after(i * 150ms, now, write);
+        return;
+    }
+}
+
+}
--- a/Tests/Net/Http1Test.cpp
+++ b/Tests/Net/Http1Test.cpp
@@ -44,7 +44,8 @@
             HttpRequest request;
             request.path = path;
             request.authority = "test";
-            client.send(std::move(request), Clock::now() + within, [&](HttpOutcome result) { outcome = result; });
+            client.send(
+                std::move(request), Clock::now() + within, [&](const HttpOutcome& result) { outcome = result; });
             EXPECT_FALSE(outcome.has_value()) << "the callback ran inside the call";
             while (!outcome)
                 context.run_one();
@@ -70,7 +71,7 @@
         std::optional<HttpOutcome> outcome;
         HttpRequest request;
         request.path = "/held";
-        client.send(std::move(request), Clock::now() + 10s, [&](HttpOutcome result) { outcome = result; });
+        client.send(std::move(request), Clock::now() + 10s, [&](const HttpOutcome& result) { outcome = result; });
         while (held.empty())
             context.run_one();
         EXPECT_TRUE(call(client, "/ready"));
@@ -108,7 +109,7 @@
             Http1Client client(context, server->address());
             HttpRequest request;
             request.path = "/held";
-            client.send(std::move(request), Clock::now() + 10s, [&](HttpOutcome result) { outcome = result; });
+            client.send(std::move(request), Clock::now() + 10s, [&](const HttpOutcome& result) { outcome = result; });
             while (held.empty())
                 context.run_one();
         }
--- /dev/null
+++ b/Tests/Request/ClaimDoubtStoryTest.cpp
@@ -0,0 +1,195 @@
+#include "ClaimStory.h"
+
+#include <gtest/gtest.h>
+
+#include <set>
+
+namespace wisteriadock::testing {
+
+namespace {
+
+    using std::chrono::milliseconds;
+    using std::chrono::seconds;
+
+}
+
+// Symptom: work runs twice.
+// Sequence: owner and backup die together; the key comes back to a new owner, which knows nothing of it.
+// Cause: taking an empty table for an empty past.
+TEST(ClaimStory, BothHoldersLostLeavesOldKeysInDoubt)
+{
+    RunnerGroup group(4);
+    group.settle({ 0, 1 });
+    const RequestKey old = group.keyOf(0, 1);
+    group.learn(group.makeTerm({ 2, 3 }), { 2, 3 });
+    const auto onlyNew = [](std::size_t from, std::size_t to, const RequestMessage&) {
+        return from >= 2 && to >= 2 ? RunnerGroup::Fate::Deliver : RunnerGroup::Fate::Lose;
+    };
+    const auto wait = [&](Duration time) {
+        for (Duration passed {}; passed < time; passed += time / 20) {
+            group.advance(time / 20);
+            group.deliver(onlyNew);
+        }
+    };
+    wait(seconds(2));
+    const std::size_t owner = group[2].keeper().ownership(claimBucketOf(old.digest)) == Ownership::Active ? 2 : 3;
+    {
+        SCOPED_TRACE("a key of the caller's own making may have run");
+        group.arrive(owner, old);
+        group.deliver(onlyNew);
+        EXPECT_EQ(group.takeRefusal(owner).reason, RefusalReason::ClaimsLost);
+    }
+    {
+        SCOPED_TRACE("a ticket that was issued since is provably fresh; one that was issued before is not");
+        RequestKey ticket = old;
+        ticket.issuedEpoch = 1;
+        group.arrive(owner, ticket);
+        ticket.issuedEpoch = 2;
+        ticket.digest.low ^= 1;
+        group.arrive(owner, ticket);
+        group.deliver(onlyNew);
+        EXPECT_EQ(group.take<StartWork>(owner).size(), 1u);
+        EXPECT_EQ(group.takeRefusal(owner).reason, RefusalReason::ClaimsLost);
+    }
+    {
+        SCOPED_TRACE("as long as the lost holders may be acting, time alone proves nothing");
+        wait(seconds(2 * 3600));
+        // The ticket's caller has had no answer by its deadline.
+        EXPECT_EQ(group.takeRefusal(owner).reason, RefusalReason::DeadlinePassed);
+        group.arrive(owner, old);
+        group.deliver(onlyNew);
+        EXPECT_EQ(group.takeRefusal(owner).reason, RefusalReason::ClaimsLost);
+    }
+    {
+        SCOPED_TRACE("once one of the pair is gone for good, the doubt ends after the remembering time");
+        group[owner].learnGone(group.holder(0));
+        wait(seconds(3500));
+        group.arrive(owner, old);
+        group.deliver(onlyNew);
+        EXPECT_EQ(group.takeRefusal(owner).reason, RefusalReason::ClaimsLost);
+        wait(seconds(1000));
+        group.arrive(owner, old);
+        group.deliver(onlyNew);
+        EXPECT_EQ(group.take<StartWork>(owner).size(), 1u);
+    }
+}
+
+// Symptom: keys stay in doubt although one who holds their claims is back. Cause: asking only once.
+TEST(ClaimStory, HolderThatComesBackEndsTheDoubt)
+{
+    RunnerGroup group(3);
+    group.settle({ 0, 1 });
+    const RequestKey ran = group.keyOf(0, 1, "ran");
+    const RequestKey fresh = group.keyOf(0, 1, "fresh");
+    group.arrive(0, ran);
+    group.deliver();
+    ASSERT_EQ(group.take<StartWork>(0).size(), 1u);
+    group.learn(group.makeTerm({ 2 }), { 2 });
+    const auto nobody = [](std::size_t, std::size_t, const RequestMessage&) { return RunnerGroup::Fate::Lose; };
+    group.deliver(nobody);
+    group.advance(seconds(2));
+    group.deliver(nobody);
+    group.arrive(2, fresh);
+    EXPECT_GT(group[2].keeper().lostBuckets(), 0u);
+    group.deliver(nobody);
+    EXPECT_EQ(group.takeRefusal(2).reason, RefusalReason::ClaimsLost);
+
+    group.advance(seconds(2));
+    group.deliver(cutOff(0));
+    EXPECT_EQ(group[2].keeper().lostBuckets(), 0u);
+    group.arrive(2, fresh);
+    group.arrive(2, ran);
+    group.deliver(cutOff(0));
+    EXPECT_EQ(group.take<StartWork>(2).size(), 1u);
+    EXPECT_EQ(group.takeRefusal(2).reason, RefusalReason::InProgress);
+}
+
+// Symptom: a ticket runs twice. Sequence: a new owner runs a ticket of its own epoch, whose predecessors are lost; the
+// caller repeats it at an old owner that is cut off with its backup.
+// Cause: an owner that runs tickets issued under an epoch that it does not know.
+TEST(ClaimStory, TicketOfAnUnknownEpochWaits)
+{
+    RunnerGroup group(2);
+    group.settle({ 0, 1 });
+    RequestKey ticket = group.keyOf(0, 1);
+    ticket.issuedEpoch = 2;
+    group.arrive(0, ticket);
+    group.deliver();
+    EXPECT_TRUE(group.take<StartWork>(0).empty());
+    EXPECT_EQ(group.take<WantTerm>(0).size(), 1u);
+    group.advance(seconds(3));
+    group.deliver();
+    const Refusal refusal = group.takeRefusal(0);
+    EXPECT_EQ(refusal.reason, RefusalReason::NotReady);
+    EXPECT_EQ(refusal.executed, Executed::Unknown);
+}
+
+// Symptom: a planned stop cuts requests. Sequence: an owner leaves while it waits for a server's answer.
+// Cause: stopping before the work has ended, or before its outcome is known to the new owner.
+TEST(ClaimStory, LeavingOwnerFinishesItsWorkAndHandsTheAnswerOn)
+{
+    RunnerGroup group(3);
+    group.settle({ 0, 1, 2 });
+    const RequestKey key = group.keyOf(0, 1);
+    group.arrive(0, key);
+    group.deliver();
+    const auto started = group.take<StartWork>(0);
+    ASSERT_EQ(started.size(), 1u);
+
+    group.learn(group.makeTerm({ 1, 2 }), { 0, 1, 2 });
+    group.deliver();
+    group.advance(milliseconds(1500));
+    EXPECT_FALSE(group[0].mayStop(group.now()));
+    group[0].workAnswered(started[0].work, answerOf("done"), group.now());
+    group.deliver();
+    EXPECT_EQ(group.take<AnswerTry>(0).size(), 1u);
+    EXPECT_TRUE(group[0].mayStop(group.now()));
+
+    const std::size_t owner = group[1].keeper().ownership(claimBucketOf(key.digest)) == Ownership::Active ? 1 : 2;
+    group.arrive(owner, key);
+    group.deliver();
+    EXPECT_EQ(group.take<AnswerTry>(owner).size(), 1u);
+}
+
+// Symptom: a zone that is cut off refuses most of its own work as overloaded.
+// Sequence: servers beyond the cut can't be reached; each request is sent there three times within a millisecond.
+// Cause: choosing a server again at once that has just proved unreachable.
+TEST(ClaimStory, ServerThatCannotBeReachedIsLeftAloneForAWhile)
+{
+    RunnerGroup group(2);
+    group.settle({ 0, 1 });
+    group.arrive(0, group.keyOf(0, 1));
+    group.deliver();
+    const auto first = group.take<StartWork>(0);
+    ASSERT_EQ(first.size(), 1u);
+    group[0].workFailed(first[0].work, HttpFailureKind::NotSent, group.now());
+    group.deliver();
+    EXPECT_TRUE(group.take<StartWork>(0).empty());
+    group.advance(milliseconds(100));
+    group.deliver();
+    EXPECT_EQ(group.take<StartWork>(0).size(), 1u);
+}
+
+TEST(ClaimStory, RefusalsUnderAnOverloadShareOneQuestion)
+{
+    RunnerGroup group(2, {}, 2);
+    group.settle({ 0, 1 });
+    for (int i = 0; i < 50; ++i)
+        group.arrive(0, group.keyOf(0, 1, "key-" + std::to_string(i)), milliseconds(1));
+    std::size_t questions = 0;
+    group.deliver([&](std::size_t, std::size_t, const RequestMessage& message) {
+        questions += std::holds_alternative<CheckEpoch>(message);
+        return RunnerGroup::Fate::Deliver;
+    });
+    EXPECT_EQ(questions, 2u);
+    const auto refusals = group.take<RefuseTry>(0);
+    ASSERT_EQ(refusals.size(), 50u);
+    std::set<seconds> times;
+    for (const RefuseTry& refusal : refusals) {
+        EXPECT_EQ(refusal.refusal.executed, Executed::No);
+        times.insert(refusal.refusal.retryAfter);
+    }
+    EXPECT_GT(times.size(), 1u);
+}
+
+}
