--- a/Benchmarks/ConfigurationBenchmark.cpp
+++ b/Benchmarks/ConfigurationBenchmark.cpp
@@ -6,7 +6,7 @@
 #include "Configuration/ConfigurationParser.h"
 #include "Configuration/ConfigurationWriter.h"
 #include "Configuration/HeadReader.h"
-#include "Platform/PlatformJson.h"
+#include "KeyValue/PlatformJson.h"
 
 #include <benchmark/benchmark.h>
 #include <fmt/format.h>
--- a/Source/Balancer/BalancerDaemon.h
+++ b/Source/Balancer/BalancerDaemon.h
@@ -12,9 +12,9 @@
 #include "Balancer/VmListFeed.h"
 #include "Core/Error.h"
 #include "Core/Log.h"
+#include "KeyValue/PlatformClient.h"
 #include "Net/MetricsEndpoint.h"
 #include "Peers/PeerLink.h"
-#include "Platform/PlatformClient.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
--- a/Source/Balancer/ConfigurationFeed.h
+++ b/Source/Balancer/ConfigurationFeed.h
@@ -4,8 +4,8 @@
 #include "Balancer/PeerConfiguration.h"
 #include "Balancer/PlatformWatch.h"
 #include "Core/Log.h"
+#include "KeyValue/PlatformClient.h"
 #include "Membership/Member.h"
-#include "Platform/PlatformClient.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
--- a/Source/Balancer/PeerControl.h
+++ b/Source/Balancer/PeerControl.h
@@ -4,9 +4,9 @@
 #include "Core/Clock.h"
 #include "Core/Log.h"
 #include "Flow/FlowEngine.h"
+#include "KeyValue/PlatformTypes.h"
 #include "Membership/Membership.h"
 #include "Peers/PeerLink.h"
-#include "Platform/PlatformTypes.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
--- a/Source/Balancer/PlatformWatch.h
+++ b/Source/Balancer/PlatformWatch.h
@@ -2,8 +2,8 @@
 
 #include "Core/Clock.h"
 #include "Core/Log.h"
+#include "KeyValue/PlatformClient.h"
 #include "Peers/Backoff.h"
-#include "Platform/PlatformClient.h"
 
 #include <cstdint>
 #include <functional>
--- a/Source/Balancer/TermControl.h
+++ b/Source/Balancer/TermControl.h
@@ -3,7 +3,7 @@
 #include "Balancer/HolderLink.h"
 #include "Core/Clock.h"
 #include "Core/Log.h"
-#include "Platform/PlatformClient.h"
+#include "KeyValue/PlatformClient.h"
 #include "Request/TermKeeper.h"
 
 #include <cstdint>
--- a/Source/Balancer/VmListFeed.h
+++ b/Source/Balancer/VmListFeed.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "Core/Clock.h"
+#include "KeyValue/PlatformClient.h"
 #include "Membership/Member.h"
 #include "Membership/Membership.h"
 #include "Peers/Backoff.h"
-#include "Platform/PlatformClient.h"
 
 #include <cstdint>
 #include <functional>
--- a/Source/Ctl/ApplyRunner.h
+++ b/Source/Ctl/ApplyRunner.h
@@ -2,7 +2,7 @@
 
 #include "Configuration/ApplyOperation.h"
 #include "Ctl/CtlRuntime.h"
-#include "Platform/Platform.h"
+#include "KeyValue/Platform.h"
 
 #include <algorithm>
 #include <chrono>
--- a/Source/Ctl/CtlProgram.cpp
+++ b/Source/Ctl/CtlProgram.cpp
@@ -3,7 +3,7 @@
 #include "Ctl/CtlCommands.h"
 #include "Ctl/StatusReader.h"
 #include "Ctl/StatusReport.h"
-#include "Platform/PlatformClient.h"
+#include "KeyValue/PlatformClient.h"
 
 #include <boost/asio/io_context.hpp>
 #include <fmt/format.h>
--- a/Source/Ctl/VersionFetch.h
+++ b/Source/Ctl/VersionFetch.h
@@ -4,7 +4,7 @@
 #include "Configuration/HeadReader.h"
 #include "Ctl/ApplyRunner.h"
 #include "Ctl/CtlRuntime.h"
-#include "Platform/Platform.h"
+#include "KeyValue/Platform.h"
 
 #include <algorithm>
 #include <functional>
--- a/Source/Experiment/PlatformControl.h
+++ b/Source/Experiment/PlatformControl.h
@@ -2,7 +2,7 @@
 
 #include "Experiment/AdminClient.h"
 #include "Experiment/ProcessStarter.h"
-#include "Platform/PlatformTypes.h"
+#include "KeyValue/PlatformTypes.h"
 
 #include <chrono>
 #include <cstdint>
--- a/Source/Forward/OpeningPolicy.cpp
+++ b/Source/Forward/OpeningPolicy.cpp
@@ -112,6 +112,7 @@
         zone.waitingSince = TimePoint::max();
         zone.leftOutUntil = now + leaveOutAfter(zone.failures);
         ++zone.failures;
+        zoneChanges_.push_back({ availabilityZone, false, zone.failures });
     }
     const bool isBeingTried = zone.waitingSince != TimePoint::max();
     return zone.leftOutUntil > now || (isBeingTried && isUnproven(zone, now));
@@ -131,6 +132,8 @@
     if (server.entry.availabilityZone == availabilityZone_)
         return;
     Zone& zone = otherZones_[server.entry.availabilityZone];
+    if (zone.failures > 0)
+        zoneChanges_.push_back({ server.entry.availabilityZone, true, zone.failures });
     zone = {};
     zone.lastProgress = now;
 }
--- a/Source/Forward/OpeningPolicy.h
+++ b/Source/Forward/OpeningPolicy.h
@@ -9,6 +9,7 @@
 #include <chrono>
 #include <cstdint>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace wisteriadock {
@@ -29,6 +30,13 @@
     std::chrono::milliseconds zoneProof { 1000 };
 };
 
+// Another zone stopped giving signs of life, or gives them again.
+struct ZoneChange {
+    std::string availabilityZone;
+    bool isBack = false;
+    std::uint32_t failures = 0;
+};
+
 // The choice for one opening packet, with what decided it.
 struct OpeningChoice {
     // Null when the service has no server that may take flows.
@@ -67,6 +75,8 @@
     void noteProgress(const KnownServer&, TimePoint now);
     // Leaves the server out when an opening has waited too long for it. True when that is new.
     bool review(KnownServer&, TimePoint now) const;
+    // What became of other zones since the last call.
+    std::vector<ZoneChange> takeZoneChanges() { return std::exchange(zoneChanges_, {}); }
 
 private:
     // What is known of another availability zone as a whole.
@@ -86,6 +96,7 @@
     std::string availabilityZone_;
     OpeningSettings settings_;
     absl::flat_hash_map<std::string, Zone> otherZones_;
+    std::vector<ZoneChange> zoneChanges_;
 };
 
 }
--- a/Source/Forward/TokenRouter.h
+++ b/Source/Forward/TokenRouter.h
@@ -80,6 +80,8 @@
 
     PacketDecision route(const TokenPacket&, TimePoint now);
 
+    // Other zones that went silent, or are back, since the last call; for the log.
+    std::vector<ZoneChange> takeZoneChanges() { return policy_.takeZoneChanges(); }
     // 0 before the first configuration.
     std::uint64_t configurationVersion() const { return version_; }
     ServerDirectory& directory() { return directory_; }
--- a/Source/Forwarder/Forwarder.h
+++ b/Source/Forwarder/Forwarder.h
@@ -215,6 +215,8 @@
         store_.tick(now);
         for (const ServerTransition& transition : router_.tick(now))
             lines_.transition(transition, peers_->exchange().book().completeTo(), "time", now);
+        for (const ZoneChange& change : router_.takeZoneChanges())
+            lines_.zone(change, now);
         if (now - lastSettingsCheck_ >= settingsCheck) {
             lastSettingsCheck_ = now;
             if (settingsWatch_.hasChanged())
--- a/Source/Forwarder/ForwarderLog.cpp
+++ b/Source/Forwarder/ForwarderLog.cpp
@@ -146,4 +146,10 @@
         Event().add("server", server.entry.id).add("service", server.entry.service), now);
 }
 
+void ForwarderLog::zone(const ZoneChange& change, TimePoint now)
+{
+    log_.write(change.isBack ? LogLevel::Info : LogLevel::Warning, "zone", change.isBack ? "regained" : "left_out",
+        Event().add("zone", change.availabilityZone).add("failures", change.failures), now);
+}
+
 }
--- a/Source/Forwarder/PeerNews.cpp
+++ b/Source/Forwarder/PeerNews.cpp
@@ -146,10 +146,41 @@
             continue;
         }
         const auto& view = std::get<MembersViewChanged>(action).view;
+        logMembers(*view, now);
         perform(exchange_.handleView(view, now), now);
     }
 }
 
+void PeerNews::logMembers(const MembersView& view, TimePoint now)
+{
+    if (view.isolated != isIsolated_) {
+        isIsolated_ = view.isolated;
+        log_.write(isIsolated_ ? LogLevel::Warning : LogLevel::Info, "peers", isIsolated_ ? "isolated" : "in_contact",
+            Event().add("members", std::uint64_t(view.members.size())), now);
+    }
+    for (const Member& member : view.members) {
+        if (member.id == view.self)
+            continue;
+        const auto [known, isNew] = memberStates_.try_emplace(member.id, member.state, now);
+        auto& [state, since] = known->second;
+        if (!isNew && state == member.state)
+            continue;
+        const bool isLost = member.state == MemberState::Dead;
+        const bool isBack = !isNew && state == MemberState::Dead;
+        const char* event = isLost ? "lost" : isBack ? "regained" : isNew ? "met" : "changed";
+        log_.write(isLost ? LogLevel::Warning : LogLevel::Info, "peers", event,
+            Event()
+                .add("peer", member.name)
+                .add("peer_zone", member.availabilityZone)
+                .add("state", nameOf(member.state))
+                .add("former_for_ms", now - since),
+            now);
+        state = member.state;
+        since = now;
+    }
+    std::erase_if(memberStates_, [&](const auto& row) { return !view.find(row.first); });
+}
+
 void PeerNews::perform(const NewsActions& actions, TimePoint now)
 {
     for (const NewsAction& action : actions) {
--- a/Source/Forwarder/PeerNews.h
+++ b/Source/Forwarder/PeerNews.h
@@ -11,8 +11,10 @@
 #include <boost/asio/io_context.hpp>
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace wisteriadock {
@@ -61,6 +63,8 @@
     void handleFetched(const std::string& source, const HttpOutcome&);
     void logMembers(const MembersView& before, const MembersView& after, TimePoint now);
     void adviseSeeds(TimePoint now);
+    // Tells of balancers that were lost, are back, or are new.
+    void logMembers(const MembersView& view, TimePoint now);
 
     boost::asio::io_context& context_;
     const Endpoint address_;
@@ -74,6 +78,9 @@
     std::unique_ptr<Http2Server> server_;
     std::unique_ptr<Http2Client> fetcher_;
     std::uint64_t toldRevision_ = 0;
+    // Since when each known balancer is in its state; for the log.
+    std::map<BalancerId, std::pair<MemberState, TimePoint>> memberStates_;
+    bool isIsolated_ = false;
     std::uint64_t fetchedBytes_ = 0;
 };
 
--- a/Source/Forwarder/StoreLink.h
+++ b/Source/Forwarder/StoreLink.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "Forwarder/ForwarderMetrics.h"
+#include "KeyValue/KeyValueClient.h"
 #include "Net/Http1Client.h"
 #include "News/StoreFeed.h"
-#include "Platform/KeyValueClient.h"
 
 #include <boost/asio/io_context.hpp>
 
--- a/Source/Platform/KeyValueClient.h
+++ b/Source/KeyValue/KeyValueClient.h
@@ -3,8 +3,8 @@
 #include "Core/Clock.h"
 #include "Core/Endpoint.h"
 #include "Core/Error.h"
+#include "KeyValue/PlatformCalls.h"
 #include "Net/HttpMessage.h"
-#include "Platform/PlatformCalls.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
--- a/Source/Platform/Platform.h
+++ b/Source/KeyValue/Platform.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Platform/PlatformTypes.h"
+#include "KeyValue/PlatformTypes.h"
 
 #include <concepts>
 
--- a/Source/Platform/PlatformCall.cpp
+++ b/Source/KeyValue/PlatformCall.cpp
@@ -1,4 +1,4 @@
-#include "Platform/PlatformCall.h"
+#include "KeyValue/PlatformCall.h"
 
 #include "Core/NameTable.h"
 
--- a/Source/Platform/PlatformClient.cpp
+++ b/Source/KeyValue/PlatformClient.cpp
@@ -1,6 +1,6 @@
-#include "Platform/PlatformClient.h"
+#include "KeyValue/PlatformClient.h"
 
-#include "Platform/PlatformJson.h"
+#include "KeyValue/PlatformJson.h"
 
 #include <algorithm>
 #include <utility>
--- a/Source/Platform/PlatformClient.h
+++ b/Source/KeyValue/PlatformClient.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "Core/Endpoint.h"
+#include "KeyValue/KeyValueClient.h"
+#include "KeyValue/Platform.h"
+#include "KeyValue/PlatformDialect.h"
 #include "Net/Http2Client.h"
-#include "Platform/KeyValueClient.h"
-#include "Platform/Platform.h"
-#include "Platform/PlatformDialect.h"
 
 #include <boost/asio/io_context.hpp>
 
--- a/Source/Platform/PlatformDialect.cpp
+++ b/Source/KeyValue/PlatformDialect.cpp
@@ -1,8 +1,8 @@
-#include "Platform/PlatformDialect.h"
+#include "KeyValue/PlatformDialect.h"
 
-#include "Platform/PlatformCall.h"
-#include "Platform/PlatformJson.h"
-#include "Platform/PlatformOutcome.h"
+#include "KeyValue/PlatformCall.h"
+#include "KeyValue/PlatformJson.h"
+#include "KeyValue/PlatformOutcome.h"
 
 #include <fmt/format.h>
 
--- a/Source/Platform/PlatformDialect.h
+++ b/Source/KeyValue/PlatformDialect.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "KeyValue/PlatformCalls.h"
 #include "Net/Http2Client.h"
 #include "Net/HttpMessage.h"
-#include "Platform/PlatformCalls.h"
 
 namespace wisteriadock {
 
--- a/Source/Platform/PlatformJson.cpp
+++ b/Source/KeyValue/PlatformJson.cpp
@@ -1,4 +1,4 @@
-#include "Platform/PlatformJson.h"
+#include "KeyValue/PlatformJson.h"
 
 #include <fmt/format.h>
 
--- a/Source/Platform/PlatformOutcome.cpp
+++ b/Source/KeyValue/PlatformOutcome.cpp
@@ -1,6 +1,6 @@
-#include "Platform/PlatformOutcome.h"
+#include "KeyValue/PlatformOutcome.h"
 
-#include "Platform/PlatformJson.h"
+#include "KeyValue/PlatformJson.h"
 
 #include <fmt/format.h>
 
--- a/Source/Platform/PlatformOutcome.h
+++ b/Source/KeyValue/PlatformOutcome.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "Core/Error.h"
+#include "KeyValue/PlatformCall.h"
 #include "Net/Http2Client.h"
 #include "Net/HttpMessage.h"
-#include "Platform/PlatformCall.h"
 
 namespace wisteriadock {
 
--- a/Source/Platform/PlatformTypes.cpp
+++ b/Source/KeyValue/PlatformTypes.cpp
@@ -1,4 +1,4 @@
-#include "Platform/PlatformTypes.h"
+#include "KeyValue/PlatformTypes.h"
 
 #include "Core/NameTable.h"
 
--- a/Source/Net/Http1Server.cpp
+++ b/Source/Net/Http1Server.cpp
@@ -27,12 +27,14 @@
     constexpr std::uint32_t headerLimit = 8192;
     // More connections than monitors and routers need; it bounds descriptors and memory.
     constexpr std::size_t connectionLimit = 64;
+    constexpr auto acceptPause = std::chrono::milliseconds(100);
 
 }
 
 struct Http1Server::Shared {
     tcp::acceptor acceptor;
     Handler handler;
+    boost::asio::steady_timer pause;
     std::set<std::shared_ptr<Connection>> connections {};
 };
 
@@ -151,7 +153,8 @@
     if (error)
         return Error { ErrorCode::Unavailable,
             fmt::format("can't listen on {}: {}", endpoint.toString(), error.message()) };
-    auto shared = std::make_shared<Shared>(Shared { std::move(acceptor), std::move(handler) });
+    auto shared = std::make_shared<Shared>(
+        Shared { std::move(acceptor), std::move(handler), boost::asio::steady_timer(context) });
     accept(shared);
     return std::unique_ptr<Http1Server>(new Http1Server(std::move(shared)));
 }
@@ -182,7 +185,9 @@
         const auto owner = weak.lock();
         if (!owner || error == boost::asio::error::operation_aborted)
             return;
-        if (!error && owner->connections.size() < connectionLimit) {
+        if (error)
+            return acceptLater(owner);
+        if (owner->connections.size() < connectionLimit) {
             auto connection = std::make_shared<Connection>(owner, std::move(socket));
             owner->connections.insert(connection);
             connection->read();
@@ -191,4 +196,15 @@
     });
 }
 
+// While the process has no descriptor left, accepting fails again and again; without a pause that takes the whole
+// processor.
+void Http1Server::acceptLater(const std::shared_ptr<Shared>& shared)
+{
+    shared->pause.expires_after(acceptPause);
+    shared->pause.async_wait([weak = std::weak_ptr(shared)](const boost::system::error_code& error) {
+        if (const auto owner = weak.lock(); owner && !error)
+            accept(owner);
+    });
+}
+
 }
--- a/Source/Net/Http1Server.h
+++ b/Source/Net/Http1Server.h
@@ -42,6 +42,7 @@
 
     explicit Http1Server(std::shared_ptr<Shared>);
     static void accept(const std::shared_ptr<Shared>&);
+    static void acceptLater(const std::shared_ptr<Shared>&);
 
     std::shared_ptr<Shared> shared_;
 };
--- a/Source/News/StoreFeed.h
+++ b/Source/News/StoreFeed.h
@@ -2,9 +2,9 @@
 
 #include "Core/Clock.h"
 #include "Core/Error.h"
+#include "KeyValue/PlatformCalls.h"
 #include "News/NewsMessages.h"
 #include "Peers/Backoff.h"
-#include "Platform/PlatformCalls.h"
 
 #include <chrono>
 #include <cstdint>
--- a/Source/Soak/SoakCallers.cpp
+++ b/Source/Soak/SoakCallers.cpp
@@ -20,6 +20,7 @@
     constexpr auto requestFails = 3000ms;
     constexpr auto thinkingTime = 300ms;
     constexpr std::uint32_t requestsOfLongFlow = 40;
+    constexpr std::uint64_t flowsForOneBehind = 10;
 
 }
 
@@ -50,7 +51,9 @@
             return;
         const std::uint16_t port = nextPort_++;
         Flow& flow = flows_[port];
-        flow.ends = { { own_.address, port }, routes_[random_.next() % routes_.size()] };
+        const bool isBehind = !removedRoutes_.empty() && random_.next() % flowsForOneBehind == 0;
+        const std::vector<Endpoint>& routes = isBehind ? removedRoutes_ : routes_;
+        flow.ends = { { own_.address, port }, routes[random_.next() % routes.size()] };
         flow.isLong = random_.next() % 2 == 0;
         flow.requestsLeft = flow.isLong ? requestsOfLongFlow : 1;
         // Far from the end of the range: the stand-ins do not wrap around.
--- a/Source/Soak/SoakCallers.h
+++ b/Source/Soak/SoakCallers.h
@@ -35,8 +35,12 @@
     SoakCallers(const SoakCallers&) = delete;
     SoakCallers& operator=(const SoakCallers&) = delete;
 
-    // Where new flows go.
-    void setRoutes(std::vector<Endpoint> routes) { routes_ = std::move(routes); }
+    // Where new flows go. Some still go to routes that were removed, as those of callers who have not heard of it.
+    void setRoutes(std::vector<Endpoint> routes, std::vector<Endpoint> removed)
+    {
+        routes_ = std::move(routes);
+        removedRoutes_ = std::move(removed);
+    }
     // Opens this many flows; every second one stays for more requests.
     void openFlows(std::size_t count, TimePoint now);
     // Sends copies and retransmissions that are due, and gives up. Call it every 20 ms or so.
@@ -89,6 +93,7 @@
     const SoakCallerEvents& events_;
     std::unique_ptr<UdpSocket> socket_;
     std::vector<Endpoint> routes_;
+    std::vector<Endpoint> removedRoutes_;
     std::map<std::uint16_t, Flow> flows_;
     std::uint16_t nextPort_ = 1024;
 };
--- a/Source/Soak/SoakRun.cpp
+++ b/Source/Soak/SoakRun.cpp
@@ -9,6 +9,7 @@
 #include <array>
 #include <csignal>
 #include <fstream>
+#include <iterator>
 #include <unistd.h>
 
 namespace wisteriadock {
@@ -205,8 +206,12 @@
     std::vector<Endpoint> routes;
     for (const FlowRoute& route : configuration_.routes)
         routes.push_back(route.address);
+    everyRoute_.insert(routes.begin(), routes.end());
+    std::vector<Endpoint> removed;
+    std::ranges::copy_if(everyRoute_, std::back_inserter(removed),
+        [&](const Endpoint& route) { return std::ranges::count(routes, route) == 0; });
     for (const auto& callers : callers_)
-        callers->setRoutes(routes);
+        callers->setRoutes(routes, removed);
 }
 
 void SoakRun::tick(TimePoint now)
--- a/Source/Soak/SoakRun.h
+++ b/Source/Soak/SoakRun.h
@@ -18,6 +18,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -120,6 +121,7 @@
     std::vector<std::unique_ptr<SoakServer>> servers_;
     std::vector<std::unique_ptr<SoakCallers>> callers_;
     ForwardingConfiguration configuration_;
+    std::set<Endpoint> everyRoute_;
     std::vector<Later> later_;
     std::uint64_t nextServerNumber_ = 0x1000;
     std::uint32_t nextRoute_ = 10;
--- a/Source/Soak/SoakStore.h
+++ b/Source/Soak/SoakStore.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "KeyValue/PlatformCalls.h"
 #include "Net/Http1Server.h"
-#include "Platform/PlatformCalls.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
--- a/Source/StandIns/Platform/PlatformStandIn.cpp
+++ b/Source/StandIns/Platform/PlatformStandIn.cpp
@@ -1,6 +1,6 @@
 #include "StandIns/Platform/PlatformStandIn.h"
 
-#include "Platform/PlatformOutcome.h"
+#include "KeyValue/PlatformOutcome.h"
 
 #include <fmt/format.h>
 
--- a/Source/StandIns/Platform/PlatformStandInFaults.h
+++ b/Source/StandIns/Platform/PlatformStandInFaults.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "Platform/PlatformCall.h"
-#include "Platform/PlatformJson.h"
+#include "KeyValue/PlatformCall.h"
+#include "KeyValue/PlatformJson.h"
 
 #include <array>
 #include <optional>
--- a/Source/StandIns/Platform/PlatformStore.h
+++ b/Source/StandIns/Platform/PlatformStore.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "Platform/PlatformCall.h"
-#include "Platform/PlatformTypes.h"
+#include "KeyValue/PlatformCall.h"
+#include "KeyValue/PlatformTypes.h"
 
 #include <array>
 #include <map>
--- a/Tests/Balancer/PlatformTest.h
+++ b/Tests/Balancer/PlatformTest.h
@@ -4,8 +4,8 @@
 #include "Configuration/ConfigurationContent.h"
 #include "Configuration/ConfigurationWriter.h"
 #include "Configuration/ContentReader.h"
+#include "KeyValue/PlatformClient.h"
 #include "Net/Http2Client.h"
-#include "Platform/PlatformClient.h"
 #include "StandIns/Platform/PlatformStandIn.h"
 
 #include <fmt/format.h>
--- a/Tests/Forward/OpeningPolicyTest.cpp
+++ b/Tests/Forward/OpeningPolicyTest.cpp
@@ -92,6 +92,10 @@
         // 6 s: tries at 0, 0.65, 1.8, 3.95 s; each may overlap with one that was decided in the same instant.
         EXPECT_LE(lost, 8);
         EXPECT_GE(lost, 2);
+        const auto changes = router.takeZoneChanges();
+        ASSERT_GE(changes.size(), 3U);
+        EXPECT_EQ(changes.back().availabilityZone, "nabua");
+        EXPECT_FALSE(changes.back().isBack);
     }
 
     TEST_F(OpeningPolicyTest, balancersThatKnowNothingChooseAlike)
--- a/Tests/Platform/PlatformOutcomeTest.cpp
+++ b/Tests/KeyValue/PlatformOutcomeTest.cpp
@@ -1,6 +1,6 @@
-#include "Platform/PlatformOutcome.h"
+#include "KeyValue/PlatformOutcome.h"
 
-#include "Platform/PlatformTypes.h"
+#include "KeyValue/PlatformTypes.h"
 
 #include <gtest/gtest.h>
 
--- a/Tests/Platform/PlatformStandInTest.cpp
+++ b/Tests/KeyValue/PlatformStandInTest.cpp
@@ -1,4 +1,4 @@
-#include "Platform/StandInFixture.h"
+#include "KeyValue/StandInFixture.h"
 
 #include <random>
 
--- a/Tests/Platform/StandInFixture.h
+++ b/Tests/KeyValue/StandInFixture.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Platform/PlatformClient.h"
+#include "KeyValue/PlatformClient.h"
 #include "StandIns/Platform/PlatformStandIn.h"
 
 #include <gtest/gtest.h>
--- a/Tests/Support/FakePlatform.h
+++ b/Tests/Support/FakePlatform.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "Core/Clock.h"
-#include "Platform/Platform.h"
-#include "Platform/PlatformJson.h"
+#include "KeyValue/Platform.h"
+#include "KeyValue/PlatformJson.h"
 #include "StandIns/Platform/PlatformStore.h"
 
 #include <algorithm>
