--- a/Source/Soak/SoakRun.cpp
+++ b/Source/Soak/SoakRun.cpp
@@ -85,8 +85,7 @@
 
 Result<void> SoakRun::build()
 {
-    // A network of its own for each run, so that runs beside each other don't meet.
-    network_ = static_cast<std::uint8_t>(16 + (static_cast<std::uint64_t>(::getpid()) * 7 + plan_.seed) % 200);
+    BOOST_OUTCOME_TRY(claimNetwork());
     BOOST_OUTCOME_TRY(store, SoakStore::open(loop_.context(), { 0x7F000001, 0 }));
     store_ = std::move(store);
     for (std::uint32_t number = 1; number <= 4; ++number)
@@ -115,6 +114,27 @@
         startLimit, "all forwarders are ready");
 }
 
+// Runs beside each other must not meet: each takes a network of loopback addresses, and holds one address of it for as
+// long as it lasts, by which the others see that it is taken.
+Result<void> SoakRun::claimNetwork()
+{
+    constexpr std::uint32_t firstNetwork = 16;
+    constexpr std::uint32_t networks = 200;
+    constexpr std::uint32_t claimHost = 250;
+    const auto begin = static_cast<std::uint32_t>(::getpid()) % networks;
+    for (std::uint32_t i = 0; i < networks; ++i) {
+        const std::uint32_t network = firstNetwork + (begin + i) % networks;
+        const Endpoint address { 0x7F000000U | (network << 16) | claimHost, flowPort };
+        auto claim = UdpSocket::bind(loop_.context(), address, [](const Endpoint&, std::span<const std::uint8_t>) {});
+        if (!claim)
+            continue;
+        claim_ = std::move(claim).value();
+        network_ = static_cast<std::uint8_t>(network);
+        return boost::outcome_v2::success();
+    }
+    return Error { ErrorCode::Unavailable, "all networks of loopback addresses are taken" };
+}
+
 Result<void> SoakRun::buildBalancers()
 {
     for (std::size_t zone = 0; zone < options_.availabilityZones; ++zone) {
