--- a/Source/Flow/ServiceChange.cpp
+++ b/Source/Flow/ServiceChange.cpp
@@ -268,17 +268,6 @@
     publish(context);
 }
 
-void ServiceChange::handleSyncRequest(BalancerId from, const FlowMessage& request, const ChangeContext& context)
-{
-    // The newcomer knows the configuration, but not yet the factors that go with it.
-    const bool sameVersion = TableGeneration(request.targetGeneration).version() == TableGeneration(settled_).version();
-    const bool canHelp = isSettled() && !lead_ && sameVersion;
-    if (!canHelp)
-        return;
-    const auto flows = flows_.collect(allBuckets(), *tables_.find(settled_));
-    deliveries_.start(from, settled_, cutIntoParts(flows), context.now);
-}
-
 void ServiceChange::reviewPromise(const ChangeContext& context)
 {
     if (!promise_)
--- a/Source/Flow/ServiceChangeLead.cpp
+++ b/Source/Flow/ServiceChangeLead.cpp
@@ -116,6 +116,17 @@
     }
 }
 
+void ServiceChange::handleSyncRequest(BalancerId from, const FlowMessage& request, const ChangeContext& context)
+{
+    // The newcomer knows the configuration, but not yet the factors that go with it.
+    const bool sameVersion = TableGeneration(request.targetGeneration).version() == TableGeneration(settled_).version();
+    const bool canHelp = isSettled() && !lead_ && sameVersion;
+    if (!canHelp)
+        return;
+    const auto flows = flows_.collect(allBuckets(), *tables_.find(settled_));
+    deliveries_.start(from, settled_, cutIntoParts(flows), context.now);
+}
+
 void ServiceChange::requestSync(const ChangeContext& context)
 {
     if (!protectsFlows_ || target_ == 0 || settled_ == target_ || promise_ || lead_)
