--- a/Source/Forwarder/Forwarder.h
+++ b/Source/Forwarder/Forwarder.h
@@ -90,8 +90,7 @@
         RouterSettings router;
         router.availabilityZone = settings.availabilityZone;
         // A quarter more than a flow lasts, for packets that are still on their way.
-        router.directory.retention
-            = std::chrono::duration_cast<std::chrono::milliseconds>(settings.longestFlow) * 5 / 4;
+        router.directory.retention = settings.longestFlow * 5 / 4;
         return router;
     }
 
@@ -111,8 +110,13 @@
         ready_ = std::move(ready);
         if (!settings_.metrics.isSet())
             return boost::outcome_v2::success();
-        BOOST_OUTCOME_TRY(metrics, Http1Server::listen(context_, settings_.metrics, onRequest));
-        metricsServer_ = std::move(metrics);
+        // Flows matter more than figures about them: without a free port the forwarder serves all the same.
+        auto metrics = Http1Server::listen(context_, settings_.metrics, onRequest);
+        if (metrics)
+            metricsServer_ = std::move(metrics).value();
+        else
+            log_.write(LogLevel::Warning, "process", "without_metrics",
+                Event().add("error", metrics.error().toString()), startedAt_);
         return boost::outcome_v2::success();
     }
 
--- a/Source/Forwarder/ForwarderSettings.cpp
+++ b/Source/Forwarder/ForwarderSettings.cpp
@@ -7,9 +7,8 @@
 
 namespace {
 
-    using namespace std::chrono_literals;
-
     constexpr std::uint32_t largestLogBudget = 1'000'000;
+    constexpr double longestSeconds = 86'400;
 
     void readAddresses(SettingsReader& reader, ForwarderSettings& settings)
     {
@@ -22,6 +21,14 @@
         reader.section("peers").endpoints("seed_vms", settings.seeds);
     }
 
+    // The platform gives its bounds in seconds, whole or not.
+    void readSeconds(SectionReader& section, std::string_view key, std::chrono::milliseconds& target, double least)
+    {
+        double seconds = std::chrono::duration<double>(target).count();
+        section.number(key, seconds, least, longestSeconds);
+        target = std::chrono::milliseconds(static_cast<std::int64_t>(seconds * 1000));
+    }
+
     void readLog(SettingsReader& reader, ForwarderSettings& settings)
     {
         SectionReader& section = reader.section("log");
@@ -46,8 +53,8 @@
     forwarder.name("availability_zone", settings.availabilityZone, Presence::Required);
     readAddresses(reader, settings);
     SectionReader& limits = reader.section("limits");
-    limits.milliseconds("longest_flow_milliseconds", settings.longestFlow, 1000ms, 86'400'000ms);
-    limits.milliseconds("grace_milliseconds", settings.grace, 0ms, 3'600'000ms);
+    readSeconds(limits, "longest_flow_seconds", settings.longestFlow, 1);
+    readSeconds(limits, "grace_seconds", settings.grace, 0);
     readLog(reader, settings);
     const SettingsProblems problems = reader.finish();
     if (!problems.isEmpty())
@@ -75,7 +82,7 @@
     compare(peer == other.peer, "listen.peer");
     compare(metrics == other.metrics, "listen.metrics");
     compare(store == other.store, "store.address");
-    compare(longestFlow == other.longestFlow, "limits.longest_flow_milliseconds");
+    compare(longestFlow == other.longestFlow, "limits.longest_flow_seconds");
     return names;
 }
 
--- a/Source/Forwarder/ForwarderSettings.h
+++ b/Source/Forwarder/ForwarderSettings.h
@@ -26,7 +26,7 @@
     std::vector<Endpoint> seeds;
 
     // The longest life of a flow.
-    std::chrono::seconds longestFlow { 60 };
+    std::chrono::milliseconds longestFlow { 60000 };
     // From the order to stop until the process is killed.
     std::chrono::milliseconds grace { 6000 };
 
--- a/Source/Soak/SoakRun.cpp
+++ b/Source/Soak/SoakRun.cpp
@@ -174,9 +174,9 @@
         seeds += (i == 0 ? "" : ",") + Endpoint { balancers_[i].address.address, peerPort }.toString();
     const std::string text = fmt::format("[forwarder]\nvm = {}\navailability_zone = {}\n[listen]\nflow = {}\nready = "
                                          "{}\npeer = {}\n[store]\naddress = {}\n[peers]\nseed_vms = {}\n"
-                                         "[limits]\ngrace_milliseconds = {}\n; written at start {}\n",
+                                         "[limits]\ngrace_seconds = {}\n; written at start {}\n",
         balancer.name, balancer.availabilityZone, at(flowPort), at(readyPort), at(peerPort),
-        balancer.storeEntry.toString(), seeds, grace.count(), balancer.starts);
+        balancer.storeEntry.toString(), seeds, std::chrono::duration<double>(grace).count(), balancer.starts);
     BOOST_OUTCOME_TRY(directory_.write(balancer.name + ".ini", text));
     return boost::outcome_v2::success();
 }
--- a/Tests/Forwarder/ForwarderSettingsTest.cpp
+++ b/Tests/Forwarder/ForwarderSettingsTest.cpp
@@ -27,8 +27,8 @@
 seed_vms = 10.1.0.10:8166,10.2.0.40:8166
 
 [limits]
-longest_flow_milliseconds = 60000
-grace_milliseconds = 6000
+longest_flow_seconds = 60
+grace_seconds = 6.5
 
 [log]
 level = warning
@@ -43,6 +43,7 @@
         EXPECT_EQ(settings.value().store, Endpoint::parse("10.200.1.7:8169").value());
         EXPECT_EQ(settings.value().seeds.size(), 2U);
         EXPECT_EQ(settings.value().longestFlow, std::chrono::seconds(60));
+        EXPECT_EQ(settings.value().grace, std::chrono::milliseconds(6500));
         EXPECT_EQ(settings.value().logLevel, LogLevel::Warning);
     }
 
@@ -52,10 +53,10 @@
         text.replace(text.find("10.1.0.10:8172"), 14, "nowhere");
         text.replace(text.find("[store]"), 7, "[stroe]");
         text.replace(text.find("level = warning"), 15, "level = loud");
-        text.replace(text.find("grace_milliseconds = 6000"), 25, "grace_milliseconds = -1");
+        text.replace(text.find("grace_seconds = 6.5"), 19, "grace_seconds = -1");
         const auto settings = ForwarderSettings::parse("file", text);
         ASSERT_FALSE(settings);
-        for (const char* part : { "flow = nowhere", "[store]", "[stroe]", "level = loud", "grace_milliseconds = -1" })
+        for (const char* part : { "flow = nowhere", "[store]", "[stroe]", "level = loud", "grace_seconds = -1" })
             EXPECT_NE(settings.error().detail.find(part), std::string::npos) << part << "\n" << settings.error().detail;
     }
 
