Soak: End the readiness checks before what their callbacks use

Only the soak's own process is concerned. Ruled out: the forwarder and the HTTP client, whose callbacks run as documented.

--- a/Source/Soak/SoakRun.cpp
+++ b/Source/Soak/SoakRun.cpp
@@ -66,7 +66,9 @@
     callerEvents_.routePacket = [this](const FlowEnds& ends) { return routePacket(ends); };
 }
 
-SoakRun::~SoakRun() = default;
+// Ending the clients of the readiness checks runs their callbacks, which use what else is here. Destroyed in the order
+// of the members, later_ would be gone by then: one run in fifty ended with a corrupted heap.
+SoakRun::~SoakRun() { balancers_.clear(); }
 
 Result<void> SoakRun::run()
 {
