News: Keep servers in doubt until the store is heard

Sequence: the store is away for two seconds and all entries lapse; it is back and says so; half a second later the zone is cut off, from the store too. Cause: a doubt ended after two seconds, although nothing was heard that could have said that the servers are back. The zone's own servers were taken for gone, and everything went to two servers of zones it could not reach. Ruled out: the opening policy (it had only those two to choose from), lost pushes (all four balancers of the zone believed the same).

A doubt now ends only when the store was heard a second or more after the entry vanished, or after ten seconds. The watcher asks the store again once entries could be back (one call an episode) and tells its zone. After a regained store the question waits two seconds more.

Tests: ServerDirectoryTest, StoreFeedTest, NewsExchangeTest and the story in RandomDecisionsTest fail without the change.

--- a/Source/Forward/ServerDirectory.cpp
+++ b/Source/Forward/ServerDirectory.cpp
@@ -74,7 +74,7 @@
 {
     Transitions transitions;
     for (auto& [id, record] : records_) {
-        if (record->state == ServerState::Doubtful && now - record->since >= settings_.doubt)
+        if (record->state == ServerState::Doubtful && isDoubtOver(*record, now))
             enter(*record, ServerState::Gone, now, transitions);
     }
     const std::size_t before = records_.size();
@@ -91,6 +91,16 @@
     return transitions;
 }
 
+// A zone cut off right after an outage of the store heard that all entries had lapsed, and never that they were back.
+// It took its own servers, which answered all the while, for gone after two seconds, and sent everything to the few
+// others, which it could not reach.
+bool ServerDirectory::isDoubtOver(const KnownServer& record, TimePoint now) const
+{
+    const Duration age = now - record.since;
+    const bool isConfirmed = storeHeardAt_ >= record.since + settings_.confirmedAfter;
+    return age >= settings_.longestDoubt || (age >= settings_.doubt && isConfirmed);
+}
+
 void ServerDirectory::forget(const KnownServer& record)
 {
     const auto claimed = byToken_.find(record.token);
--- a/Source/Forward/ServerDirectory.h
+++ b/Source/Forward/ServerDirectory.h
@@ -5,6 +5,7 @@
 
 #include <absl/container/flat_hash_map.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -38,8 +39,6 @@
     std::uint32_t failures = 0;
     // Until when it gets no new flows.
     TimePoint leftOutUntil = TimePoint::min();
-    // What other balancers of the zone said of their flows to it.
-    float loadElsewhere = 0;
 };
 
 struct KnownServer {
@@ -64,6 +63,11 @@
 struct DirectorySettings {
     // How long a vanished entry may be back after an outage of the store (the store's operators promise two seconds).
     std::chrono::milliseconds doubt { 2000 };
+    // The store must have been heard so long after the entry vanished, or its absence says nothing: a zone that is cut
+    // off from the store never hears that its servers are back.
+    std::chrono::milliseconds confirmedAfter { 1000 };
+    // Without hearing of the store a server stays in doubt for so long.
+    std::chrono::milliseconds longestDoubt { 10000 };
     // How long servers that are gone stay known by their tokens: flows last up to a minute (the platform's bound).
     std::chrono::milliseconds retention { 75000 };
 };
@@ -92,6 +96,8 @@
     Transitions put(const RegisteredServer&, std::uint64_t revision, TimePoint now);
     // Its entry vanished. In doubt a ready server keeps getting flows for a while, because it may be back.
     Transitions remove(const std::string& id, bool inDoubt, TimePoint now);
+    // The store told what is certain, at this time.
+    void noteStoreHeard(TimePoint at) { storeHeardAt_ = std::max(storeHeardAt_, at); }
     // Ends doubts and forgets servers whose flows are over.
     Transitions tick(TimePoint now);
 
@@ -111,6 +117,7 @@
 
 private:
     void enter(KnownServer&, ServerState, TimePoint now, Transitions&);
+    bool isDoubtOver(const KnownServer&, TimePoint now) const;
     void endFormerAt(const KnownServer&, TimePoint now, Transitions&);
     void claimToken(KnownServer&);
     void forget(const KnownServer&);
@@ -124,6 +131,7 @@
     // Made anew when it is asked for after a change, since a listing changes thousands of servers at once.
     absl::flat_hash_map<std::string, std::vector<KnownServer*>> byService_;
     bool isIndexed_ = true;
+    TimePoint storeHeardAt_ = TimePoint::min();
 };
 
 }
--- a/Source/Forward/TokenRouter.h
+++ b/Source/Forward/TokenRouter.h
@@ -75,6 +75,8 @@
     bool applyConfiguration(const ForwardingConfiguration&);
     ServerDirectory::Transitions putServer(const RegisteredServer&, std::uint64_t revision, TimePoint now);
     ServerDirectory::Transitions removeServer(const std::string& id, bool inDoubt, TimePoint now);
+    // The store told what is certain, at this time.
+    void noteStoreHeard(TimePoint at) { directory_.noteStoreHeard(at); }
     // Call it a few times a second while there are flows or servers in doubt.
     ServerDirectory::Transitions tick(TimePoint now);
 
--- a/Source/Forwarder/Forwarder.h
+++ b/Source/Forwarder/Forwarder.h
@@ -217,6 +217,7 @@
         store_.update(peers_->exchange().book().completeTo(), peers_->shallWatch() && !life_.isStopping(),
             peers_->exchange().behindSince(), now);
         store_.tick(now);
+        router_.noteStoreHeard(peers_->exchange().storeHeardAt());
         for (const ServerTransition& transition : router_.tick(now))
             lines_.transition(transition, peers_->exchange().book().completeTo(), "time", now);
         for (const ZoneChange& change : router_.takeZoneChanges())
--- a/Source/News/NewsExchange.cpp
+++ b/Source/News/NewsExchange.cpp
@@ -7,11 +7,7 @@
 
 namespace {
 
-    bool isReachable(const Member& member)
-    {
-        return member.state == MemberState::Joining || member.state == MemberState::Serving
-            || member.state == MemberState::Leaving;
-    }
+    bool isReachable(const Member& member) { return member.state != MemberState::Dead; }
 
     std::size_t sizeOf(const NewsDelta& delta)
     {
@@ -36,7 +32,10 @@
 NewsActions NewsExchange::handleStore(const NewsDelta& delta, TimePoint now)
 {
     NewsActions actions = merge("store", delta, now);
-    if (!actions.empty())
+    if (delta.isFresh)
+        storeHeardAt_ = now;
+    const bool isConfirmation = delta.isFresh && delta.items.empty() && delta.from == delta.to;
+    if (!actions.empty() || isConfirmation)
         push(delta, actions);
     review(now, actions);
     return actions;
@@ -45,6 +44,8 @@
 NewsActions NewsExchange::handlePush(BalancerId sender, const NewsDelta& delta, TimePoint now)
 {
     heard_[sender] = std::max(heard_[sender], delta.to);
+    if (delta.isFresh)
+        storeHeardAt_ = now;
     const Member* member = view_ ? view_->find(sender) : nullptr;
     NewsActions actions = merge(member ? member->name : "unknown", delta, now);
     review(now, actions);
--- a/Source/News/NewsExchange.h
+++ b/Source/News/NewsExchange.h
@@ -88,6 +88,8 @@
     std::optional<TimePoint> nextTick() const;
     // Since when others are known to be ahead of this balancer; none when nobody is.
     std::optional<TimePoint> behindSince() const { return behindSince_; }
+    // When the store last told this balancer or its zone's watcher something that is certain (NewsDelta::isFresh).
+    TimePoint storeHeardAt() const { return storeHeardAt_; }
 
 private:
     NewsActions merge(const std::string& source, const NewsDelta&, TimePoint now);
@@ -110,6 +112,7 @@
     // The revisions of pushes, which are ahead of what membership tells.
     std::map<BalancerId, std::uint64_t> heard_;
     std::optional<TimePoint> behindSince_;
+    TimePoint storeHeardAt_ = TimePoint::min();
     // When the fetch in progress is given up.
     std::optional<TimePoint> fetchUntil_;
     std::optional<BalancerId> lastSource_;
--- a/Source/News/NewsMessages.h
+++ b/Source/News/NewsMessages.h
@@ -31,8 +31,10 @@
     // The sender's contact with the store was troubled lately, so that vanished entries may be back soon.
     bool isInDoubt = false;
     std::vector<NewsItem> items;
+    // The store itself said this just now, and has been in contact for longer than vanished entries take to come back.
+    bool isFresh = false;
 
-    MSGPACK_DEFINE_ARRAY(from, to, isWhole, isInDoubt, items);
+    MSGPACK_DEFINE_ARRAY(from, to, isWhole, isInDoubt, items, isFresh);
 };
 
 // The largest answer to a request for news: a large directory and a large configuration.
--- a/Source/News/StoreFeed.cpp
+++ b/Source/News/StoreFeed.cpp
@@ -57,6 +57,9 @@
         return actions;
     }
     NewsDelta delta { 0, *listRevision_, true, isTroubled(now), std::move(listed_) };
+    delta.isFresh = !mayListStale_ && now >= freshFrom_;
+    if (delta.isInDoubt)
+        confirmAt_ = now + settings_.returnWithin;
     completeTo_ = std::max(completeTo_, delta.to);
     listed_.clear();
     listRevision_.reset();
@@ -74,8 +77,16 @@
     pauseUntil_.reset();
     watchedSince_ = now;
     ++watchNumber_;
-    actions.emplace_back(SendWatch {
-        { "", completeTo_, settings_.watchFor }, settings_.watchFor + settings_.answerWithin, watchNumber_ });
+    const auto wait = watchTime(now);
+    actions.emplace_back(SendWatch { { "", completeTo_, wait }, wait + settings_.answerWithin, watchNumber_ });
+}
+
+std::chrono::milliseconds StoreFeed::watchTime(TimePoint now) const
+{
+    if (!confirmAt_)
+        return settings_.watchFor;
+    const auto left = std::chrono::ceil<std::chrono::milliseconds>(*confirmAt_ - now);
+    return std::clamp(left, settings_.shortestWatch, settings_.watchFor);
 }
 
 StoreFeedActions StoreFeed::handleChanges(std::uint64_t number, const Result<PlatformChanges>& changes, TimePoint now)
@@ -103,11 +114,17 @@
     delta.from = completeTo_;
     delta.to = std::max(changes.value().revision, completeTo_);
     delta.isInDoubt = isTroubled(now) || removals >= settings_.massRemoval;
+    delta.isFresh = now >= freshFrom_;
+    const bool isConfirmation = confirmAt_ && now >= *confirmAt_;
+    if (isConfirmation)
+        confirmAt_.reset();
+    if (delta.isInDoubt && removals > 0)
+        confirmAt_ = now + settings_.returnWithin;
     for (const PlatformItem& item : changes.value().items)
         delta.items.push_back(newsOf(item));
     completeTo_ = delta.to;
     const bool isNews = !delta.items.empty();
-    if (isNews || delta.to > delta.from)
+    if (isNews || delta.to > delta.from || isConfirmation)
         actions.emplace_back(StoreNews { std::move(delta) });
     if (!shallWatch_)
         state_ = State::Idle;
@@ -176,6 +193,9 @@
     actions.emplace_back(StoreRegained { now - *lostSince_ });
     lostSince_.reset();
     troubledUntil_ = now + settings_.doubtAfterTrouble;
+    freshFrom_ = now + settings_.returnWithin;
+    if (confirmAt_)
+        confirmAt_ = freshFrom_;
 }
 
 }
--- a/Source/News/StoreFeed.h
+++ b/Source/News/StoreFeed.h
@@ -31,6 +31,11 @@
     std::chrono::milliseconds silentAfter { 700 };
     // For how long after an outage vanished entries are doubtful.
     std::chrono::milliseconds doubtAfterTrouble { 5000 };
+    // How long entries take to come back that vanished with an outage (the store's operators promise two seconds). When
+    // some vanished, the store is asked again after it: only what is missing then is certainly gone.
+    std::chrono::milliseconds returnWithin { 2000 };
+    // The shortest wait of that question.
+    std::chrono::milliseconds shortestWatch { 50 };
     // So many entries that vanish at once are taken for the work of an outage that this balancer did not see.
     std::size_t massRemoval = 3;
 };
@@ -97,6 +102,7 @@
 
     void list(StoreFeedActions&);
     void watch(TimePoint now, StoreFeedActions&);
+    std::chrono::milliseconds watchTime(TimePoint now) const;
     void pause(State, std::chrono::milliseconds, TimePoint now);
     void noteFailure(const Error&, TimePoint now, StoreFeedActions&);
     void noteSuccess(TimePoint now, StoreFeedActions&);
@@ -111,6 +117,10 @@
     std::optional<TimePoint> pauseUntil_;
     std::optional<TimePoint> lostSince_;
     TimePoint troubledUntil_ = TimePoint::min();
+    // From when on an answer of the store shows what is certainly gone.
+    TimePoint freshFrom_ = TimePoint::min();
+    // When the store is to be asked whether entries that vanished in doubt are back; none when none did.
+    std::optional<TimePoint> confirmAt_;
     // The pages of the listing in progress.
     std::vector<NewsItem> listed_;
     std::optional<std::uint64_t> listRevision_;
--- a/Tests/Forward/ServerDirectoryTest.cpp
+++ b/Tests/Forward/ServerDirectoryTest.cpp
@@ -68,6 +68,7 @@
 
         clock.advance(1500ms);
         directory.put(back, 20, clock.now());
+        directory.noteStoreHeard(clock.now());
         clock.advance(600ms);
         directory.tick(clock.now());
         EXPECT_EQ(stateOf(back), ServerState::Ready);
@@ -75,6 +76,36 @@
         EXPECT_FALSE(directory.find(lost.id)->mayTakeFlows());
     }
 
+    // Symptom: a zone served almost nobody although its servers were well (a tenth of two windows' requests).
+    // Sequence: the store is away and all entries lapse; it is back and says so; then the zone is cut off from it.
+    // Cause: doubts ended after two seconds, although nothing was heard that could have said that servers are back.
+    TEST_F(ServerDirectoryTest, doubtLastsForAsLongAsTheStoreIsNotHeard)
+    {
+        const RegisteredServer entry = server(1);
+        directory.put(entry, 5, clock.now());
+        directory.noteStoreHeard(clock.now());
+        directory.remove(entry.id, true, clock.now());
+        clock.advance(500ms);
+        directory.noteStoreHeard(clock.now());
+        clock.advance(5s);
+        directory.tick(clock.now());
+        EXPECT_EQ(stateOf(entry), ServerState::Doubtful);
+        {
+            SCOPED_TRACE("the store is heard again and does not name it");
+            directory.noteStoreHeard(clock.now());
+            directory.tick(clock.now());
+            EXPECT_EQ(stateOf(entry), ServerState::Gone);
+        }
+        {
+            SCOPED_TRACE("a store that is never heard again does not keep it forever");
+            directory.put(server(2), 30, clock.now());
+            directory.remove(server(2).id, true, clock.now());
+            clock.advance(11s);
+            directory.tick(clock.now());
+            EXPECT_EQ(stateOf(server(2)), ServerState::Gone);
+        }
+    }
+
     TEST_F(ServerDirectoryTest, withoutDoubtAVanishedEntryMeansGoneAtOnce)
     {
         directory.put(server(1), 5, clock.now());
--- a/Tests/News/NewsExchangeTest.cpp
+++ b/Tests/News/NewsExchangeTest.cpp
@@ -62,6 +62,20 @@
         }
     };
 
+    TEST_F(NewsExchangeTest, thatTheStoreWasHeardIsTheWholeZonesKnowledge)
+    {
+        exchange.handleStore({ 0, 5, true, false, {} }, clock.now());
+        EXPECT_EQ(exchange.storeHeardAt(), TimePoint::min());
+        clock.advance(1s);
+        NewsDelta confirmation { 5, 5, false, false, {} };
+        confirmation.isFresh = true;
+        EXPECT_EQ(all<PushNews>(exchange.handleStore(confirmation, clock.now())).size(), 2U);
+        EXPECT_EQ(exchange.storeHeardAt(), clock.now());
+        clock.advance(1s);
+        exchange.handlePush(balancerIdOf("walu-1"), confirmation, clock.now());
+        EXPECT_EQ(exchange.storeHeardAt(), clock.now());
+    }
+
     TEST_F(NewsExchangeTest, newsOfTheStoreIsPushedToTheOwnZone)
     {
         exchange.handleStore({ 0, 5, true, false, {} }, clock.now());
--- a/Tests/News/RandomDecisionsTest.cpp
+++ b/Tests/News/RandomDecisionsTest.cpp
@@ -240,6 +240,35 @@
         }
     }
 
+    // Symptom: new flows found no server although all were well.
+    // Sequence: all entries lapse in an outage of the store, it says so when it is back, and is lost again before the
+    // servers have registered anew. Cause: see ServerDirectoryTest.
+    TEST(RandomDecisionsTest, serversThatLapsedStayWhileTheStoreCannotSayThatTheyAreBack)
+    {
+        for (std::uint32_t seed = 1; seed <= 20; ++seed) {
+            SCOPED_TRACE(seed);
+            DecisionFleet fleet(seed);
+            fleet.writeConfiguration(2, { "tryon" });
+            for (std::uint64_t number = 1; number <= 4; ++number)
+                fleet.writeServer(ForwardFixture::server(number));
+            fleet.advance(2s);
+            for (std::uint64_t number = 1; number <= 4; ++number)
+                fleet.removeServer(ForwardFixture::server(number));
+            fleet.advance(300ms);
+            fleet.isStoreDown = true;
+            fleet.advance(5s);
+            for (auto& balancer : fleet.balancers()) {
+                const TokenPacket packet = ForwardFixture::opening(1, 0, DecisionFleet::routeOf(0));
+                const PacketDecision decision = balancer.router->route(packet, fleet.now());
+                EXPECT_EQ(decision.verdict, PacketVerdict::Forward) << balancer.name;
+            }
+            fleet.isStoreDown = false;
+            fleet.advance(5s);
+            for (auto& balancer : fleet.balancers())
+                EXPECT_EQ(balancer.router->directory().countOf(ServerState::Gone), 4U) << balancer.name;
+        }
+    }
+
     // Symptom: a zone stayed behind although others had the news.
     // Sequence: the store turns away all balancers of a zone for longer than any bound, while the configuration
     // changes. Cause: see NewsExchangeTest; here the bound itself is checked, 3 s of which the gossip takes half a
--- a/Tests/News/StoreFeedTest.cpp
+++ b/Tests/News/StoreFeedTest.cpp
@@ -138,6 +138,43 @@
         EXPECT_TRUE(only<StoreNews>(many)->delta.isInDoubt);
     }
 
+    // Symptom: see ServerDirectoryTest: what vanished in doubt was taken for gone, or stayed in doubt for long.
+    // Sequence: many entries vanish at once, and nothing else happens.
+    // Cause: a store that says nothing may have nothing to say, or not be heard.
+    TEST_F(StoreFeedTest, whatVanishedInDoubtIsAskedForOnceItCouldBeBack)
+    {
+        std::uint64_t number = beginToWatch();
+        const StoreFeedActions vanished = feed.handleChanges(number, removals(14, 3), clock.now());
+        EXPECT_TRUE(only<StoreNews>(vanished)->delta.isFresh);
+        const StoreFeedActions next = advanceTo(feed.nextTick());
+        ASSERT_NE(only<SendWatch>(next), nullptr);
+        EXPECT_LT(only<SendWatch>(next)->call.wait, 2s);
+        {
+            SCOPED_TRACE("nothing is back, and that is news");
+            clock.advance(only<SendWatch>(next)->call.wait);
+            number = only<SendWatch>(next)->number;
+            const StoreFeedActions confirmed = feed.handleChanges(number, PlatformChanges { {}, 14 }, clock.now());
+            ASSERT_NE(only<StoreNews>(confirmed), nullptr);
+            EXPECT_TRUE(only<StoreNews>(confirmed)->delta.isFresh);
+            EXPECT_EQ(only<SendWatch>(confirmed)->call.wait, StoreFeedSettings {}.watchFor);
+        }
+    }
+
+    TEST_F(StoreFeedTest, afterAnOutageTheQuestionWaitsUntilServersCouldBeBack)
+    {
+        std::uint64_t number = beginToWatch();
+        feed.handleChanges(number, removals(14, 3), clock.now());
+        number = only<SendWatch>(advanceTo(feed.nextTick()))->number;
+        clock.advance(2500ms);
+        feed.handleChanges(number, Error { ErrorCode::DeadlineExceeded, "silent" }, clock.now());
+        number = only<SendWatch>(advanceTo(feed.nextTick()))->number;
+        const StoreFeedActions regained = feed.handleChanges(number, PlatformChanges { {}, 14 }, clock.now());
+        EXPECT_NE(only<StoreRegained>(regained), nullptr);
+        EXPECT_EQ(only<StoreNews>(regained), nullptr);
+        ASSERT_NE(only<SendWatch>(regained), nullptr);
+        EXPECT_EQ(only<SendWatch>(regained)->call.wait, 2s);
+    }
+
     // Symptom: a balancer stayed at an old configuration while all others had the new one.
     // Sequence: its connection to the store goes silent for good; others hear the news.
     // Cause: a watch that says nothing looks like a store with nothing to say.
