Forwarder: Let one balancer a zone watch the store

A balancer that the store does not answer says so (MemberState Detached), and the next one watches in its place; three of a zone at most, since a store that answers none of them is down for all. A balancer that has just started waits a second to meet others before it takes itself for a watcher, so that a start of all does not cost two calls each.

Row status 5 (detached) is new on the wire between balancers; an older balancer drops such rows.

--- a/Source/Forwarder/Forwarder.h
+++ b/Source/Forwarder/Forwarder.h
@@ -193,9 +193,10 @@
         if (const auto* news = std::get_if<StoreNews>(&action)) {
             peers_->handleStore(news->delta, now);
         } else if (const auto* lost = std::get_if<StoreLost>(&action)) {
-            peers_->setRole(peers_->shallWatch(), true);
+            peers_->noteStore(true, now);
             log_.write(LogLevel::Warning, "store", "lost", Event().add("error", lost->error.toString()), now);
         } else if (const auto* regained = std::get_if<StoreRegained>(&action)) {
+            peers_->noteStore(false, now);
             log_.write(LogLevel::Info, "store", "regained", Event().add("away_ms", regained->away), now);
         }
     }
@@ -212,9 +213,9 @@
 
     void onBeat(TimePoint now)
     {
-        peers_->setRole(peers_->shallWatch(), store_.feed().isLost());
+        peers_->noteStore(store_.feed().isLost(), now);
         peers_->tick(now);
-        store_.update(peers_->exchange().book().completeTo(), peers_->shallWatch() && !life_.isStopping(),
+        store_.update(peers_->exchange().book().completeTo(), peers_->shallWatch(now) && !life_.isStopping(),
             peers_->exchange().behindSince(), now);
         store_.tick(now);
         router_.noteStoreHeard(peers_->exchange().storeHeardAt());
--- a/Source/Forwarder/PeerNews.cpp
+++ b/Source/Forwarder/PeerNews.cpp
@@ -17,6 +17,13 @@
     constexpr std::string_view newsPath = "/news/";
     constexpr std::chrono::milliseconds fetchWithin { 800 };
 
+    // One watcher a zone: calls to the store are priced, and whoever misses its zone's watcher hears from other zones.
+    // Three in all, so that news gets around whichever of them has just failed.
+    constexpr WatcherNumbers watcherNumbers { 1, 3, 3 };
+    // A balancer that has just started meets others within some hundred milliseconds. Until then each would take itself
+    // for a watcher, and when all start together all would call the store for nothing.
+    constexpr std::chrono::milliseconds meetWithin { 1000 };
+
     Http2Limits fetchLimits()
     {
         Http2Limits limits;
@@ -65,6 +72,7 @@
 
 void PeerNews::start(TimePoint now)
 {
+    meetsUntil_ = now + (seeds_.empty() ? std::chrono::milliseconds(0) : meetWithin);
     adviseSeeds(now);
     // Watchers are chosen among those that serve, and until somebody watches nobody learns enough to be ready. Nothing
     // has to be learned from others before packets can be routed by their tokens.
@@ -100,9 +108,27 @@
 
 void PeerNews::handleStore(const NewsDelta& delta, TimePoint now) { perform(exchange_.handleStore(delta, now), now); }
 
-void PeerNews::leave(TimePoint now) { perform(membership_.leave(now), now); }
+void PeerNews::leave(TimePoint now)
+{
+    isLeaving_ = true;
+    perform(membership_.leave(now), now);
+}
+
+void PeerNews::noteStore(bool isLost, TimePoint now)
+{
+    const bool isWatcher = shallWatch(now);
+    exchange_.setRole(isWatcher, isLost);
+    if (!isLeaving_)
+        perform(membership_.setSelfState(isWatcher && isLost ? MemberState::Detached : MemberState::Serving, now), now);
+}
 
-bool PeerNews::shallWatch() const { return shallWatchConfiguration(*membership_.view()); }
+bool PeerNews::shallWatch(TimePoint now) const
+{
+    const MembersView& view = *membership_.view();
+    if (now < meetsUntil_ && view.members.size() < fewestMembersToShareWatching)
+        return false;
+    return shallWatchConfiguration(view, watcherNumbers);
+}
 
 std::uint64_t PeerNews::bytesTransferred() const
 {
--- a/Source/Forwarder/PeerNews.h
+++ b/Source/Forwarder/PeerNews.h
@@ -42,10 +42,10 @@
     void leave(TimePoint now);
     void setSeeds(std::vector<Endpoint> seeds, TimePoint now);
 
-    // What StoreFeed says of the store, and whether this balancer watches it.
-    void setRole(bool isWatcher, bool isStoreLost) { exchange_.setRole(isWatcher, isStoreLost); }
+    // Tells the others whether this balancer, if it is to watch the store, can.
+    void noteStore(bool isLost, TimePoint now);
     // Whether this balancer is among those that watch the store.
-    bool shallWatch() const;
+    bool shallWatch(TimePoint now) const;
     const NewsExchange& exchange() const { return exchange_; }
     std::size_t members() const { return membership_.view()->members.size(); }
     std::uint64_t bytesTransferred() const;
@@ -61,7 +61,6 @@
     void push(const PushNews&);
     void fetch(const FetchNews&);
     void handleFetched(const std::string& source, const HttpOutcome&);
-    void logMembers(const MembersView& before, const MembersView& after, TimePoint now);
     void adviseSeeds(TimePoint now);
     // Tells of balancers that were lost, are back, or are new.
     void logMembers(const MembersView& view, TimePoint now);
@@ -81,6 +80,9 @@
     // Since when each known balancer is in its state; for the log.
     std::map<BalancerId, std::pair<MemberState, TimePoint>> memberStates_;
     bool isIsolated_ = false;
+    bool isLeaving_ = false;
+    // Until when a balancer that knows nobody yet waits to meet others.
+    TimePoint meetsUntil_ = TimePoint::min();
     std::uint64_t fetchedBytes_ = 0;
 };
 
--- a/Source/Membership/Member.cpp
+++ b/Source/Membership/Member.cpp
@@ -11,6 +11,7 @@
     constexpr auto memberStateNames = makeNameTable<MemberState>({
         { MemberState::Joining, "joining" },
         { MemberState::Serving, "serving" },
+        { MemberState::Detached, "detached" },
         { MemberState::Leaving, "leaving" },
         { MemberState::Dead, "dead" },
     });
--- a/Source/Membership/Member.h
+++ b/Source/Membership/Member.h
@@ -14,6 +14,7 @@
 enum class MemberState {
     Joining, // Up, but has not learned yet which flows are exceptions to its tables.
     Serving, // Decides on its own.
+    Detached, // Serves, but the platform does not answer it: others read the platform in its place.
     Leaving, // Stops soon by plan; takes no new duties.
     Dead, // Silent for longer than its lease.
 };
--- a/Source/Membership/MemberRecord.cpp
+++ b/Source/Membership/MemberRecord.cpp
@@ -13,6 +13,8 @@
             return RowStatus::Joining;
         case MemberState::Serving:
             return RowStatus::Serving;
+        case MemberState::Detached:
+            return RowStatus::Detached;
         case MemberState::Leaving:
             return RowStatus::Leaving;
         case MemberState::Dead:
@@ -31,7 +33,7 @@
 
 bool isWellFormed(const MemberRow& row)
 {
-    if (row.id == 0 || row.status > static_cast<std::uint8_t>(RowStatus::Left) || row.details.size() > 1)
+    if (row.id == 0 || row.status > static_cast<std::uint8_t>(RowStatus::Detached) || row.details.size() > 1)
         return false;
     return row.details.empty()
         || (row.details[0].name.size() <= longestName && row.details[0].availabilityZone.size() <= longestName);
@@ -44,6 +46,8 @@
         return MemberState::Joining;
     case RowStatus::Serving:
         return MemberState::Serving;
+    case RowStatus::Detached:
+        return MemberState::Detached;
     case RowStatus::Leaving:
         return MemberState::Leaving;
     case RowStatus::Dead:
--- a/Source/Membership/MembershipMessages.h
+++ b/Source/Membership/MembershipMessages.h
@@ -15,6 +15,7 @@
     Leaving = 2,
     Dead = 3,
     Left = 4, // Fell silent after it had said that it leaves.
+    Detached = 5,
 };
 
 // What never changes during one incarnation.
--- a/Source/Peers/ConfigurationWatchers.cpp
+++ b/Source/Peers/ConfigurationWatchers.cpp
@@ -2,7 +2,10 @@
 
 #include "Core/Hash.h"
 
+#include <algorithm>
 #include <cstdint>
+#include <set>
+#include <string_view>
 #include <utility>
 
 namespace wisteriadock {
@@ -12,9 +15,9 @@
     // Sets this choice apart from other rendezvous choices among the same members.
     constexpr std::uint64_t choiceSeed = 0x636f6e66;
 
-    bool isAlive(const Member& member)
+    bool mayWatch(const Member& member)
     {
-        return member.state == MemberState::Joining || member.state == MemberState::Serving;
+        return member.state == MemberState::Serving || member.state == MemberState::Detached;
     }
 
     std::pair<std::uint64_t, BalancerId> rankOf(const Member& member)
@@ -22,24 +25,37 @@
         return { hashPair(choiceSeed, member.id.value), member.id };
     }
 
+    std::size_t watchersInZone(std::size_t availabilityZones, const WatcherNumbers& numbers)
+    {
+        const std::size_t share = (numbers.inAll + availabilityZones - 1) / std::max<std::size_t>(availabilityZones, 1);
+        return std::max(numbers.perAvailabilityZone, share);
+    }
+
 }
 
-bool shallWatchConfiguration(const MembersView& view)
+bool shallWatchConfiguration(const MembersView& view, const WatcherNumbers& numbers)
 {
     const Member* self = view.findSelf();
     if (!self)
         return true;
 
     std::size_t known = 0;
-    std::size_t ahead = 0;
+    std::size_t servingAhead = 0;
+    std::size_t detachedAhead = 0;
+    std::set<std::string_view> availabilityZones;
     for (const Member& member : view.members) {
-        known += isAlive(member);
-        const bool isRival = member.state == MemberState::Serving && member.availabilityZone == self->availabilityZone;
-        ahead += isRival && rankOf(member) < rankOf(*self);
+        known += mayWatch(member) || member.state == MemberState::Joining;
+        if (!mayWatch(member))
+            continue;
+        availabilityZones.insert(member.availabilityZone);
+        if (member.availabilityZone != self->availabilityZone || rankOf(member) >= rankOf(*self))
+            continue;
+        ++(member.state == MemberState::Serving ? servingAhead : detachedAhead);
     }
     if (known < fewestMembersToShareWatching)
         return true;
-    return self->state == MemberState::Serving && ahead < watchersPerAvailabilityZone;
+    return mayWatch(*self) && servingAhead < watchersInZone(availabilityZones.size(), numbers)
+        && detachedAhead < numbers.replacedPerAvailabilityZone;
 }
 
 }
--- /dev/null
+++ b/Tests/Peers/ConfigurationWatchersTest.cpp
@@ -0,0 +1,119 @@
+#include "Peers/ConfigurationWatchers.h"
+
+#include <gtest/gtest.h>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+namespace wisteriadock {
+
+namespace {
+
+    // What the forwarders use: one in each zone, three in all, and up to three that are replaced.
+    constexpr WatcherNumbers few { 1, 3, 3 };
+
+    MembersView viewOf(std::size_t perZone, MemberState state = MemberState::Serving,
+        const std::vector<std::string>& zones = { "walu", "laucala" })
+    {
+        MembersView view;
+        for (const std::string& zone : zones) {
+            for (std::size_t i = 0; i < perZone; ++i) {
+                Member member;
+                member.name = fmt::format("{}-{}", zone, i);
+                member.id = balancerIdOf(member.name);
+                member.availabilityZone = zone;
+                member.state = state;
+                view.members.push_back(member);
+            }
+        }
+        std::sort(view.members.begin(), view.members.end(),
+            [](const Member& first, const Member& second) { return first.id < second.id; });
+        return view;
+    }
+
+    std::vector<BalancerId> watchersOf(MembersView view, std::string_view zone, const WatcherNumbers& numbers)
+    {
+        std::vector<BalancerId> watchers;
+        for (const Member& member : view.members) {
+            view.self = member.id;
+            if (member.availabilityZone == zone && shallWatchConfiguration(view, numbers))
+                watchers.push_back(member.id);
+        }
+        return watchers;
+    }
+
+    std::size_t countWatchers(const MembersView& view, std::string_view zone, const WatcherNumbers& numbers = {})
+    {
+        return watchersOf(view, zone, numbers).size();
+    }
+
+    void detach(MembersView& view, BalancerId id)
+    {
+        std::ranges::find(view.members, id, &Member::id)->state = MemberState::Detached;
+    }
+
+    TEST(ConfigurationWatchersTest, twoOfEachZoneWatchHoweverLargeItIs)
+    {
+        for (const std::size_t perZone : { 2U, 3U, 40U }) {
+            SCOPED_TRACE(perZone);
+            EXPECT_EQ(countWatchers(viewOf(perZone), "walu"), 2U);
+            EXPECT_EQ(countWatchers(viewOf(perZone), "laucala"), 2U);
+        }
+    }
+
+    TEST(ConfigurationWatchersTest, everyBalancerOfASmallFleetWatches)
+    {
+        EXPECT_TRUE(shallWatchConfiguration(MembersView {}));
+        EXPECT_EQ(countWatchers(viewOf(1), "walu"), 1U);
+        EXPECT_EQ(countWatchers(viewOf(1, MemberState::Joining), "walu"), 1U);
+    }
+
+    TEST(ConfigurationWatchersTest, anotherTakesOverWhenAWatcherDies)
+    {
+        MembersView view = viewOf(5);
+        for (Member& member : view.members) {
+            view.self = member.id;
+            if (member.availabilityZone != "walu" || !shallWatchConfiguration(view))
+                continue;
+            member.state = MemberState::Dead;
+            break;
+        }
+        std::erase_if(view.members, [](const Member& member) { return member.state == MemberState::Dead; });
+        EXPECT_EQ(countWatchers(view, "walu"), 2U);
+    }
+
+    TEST(ConfigurationWatchersTest, oneOfEachZoneIsEnoughWhereThereAreThree)
+    {
+        EXPECT_EQ(countWatchers(viewOf(5, MemberState::Serving, { "walu", "laucala", "nabua" }), "walu", few), 1U);
+        EXPECT_EQ(countWatchers(viewOf(5), "walu", few), 2U);
+        EXPECT_EQ(countWatchers(viewOf(5, MemberState::Serving, { "walu" }), "walu", few), 3U);
+    }
+
+    // Symptom: a zone would have no news of its own for as long as the store turns its only watcher away.
+    // Sequence: the store refuses the calls of some balancers, those that watch among them.
+    // Cause: a watcher that the store does not answer lives and serves, so it was never replaced.
+    TEST(ConfigurationWatchersTest, aWatcherThatTheStoreDoesNotAnswerIsReplacedAndGoesOnTrying)
+    {
+        MembersView view = viewOf(5, MemberState::Serving, { "walu", "laucala", "nabua" });
+        const std::vector<BalancerId> first = watchersOf(view, "walu", few);
+        ASSERT_EQ(first.size(), 1U);
+        detach(view, first[0]);
+        const std::vector<BalancerId> second = watchersOf(view, "walu", few);
+        EXPECT_EQ(second.size(), 2U);
+        EXPECT_EQ(std::ranges::count(second, first[0]), 1);
+        {
+            SCOPED_TRACE("the store answers nobody: no more than three of a zone go on calling it");
+            for (std::size_t i = 0; i < 5; ++i) {
+                for (const BalancerId id : watchersOf(view, "walu", few))
+                    detach(view, id);
+            }
+            EXPECT_EQ(countWatchers(view, "walu", few), 3U);
+        }
+    }
+
+}
+
+}
