Forward: Spare servers that leave requests unanswered

Cause: a server that takes flows and then answers only some of their requests looked well: only openings without an answer counted against a server, and one that fails quickly even looks idle.

Each request of a flow now ends as answered or unanswered (no byte within 0.6 s, or the caller ended the flow); the share that fails beyond what is usual for the service costs new flows. Lines server.unanswered and server.answers, and "failing" with each opening.

--- a/Source/Forward/FlowBook.cpp
+++ b/Source/Forward/FlowBook.cpp
@@ -63,6 +63,9 @@
     }
     learnSent(*flow, packet, progress, now);
     if (packet.finishes || packet.resets) {
+        // A caller that ends the flow without an answer has given up.
+        if (flow->isBusy)
+            noteOutcome(*flow, false, now);
         forget(*flow);
         flows_.erase(packet.ends);
     }
@@ -109,6 +112,7 @@
     progress.hasAnswered = true;
     if (flow.isBusy && now > flow.busySince) {
         progress.answerTime = now - flow.busySince;
+        noteOutcome(flow, true, now);
         setBusy(flow, false, now);
     }
 }
@@ -129,16 +133,33 @@
     }
 }
 
-void FlowBook::tick(TimePoint now)
+std::vector<FailingChange> FlowBook::tick(TimePoint now)
 {
     absl::erase_if(flows_, [&](auto& row) {
         FlowMemory& flow = row.second;
+        if (flow.isBusy && now - flow.busySince > overdueAfter)
+            noteOutcome(flow, false, now);
         const auto lifetime = flow.isOpen ? activeFor : openingFor;
         if (now - flow.lastSeen < lifetime)
             return false;
         forget(flow);
         return true;
     });
+    return reviewOutcomes(now);
+}
+
+std::vector<FailingChange> FlowBook::reviewOutcomes(TimePoint now)
+{
+    std::vector<FailingChange> changes;
+    directory_.forEach([&](KnownServer& server) {
+        const float share = server.seen.outcomes.failingShare(now);
+        const bool isFailing = share >= (server.seen.isFailing ? failingUntil : failingFrom);
+        if (isFailing == server.seen.isFailing)
+            return;
+        server.seen.isFailing = isFailing;
+        changes.push_back({ server.entry.id, server.entry.service, isFailing, share });
+    });
+    return changes;
 }
 
 void FlowBook::count(std::uint32_t token, int flows, int busy)
@@ -152,13 +173,25 @@
 
 void FlowBook::setBusy(FlowMemory& flow, bool isBusy, TimePoint now)
 {
-    if (isBusy && !flow.isBusy)
+    if (isBusy && !flow.isBusy) {
         flow.busySince = now;
+        flow.isOverdue = false;
+    }
     if (isBusy != flow.isBusy)
         count(flow.token, 0, isBusy ? 1 : -1);
     flow.isBusy = isBusy;
 }
 
+// A late answer does not take back that it was late.
+void FlowBook::noteOutcome(FlowMemory& flow, bool isAnswered, TimePoint now)
+{
+    KnownServer* server = directory_.findByToken(flow.token);
+    if (!server || flow.isOverdue)
+        return;
+    flow.isOverdue = !isAnswered;
+    server->seen.outcomes.note(isAnswered, now);
+}
+
 void FlowBook::forget(FlowMemory& flow) { count(flow.token, -1, flow.isBusy ? -1 : 0); }
 
 }
--- a/Source/Forward/FlowBook.h
+++ b/Source/Forward/FlowBook.h
@@ -10,6 +10,8 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <string>
+#include <vector>
 
 namespace wisteriadock {
 
@@ -24,6 +26,8 @@
     bool isOpen = false;
     // A request was sent and nothing of its answer acknowledged yet.
     bool isBusy = false;
+    // The request in progress counts as unanswered already.
+    bool isOverdue = false;
     TimePoint lastSeen;
     // When the opening packet was forwarded first and last, or the request in progress was sent.
     TimePoint openedAt;
@@ -54,6 +58,14 @@
     bool repeats = false;
 };
 
+// A server began to leave requests unanswered, or answers again.
+struct FailingChange {
+    std::string server;
+    std::string service;
+    bool isFailing = false;
+    float share = 0;
+};
+
 // The flows that this balancer saw lately, and how many of them each server has. All counters of ServerObservation that
 // stem from flows are kept here.
 class FlowBook {
@@ -64,6 +76,11 @@
     static constexpr std::chrono::milliseconds activeFor { 3000 };
     // An opening that led nowhere is over after the caller's last copy and a little more.
     static constexpr std::chrono::milliseconds openingFor { 2000 };
+    // A request that has no answer by then counts against its server: the users' callers have given up most of them.
+    static constexpr std::chrono::milliseconds overdueAfter { 600 };
+    // A server that leaves this share of its requests unanswered is told as failing, until it is below the second.
+    static constexpr float failingFrom = 0.3F;
+    static constexpr float failingUntil = 0.1F;
     // Packets of one request that come out of order are closer together; callers repeat bytes after 200 ms.
     static constexpr std::chrono::milliseconds reorderedFor { 100 };
 
@@ -77,8 +94,8 @@
     void noteTry(const FlowEnds&, KnownServer&, std::uint32_t copies, TimePoint now);
     // Learns from a packet of an open flow that is on its way to this server.
     FlowProgress noteTraffic(const TokenPacket&, KnownServer&, TimePoint now);
-    // Forgets flows that were silent for long.
-    void tick(TimePoint now);
+    // Forgets flows that were silent for long. Tells which servers began to leave requests unanswered, or stopped.
+    std::vector<FailingChange> tick(TimePoint now);
 
     std::size_t size() const { return flows_.size(); }
 
@@ -89,7 +106,9 @@
     void learnSent(FlowMemory&, const TokenPacket&, FlowProgress&, TimePoint now);
     void count(std::uint32_t token, int flows, int busy);
     void setBusy(FlowMemory&, bool, TimePoint now);
+    void noteOutcome(FlowMemory&, bool isAnswered, TimePoint now);
     void forget(FlowMemory&);
+    std::vector<FailingChange> reviewOutcomes(TimePoint now);
 
     ServerDirectory& directory_;
     absl::flat_hash_map<FlowEnds, FlowMemory> flows_;
--- a/Source/Forward/OpeningPolicy.cpp
+++ b/Source/Forward/OpeningPolicy.cpp
@@ -28,6 +28,18 @@
         }
     };
 
+    // Of all requests to these servers. When all fail alike, the cause lies elsewhere, and none is worse than another.
+    float failingShareOf(const std::vector<KnownServer*>& servers, TimePoint now)
+    {
+        float answered = 0;
+        float unanswered = 0;
+        for (const KnownServer* server : servers) {
+            answered += server->seen.outcomes.answered(now);
+            unanswered += server->seen.outcomes.unanswered(now);
+        }
+        return unanswered > 0 ? unanswered / (answered + unanswered) : 0;
+    }
+
 }
 
 OpeningChoice OpeningPolicy::choose(
@@ -39,13 +51,15 @@
     Candidate bestSilent;
     const std::uint64_t flowHash
         = hashPair((std::uint64_t(ends.caller.address) << 16) | ends.caller.port, ends.route.address);
+    const float usualFailingShare = failingShareOf(servers, now);
     for (KnownServer* server : servers) {
         if (!server->mayTakeFlows())
             continue;
         ++choice.eligible;
         if (review(*server, now))
             choice.leftOut.push_back(server);
-        const Candidate candidate { server, costOf(*server, now), hashPair(flowHash, server->entry.number) };
+        const Candidate candidate { server, costOf(*server, usualFailingShare, now),
+            hashPair(flowHash, server->entry.number) };
         const bool isLeftOut = server->seen.leftOutUntil > now;
         const bool awaitsTrial = server->seen.failures > 0 && server->seen.waitingSince != TimePoint::max();
         Candidate* group = &best;
@@ -66,6 +80,7 @@
     choice.server = chosen.server;
     if (choice.server) {
         choice.load = loadOf(*choice.server, now);
+        choice.failing = choice.server->seen.outcomes.failingShare(now);
         choice.isTrial = choice.server->seen.failures > 0;
     }
     return choice;
@@ -146,14 +161,18 @@
     return load / static_cast<float>(std::max(1U, server.entry.slots));
 }
 
-float OpeningPolicy::costOf(const KnownServer& server, TimePoint now) const
+// A server that takes flows and then answers only some of their requests looks well to health checks and to the store.
+// The cost rises with the share that it fails, so that it is spared and not shut out: it gets flows again as its
+// failures fade, or when the others have more to do.
+float OpeningPolicy::costOf(const KnownServer& server, float usualFailingShare, TimePoint now) const
 {
     float cost = loadOf(server, now) + 1.0F / static_cast<float>(std::max(1U, server.entry.slots));
     if (server.warmUntil > now)
         cost *= settings_.coldFactor;
     if (server.entry.availabilityZone != availabilityZone_)
         cost += settings_.zonePenalty;
-    return cost;
+    const float excess = server.seen.outcomes.failingShare(now) - usualFailingShare;
+    return excess > settings_.failingTolerance ? cost + excess * settings_.failingPenalty : cost;
 }
 
 }
--- a/Source/Forward/OpeningPolicy.h
+++ b/Source/Forward/OpeningPolicy.h
@@ -21,6 +21,11 @@
     float idleFlowWeight = 0.05F;
     // How much slower a server is that has just started.
     float coldFactor = 1.6F;
+    // What a server that leaves all requests unanswered must be less loaded by, in requests for each of its slots, when
+    // others answer.
+    float failingPenalty = 6;
+    // So much more than others it may fail without any.
+    float failingTolerance = 0.02F;
     // An opening that waits for longer speaks against its server: the first answer takes a few milliseconds.
     std::chrono::milliseconds openingPatience { 150 };
     // How long a silent server is left out at first and at most; one flow at a time then tries it again.
@@ -46,6 +51,8 @@
     std::uint32_t silent = 0;
     // The chosen server's load in requests for each slot, as far as this balancer knows.
     float load = 0;
+    // The share of its requests that it left unanswered lately.
+    float failing = 0;
     // All were silent, so that silence was not held against them.
     bool isDesperate = false;
     // A server that was left out gets this flow as a trial.
@@ -90,7 +97,7 @@
     bool isOutOfReach(const std::string& availabilityZone, TimePoint now);
     bool isUnproven(const Zone&, TimePoint now) const;
     std::chrono::milliseconds leaveOutAfter(std::uint32_t failures) const;
-    float costOf(const KnownServer&, TimePoint now) const;
+    float costOf(const KnownServer&, float usualFailingShare, TimePoint now) const;
     float loadOf(const KnownServer&, TimePoint now) const;
 
     std::string availabilityZone_;
--- a/Source/Forward/ServerDirectory.h
+++ b/Source/Forward/ServerDirectory.h
@@ -2,6 +2,7 @@
 
 #include "Core/Clock.h"
 #include "Forward/RegisteredServer.h"
+#include "Forward/RequestOutcomes.h"
 
 #include <absl/container/flat_hash_map.h>
 
@@ -39,6 +40,10 @@
     std::uint32_t failures = 0;
     // Until when it gets no new flows.
     TimePoint leftOutUntil = TimePoint::min();
+    // Whether it answers the requests of its open flows.
+    RequestOutcomes outcomes;
+    // It left so many unanswered that this was told; see FlowBook::tick().
+    bool isFailing = false;
 };
 
 struct KnownServer {
--- a/Source/Forward/TokenRouter.cpp
+++ b/Source/Forward/TokenRouter.cpp
@@ -73,7 +73,8 @@
 
 ServerDirectory::Transitions TokenRouter::tick(TimePoint now)
 {
-    flows_.tick(now);
+    for (FailingChange& change : flows_.tick(now))
+        failingChanges_.push_back(std::move(change));
     return directory_.tick(now);
 }
 
--- a/Source/Forward/TokenRouter.h
+++ b/Source/Forward/TokenRouter.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace wisteriadock {
 
@@ -84,6 +85,8 @@
 
     // Other zones that went silent, or are back, since the last call; for the log.
     std::vector<ZoneChange> takeZoneChanges() { return policy_.takeZoneChanges(); }
+    // Servers that began to leave requests unanswered, or stopped, since the last call.
+    std::vector<FailingChange> takeFailingChanges() { return std::exchange(failingChanges_, {}); }
     // 0 before the first configuration.
     std::uint64_t configurationVersion() const { return version_; }
     ServerDirectory& directory() { return directory_; }
@@ -101,6 +104,7 @@
     OpeningPolicy policy_;
     ServerDirectory directory_;
     FlowBook flows_;
+    std::vector<FailingChange> failingChanges_;
     RouteTable routes_;
     std::uint64_t version_ = 0;
 };
--- a/Source/Forwarder/Forwarder.h
+++ b/Source/Forwarder/Forwarder.h
@@ -221,6 +221,8 @@
         router_.noteStoreHeard(peers_->exchange().storeHeardAt());
         for (const ServerTransition& transition : router_.tick(now))
             lines_.transition(transition, peers_->exchange().book().completeTo(), "time", now);
+        for (const FailingChange& change : router_.takeFailingChanges())
+            lines_.failing(change, now);
         for (const ZoneChange& change : router_.takeZoneChanges())
             lines_.zone(change, now);
         if (now - lastSettingsCheck_ >= settingsCheck) {
--- a/Source/Forwarder/ForwarderLog.cpp
+++ b/Source/Forwarder/ForwarderLog.cpp
@@ -47,6 +47,7 @@
     }
     if (decision.choice.server) {
         event.add("load", static_cast<double>(decision.choice.load)).add("eligible", decision.choice.eligible);
+        event.add("failing", static_cast<double>(decision.choice.failing));
         event.add("silent", decision.choice.silent).add("trial", decision.choice.isTrial);
         event.add("desperate", decision.choice.isDesperate);
     }
@@ -146,6 +147,17 @@
         Event().add("server", server.entry.id).add("service", server.entry.service), now);
 }
 
+void ForwarderLog::failing(const FailingChange& change, TimePoint now)
+{
+    log_.write(change.isFailing ? LogLevel::Warning : LogLevel::Info, "server",
+        change.isFailing ? "unanswered" : "answers",
+        Event()
+            .add("server", change.server)
+            .add("service", change.service)
+            .add("failing", static_cast<double>(change.share)),
+        now);
+}
+
 void ForwarderLog::zone(const ZoneChange& change, TimePoint now)
 {
     log_.write(change.isBack ? LogLevel::Info : LogLevel::Warning, "zone", change.isBack ? "regained" : "left_out",
--- a/Source/Forwarder/ForwarderLog.h
+++ b/Source/Forwarder/ForwarderLog.h
@@ -35,6 +35,7 @@
     void news(const NewsChanged&, TimePoint now);
     void leftOut(const KnownServer&, TimePoint now);
     void back(const KnownServer&, TimePoint now);
+    void failing(const FailingChange&, TimePoint now);
     void zone(const ZoneChange&, TimePoint now);
 
     EventLog& events() { return log_; }
