Soak: Add servers that lie, stale listings, and up to 300 processes

Added steps: a server that takes requests and answers none, one that resets flows at their next request, and listings that are as old as the platform allows.

--- a/Source/Soak/SoakRun.h
+++ b/Source/Soak/SoakRun.h
@@ -104,6 +104,8 @@
     void setStore(SoakStore::Trouble, std::chrono::milliseconds, TimePoint now);
     void setLink(
         const std::string& link, const FaultSettings&, bool bothWays, std::chrono::milliseconds, TimePoint now);
+    // Does nothing when the server has ended meanwhile.
+    void withServer(const std::string& id, const std::function<void(SoakServer&)>& action);
     void crash(std::size_t server, TimePoint now);
     void after(std::chrono::milliseconds, TimePoint now, std::function<void()>);
     void keepLogs() const;
--- a/Source/Soak/SoakSchedule.cpp
+++ b/Source/Soak/SoakSchedule.cpp
@@ -37,6 +37,9 @@
         { SoakStepKind::RouteAdded, "route_added" },
         { SoakStepKind::RouteRemoved, "route_removed" },
         { SoakStepKind::ConfigurationStorm, "configuration_storm" },
+        { SoakStepKind::ServerMute, "server_mute" },
+        { SoakStepKind::ServerResets, "server_resets" },
+        { SoakStepKind::StoreStale, "store_stale" },
     });
     static_assert(stepNames.rows().size() == soakStepKinds);
 
@@ -44,14 +47,16 @@
     constexpr double troubledPart = 0.55;
     constexpr double quietBeginning = 0.1;
     constexpr double stepsPerSecond = 0.9;
+    constexpr double addedStepsPerSecond = 0.3;
     constexpr double seriesChance = 0.25;
 
-    SoakStep drawStep(SeededRandom& random, std::chrono::milliseconds at)
+    // One of the kinds from first on and before end.
+    SoakStep drawStep(SeededRandom& random, std::chrono::milliseconds at, std::size_t first, std::size_t end)
     {
         SoakStep step;
         step.at = at;
         do
-            step.kind = stepNames.rows()[random.next() % soakStepKinds].first;
+            step.kind = stepNames.rows()[first + random.next() % (end - first)].first;
         while (step.kind == SoakStepKind::KillAll);
         step.target = static_cast<std::uint32_t>(random.next() % 1000);
         step.length = std::chrono::milliseconds(static_cast<int>(random.nextBetween(500, 4000)));
@@ -76,7 +81,7 @@
     const auto count = static_cast<int>(total / 1000 * troubledPart * stepsPerSecond);
     for (int i = 0; i < count; ++i) {
         const double at = random.nextBetween(quietBeginning, troubledPart) * total;
-        const SoakStep step = drawStep(random, std::chrono::milliseconds(static_cast<int>(at)));
+        const SoakStep step = drawStep(random, std::chrono::milliseconds(static_cast<int>(at)), 0, firstAddedSoakStep);
         plan.steps.push_back(step);
         if (random.nextUniform() >= seriesChance)
             continue;
@@ -86,6 +91,13 @@
         next.target = static_cast<std::uint32_t>(random.next() % 1000);
         plan.steps.push_back(next);
     }
+    SeededRandom added(seed ^ 0xADDED);
+    const auto addedCount = static_cast<int>(total / 1000 * troubledPart * addedStepsPerSecond);
+    for (int i = 0; i < addedCount; ++i) {
+        const double at = added.nextBetween(quietBeginning, troubledPart) * total;
+        plan.steps.push_back(
+            drawStep(added, std::chrono::milliseconds(static_cast<int>(at)), firstAddedSoakStep, soakStepKinds));
+    }
     plan.steps.push_back({ std::chrono::milliseconds(static_cast<int>(total * troubledPart)), SoakStepKind::KillAll, 0,
         std::chrono::milliseconds(static_cast<int>(random.nextBetween(300, 1200))) });
     // Planned work while nothing else is disturbed, when the bounds hold for every forwarder.
--- a/Source/Soak/SoakSchedule.h
+++ b/Source/Soak/SoakSchedule.h
@@ -33,9 +33,14 @@
     RouteAdded,
     RouteRemoved,
     ConfigurationStorm, // Versions in quick succession.
+    ServerMute, // Takes flows and requests, and never answers a request.
+    ServerResets, // Takes flows, and resets them at their next request.
+    StoreStale, // Listings that may be old are as old as the step.
 };
 
-inline constexpr std::size_t soakStepKinds = 23;
+inline constexpr std::size_t soakStepKinds = 26;
+// The kinds from here on are drawn apart from the others, so that older seeds keep their steps.
+inline constexpr std::size_t firstAddedSoakStep = 23;
 
 std::string_view nameOf(SoakStepKind);
 
--- a/Source/Soak/SoakServer.cpp
+++ b/Source/Soak/SoakServer.cpp
@@ -76,11 +76,8 @@
 {
     const auto entry = flows_.find(packet.ends);
     if (entry == flows_.end()) {
-        TokenPacket reset;
-        reset.resets = true;
-        reset.sequence = packet.acknowledgement;
         if (!packet.resets)
-            reply(packet.ends, { 0, 0, packet.token, false }, reset);
+            reset(packet);
         return;
     }
     Flow& flow = entry->second;
@@ -93,6 +90,13 @@
     }
     if (packet.payloadBytes == 0)
         return;
+    if (manner_ == Manner::Mute)
+        return;
+    if (manner_ == Manner::Resets) {
+        reset(packet);
+        flows_.erase(entry);
+        return;
+    }
     // A request that was answered before is answered again alike, since the caller did not get it.
     flow.callerSequence = std::max(flow.callerSequence, packet.sequence + packet.payloadBytes);
     TokenPacket answer;
@@ -102,6 +106,14 @@
     reply(packet.ends, flow, answer, body);
 }
 
+void SoakServer::reset(const TokenPacket& packet)
+{
+    TokenPacket answer;
+    answer.resets = true;
+    answer.sequence = packet.acknowledgement;
+    reply(packet.ends, { 0, 0, packet.token, false }, answer);
+}
+
 void SoakServer::reply(
     const FlowEnds& ends, const Flow& flow, TokenPacket packet, std::span<const std::uint8_t> payload)
 {
--- a/Source/Soak/SoakServer.h
+++ b/Source/Soak/SoakServer.h
@@ -36,6 +36,9 @@
     bool holds(const FlowEnds& ends) const { return flows_.contains(ends); }
     // Takes no new flows, as a server that is full.
     void setFull(bool isFull) { isFull_ = isFull; }
+    // What it does with requests, while its entry says that it is ready.
+    enum class Manner { Answers, Mute, Resets };
+    void setManner(Manner manner) { manner_ = manner; }
 
 private:
     struct Flow {
@@ -50,6 +53,7 @@
     void receive(std::span<const std::uint8_t> datagram);
     void takeOpening(const TokenPacket&);
     void takeTraffic(const TokenPacket&);
+    void reset(const TokenPacket&);
     void reply(const FlowEnds&, const Flow&, TokenPacket, std::span<const std::uint8_t> payload = {});
 
     RegisteredServer entry_;
@@ -59,6 +63,7 @@
     std::map<FlowEnds, Flow, bool (*)(const FlowEnds&, const FlowEnds&)> flows_;
     std::uint32_t nextSequence_ = 100;
     bool isFull_ = false;
+    Manner manner_ = Manner::Answers;
 };
 
 }
--- a/Source/Soak/SoakSteps.cpp
+++ b/Source/Soak/SoakSteps.cpp
@@ -49,11 +49,14 @@
     case SoakStepKind::StoreSlow:
     case SoakStepKind::StoreForgets:
     case SoakStepKind::StoreLapses:
+    case SoakStepKind::StoreStale:
         return performOnStore(step, now);
     case SoakStepKind::ServerCrashes:
     case SoakStepKind::ServerDrains:
     case SoakStepKind::ServerReplacedInPlace:
     case SoakStepKind::ServerFull:
+    case SoakStepKind::ServerMute:
+    case SoakStepKind::ServerResets:
         return performOnServer(step, now);
     case SoakStepKind::RouteAdded:
     case SoakStepKind::RouteRemoved:
@@ -154,6 +157,10 @@
     case SoakStepKind::StoreForgets:
         store_->forgetHistory();
         return judge_.disturbStore(now);
+    case SoakStepKind::StoreStale:
+        // The store may do that at any time, so nothing is excused by it.
+        store_->makeStale(true);
+        return after(step.length, now, [this] { store_->makeStale(false); });
     default:
         break;
     }
@@ -161,16 +168,19 @@
     for (std::size_t i = 0; i < servers_.size(); i += 3) {
         const std::string id = servers_[i]->entry().id;
         after(step.length / 2, now, [this, id] { store_->remove(platform::serverKeyOf(id)); });
-        after(step.length + 1500ms, now, [this, id] {
-            for (const auto& server : servers_) {
-                if (server->entry().id == id)
-                    writeEntry(*server);
-            }
-        });
+        after(step.length + 1500ms, now, [this, id] { withServer(id, [this](auto& it) { writeEntry(it); }); });
     }
     judge_.disturbStore(now + step.length + 1500ms);
 }
 
+void SoakRun::withServer(const std::string& id, const std::function<void(SoakServer&)>& action)
+{
+    for (const auto& server : servers_) {
+        if (server->entry().id == id)
+            action(*server);
+    }
+}
+
 void SoakRun::crash(std::size_t index, TimePoint now)
 {
     const std::string id = servers_[index]->entry().id;
@@ -189,13 +199,12 @@
     switch (step.kind) {
     case SoakStepKind::ServerFull:
         server.setFull(true);
-        after(step.length, now, [this, id = entry.id] {
-            for (const auto& other : servers_) {
-                if (other->entry().id == id)
-                    other->setFull(false);
-            }
-        });
-        return;
+        return after(step.length, now, [this, id = entry.id] { withServer(id, [](auto& it) { it.setFull(false); }); });
+    case SoakStepKind::ServerMute:
+    case SoakStepKind::ServerResets:
+        server.setManner(step.kind == SoakStepKind::ServerMute ? SoakServer::Manner::Mute : SoakServer::Manner::Resets);
+        return after(step.length, now,
+            [this, id = entry.id] { withServer(id, [](auto& it) { it.setManner(SoakServer::Manner::Answers); }); });
     case SoakStepKind::ServerCrashes:
         crash(index, now);
         return after(
--- a/Source/Soak/SoakStore.cpp
+++ b/Source/Soak/SoakStore.cpp
@@ -50,6 +50,13 @@
     answerWaiting();
 }
 
+void SoakStore::makeStale(bool isStale)
+{
+    stale_.reset();
+    if (isStale)
+        stale_ = Snapshot { items_, revision_ };
+}
+
 void SoakStore::handle(const std::shared_ptr<Http1Exchange>& exchange)
 {
     ++calls_;
@@ -79,8 +86,9 @@
 {
     if (const auto list = platform::listCallOf(exchange->request())) {
         PlatformPage page;
-        page.revision = revision_;
-        for (const auto& [key, item] : items_) {
+        const bool isStale = list->mayBeStale && stale_;
+        page.revision = isStale ? stale_->revision : revision_;
+        for (const auto& [key, item] : isStale ? stale_->items : items_) {
             if (!key.starts_with(list->prefix) || key <= list->after)
                 continue;
             page.hasMore = page.items.size() == pageItems;
--- a/Source/Soak/SoakStore.h
+++ b/Source/Soak/SoakStore.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -35,6 +36,8 @@
     // Answers of watches from before now say that their history is gone.
     void forgetHistory() { forgottenTo_ = revision_; }
     void setTrouble(Trouble trouble) { trouble_ = trouble; }
+    // From now on listings that may be old show what there is now; or again what there is then.
+    void makeStale(bool isStale);
     std::uint64_t calls() const { return calls_; }
 
 private:
@@ -57,7 +60,12 @@
 
     boost::asio::io_context& context_;
     std::unique_ptr<Http1Server> server_;
+    struct Snapshot {
+        std::map<std::string, PlatformItem> items;
+        std::uint64_t revision = 0;
+    };
     std::map<std::string, PlatformItem> items_;
+    std::optional<Snapshot> stale_;
     std::vector<PlatformItem> history_;
     std::uint64_t revision_ = 1;
     std::uint64_t forgottenTo_ = 0;
--- a/Source/Soak/main.cpp
+++ b/Source/Soak/main.cpp
@@ -11,7 +11,7 @@
 ABSL_FLAG(std::uint64_t, seed, 1, "The first seed; each gives one schedule.");
 ABSL_FLAG(unsigned, runs, 1, "How many seeds to run, one after the other.");
 ABSL_FLAG(unsigned, seconds, 30, "Length of a run (10 to 600); the last part is for recovery.");
-ABSL_FLAG(unsigned, availability_zones, 3, "Number of availability zones (1 to 8).");
+ABSL_FLAG(unsigned, availability_zones, 3, "Number of availability zones (1 to 20).");
 ABSL_FLAG(unsigned, balancers, 2, "Forwarders in each availability zone (1 to 15).");
 ABSL_FLAG(unsigned, servers, 4, "Backend servers in each availability zone (2 to 40).");
 ABSL_FLAG(unsigned, flows_per_second, 60, "Flows that callers open a second.");
@@ -74,7 +74,7 @@
         options.serversPerZone = absl::GetFlag(FLAGS_servers);
         options.flowsPerSecond = absl::GetFlag(FLAGS_flows_per_second);
         const bool isGood = isInRange("seconds", seconds, 10, 600)
-            && isInRange("availability_zones", absl::GetFlag(FLAGS_availability_zones), 1, 8)
+            && isInRange("availability_zones", absl::GetFlag(FLAGS_availability_zones), 1, 20)
             && isInRange("balancers", absl::GetFlag(FLAGS_balancers), 1, 15)
             && isInRange("servers", absl::GetFlag(FLAGS_servers), 2, 40)
             && isInRange("flows_per_second", absl::GetFlag(FLAGS_flows_per_second), 1, 2000);
