News: Notice a silent watch by what others told meanwhile

Cause: a watch counted as silent when its balancer had been behind others for 0.7 s. A watcher fetches from others after 0.3 s and is not behind then. Ruled out: lost pushes (the watcher itself had the news from another zone).

A watch is now also replaced when it has not told within 0.7 s what others told; the watcher then says that it is detached, and the next one watches.

--- a/Source/News/StoreFeed.cpp
+++ b/Source/News/StoreFeed.cpp
@@ -76,6 +76,8 @@
     state_ = State::Watching;
     pauseUntil_.reset();
     watchedSince_ = now;
+    watchedRevision_ = completeTo_;
+    overtakenSince_.reset();
     ++watchNumber_;
     const auto wait = watchTime(now);
     actions.emplace_back(SendWatch { { "", completeTo_, wait }, wait + settings_.answerWithin, watchNumber_ });
@@ -143,15 +145,26 @@
     shallWatch_ = shallWatch;
     if (state_ == State::Idle && shallWatch_ && completeTo_ > 0)
         watch(now, actions);
-    const bool isSilent = state_ == State::Watching && behindSince
-        && now - std::max(*behindSince, watchedSince_) > settings_.silentAfter;
-    if (isSilent) {
+    if (completeTo_ > watchedRevision_ && !overtakenSince_)
+        overtakenSince_ = now;
+    if (isSilent(behindSince, now)) {
         noteFailure({ ErrorCode::DeadlineExceeded, "the watch is silent while others have news" }, now, actions);
         watch(now, actions);
     }
     return actions;
 }
 
+// A connection that went silent looks like a store with nothing to say. Others having news that the watch should have
+// told shows the difference, also when this balancer has meanwhile been told it by them.
+bool StoreFeed::isSilent(std::optional<TimePoint> behindSince, TimePoint now) const
+{
+    if (state_ != State::Watching)
+        return false;
+    const bool isBehind = behindSince && now - std::max(*behindSince, watchedSince_) > settings_.silentAfter;
+    const bool isOvertaken = overtakenSince_ && now - *overtakenSince_ > settings_.silentAfter;
+    return isBehind || isOvertaken;
+}
+
 StoreFeedActions StoreFeed::tick(TimePoint now)
 {
     StoreFeedActions actions;
--- a/Source/News/StoreFeed.h
+++ b/Source/News/StoreFeed.h
@@ -102,6 +102,7 @@
 
     void list(StoreFeedActions&);
     void watch(TimePoint now, StoreFeedActions&);
+    bool isSilent(std::optional<TimePoint> behindSince, TimePoint now) const;
     std::chrono::milliseconds watchTime(TimePoint now) const;
     void pause(State, std::chrono::milliseconds, TimePoint now);
     void noteFailure(const Error&, TimePoint now, StoreFeedActions&);
@@ -114,6 +115,9 @@
     std::uint64_t completeTo_ = 0;
     std::uint64_t watchNumber_ = 0;
     TimePoint watchedSince_;
+    // What the watch waits beyond, and since when others are known to have told more than that.
+    std::uint64_t watchedRevision_ = 0;
+    std::optional<TimePoint> overtakenSince_;
     std::optional<TimePoint> pauseUntil_;
     std::optional<TimePoint> lostSince_;
     TimePoint troubledUntil_ = TimePoint::min();
--- a/Tests/News/StoreFeedTest.cpp
+++ b/Tests/News/StoreFeedTest.cpp
@@ -191,6 +191,23 @@
         EXPECT_TRUE(feed.handleChanges(silent, removals(14, 1), clock.now()).empty());
     }
 
+    // Symptom: a zone's only watcher went on for two seconds with a connection that had gone silent (incident 5).
+    // Sequence: news comes; the watcher hears of it from another zone and fetches it there; its own watch says nothing.
+    // Cause: once it had the news it was no longer behind, and being behind was the only sign.
+    TEST_F(StoreFeedTest, aWatchThatDidNotTellWhatOthersToldIsReplaced)
+    {
+        beginToWatch();
+        clock.advance(200ms);
+        EXPECT_TRUE(feed.update(12, true, std::nullopt, clock.now()).empty());
+        clock.advance(600ms);
+        EXPECT_TRUE(feed.update(12, true, std::nullopt, clock.now()).empty());
+        clock.advance(200ms);
+        const StoreFeedActions replaced = feed.update(12, true, std::nullopt, clock.now());
+        EXPECT_NE(only<StoreLost>(replaced), nullptr);
+        ASSERT_NE(only<SendWatch>(replaced), nullptr);
+        EXPECT_EQ(only<SendWatch>(replaced)->call.revision, 12U);
+    }
+
     TEST_F(StoreFeedTest, whatOthersToldIsNotListedAgain)
     {
         feed.start(clock.now());
