--- a/Source/Forward/ServerDirectory.cpp
+++ b/Source/Forward/ServerDirectory.cpp
@@ -133,6 +133,12 @@
     return found == byService_.end() ? none : found->second;
 }
 
+std::size_t ServerDirectory::countFailing() const
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(records_, [](const auto& row) { return row.second->seen.isFailing; }));
+}
+
 std::size_t ServerDirectory::countOf(ServerState state) const
 {
     return static_cast<std::size_t>(
--- a/Source/Forward/ServerDirectory.h
+++ b/Source/Forward/ServerDirectory.h
@@ -114,6 +114,8 @@
 
     std::size_t size() const { return records_.size(); }
     std::size_t countOf(ServerState) const;
+    // How many are told as failing now; see FlowBook::tick().
+    std::size_t countFailing() const;
     template <typename Visit> void forEach(const Visit& visit)
     {
         for (auto& [id, record] : records_)
--- a/Source/Forwarder/ForwarderMetrics.cpp
+++ b/Source/Forwarder/ForwarderMetrics.cpp
@@ -112,6 +112,7 @@
     set("log_lines_left_out", static_cast<double>(readings.logLeftOut));
     set("peer_bytes", static_cast<double>(readings.peerBytes));
     set("store_bytes", static_cast<double>(readings.storeBytes));
+    set("servers_failing", static_cast<double>(readings.directory->countFailing()));
     for (const ServerState state :
         { ServerState::Ready, ServerState::Draining, ServerState::Doubtful, ServerState::Gone, ServerState::Ended })
         servers_.Add({ { "state", std::string(nameOf(state)) } })
--- /dev/null
+++ b/Tests/Forwarder/ForwarderMetricsTest.cpp
@@ -0,0 +1,83 @@
+#include "Forwarder/ForwarderMetrics.h"
+
+#include "Forward/ForwardFixture.h"
+
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <string>
+
+namespace wisteriadock {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    struct ForwarderMetricsTest : testing::Test, ForwardFixture {
+        ForwarderMetrics metrics;
+
+        ForwarderMetrics::Readings readings()
+        {
+            ForwarderMetrics::Readings readings;
+            readings.directory = &router.directory();
+            return readings;
+        }
+
+        // The value behind a metric's name and labels, as the text has it; empty when it is not there.
+        std::string valueOf(const std::string& metric)
+        {
+            const std::string text = "\n" + metrics.text(readings());
+            const auto begin = text.find("\n" + metric + " ");
+            if (begin == std::string::npos)
+                return {};
+            const auto value = begin + metric.size() + 2;
+            return text.substr(value, text.find('\n', value) - value);
+        }
+    };
+
+    TEST_F(ForwarderMetricsTest, packetsCountByOutcomeAndReason)
+    {
+        metrics.countPacket(PacketReason::NoRoute, PacketVerdict::Reset);
+        metrics.countPacket(PacketReason::NoRoute, PacketVerdict::Drop);
+        metrics.countPacket(PacketReason::NoRoute, PacketVerdict::Drop);
+        metrics.countMalformed();
+        EXPECT_EQ(valueOf("wisteriadock_forwarder_packets_total{reason=\"no_route\",verdict=\"reset\"}"), "1");
+        EXPECT_EQ(valueOf("wisteriadock_forwarder_packets_total{reason=\"no_route\",verdict=\"drop\"}"), "2");
+        EXPECT_EQ(valueOf("wisteriadock_forwarder_malformed_packets_total"), "1");
+    }
+
+    TEST_F(ForwarderMetricsTest, latenciesStandInHistograms)
+    {
+        FlowProgress progress;
+        progress.openingTime = 4ms;
+        progress.answerTime = 250ms;
+        metrics.observe(progress);
+        metrics.countStoreCall("watch", "ok", 2500ms);
+        metrics.observeNewsLag(400ms);
+        {
+            SCOPED_TRACE("each in the bucket that holds it and all above");
+            EXPECT_EQ(valueOf("wisteriadock_forwarder_opening_seconds_bucket{le=\"0.002\"}"), "0");
+            EXPECT_EQ(valueOf("wisteriadock_forwarder_opening_seconds_bucket{le=\"0.005\"}"), "1");
+            EXPECT_EQ(valueOf("wisteriadock_forwarder_answer_seconds_bucket{le=\"0.2\"}"), "0");
+            EXPECT_EQ(valueOf("wisteriadock_forwarder_answer_seconds_bucket{le=\"+Inf\"}"), "1");
+        }
+        EXPECT_EQ(valueOf("wisteriadock_forwarder_store_call_seconds_count"), "1");
+        EXPECT_EQ(valueOf("wisteriadock_forwarder_store_calls_total{call=\"watch\",outcome=\"ok\"}"), "1");
+        EXPECT_EQ(valueOf("wisteriadock_forwarder_news_lag_seconds_count"), "1");
+    }
+
+    TEST_F(ForwarderMetricsTest, whatIsBelievedOfServersIsReadWhenAsked)
+    {
+        put(server(1));
+        put(server(2));
+        router.removeServer(server(2).id, true, clock.now());
+        EXPECT_EQ(valueOf("wisteriadock_forwarder_servers{state=\"ready\"}"), "1");
+        EXPECT_EQ(valueOf("wisteriadock_forwarder_servers{state=\"doubtful\"}"), "1");
+        EXPECT_EQ(valueOf("wisteriadock_forwarder_state{of=\"servers_failing\"}"), "0");
+        router.directory().find(server(1).id)->seen.isFailing = true;
+        EXPECT_EQ(valueOf("wisteriadock_forwarder_state{of=\"servers_failing\"}"), "1");
+    }
+
+}
+
+}
