--- a/Tests/Forward/RequestOutcomesTest.cpp
+++ b/Tests/Forward/RequestOutcomesTest.cpp
@@ -50,7 +50,7 @@
         std::string serveOneFlow(std::uint32_t caller, const std::string& bad)
         {
             const std::uint32_t token = openFlow(caller);
-            const std::string id = serverOf(token)->entry.id;
+            std::string id = serverOf(token)->entry.id;
             route(data(caller, token));
             clock.advance(50ms);
             TokenPacket end = data(caller, token, 1101, id == bad ? 5001 : 5301, 0);
