Experiment: Keep a child's output until its last read has ended

Cause: a read of a child's output that finds more ends at once and waits for its turn; when the ChildProcess went meanwhile, the handler wrote to it. The read now shares what it writes to. The test fails under the address sanitizer with the former code, each time. Ruled out: the forwarders (none ended by itself), descriptors (20,000 allowed).

The soak also asked all forwarders for their readiness without a pause before a run began, so that 300 did not get ready within 20 s; it keeps the pause now.

--- a/Source/Experiment/ChildProcess.cpp
+++ b/Source/Experiment/ChildProcess.cpp
@@ -50,19 +50,20 @@
 {
     std::unique_ptr<ChildProcess> process(new ChildProcess(context, std::move(command)));
     BOOST_OUTCOME_TRYV(process->spawn());
-    process->readOutput();
+    Output::read(process->output_);
     return process;
 }
 
 ChildProcess::ChildProcess(boost::asio::io_context& context, ChildCommand command)
     : command_(std::move(command))
-    , standardOutput_(context)
-    , buffer_(readSize, '\0')
+    , output_(std::make_shared<Output>(context))
 {
 }
 
 ChildProcess::~ChildProcess()
 {
+    boost::system::error_code ignored;
+    output_->descriptor.close(ignored);
     if (pid_ <= 0)
         return;
     signal(SIGKILL);
@@ -94,30 +95,35 @@
         becomeProgram(arguments.data(), pipeEnds[1], log, parent);
     close(pipeEnds[1]);
     close(log);
-    standardOutput_.assign(pipeEnds[0]);
+    output_->descriptor.assign(pipeEnds[0]);
     if (pid_ < 0)
         return systemError("fork");
     return boost::outcome_v2::success();
 }
 
-void ChildProcess::readOutput()
+ChildProcess::Output::Output(boost::asio::io_context& context)
+    : descriptor(context)
+    , buffer(readSize, '\0')
 {
-    standardOutput_.async_read_some(
-        boost::asio::buffer(buffer_), [this](const boost::system::error_code& error, std::size_t size) {
-            if (error)
+}
+
+void ChildProcess::Output::read(const std::shared_ptr<Output>& output)
+{
+    output->descriptor.async_read_some(
+        boost::asio::buffer(output->buffer), [output](const boost::system::error_code& error, std::size_t size) {
+            if (error || !output->descriptor.is_open())
                 return;
-            output_.append(buffer_, 0, size);
-            takeLines();
-            readOutput();
+            output->text.append(output->buffer, 0, size);
+            output->takeLines();
+            read(output);
         });
 }
 
-void ChildProcess::takeLines()
+void ChildProcess::Output::takeLines()
 {
-    for (auto end = output_.find('\n', parsedOutput_); end != std::string::npos;
-         end = output_.find('\n', parsedOutput_)) {
-        const std::string_view line = std::string_view(output_).substr(parsedOutput_, end - parsedOutput_);
-        parsedOutput_ = end + 1;
+    for (auto end = text.find('\n', parsed); end != std::string::npos; end = text.find('\n', parsed)) {
+        const std::string_view line = std::string_view(text).substr(parsed, end - parsed);
+        parsed = end + 1;
         constexpr std::string_view prefix = "listening ";
         if (!line.starts_with(prefix))
             continue;
@@ -125,14 +131,14 @@
         const std::string name(line.substr(prefix.size(), std::max(lastSpace, prefix.size()) - prefix.size()));
         const std::string_view address = line.substr(lastSpace + 1);
         if (const auto endpoint = Endpoint::parse(address))
-            addresses_[name] = endpoint.value();
+            addresses[name] = endpoint.value();
     }
 }
 
 std::optional<Endpoint> ChildProcess::listening(const std::string& name) const
 {
-    const auto found = addresses_.find(name);
-    if (found == addresses_.end())
+    const auto found = output_->addresses.find(name);
+    if (found == output_->addresses.end())
         return std::nullopt;
     return found->second;
 }
--- a/Source/Experiment/ChildProcess.h
+++ b/Source/Experiment/ChildProcess.h
@@ -43,7 +43,7 @@
     // The address from a "listening NAME ADDRESS" line; the name may be empty or hold spaces.
     std::optional<Endpoint> listening(const std::string& name = "") const;
     // Everything that the process wrote to its standard output.
-    const std::string& output() const { return output_; }
+    const std::string& output() const { return output_->text; }
     // The last lines of what it wrote to its standard error.
     std::string errorTail() const;
 
@@ -56,19 +56,27 @@
     double processorSeconds() const;
 
 private:
+    // The standard output, shared with the read in progress: that one may have ended, and wait for its turn, when the
+    // ChildProcess is destroyed.
+    struct Output {
+        explicit Output(boost::asio::io_context&);
+        static void read(const std::shared_ptr<Output>&);
+        void takeLines();
+
+        boost::asio::posix::stream_descriptor descriptor;
+        std::string buffer;
+        std::string text;
+        std::size_t parsed = 0;
+        std::map<std::string, Endpoint> addresses;
+    };
+
     ChildProcess(boost::asio::io_context&, ChildCommand);
 
     Result<void> spawn();
-    void readOutput();
-    void takeLines();
     void reap(int waitOptions);
 
     ChildCommand command_;
-    boost::asio::posix::stream_descriptor standardOutput_;
-    std::string buffer_;
-    std::string output_;
-    std::size_t parsedOutput_ = 0;
-    std::map<std::string, Endpoint> addresses_;
+    std::shared_ptr<Output> output_;
     pid_t pid_ = -1;
     std::optional<int> exitCode_;
 };
--- a/Source/Soak/SoakRun.cpp
+++ b/Source/Soak/SoakRun.cpp
@@ -108,6 +108,7 @@
     return loop_.waitUntil(
         [this] {
             const TimePoint now = Clock::now();
+            performDue(now);
             for (Balancer& balancer : balancers_)
                 checkReadiness(balancer);
             watchProcesses(now);
@@ -240,15 +241,7 @@
 {
     while (nextStep_ < plan_.steps.size() && now >= startedAt_ + plan_.steps[nextStep_].at)
         perform(plan_.steps[nextStep_++], now);
-    std::vector<Later> due;
-    std::erase_if(later_, [&](Later& later) {
-        const bool isDue = now >= later.at;
-        if (isDue)
-            due.push_back(std::move(later));
-        return isDue;
-    });
-    for (const Later& later : due)
-        later.action();
+    performDue(now);
     watchProcesses(now);
     for (Balancer& balancer : balancers_)
         checkReadiness(balancer);
@@ -260,6 +253,19 @@
         callers->tick(now);
 }
 
+void SoakRun::performDue(TimePoint now)
+{
+    std::vector<Later> due;
+    std::erase_if(later_, [&](Later& later) {
+        const bool isDue = now >= later.at;
+        if (isDue)
+            due.push_back(std::move(later));
+        return isDue;
+    });
+    for (const Later& later : due)
+        later.action();
+}
+
 void SoakRun::checkReadiness(Balancer& balancer)
 {
     if (balancer.isCheckOpen)
@@ -273,17 +279,10 @@
         balancer.misses = isReady ? 0 : std::min(balancer.misses + 1, missesThatCount);
         after(checkPeriod, Clock::now(), [&balancer] { balancer.isCheckOpen = false; });
     });
-    // Before the run has begun there is no tick that would open the next check.
-    if (startedAt_ == TimePoint())
-        after(0ms, Clock::now(), [] {});
 }
 
 void SoakRun::watchProcesses(TimePoint now)
 {
-    if (startedAt_ == TimePoint()) {
-        for (Later& later : std::exchange(later_, {}))
-            later.action();
-    }
     for (Balancer& balancer : balancers_) {
         if (balancer.wakeAt && now >= *balancer.wakeAt) {
             balancer.process->signal(SIGCONT);
--- a/Source/Soak/SoakRun.h
+++ b/Source/Soak/SoakRun.h
@@ -93,6 +93,7 @@
     void writeConfiguration();
 
     void tick(TimePoint now);
+    void performDue(TimePoint now);
     void checkReadiness(Balancer&);
     void watchProcesses(TimePoint now);
     std::pair<Endpoint, std::string> routePacket(const FlowEnds&) const;
--- a/Tests/Experiment/ChildProcessTest.cpp
+++ b/Tests/Experiment/ChildProcessTest.cpp
@@ -7,6 +7,8 @@
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <memory>
+#include <thread>
 
 namespace wisteriadock {
 namespace {
@@ -88,6 +90,22 @@
         EXPECT_EQ(kill(pid, 0), -1);
     }
 
+    // Symptom: a soak of 300 processes ended with a segmentation fault just after all were killed (seed 41001).
+    // Sequence: a process that has written much ends, and its object goes while a further part waits to be handled.
+    // Cause: the next read ends at once when more is there already, and its handler wrote to the object that was gone.
+    // An address sanitizer shows it each time; without one it often went by unnoticed.
+    TEST_F(ChildProcessTest, anObjectMayGoWhileItsOutputWaitsForItsTurn)
+    {
+        auto process = startShell("i=0; while [ $i -lt 500 ]; do echo 0123456789012345678901234567890123456789; "
+                                  "i=$((i+1)); done");
+        while (process->running())
+            std::this_thread::yield();
+        while (process->output().empty())
+            loop_.context().run_one();
+        process.reset();
+        EXPECT_GT(loop_.context().poll(), 0U);
+    }
+
     TEST_F(ChildProcessTest, saysWhatCouldNotBeStarted)
     {
         const auto process = ChildProcess::start(loop_.context(), { "absent", directory_ / "absent", {}, directory_ });
