News: Take the relays and the longer wait of watchers out again

Cause: supposed that pushes to a whole zone load the busiest machine. In the soak the six lines that kill a forwarder stood twice and are one function.

--- a/Source/News/NewsExchange.cpp
+++ b/Source/News/NewsExchange.cpp
@@ -1,7 +1,6 @@
 #include "News/NewsExchange.h"
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 namespace wisteriadock {
@@ -49,7 +48,6 @@
         storeHeardAt_ = now;
     const Member* member = view_ ? view_->find(sender) : nullptr;
     NewsActions actions = merge(member ? member->name : "unknown", delta, now);
-    relay(delta, actions);
     review(now, actions);
     return actions;
 }
@@ -126,37 +124,8 @@
         // Complete for nobody: it only tells how far the sender is.
         small.from = small.to;
     }
-    const std::vector<const Member*> others = othersInZone();
-    if (others.size() < settings_.largeZone) {
-        for (const Member* member : others)
-            actions.emplace_back(PushNews { member->peerAddress, small });
-        return;
-    }
-    // What one watcher sends to all of a large zone grows with the zone, and binds its link first. About as many relays
-    // as each of them has others to serve: both grow with the square root. Other relays for each revision, so that a
-    // dead one does not cut the same balancers off each time; whoever misses a push hears of it from membership and
-    // asks.
-    const auto relays = static_cast<std::size_t>(std::ceil(std::sqrt(static_cast<double>(others.size()))));
-    for (std::size_t i = 0; i < relays; ++i) {
-        const auto at = [&](std::size_t index) { return others[(delta.to + index) % others.size()]; };
-        NewsDelta part = small;
-        for (std::size_t index = i + relays; index < others.size(); index += relays)
-            part.relayTo.push_back(at(index)->id.value);
-        actions.emplace_back(PushNews { at(i)->peerAddress, std::move(part) });
-    }
-}
-
-void NewsExchange::relay(const NewsDelta& delta, NewsActions& actions) const
-{
-    if (!view_ || delta.relayTo.empty())
-        return;
-    NewsDelta last = delta;
-    last.relayTo.clear();
-    for (const std::uint32_t id : delta.relayTo) {
-        const Member* member = view_->find(BalancerId { id });
-        if (member && isReachable(*member))
-            actions.emplace_back(PushNews { member->peerAddress, last });
-    }
+    for (const Member* member : othersInZone())
+        actions.emplace_back(PushNews { member->peerAddress, small });
 }
 
 // All of a large zone asking its two watchers for a large configuration would keep their links busy for seconds.
@@ -210,11 +179,8 @@
     // Everything at once is much, and the store gives it to many more quickly than a balancer on a thin link does.
     if (book_.completeTo() == 0)
         return isStoreLost_ ? Duration::zero() : settings_.firstPatience;
-    if (hasNearSource)
-        return settings_.patience + jitter_;
-    if (isWatcher_)
-        return (isStoreLost_ ? settings_.patience : settings_.watcherPatience) + jitter_;
-    return settings_.patience + settings_.farPatience + jitter_;
+    const bool mayAskAtOnce = hasNearSource || isWatcher_;
+    return settings_.patience + jitter_ + (mayAskAtOnce ? Duration::zero() : Duration(settings_.farPatience));
 }
 
 std::vector<const Member*> NewsExchange::sources(bool isNear) const
--- a/Source/News/NewsExchange.h
+++ b/Source/News/NewsExchange.h
@@ -25,14 +25,11 @@
     // How much longer it waits before it asks another zone, since bytes between zones are dear: its zone's watchers ask
     // first, and tell the others.
     std::chrono::milliseconds farPatience { 600 };
-    // How long a watcher that the store answers waits for it. Watchers gather news at times of their own, so one zone
-    // has it up to 0.3 s before another, and membership tells of it within as much.
-    std::chrono::milliseconds watcherPatience { 650 };
     // How long one that knows nothing yet leaves it to the store, which answers everybody at once, before it asks
     // others for everything.
     std::chrono::milliseconds firstPatience { 1500 };
-    // In a zone of more than this many, pushes go in two steps, requests spread over a time, and whoever has been
-    // answered tells a few others, so that not all hang on the watcher.
+    // In a zone of more than this many, requests spread over a time, and whoever has been answered tells a few others,
+    // so that not all ask the watchers.
     std::size_t largeZone = 12;
     std::chrono::milliseconds spread { 500 };
     std::size_t announcements = 4;
@@ -97,7 +94,6 @@
 private:
     NewsActions merge(const std::string& source, const NewsDelta&, TimePoint now);
     void push(const NewsDelta&, NewsActions&) const;
-    void relay(const NewsDelta&, NewsActions&) const;
     void announce(NewsActions&);
     Duration patienceFor(bool hasNearSource) const;
     std::vector<const Member*> othersInZone() const;
--- a/Source/News/NewsMessages.h
+++ b/Source/News/NewsMessages.h
@@ -33,10 +33,8 @@
     std::vector<NewsItem> items;
     // The store itself said this just now, and has been in contact for longer than vanished entries take to come back.
     bool isFresh = false;
-    // Balancers of the zone, by their ids, to which the receiver of a push passes it on.
-    std::vector<std::uint32_t> relayTo {};
 
-    MSGPACK_DEFINE_ARRAY(from, to, isWhole, isInDoubt, items, isFresh, relayTo);
+    MSGPACK_DEFINE_ARRAY(from, to, isWhole, isInDoubt, items, isFresh);
 };
 
 // The largest answer to a request for news: a large directory and a large configuration.
--- a/Source/Soak/SoakRun.h
+++ b/Source/Soak/SoakRun.h
@@ -98,6 +98,8 @@
     void watchProcesses(TimePoint now);
     std::pair<Endpoint, std::string> routePacket(const FlowEnds&) const;
     void perform(const SoakStep&, TimePoint now);
+    // Ends its process at once; another one starts at the time.
+    void kill(Balancer&, TimePoint startAt);
     void performOnBalancer(const SoakStep&, Balancer&, TimePoint now);
     void performOnStore(const SoakStep&, TimePoint now);
     void performOnServer(const SoakStep&, TimePoint now);
--- a/Source/Soak/SoakSteps.cpp
+++ b/Source/Soak/SoakSteps.cpp
@@ -34,14 +34,8 @@
         return performOnBalancer(step, balancers_[step.target % balancers_.size()], now);
     case SoakStepKind::KillAll:
         judge_.disturbAll(now + step.length);
-        for (Balancer& balancer : balancers_) {
-            if (balancer.process)
-                balancer.process->signal(SIGKILL);
-            balancer.isEndExpected = true;
-            balancer.isStopping = false;
-            balancer.wakeAt.reset();
-            balancer.startAt = now + step.length;
-        }
+        for (Balancer& balancer : balancers_)
+            kill(balancer, now + step.length);
         judge_.noteAllBack(now + step.length);
         return;
     case SoakStepKind::StoreBusy:
@@ -65,19 +59,23 @@
     }
 }
 
+void SoakRun::kill(Balancer& balancer, TimePoint startAt)
+{
+    if (balancer.process)
+        balancer.process->signal(SIGKILL);
+    balancer.isEndExpected = true;
+    balancer.isStopping = false;
+    balancer.wakeAt.reset();
+    balancer.startAt = startAt;
+}
+
 void SoakRun::performOnBalancer(const SoakStep& step, Balancer& balancer, TimePoint now)
 {
     FaultSettings faults;
     switch (step.kind) {
     case SoakStepKind::KillBalancer:
         judge_.disturb(balancer.name, now + step.length);
-        if (balancer.process)
-            balancer.process->signal(SIGKILL);
-        balancer.isEndExpected = true;
-        balancer.isStopping = false;
-        balancer.wakeAt.reset();
-        balancer.startAt = now + step.length;
-        return;
+        return kill(balancer, now + step.length);
     case SoakStepKind::StopBalancer:
         judge_.disturb(balancer.name, now + grace);
         if (!balancer.process || balancer.isEndExpected || balancer.wakeAt)
