Soak: Count a server as a flow's holder once the flow is open there

Cause, from the logs: a forwarder was paused while callers' first copies waited in its socket; the last copy opened the flow elsewhere; later the copies reached a server that never saw the flow again. The flow's own server crashed, its address went to another, and the reset was true, but the server with the stray opening packet counted as one that holds the flow. Ruled out: the forwarder's decision (the line server_ended names the server that had the flow, and the newer entry at its address). Change: SoakServer::holds asks for an open flow.

--- a/Source/Soak/SoakServer.cpp
+++ b/Source/Soak/SoakServer.cpp
@@ -39,6 +39,12 @@
 {
 }
 
+bool SoakServer::holds(const FlowEnds& ends) const
+{
+    const auto entry = flows_.find(ends);
+    return entry != flows_.end() && entry->second.isOpen;
+}
+
 void SoakServer::receive(std::span<const std::uint8_t> datagram)
 {
     if (datagram.size() < platform::serverPrefixBytes)
--- a/Source/Soak/SoakServer.h
+++ b/Source/Soak/SoakServer.h
@@ -33,7 +33,8 @@
 
     const RegisteredServer& entry() const { return entry_; }
     void drain() { entry_.readiness = ServerReadiness::Draining; }
-    bool holds(const FlowEnds& ends) const { return flows_.contains(ends); }
+    // Whether the flow is open here. A copy of its opening packet may have come here too and opened nothing.
+    bool holds(const FlowEnds&) const;
     // Takes no new flows, as a server that is full.
     void setFull(bool isFull) { isFull_ = isFull; }
     // What it does with requests, while its entry says that it is ready.
