Forward: Take a new start under an old id for another process, refuse foreign entries

Cause: the directory knew processes by id alone, so failures, load and being left out of a former process were held against its successor, and a write of the former that took effect late took the successor back. Change: the start time in an entry (RegisteredServer::startedAt) tells processes apart: a later one begins anew, its predecessor's flows are forgotten, and where the service changed with it, packets of former flows are reset and not sent to another service; an earlier one never takes a later one back for 10 s. An entry with a missing, mistyped or impossible field names no server; its flows stay. A stored value that is no base64 spoils only its own item.

--- a/Source/Forward/FlowBook.cpp
+++ b/Source/Forward/FlowBook.cpp
@@ -133,6 +133,11 @@
     }
 }
 
+void FlowBook::forgetFlowsOf(std::uint32_t token)
+{
+    absl::erase_if(flows_, [&](const auto& row) { return row.second.token == token; });
+}
+
 std::vector<FailingChange> FlowBook::tick(TimePoint now)
 {
     absl::erase_if(flows_, [&](auto& row) {
--- a/Source/Forward/FlowBook.h
+++ b/Source/Forward/FlowBook.h
@@ -94,6 +94,8 @@
     void noteTry(const FlowEnds&, KnownServer&, std::uint32_t copies, TimePoint now);
     // Learns from a packet of an open flow that is on its way to this server.
     FlowProgress noteTraffic(const TokenPacket&, KnownServer&, TimePoint now);
+    // The server's process ended, and with it its flows. What another process does under its token is a new matter.
+    void forgetFlowsOf(std::uint32_t token);
     // Forgets flows that were silent for long. Tells which servers began to leave requests unanswered, or stopped.
     std::vector<FailingChange> tick(TimePoint now);
 
--- a/Source/Forward/ForwardingConfiguration.cpp
+++ b/Source/Forward/ForwardingConfiguration.cpp
@@ -2,13 +2,38 @@
 
 #include "Core/Hash.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace wisteriadock {
 
-RouteTable::RouteTable(const ForwardingConfiguration& configuration)
+namespace {
+
+    bool leadsTo(const FlowRoute* route, const std::string& service)
+    {
+        return route && std::ranges::count(route->shares, service, &RouteShare::service) > 0;
+    }
+
+}
+
+void RouteTable::replace(const ForwardingConfiguration& configuration)
 {
+    const auto former = std::exchange(routes_, {});
     routes_.reserve(configuration.routes.size());
     for (const FlowRoute& route : configuration.routes)
         routes_.insert_or_assign(route.address, route);
+    for (const auto& [address, route] : former) {
+        for (const RouteShare& share : route.shares) {
+            if (!leadsTo(find(address), share.service))
+                formerServices_[address].insert(share.service);
+        }
+    }
+}
+
+bool RouteTable::hasLedTo(Endpoint address, const std::string& service) const
+{
+    const auto former = formerServices_.find(address);
+    return leadsTo(find(address), service) || (former != formerServices_.end() && former->second.contains(service));
 }
 
 const FlowRoute* RouteTable::find(Endpoint address) const
--- a/Source/Forward/ForwardingConfiguration.h
+++ b/Source/Forward/ForwardingConfiguration.h
@@ -4,6 +4,7 @@
 #include "Forward/TokenPacket.h"
 
 #include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
 
 #include <chrono>
 #include <cstdint>
@@ -40,15 +41,18 @@
 // Finds routes by address.
 class RouteTable {
 public:
-    RouteTable() = default;
-    explicit RouteTable(const ForwardingConfiguration&);
+    void replace(const ForwardingConfiguration&);
 
     // Null when no route has the address.
     const FlowRoute* find(Endpoint) const;
+    // Whether this or an earlier configuration sent new flows of this address to the service.
+    bool hasLedTo(Endpoint address, const std::string& service) const;
     std::size_t size() const { return routes_.size(); }
 
 private:
     absl::flat_hash_map<Endpoint, FlowRoute> routes_;
+    // Services that an address led to and no longer does; open flows stay there.
+    absl::flat_hash_map<Endpoint, absl::flat_hash_set<std::string>> formerServices_;
 };
 
 // The service of a new flow, in proportion to the weights. It depends on the flow and the route alone, so copies of an
--- a/Source/Forward/RegisteredServer.h
+++ b/Source/Forward/RegisteredServer.h
@@ -14,9 +14,12 @@
     Draining, // Keeps its flows, takes no new ones, and stops soon.
 };
 
-// What a backend server registers about itself. Each start of a server is a new incarnation with a new id.
+// What a backend server registers about itself. Each start of a server is a new incarnation, as a rule with a new id.
 struct RegisteredServer {
     std::string id;
+    // When the process started, in milliseconds since 1970 by its own clock; 0 where entries don't tell. Of two that
+    // differ under one id, each is a process of its own.
+    std::uint64_t startedAt = 0;
     // The id as a number: packets are addressed to it, so that a server never takes those of an earlier one at its
     // address.
     std::uint64_t number = 0;
--- a/Source/Forward/ServerDirectory.cpp
+++ b/Source/Forward/ServerDirectory.cpp
@@ -32,6 +32,8 @@
     Transitions transitions;
     auto& slot = records_[entry.id];
     const bool isNew = !slot;
+    if (!isNew && isOfEarlierStart(*slot, entry, now))
+        return transitions;
     if (isNew) {
         slot = std::make_unique<KnownServer>();
         slot->token = tokenOf(entry.number);
@@ -39,6 +41,8 @@
         slot->state = stateOf(entry);
     }
     KnownServer& record = *slot;
+    if (!isNew && record.entry.startedAt != entry.startedAt)
+        restart(record, entry, now, transitions);
     if (isNew) {
         byAddress_[entry.address].push_back(&record);
     } else if (record.entry.address != entry.address) {
@@ -47,6 +51,7 @@
     }
     record.entry = entry;
     record.revision = revision;
+    record.writtenAt = now;
     record.warmUntil = now + entry.warmupLeft;
     if (isNew) {
         claimToken(record);
@@ -58,6 +63,33 @@
     return transitions;
 }
 
+// Sequence: a server is killed while a write of its entry waits at the store, starts again under its id, registers, and
+// then the write of its former process takes effect, with a higher revision.
+bool ServerDirectory::isOfEarlierStart(const KnownServer& record, const RegisteredServer& entry, TimePoint now) const
+{
+    return entry.startedAt < record.entry.startedAt && now - record.writtenAt < settings_.earlierStartAfter;
+}
+
+// Whatever was seen of the former process says nothing about this one, which has no flows and fails none.
+void ServerDirectory::restart(
+    KnownServer& record, const RegisteredServer& entry, TimePoint now, Transitions& transitions)
+{
+    const ServerState before = record.state;
+    record.seen = {};
+    record.state = stateOf(entry);
+    record.since = now;
+    record.hasChangedService = record.hasChangedService || record.entry.service != entry.service;
+    transitions.push_back({ entry.id, entry.service, entry.availabilityZone, before, record.state, false, true });
+}
+
+ServerDirectory::Transitions ServerDirectory::disuse(const std::string& id, std::uint64_t revision, TimePoint now)
+{
+    Transitions transitions = remove(id, false, now);
+    if (KnownServer* record = find(id))
+        record->revision = revision;
+    return transitions;
+}
+
 ServerDirectory::Transitions ServerDirectory::remove(const std::string& id, bool inDoubt, TimePoint now)
 {
     Transitions transitions;
@@ -150,7 +182,7 @@
     if (record.state == state)
         return;
     const RegisteredServer& entry = record.entry;
-    transitions.push_back({ entry.id, entry.service, entry.availabilityZone, record.state, state, false });
+    transitions.push_back({ entry.id, entry.service, entry.availabilityZone, record.state, state });
     record.state = state;
     record.since = now;
 }
--- a/Source/Forward/ServerDirectory.h
+++ b/Source/Forward/ServerDirectory.h
@@ -54,6 +54,10 @@
     ServerState state = ServerState::Ready;
     // When the state was entered.
     TimePoint since;
+    // When the entry was written last, as far as this balancer knows.
+    TimePoint writtenAt;
+    // An earlier process under the id belonged to another service, so its flows must not reach this one.
+    bool hasChangedService = false;
     TimePoint warmUntil;
     // Another living server has the same token, so packets could not be told apart: it gets no flows.
     bool isAmbiguous = false;
@@ -75,6 +79,10 @@
     std::chrono::milliseconds longestDoubt { 10000 };
     // How long servers that are gone stay known by their tokens: flows last up to a minute (the platform's bound).
     std::chrono::milliseconds retention { 75000 };
+    // A write that was under way when its process ended may reach the store after those of the next one (the store's
+    // operators speak of seconds). An entry of an earlier start counts only if the later one has been silent for so
+    // long: then the server's clock was set back between two starts.
+    std::chrono::milliseconds earlierStartAfter { 10000 };
 };
 
 // A change of what the balancer believes of one server, for the log.
@@ -85,6 +93,8 @@
     ServerState before = ServerState::Ready;
     ServerState after = ServerState::Ready;
     bool isNew = false;
+    // Another process took over the id: what was known of the former one is void, and its flows are lost.
+    bool isRestart = false;
 };
 
 // The backend servers that registered themselves: by service, and by token. Forgets nobody whose flows may be open.
@@ -99,6 +109,8 @@
 
     // A server's entry was written, at a revision of the store.
     Transitions put(const RegisteredServer&, std::uint64_t revision, TimePoint now);
+    // Its entry can't be used any more: no new flows go there, and those that are open stay.
+    Transitions disuse(const std::string& id, std::uint64_t revision, TimePoint now);
     // Its entry vanished. In doubt a ready server keeps getting flows for a while, because it may be back.
     Transitions remove(const std::string& id, bool inDoubt, TimePoint now);
     // The store told what is certain, at this time.
@@ -123,6 +135,8 @@
     }
 
 private:
+    bool isOfEarlierStart(const KnownServer&, const RegisteredServer&, TimePoint now) const;
+    void restart(KnownServer&, const RegisteredServer&, TimePoint now, Transitions&);
     void enter(KnownServer&, ServerState, TimePoint now, Transitions&);
     bool isDoubtOver(const KnownServer&, TimePoint now) const;
     void endFormerAt(const KnownServer&, TimePoint now, Transitions&);
--- a/Source/Forward/TokenRouter.cpp
+++ b/Source/Forward/TokenRouter.cpp
@@ -55,7 +55,7 @@
 {
     if (configuration.version <= version_)
         return false;
-    routes_ = RouteTable(configuration);
+    routes_.replace(configuration);
     version_ = configuration.version;
     return true;
 }
@@ -63,7 +63,17 @@
 ServerDirectory::Transitions TokenRouter::putServer(
     const RegisteredServer& entry, std::uint64_t revision, TimePoint now)
 {
-    return directory_.put(entry, revision, now);
+    ServerDirectory::Transitions transitions = directory_.put(entry, revision, now);
+    for (const ServerTransition& transition : transitions) {
+        if (transition.isRestart)
+            flows_.forgetFlowsOf(tokenOf(entry.number));
+    }
+    return transitions;
+}
+
+ServerDirectory::Transitions TokenRouter::disuseServer(const std::string& id, std::uint64_t revision, TimePoint now)
+{
+    return directory_.disuse(id, revision, now);
 }
 
 ServerDirectory::Transitions TokenRouter::removeServer(const std::string& id, bool inDoubt, TimePoint now)
@@ -150,7 +160,7 @@
         return drop(PacketReason::TokenUnknown);
     PacketDecision decision;
     decision.server = server;
-    if (server->state == ServerState::Ended) {
+    if (server->state == ServerState::Ended || isOfFormerProcess(packet, *server)) {
         decision.verdict = packet.resets ? PacketVerdict::Drop : PacketVerdict::Reset;
         decision.reason = PacketReason::ServerEnded;
         return decision;
@@ -163,6 +173,13 @@
     return decision;
 }
 
+// The former process of a server that changed its service with a restart is proven to be over, so the caller may be
+// told. Flows of the new process come by routes that lead to its service, or did when they were opened.
+bool TokenRouter::isOfFormerProcess(const TokenPacket& packet, const KnownServer& server) const
+{
+    return server.hasChangedService && !routes_.hasLedTo(packet.ends.route, server.entry.service);
+}
+
 // The first copies are answered with silence: news of a route or a server may be on its way, and the caller asks again
 // by itself. With its last copy it is told at once, instead of being left to wait for its own time limit.
 PacketDecision TokenRouter::refuse(const TokenPacket& packet, PacketReason reason) const
--- a/Source/Forward/TokenRouter.h
+++ b/Source/Forward/TokenRouter.h
@@ -75,6 +75,7 @@
     // False for a version that is not newer than the one held: versions never go back.
     bool applyConfiguration(const ForwardingConfiguration&);
     ServerDirectory::Transitions putServer(const RegisteredServer&, std::uint64_t revision, TimePoint now);
+    ServerDirectory::Transitions disuseServer(const std::string& id, std::uint64_t revision, TimePoint now);
     ServerDirectory::Transitions removeServer(const std::string& id, bool inDoubt, TimePoint now);
     // The store told what is certain, at this time.
     void noteStoreHeard(TimePoint at) { directory_.noteStoreHeard(at); }
@@ -97,6 +98,7 @@
     PacketDecision routeOpening(const TokenPacket&, TimePoint now);
     PacketDecision routeEstablished(const TokenPacket&, TimePoint now);
     PacketDecision refuse(const TokenPacket&, PacketReason) const;
+    bool isOfFormerProcess(const TokenPacket&, const KnownServer&) const;
     // The server that a copy of an opening packet shall go to again, or null for another choice.
     KnownServer* formerServerFor(const FlowMemory*, const std::string& service, TimePoint now);
 
--- a/Source/Forwarder/ForwarderLog.cpp
+++ b/Source/Forwarder/ForwarderLog.cpp
@@ -90,7 +90,7 @@
 void ForwarderLog::transition(
     const ServerTransition& transition, std::uint64_t revision, const std::string& source, TimePoint now)
 {
-    log_.write(LogLevel::Info, "server", nameOf(transition.after),
+    log_.write(LogLevel::Info, "server", transition.isRestart ? "restarted" : nameOf(transition.after),
         Event()
             .add("server", transition.id)
             .add("service", transition.service)
@@ -115,7 +115,9 @@
 
 void ForwarderLog::unreadable(const std::string& key, const Error& error, TimePoint now)
 {
-    log_.write(LogLevel::Error, "news", "refused", Event().add("key", key).add("error", error.toString()), now);
+    if (!log_.admits("news", "refused", now))
+        return;
+    log_.writeAdmitted(LogLevel::Error, "news", "refused", Event().add("key", key).add("error", error.toString()), now);
 }
 
 void ForwarderLog::news(const NewsChanged& news, TimePoint now)
--- a/Source/Forwarder/NewsApplier.h
+++ b/Source/Forwarder/NewsApplier.h
@@ -4,13 +4,15 @@
 #include "Forwarder/ForwarderLog.h"
 #include "Forwarder/ForwarderMetrics.h"
 #include "News/NewsExchange.h"
+#include "News/PackedValue.h"
 
 #include <utility>
 
 namespace wisteriadock {
 
 // Gives news its meaning: decodes what the store holds and hands it to the router. A value that can't be read is
-// refused whole and logged, and what was held before stays.
+// refused whole, logged and counted, and spoils nothing else: of the configuration the last good one stays, and a
+// server's entry, which another writer may have put there, names no server to use.
 template <typename Adapter> class NewsApplier {
 public:
     NewsApplier(TokenRouter& router, ForwarderLog& log, ForwarderMetrics& metrics)
@@ -38,7 +40,10 @@
         // Operators replace the configuration and never take it away; without one nothing could be routed.
         if (item.isRemoved)
             return refuse(item, { ErrorCode::NotFound, "the configuration was removed; the last one stays" }, now);
-        const auto configuration = Adapter::decodeConfiguration(item.value);
+        const Result<std::string> value = valueOf(item);
+        if (!value)
+            return refuse(item, value.error(), now);
+        const auto configuration = Adapter::decodeConfiguration(value.value());
         if (!configuration)
             return refuse(item, configuration.error(), now);
         const bool isTaken = router_.applyConfiguration(configuration.value());
@@ -50,12 +55,20 @@
     {
         if (item.isRemoved)
             return report(router_.removeServer(id, news.isInDoubt, now), item, news, now);
-        const auto server = Adapter::decodeServer(id, item.value);
-        if (!server)
-            return refuse(item, server.error(), now);
+        const auto server = readServer(id, item);
+        if (!server) {
+            refuse(item, server.error(), now);
+            return report(router_.disuseServer(id, item.revision, now), item, news, now);
+        }
         report(router_.putServer(server.value(), item.revision, now), item, news, now);
     }
 
+    Result<RegisteredServer> readServer(const std::string& id, const NewsItem& item)
+    {
+        BOOST_OUTCOME_TRY(value, valueOf(item));
+        return Adapter::decodeServer(id, value);
+    }
+
     void report(
         const ServerDirectory::Transitions& transitions, const NewsItem& item, const NewsChanged& news, TimePoint now)
     {
--- a/Tests/Forward/ServerDirectoryTest.cpp
+++ b/Tests/Forward/ServerDirectoryTest.cpp
@@ -167,6 +167,125 @@
         }
     }
 
+    // Symptom: a server that had started again got no flows, or only trial flows, for up to 4 s.
+    // Sequence: it crashes, balancers leave it out as silent, it starts again under its id and registers.
+    // Cause: what was seen of the former process was held against the new one.
+    TEST_F(ServerDirectoryTest, aServerThatStartsAgainUnderItsIdIsAnotherProcess)
+    {
+        RegisteredServer entry = server(1);
+        entry.startedAt = 1000;
+        directory.put(entry, 5, clock.now());
+        KnownServer& known = *directory.find(entry.id);
+        const auto spoil = [&] {
+            known.seen.failures = 3;
+            known.seen.flows = 7;
+            known.seen.busy = 2;
+            known.seen.leftOutUntil = clock.now() + 4s;
+            known.seen.outcomes.note(false, clock.now());
+            known.seen.isFailing = true;
+        };
+        const auto expectNew = [&](const ServerDirectory::Transitions& transitions) {
+            ASSERT_FALSE(transitions.empty());
+            EXPECT_TRUE(transitions.front().isRestart);
+            EXPECT_EQ(known.seen.failures, 0U);
+            EXPECT_EQ(known.seen.flows, 0U);
+            EXPECT_EQ(known.seen.leftOutUntil, TimePoint::min());
+            EXPECT_EQ(known.seen.outcomes.failingShare(clock.now()), 0);
+            EXPECT_FALSE(known.seen.isFailing);
+            EXPECT_TRUE(known.mayTakeFlows());
+            EXPECT_EQ(directory.serversOf(entry.service).size(), 1U);
+        };
+        spoil();
+        {
+            SCOPED_TRACE("a further entry of the same process changes nothing of this");
+            directory.put(entry, 6, clock.now());
+            EXPECT_EQ(known.seen.failures, 3U);
+        }
+        {
+            SCOPED_TRACE("while it takes flows");
+            entry.startedAt = 2000;
+            expectNew(directory.put(entry, 7, clock.now()));
+        }
+        {
+            SCOPED_TRACE("while it drains");
+            entry.readiness = ServerReadiness::Draining;
+            directory.put(entry, 8, clock.now());
+            spoil();
+            entry.readiness = ServerReadiness::Ready;
+            entry.startedAt = 3000;
+            expectNew(directory.put(entry, 9, clock.now()));
+        }
+        {
+            SCOPED_TRACE("in doubt, and after it was gone");
+            directory.remove(entry.id, true, clock.now());
+            spoil();
+            entry.startedAt = 4000;
+            expectNew(directory.put(entry, 10, clock.now()));
+            directory.remove(entry.id, false, clock.now());
+            spoil();
+            entry.startedAt = 5000;
+            expectNew(directory.put(entry, 11, clock.now()));
+        }
+        {
+            SCOPED_TRACE("after its address went to another, at another address, and twice within a heartbeat");
+            directory.put(server(2, 1), 12, clock.now());
+            EXPECT_EQ(stateOf(entry), ServerState::Ended);
+            spoil();
+            entry.startedAt = 6000;
+            entry.address.address += 100;
+            entry.service = "scanintake";
+            expectNew(directory.put(entry, 13, clock.now()));
+            EXPECT_TRUE(known.hasChangedService);
+            entry.startedAt = 6001;
+            expectNew(directory.put(entry, 14, clock.now()));
+            EXPECT_TRUE(directory.serversOf("tryon").size() == 1);
+        }
+    }
+
+    // Symptom: after a restart a server was taken for draining, for as long as until its next heartbeat.
+    // Sequence: a write of the former process takes effect after the new one has registered.
+    // Cause: the store's order of writes was taken for the order of the processes.
+    TEST_F(ServerDirectoryTest, anEntryOfAnEarlierStartNeverTakesALaterOneBack)
+    {
+        RegisteredServer entry = server(1);
+        entry.startedAt = 2000;
+        directory.put(entry, 5, clock.now());
+        RegisteredServer earlier = entry;
+        earlier.startedAt = 1000;
+        earlier.readiness = ServerReadiness::Draining;
+        EXPECT_TRUE(directory.put(earlier, 6, clock.now()).empty());
+        EXPECT_EQ(stateOf(entry), ServerState::Ready);
+        RegisteredServer untold = earlier;
+        untold.startedAt = 0;
+        EXPECT_TRUE(directory.put(untold, 7, clock.now()).empty());
+        EXPECT_EQ(directory.find(entry.id)->entry.startedAt, 2000U);
+        {
+            SCOPED_TRACE("but a server whose clock was set back between two starts is not lost for good");
+            clock.advance(10s);
+            EXPECT_FALSE(directory.put(earlier, 8, clock.now()).empty());
+            EXPECT_EQ(directory.find(entry.id)->entry.startedAt, 1000U);
+        }
+    }
+
+    // Symptom: flows went on to a server whose entry another writer had spoilt.
+    // Cause: the last entry that could be read stayed in use.
+    TEST_F(ServerDirectoryTest, anEntryThatCannotBeUsedNamesNoServerAndItsFlowsStay)
+    {
+        const RegisteredServer entry = server(1);
+        directory.put(entry, 5, clock.now());
+        directory.put(server(2), 6, clock.now());
+        EXPECT_EQ(directory.disuse(entry.id, 7, clock.now()).size(), 1U);
+        EXPECT_FALSE(directory.find(entry.id)->mayTakeFlows());
+        EXPECT_EQ(directory.serversOf("tryon").size(), 1U);
+        EXPECT_EQ(directory.findByToken(tokenOf(entry.number))->state, ServerState::Gone);
+        EXPECT_TRUE(directory.disuse("i-unknown", 8, clock.now()).empty());
+        {
+            SCOPED_TRACE("until its own next entry");
+            directory.put(entry, 9, clock.now());
+            EXPECT_TRUE(directory.find(entry.id)->mayTakeFlows());
+        }
+    }
+
     TEST_F(ServerDirectoryTest, tokensAreNeverZero)
     {
         EXPECT_EQ(tokenOf(0), 1U);
--- a/Tests/Forward/TokenRouterTest.cpp
+++ b/Tests/Forward/TokenRouterTest.cpp
@@ -226,6 +226,45 @@
         EXPECT_EQ(decision.reason, PacketReason::ServerEnded);
     }
 
+    // A token names the id, and so another process once the server has started again.
+    TEST_F(TokenRouterTest, flowsOfAFormerProcessNeverReachAnotherService)
+    {
+        RegisteredServer entry = server(1);
+        entry.startedAt = 1000;
+        put(entry);
+        const std::uint32_t token = tokenOf(entry.number);
+        router.route(opening(1), clock.now());
+        router.route(data(1, token), clock.now());
+        EXPECT_EQ(router.directory().find(entry.id)->seen.busy, 1U);
+        {
+            SCOPED_TRACE("under the same service it tells its former callers itself");
+            entry.startedAt = 2000;
+            put(entry);
+            EXPECT_EQ(router.flows().size(), 0U);
+            EXPECT_EQ(router.directory().find(entry.id)->seen.busy, 0U);
+            EXPECT_EQ(router.route(data(1, token), clock.now()).verdict, PacketVerdict::Forward);
+        }
+        {
+            SCOPED_TRACE("under another service they are told here, and its own flows pass");
+            entry.startedAt = 3000;
+            entry.service = "scanintake";
+            put(entry);
+            const PacketDecision former = router.route(data(1, token), clock.now());
+            EXPECT_EQ(former.verdict, PacketVerdict::Reset);
+            EXPECT_EQ(former.reason, PacketReason::ServerEnded);
+            EXPECT_EQ(
+                router.route(data(2, token, 1001, 5001, 100, scanRoute), clock.now()).verdict, PacketVerdict::Forward);
+        }
+        {
+            SCOPED_TRACE("also after a configuration that sends new flows of their route elsewhere");
+            ForwardingConfiguration moved = configuration(50);
+            moved.routes[1].shares = { { "elsewhere", 1 } };
+            router.applyConfiguration(moved);
+            EXPECT_EQ(
+                router.route(data(2, token, 1101, 5001, 100, scanRoute), clock.now()).verdict, PacketVerdict::Forward);
+        }
+    }
+
     TEST_F(TokenRouterTest, flowsOfAServerWhoseEntryVanishedGoOn)
     {
         const std::uint32_t token = openFlow(1);
--- a/Tests/PlatformAdapter/StoredValuesTest.cpp
+++ b/Tests/PlatformAdapter/StoredValuesTest.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <nlohmann/json.hpp>
+
 #include <random>
 
 namespace wisteriadock::platform {
@@ -71,6 +73,59 @@
         EXPECT_FALSE(decodeConfiguration(R"({"version":1})"));
     }
 
+    // An entry may come from a writer that is no server: whichever of its fields is missing, of another type or out of
+    // range, it names no server to use.
+    TEST(StoredValuesTest, anEntryOfAnotherWriterIsRefused)
+    {
+        const auto good = nlohmann::json::parse(entryText);
+        ASSERT_TRUE(decodeServer("i-1", good.dump()));
+        for (const char* field :
+            { "service", "address", "zone", "version", "maxConcurrency", "state", "warmupLeftMs", "sequence" }) {
+            SCOPED_TRACE(field);
+            auto entry = good;
+            entry.erase(field);
+            EXPECT_FALSE(decodeServer("i-1", entry.dump()));
+            for (const char* other : { "null", "true", "[]", "{}", "1.5", "-3", "\"\"", "\"half\"" }) {
+                entry[field] = nlohmann::json::parse(other);
+                const bool isText = entry[field] == "half";
+                const bool isFreeText
+                    = isText && std::string_view("service zone version").find(field) != std::string_view::npos;
+                const bool isEmptyVersion = entry[field] == "" && std::string_view(field) == "version";
+                EXPECT_EQ(bool(decodeServer("i-1", entry.dump())), isFreeText || isEmptyVersion) << other;
+            }
+        }
+        const auto with = [&](const char* field, const nlohmann::json& value) {
+            auto entry = good;
+            entry[field] = value;
+            return bool(decodeServer("i-1", entry.dump()));
+        };
+        EXPECT_FALSE(with("maxConcurrency", 0));
+        EXPECT_FALSE(with("maxConcurrency", 4294967296));
+        EXPECT_FALSE(with("warmupLeftMs", 18446744073709551615U));
+        EXPECT_FALSE(with("address", "10.0.0.1:0"));
+        EXPECT_FALSE(with("address", "0.0.0.0:80"));
+        for (const char* id : { "zz", "i-0", "i-0123456789abcdef0", "---" })
+            EXPECT_FALSE(decodeServer(id, entryText)) << id;
+        for (const char* bytes : { "", "\xff\xfe", "[1]", "{\"service\":\"\xff\"}", "{\"service\":" })
+            EXPECT_FALSE(decodeServer("i-1", bytes));
+    }
+
+    TEST(StoredValuesTest, whenAServerStartedIsAWholeNumberWhereItIsTold)
+    {
+        auto entry = nlohmann::json::parse(entryText);
+        EXPECT_EQ(decodeServer("i-1", entry.dump()).value().startedAt, 0U);
+        entry["born"] = 1770652919002;
+        const auto server = decodeServer("i-1", entry.dump());
+        ASSERT_TRUE(server);
+        EXPECT_EQ(server.value().startedAt, 1770652919002U);
+        EXPECT_EQ(decodeServer("i-1", encodeServer(server.value())).value(), server.value());
+        for (const char* other :
+            { "1770652919002.5", "\"1770652919002\"", "null", "-1", "0", "[1]", "99999999999999" }) {
+            entry["born"] = nlohmann::json::parse(other);
+            EXPECT_FALSE(decodeServer("i-1", entry.dump())) << other;
+        }
+    }
+
     TEST(StoredValuesTest, keysAreToldApart)
     {
         EXPECT_EQ(serverIdOf("servers/i-1"), "i-1");
