Forwarder: Start with two shared libraries, ask the store first, load prometheus-cpp when asked

Cause: after a loss of power the windows of 2 s lose every request that is asked before the forwarders serve.

--- a/Source/Forward/TokenRouter.cpp
+++ b/Source/Forward/TokenRouter.cpp
@@ -27,6 +27,7 @@
         { PacketReason::TokenUnknown, "token_unknown" },
         { PacketReason::ForeignAnswer, "foreign_answer" },
     });
+    static_assert(verdictNames.rows().size() == packetVerdicts);
     static_assert(reasonNames.rows().size() == packetReasons);
 
     PacketDecision drop(PacketReason reason)
--- a/Source/Forward/TokenRouter.h
+++ b/Source/Forward/TokenRouter.h
@@ -37,6 +37,7 @@
     ForeignAnswer, // An answer to an opening, which only servers send, and never to servers.
 };
 
+inline constexpr std::size_t packetVerdicts = 3;
 inline constexpr std::size_t packetReasons = 11;
 
 std::string_view nameOf(PacketVerdict);
--- a/Source/Forwarder/Forwarder.h
+++ b/Source/Forwarder/Forwarder.h
@@ -52,16 +52,17 @@
                 .add("store", settings_.store.toString())
                 .add("seeds", std::uint64_t(settings_.seeds.size())),
             now);
-        store_.start(now);
-        peers_->start(now);
         awaitSignal();
-        awaitBeat();
+        awaitBeat(firstBeat);
         context_.run();
     }
 
 private:
     // Membership asks for a tick at least each 250 ms; log lines wait no longer either.
     static constexpr std::chrono::milliseconds beat { 250 };
+    // The others are met once packets flow, or after so long: the store answers within some milliseconds, and after a
+    // loss of power callers wait for whatever is done before.
+    static constexpr std::chrono::milliseconds firstBeat { 60 };
     // Settings may change without a signal.
     static constexpr std::chrono::seconds settingsCheck { 2 };
 
@@ -96,6 +97,8 @@
 
     Result<void> open()
     {
+        // The store's answer is on its way while the rest is made ready.
+        store_.start(startedAt_);
         BOOST_OUTCOME_TRY(socket, PacketSocket::open(settings_.flow));
         BOOST_OUTCOME_TRY(peers,
             PeerNews::open(context_, self(), settings_.seeds, seed_, log_, metrics_,
@@ -139,14 +142,23 @@
         if (request.path == Adapter::readinessPath) {
             response.status = life_.isReady() ? 200 : 503;
         } else if (request.path == "/metrics") {
-            response.headers = { { "content-type", "text/plain; version=0.0.4" } };
-            response.body = metrics_.text(readings());
+            return answerMetrics();
         } else {
             response.status = 404;
         }
         return response;
     }
 
+    HttpResponse answerMetrics()
+    {
+        HttpResponse response;
+        Result<std::string> text = metrics_.text(readings());
+        response.status = text ? 200 : 503;
+        response.headers = { { "content-type", text ? "text/plain; version=0.0.4" : "text/plain" } };
+        response.body = text ? std::move(text).value() : text.error().toString() + "\n";
+        return response;
+    }
+
     ForwarderMetrics::Readings readings()
     {
         ForwarderMetrics::Readings readings;
@@ -184,9 +196,16 @@
                     .add("source", news.source),
                 now);
             log_.flush(now);
+            meetPeers(now);
         }
     }
 
+    void meetPeers(TimePoint now)
+    {
+        if (!std::exchange(hasMetPeers_, true))
+            peers_->start(now);
+    }
+
     void perform(const StoreFeedAction& action)
     {
         const TimePoint now = Clock::now();
@@ -201,9 +220,9 @@
         }
     }
 
-    void awaitBeat()
+    void awaitBeat(std::chrono::milliseconds after = beat)
     {
-        timer_.expires_after(beat);
+        timer_.expires_after(after);
         timer_.async_wait([this](const boost::system::error_code& error) {
             if (error)
                 return;
@@ -213,6 +232,7 @@
 
     void onBeat(TimePoint now)
     {
+        meetPeers(now);
         peers_->noteStore(store_.feed().isLost(), now);
         peers_->tick(now);
         store_.update(peers_->exchange().book().completeTo(), peers_->shallWatch(now) && !life_.isStopping(),
@@ -316,6 +336,7 @@
     std::unique_ptr<Http1Server> ready_;
     std::unique_ptr<Http1Server> metricsServer_;
     TimePoint lastSettingsCheck_ = startedAt_;
+    bool hasMetPeers_ = false;
 };
 
 }
--- a/Source/Forwarder/ForwarderMetrics.cpp
+++ b/Source/Forwarder/ForwarderMetrics.cpp
@@ -1,123 +1,172 @@
 #include "Forwarder/ForwarderMetrics.h"
 
-#include <prometheus/text_serializer.h>
+#include "MetricsText/MetricsText.h"
 
+#include <fmt/format.h>
+
+#include <algorithm>
 #include <chrono>
+#include <deque>
+#include <dlfcn.h>
 
 namespace wisteriadock {
 
 namespace {
 
     // Seconds. An answer in the zone opens a flow within milliseconds; callers send again after 0.2 s.
-    const prometheus::Histogram::BucketBoundaries openingBuckets { 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1 };
-    const prometheus::Histogram::BucketBoundaries answerBuckets { 0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 1, 2, 5 };
-    const prometheus::Histogram::BucketBoundaries storeBuckets { 0.005, 0.01, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5 };
-    const prometheus::Histogram::BucketBoundaries lagBuckets { 0.1, 0.3, 0.5, 1, 2, 3, 5, 10 };
+    constexpr std::array openingBuckets { 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0 };
+    constexpr std::array answerBuckets { 0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0 };
+    constexpr std::array storeBuckets { 0.005, 0.01, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0 };
+    constexpr std::array lagBuckets { 0.1, 0.3, 0.5, 1.0, 2.0, 3.0, 5.0, 10.0 };
 
     double secondsOf(Duration duration) { return std::chrono::duration<double>(duration).count(); }
 
-    template <typename Builder>
-    auto& familyOf(prometheus::Registry& registry, Builder builder, const char* name, const char* help)
-    {
-        return builder.Name(name).Help(help).Register(registry);
-    }
-
-    prometheus::Counter& counterOf(prometheus::Registry& registry, const char* name, const char* help)
+    // Collects samples in the layout that the module takes.
+    class Samples {
+    public:
+        using Labels = std::vector<WisteriadockMetricLabel>;
+
+        void count(const char* name, const char* help, std::uint64_t value, Labels labels = {})
+        {
+            add(WisteriadockCounter, name, help, static_cast<double>(value), std::move(labels));
+        }
+        void gauge(const char* name, const char* help, double value, Labels labels)
+        {
+            add(WisteriadockGauge, name, help, value, std::move(labels));
+        }
+        void histogram(const char* name, const char* help, const BucketCounts& buckets)
+        {
+            WisteriadockMetricSample& sample = add(WisteriadockHistogram, name, help, buckets.sum(), {});
+            sample.bounds = buckets.bounds().data();
+            sample.boundCount = buckets.bounds().size();
+            sample.bucketCounts = buckets.counts().data();
+        }
+
+        const std::vector<WisteriadockMetricSample>& all() const { return samples_; }
+
+    private:
+        WisteriadockMetricSample& add(
+            WisteriadockMetricKind kind, const char* name, const char* help, double value, Labels labels)
+        {
+            labels_.push_back(std::move(labels));
+            const Labels& kept = labels_.back();
+            return samples_.emplace_back(
+                WisteriadockMetricSample { kind, name, help, kept.data(), kept.size(), value, nullptr, nullptr, 0 });
+        }
+
+        std::vector<WisteriadockMetricSample> samples_;
+        // Labels stay where they are while others come.
+        std::deque<Labels> labels_;
+    };
+
+    // The module is loaded once and stays, as its libraries can't be unloaded safely.
+    Result<WisteriadockWriteMetrics> loadWriter()
     {
-        return familyOf(registry, prometheus::BuildCounter(), name, help).Add({});
+        static void* const module = dlopen(metricsTextModule, RTLD_NOW | RTLD_LOCAL);
+        void* const function = module ? dlsym(module, metricsTextFunction) : nullptr;
+        if (!function)
+            return Error { ErrorCode::Unavailable, fmt::format("{} can't be loaded", metricsTextModule) };
+        return reinterpret_cast<WisteriadockWriteMetrics>(function);
     }
 
-    prometheus::Histogram& histogramOf(prometheus::Registry& registry, const char* name, const char* help,
-        const prometheus::Histogram::BucketBoundaries& buckets)
+    void append(void* target, const char* text, std::size_t bytes)
     {
-        return familyOf(registry, prometheus::BuildHistogram(), name, help).Add({}, buckets);
+        static_cast<std::string*>(target)->append(text, bytes);
     }
 
 }
 
-ForwarderMetrics::ForwarderMetrics()
-    : packetFamily_(familyOf(registry_, prometheus::BuildCounter(), "wisteriadock_forwarder_packets_total",
-        "Packets by what became of them and why"))
-    , malformed_(counterOf(
-          registry_, "wisteriadock_forwarder_malformed_packets_total", "Datagrams that were no packet, and dropped"))
-    , sendFailed_(counterOf(
-          registry_, "wisteriadock_forwarder_unsent_packets_total", "Packets that the kernel refused to send"))
-    , refusedNews_(
-          counterOf(registry_, "wisteriadock_forwarder_refused_news_total", "Stored values that could not be read"))
-    , storeCalls_(familyOf(registry_, prometheus::BuildCounter(), "wisteriadock_forwarder_store_calls_total",
-          "Calls to the platform's store by kind and outcome"))
-    , news_(familyOf(registry_, prometheus::BuildCounter(), "wisteriadock_forwarder_news_total",
-          "Changed keys by who told of them"))
-    , fetches_(familyOf(registry_, prometheus::BuildCounter(), "wisteriadock_forwarder_fetches_total",
-          "News asked of other balancers, by outcome"))
-    , readings_(familyOf(registry_, prometheus::BuildGauge(), "wisteriadock_forwarder_state",
-          "Versions, ages and sizes, by what is measured"))
-    , servers_(familyOf(registry_, prometheus::BuildGauge(), "wisteriadock_forwarder_servers",
-          "Backend servers by what this balancer believes of them"))
-    , openingTime_(histogramOf(registry_, "wisteriadock_forwarder_opening_seconds",
-          "From the opening packet to the caller's next one", openingBuckets))
-    , answerTime_(histogramOf(registry_, "wisteriadock_forwarder_answer_seconds",
-          "From a request to the caller's acknowledgement of its answer's beginning", answerBuckets))
-    , storeTime_(histogramOf(registry_, "wisteriadock_forwarder_store_call_seconds",
-          "Calls to the platform's store, watches included", storeBuckets))
-    , newsLag_(histogramOf(registry_, "wisteriadock_forwarder_news_lag_seconds",
-          "How long others were known to have news before this balancer had it", lagBuckets))
+void BucketCounts::observe(double value)
 {
+    const auto bucket = std::ranges::lower_bound(bounds_, value) - bounds_.begin();
+    ++counts_[static_cast<std::size_t>(bucket)];
+    sum_ += value;
 }
 
-void ForwarderMetrics::countPacket(PacketReason reason, PacketVerdict verdict)
+ForwarderMetrics::ForwarderMetrics()
+    : openingTime_(openingBuckets)
+    , answerTime_(answerBuckets)
+    , storeTime_(storeBuckets)
+    , newsLag_(lagBuckets)
 {
-    auto& counter = packets_[static_cast<std::size_t>(reason)][static_cast<std::size_t>(verdict)];
-    if (!counter)
-        counter = &packetFamily_.Add(
-            { { "reason", std::string(nameOf(reason)) }, { "verdict", std::string(nameOf(verdict)) } });
-    counter->Increment();
 }
 
 void ForwarderMetrics::countStoreCall(const std::string& call, const std::string& outcome, Duration took)
 {
-    storeCalls_.Add({ { "call", call }, { "outcome", outcome } }).Increment();
-    storeTime_.Observe(secondsOf(took));
+    ++storeCalls_[{ call, outcome }];
+    storeTime_.observe(secondsOf(took));
 }
 
-void ForwarderMetrics::countNews(const std::string& source, std::size_t items)
-{
-    news_.Add({ { "source", source == "store" ? "store" : "balancer" } }).Increment(static_cast<double>(items));
-}
-
-void ForwarderMetrics::countFetch(const std::string& outcome) { fetches_.Add({ { "outcome", outcome } }).Increment(); }
-
 void ForwarderMetrics::observe(const FlowProgress& progress)
 {
     if (progress.openingTime)
-        openingTime_.Observe(secondsOf(*progress.openingTime));
+        openingTime_.observe(secondsOf(*progress.openingTime));
     if (progress.answerTime)
-        answerTime_.Observe(secondsOf(*progress.answerTime));
+        answerTime_.observe(secondsOf(*progress.answerTime));
 }
 
-void ForwarderMetrics::observeNewsLag(Duration lag) { newsLag_.Observe(secondsOf(lag)); }
+void ForwarderMetrics::observeNewsLag(Duration lag) { newsLag_.observe(secondsOf(lag)); }
 
-std::string ForwarderMetrics::text(const Readings& readings)
+Result<std::string> ForwarderMetrics::text(const Readings& readings)
 {
-    const auto set = [&](const char* what, double value) { readings_.Add({ { "of", what } }).Set(value); };
-    set("configuration_version", static_cast<double>(readings.configurationVersion));
-    set("news_revision", static_cast<double>(readings.newsRevision));
-    set("flows", static_cast<double>(readings.flows));
-    set("members", static_cast<double>(readings.members));
-    set("ready", readings.isReady ? 1 : 0);
-    set("store_lost", readings.isStoreLost ? 1 : 0);
-    set("watching_store", readings.isWatching ? 1 : 0);
-    set("log_lines", static_cast<double>(readings.logLines));
-    set("log_lines_dropped", static_cast<double>(readings.logDropped));
-    set("log_lines_left_out", static_cast<double>(readings.logLeftOut));
-    set("peer_bytes", static_cast<double>(readings.peerBytes));
-    set("store_bytes", static_cast<double>(readings.storeBytes));
-    set("servers_failing", static_cast<double>(readings.directory->countFailing()));
-    for (const ServerState state :
+    BOOST_OUTCOME_TRY(write, loadWriter());
+    Samples samples;
+    for (std::size_t reason = 0; reason < packetReasons; ++reason) {
+        for (std::size_t verdict = 0; verdict < packetVerdicts; ++verdict) {
+            if (packets_[reason][verdict] == 0)
+                continue;
+            samples.count("wisteriadock_forwarder_packets_total", "Packets by what became of them and why",
+                packets_[reason][verdict],
+                { { "reason", nameOf(static_cast<PacketReason>(reason)).data() },
+                    { "verdict", nameOf(static_cast<PacketVerdict>(verdict)).data() } });
+        }
+    }
+    samples.count(
+        "wisteriadock_forwarder_malformed_packets_total", "Datagrams that were no packet, and dropped", malformed_);
+    samples.count(
+        "wisteriadock_forwarder_unsent_packets_total", "Packets that the kernel refused to send", sendFailed_);
+    samples.count("wisteriadock_forwarder_refused_news_total", "Stored values that could not be read", refusedNews_);
+    for (const auto& [key, count] : storeCalls_)
+        samples.count("wisteriadock_forwarder_store_calls_total", "Calls to the platform's store by kind and outcome",
+            count, { { "call", key.first.c_str() }, { "outcome", key.second.c_str() } });
+    const char* newsHelp = "Changed keys by who told of them";
+    samples.count("wisteriadock_forwarder_news_total", newsHelp, storeNews_, { { "source", "store" } });
+    samples.count("wisteriadock_forwarder_news_total", newsHelp, peerNews_, { { "source", "balancer" } });
+    for (const auto& [outcome, count] : fetches_)
+        samples.count("wisteriadock_forwarder_fetches_total", "News asked of other balancers, by outcome", count,
+            { { "outcome", outcome.c_str() } });
+    const auto state = [&](const char* what, auto value) {
+        samples.gauge("wisteriadock_forwarder_state", "Versions, ages and sizes, by what is measured",
+            static_cast<double>(value), { { "of", what } });
+    };
+    state("configuration_version", readings.configurationVersion);
+    state("news_revision", readings.newsRevision);
+    state("flows", readings.flows);
+    state("members", readings.members);
+    state("ready", readings.isReady);
+    state("store_lost", readings.isStoreLost);
+    state("watching_store", readings.isWatching);
+    state("log_lines", readings.logLines);
+    state("log_lines_dropped", readings.logDropped);
+    state("log_lines_left_out", readings.logLeftOut);
+    state("peer_bytes", readings.peerBytes);
+    state("store_bytes", readings.storeBytes);
+    state("servers_failing", readings.directory->countFailing());
+    for (const ServerState believed :
         { ServerState::Ready, ServerState::Draining, ServerState::Doubtful, ServerState::Gone, ServerState::Ended })
-        servers_.Add({ { "state", std::string(nameOf(state)) } })
-            .Set(static_cast<double>(readings.directory->countOf(state)));
-    return prometheus::TextSerializer().Serialize(registry_.Collect());
+        samples.gauge("wisteriadock_forwarder_servers", "Backend servers by what this balancer believes of them",
+            static_cast<double>(readings.directory->countOf(believed)), { { "state", nameOf(believed).data() } });
+    samples.histogram(
+        "wisteriadock_forwarder_opening_seconds", "From the opening packet to the caller's next one", openingTime_);
+    samples.histogram("wisteriadock_forwarder_answer_seconds",
+        "From a request to the caller's acknowledgement of its answer's beginning", answerTime_);
+    samples.histogram(
+        "wisteriadock_forwarder_store_call_seconds", "Calls to the platform's store, watches included", storeTime_);
+    samples.histogram("wisteriadock_forwarder_news_lag_seconds",
+        "How long others were known to have news before this balancer had it", newsLag_);
+    std::string text;
+    write(samples.all().data(), samples.all().size(), append, &text);
+    return text;
 }
 
 }
--- a/Source/Forwarder/ForwarderMetrics.h
+++ b/Source/Forwarder/ForwarderMetrics.h
@@ -1,33 +1,58 @@
 #pragma once
 
+#include "Core/Error.h"
 #include "Forward/TokenRouter.h"
 
-#include <prometheus/counter.h>
-#include <prometheus/family.h>
-#include <prometheus/gauge.h>
-#include <prometheus/histogram.h>
-#include <prometheus/registry.h>
-
 #include <array>
 #include <cstdint>
-#include <memory>
+#include <map>
+#include <span>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace wisteriadock {
 
-// The forwarder's metrics. They are kept by prometheus-cpp and written out when somebody asks, on the forwarder's own
-// listener: the library's listener starts threads that cost processor time at the start and at rest.
+// Observations counted by buckets with fixed upper bounds.
+class BucketCounts {
+public:
+    explicit BucketCounts(std::span<const double> bounds)
+        : bounds_(bounds)
+        , counts_(bounds.size() + 1)
+    {
+    }
+
+    void observe(double value);
+    std::span<const double> bounds() const { return bounds_; }
+    // One more than bounds, for what lies above the last.
+    const std::vector<std::uint64_t>& counts() const { return counts_; }
+    double sum() const { return sum_; }
+
+private:
+    std::span<const double> bounds_;
+    std::vector<std::uint64_t> counts_;
+    double sum_ = 0;
+};
+
+// The forwarder's metrics: plain counters, which prometheus-cpp writes out when somebody asks, on the forwarder's own
+// listener (MetricsText/MetricsText.h says why the library is loaded only then).
 class ForwarderMetrics {
 public:
     ForwarderMetrics();
 
-    void countPacket(PacketReason reason, PacketVerdict verdict);
-    void countMalformed() { malformed_.Increment(); }
-    void countSendFailures(unsigned count) { sendFailed_.Increment(count); }
+    void countPacket(PacketReason reason, PacketVerdict verdict)
+    {
+        ++packets_[static_cast<std::size_t>(reason)][static_cast<std::size_t>(verdict)];
+    }
+    void countMalformed() { ++malformed_; }
+    void countSendFailures(unsigned count) { sendFailed_ += count; }
     void countStoreCall(const std::string& call, const std::string& outcome, Duration took);
-    void countNews(const std::string& source, std::size_t items);
-    void countRefusedNews() { refusedNews_.Increment(); }
-    void countFetch(const std::string& outcome);
+    void countNews(const std::string& source, std::size_t items)
+    {
+        (source == "store" ? storeNews_ : peerNews_) += items;
+    }
+    void countRefusedNews() { ++refusedNews_; }
+    void countFetch(const std::string& outcome) { ++fetches_[outcome]; }
     void observe(const FlowProgress&);
     // How long this balancer knew that others had news before it had it too.
     void observeNewsLag(Duration lag);
@@ -48,24 +73,23 @@
         std::uint64_t storeBytes = 0;
         ServerDirectory* directory = nullptr;
     };
-    std::string text(const Readings&);
+    // Fails with Unavailable when the module that writes the text can't be loaded.
+    Result<std::string> text(const Readings&);
 
 private:
-    prometheus::Registry registry_;
-    prometheus::Family<prometheus::Counter>& packetFamily_;
-    prometheus::Counter& malformed_;
-    prometheus::Counter& sendFailed_;
-    prometheus::Counter& refusedNews_;
-    prometheus::Family<prometheus::Counter>& storeCalls_;
-    prometheus::Family<prometheus::Counter>& news_;
-    prometheus::Family<prometheus::Counter>& fetches_;
-    prometheus::Family<prometheus::Gauge>& readings_;
-    prometheus::Family<prometheus::Gauge>& servers_;
-    prometheus::Histogram& openingTime_;
-    prometheus::Histogram& answerTime_;
-    prometheus::Histogram& storeTime_;
-    prometheus::Histogram& newsLag_;
-    std::array<std::array<prometheus::Counter*, 3>, packetReasons> packets_ {};
+    std::array<std::array<std::uint64_t, packetVerdicts>, packetReasons> packets_ {};
+    std::uint64_t malformed_ = 0;
+    std::uint64_t sendFailed_ = 0;
+    std::uint64_t refusedNews_ = 0;
+    std::uint64_t storeNews_ = 0;
+    std::uint64_t peerNews_ = 0;
+    // By call and outcome, and by outcome.
+    std::map<std::pair<std::string, std::string>, std::uint64_t> storeCalls_;
+    std::map<std::string, std::uint64_t> fetches_;
+    BucketCounts openingTime_;
+    BucketCounts answerTime_;
+    BucketCounts storeTime_;
+    BucketCounts newsLag_;
 };
 
 }
--- a/Tests/Forwarder/ForwarderMetricsTest.cpp
+++ b/Tests/Forwarder/ForwarderMetricsTest.cpp
@@ -26,7 +26,7 @@
         // The value behind a metric's name and labels, as the text has it; empty when it is not there.
         std::string valueOf(const std::string& metric)
         {
-            const std::string text = "\n" + metrics.text(readings());
+            const std::string text = "\n" + metrics.text(readings()).value();
             const auto begin = text.find("\n" + metric + " ");
             if (begin == std::string::npos)
                 return {};
