Forward: Refuse new flows at once when all servers of a service have long queues

Hypothesis: refusing the flows whose requests would be late keeps the queues short for the others. The settings of placing can be set in the forwarder's section [opening].

--- a/Source/Forward/ForwardingConfiguration.h
+++ b/Source/Forward/ForwardingConfiguration.h
@@ -26,6 +26,8 @@
     std::string name;
     Endpoint address;
     std::vector<RouteShare> shares;
+    // How soon callers want their answers; zero where operators say nothing.
+    std::chrono::milliseconds aim { 0 };
 
     bool operator==(const FlowRoute&) const = default;
 };
--- a/Source/Forward/OpeningPolicy.cpp
+++ b/Source/Forward/OpeningPolicy.cpp
@@ -166,7 +166,8 @@
 // failures fade, or when the others have more to do.
 float OpeningPolicy::costOf(const KnownServer& server, float usualFailingShare, TimePoint now) const
 {
-    float cost = loadOf(server, now) + 1.0F / static_cast<float>(std::max(1U, server.entry.slots));
+    float cost
+        = settings_.loadWeight * (loadOf(server, now) + 1.0F / static_cast<float>(std::max(1U, server.entry.slots)));
     if (server.warmUntil > now)
         cost *= settings_.coldFactor;
     if (server.entry.availabilityZone != availabilityZone_)
--- a/Source/Forward/OpeningPolicy.h
+++ b/Source/Forward/OpeningPolicy.h
@@ -15,6 +15,8 @@
 namespace wisteriadock {
 
 struct OpeningSettings {
+    // How much of the known work counts. 0: servers are told apart by a hash alone.
+    float loadWeight = 1;
     // What a server of another availability zone must be less loaded by, in requests for each of its slots.
     float zonePenalty = 1.25F;
     // How much of a request an open flow without one counts as.
@@ -33,6 +35,8 @@
     std::chrono::milliseconds longestLeaveOut { 4000 };
     // Another zone that gave no sign of life for so long may be cut off: it gets one new flow at a time.
     std::chrono::milliseconds zoneProof { 1000 };
+
+    bool operator==(const OpeningSettings&) const = default;
 };
 
 // Another zone stopped giving signs of life, or gives them again.
--- a/Source/Forward/TokenRouter.cpp
+++ b/Source/Forward/TokenRouter.cpp
@@ -20,6 +20,7 @@
         { PacketReason::OpenedElsewhere, "opened_elsewhere" },
         { PacketReason::Established, "established" },
         { PacketReason::ServerEnded, "server_ended" },
+        { PacketReason::Overloaded, "overloaded" },
         { PacketReason::NoServer, "no_server" },
         { PacketReason::NoRoute, "no_route" },
         { PacketReason::NoConfiguration, "no_configuration" },
@@ -46,6 +47,7 @@
 
 TokenRouter::TokenRouter(RouterSettings settings)
     : settings_(std::move(settings))
+    , admission_(settings_.admission)
     , policy_(settings_.availabilityZone, settings_.opening)
     , directory_(settings_.directory)
     , flows_(directory_)
@@ -112,6 +114,15 @@
     decision.verdict = PacketVerdict::Forward;
     decision.service = service;
     decision.copies = packet.acknowledgement;
+    // Copies are never refused: the flow may be open at a server that another balancer chose.
+    if (!former && packet.acknowledgement == 0) {
+        decision.admission = admission_.admit(*service, route->aim, packet.ends, now);
+        if (decision.admission.isRefused) {
+            decision.verdict = PacketVerdict::Reset;
+            decision.reason = PacketReason::Overloaded;
+            return decision;
+        }
+    }
     if (KnownServer* again = formerServerFor(former, *service, now)) {
         decision.reason = PacketReason::OpenedAgain;
         decision.server = again;
@@ -169,6 +180,8 @@
     decision.verdict = PacketVerdict::Forward;
     decision.reason = PacketReason::Established;
     decision.progress = flows_.noteTraffic(packet, *server, now);
+    if (decision.progress.answerTime)
+        admission_.noteAnswer(server->entry.service, *decision.progress.answerTime, now);
     if (decision.progress.hasAnswered)
         policy_.noteProgress(*server, now);
     return decision;
--- a/Source/Forward/TokenRouter.h
+++ b/Source/Forward/TokenRouter.h
@@ -3,6 +3,7 @@
 #include "Core/Clock.h"
 #include "Forward/FlowBook.h"
 #include "Forward/ForwardingConfiguration.h"
+#include "Forward/OpeningAdmission.h"
 #include "Forward/OpeningPolicy.h"
 #include "Forward/ServerDirectory.h"
 #include "Forward/TokenPacket.h"
@@ -29,6 +30,7 @@
     OpenedElsewhere, // A copy goes to another server, since the former one is silent or takes no flows any more.
     Established, // A packet of an open flow, found by its token.
     ServerEnded, // The flow's server is certainly over.
+    Overloaded, // All servers of the service have long queues, so the flow would be served late.
     NoServer, // The route's service has no server that takes flows.
     NoRoute, // No route has the address.
     NoConfiguration, // This balancer does not know the routes yet.
@@ -38,7 +40,7 @@
 };
 
 inline constexpr std::size_t packetVerdicts = 3;
-inline constexpr std::size_t packetReasons = 11;
+inline constexpr std::size_t packetReasons = 12;
 
 std::string_view nameOf(PacketVerdict);
 std::string_view nameOf(PacketReason);
@@ -52,6 +54,7 @@
     const std::string* service = nullptr;
     // What decided an opening.
     OpeningChoice choice;
+    Admission admission;
     // How often this caller has sent the opening packet before.
     std::uint32_t copies = 0;
     FlowProgress progress;
@@ -60,6 +63,7 @@
 struct RouterSettings {
     std::string availabilityZone;
     OpeningSettings opening;
+    AdmissionSettings admission;
     DirectorySettings directory;
     // The caller's copy of an opening packet that is the last one; after it, the caller gives up.
     std::uint32_t lastCopy = 2;
@@ -104,6 +108,7 @@
     KnownServer* formerServerFor(const FlowMemory*, const std::string& service, TimePoint now);
 
     RouterSettings settings_;
+    OpeningAdmission admission_;
     OpeningPolicy policy_;
     ServerDirectory directory_;
     FlowBook flows_;
--- a/Source/Forwarder/Forwarder.h
+++ b/Source/Forwarder/Forwarder.h
@@ -90,6 +90,7 @@
     {
         RouterSettings router;
         router.availabilityZone = settings.availabilityZone;
+        router.opening = settings.opening;
         // A quarter more than a flow lasts, for packets that are still on their way.
         router.directory.retention = settings.longestFlow * 5 / 4;
         return router;
--- a/Source/Forwarder/ForwarderLog.cpp
+++ b/Source/Forwarder/ForwarderLog.cpp
@@ -45,6 +45,8 @@
         event.add("silent_ms", ageOf(server->seen.lastProgress, now));
         event.add("flows", server->seen.flows).add("busy", server->seen.busy);
     }
+    if (decision.admission.isRefused)
+        event.add("answer_ms", decision.admission.answerTime);
     if (decision.choice.server) {
         event.add("load", static_cast<double>(decision.choice.load)).add("eligible", decision.choice.eligible);
         event.add("failing", static_cast<double>(decision.choice.failing));
--- a/Source/Forwarder/ForwarderSettings.cpp
+++ b/Source/Forwarder/ForwarderSettings.cpp
@@ -9,6 +9,10 @@
 
     constexpr std::uint32_t largestLogBudget = 1'000'000;
     constexpr double longestSeconds = 86'400;
+    constexpr double largestFactor = 1000;
+    constexpr std::chrono::milliseconds shortestPatience { 1 };
+    // A day, which switches a mechanism off.
+    constexpr std::chrono::milliseconds longestPatience { 86'400'000 };
 
     void readAddresses(SettingsReader& reader, ForwarderSettings& settings)
     {
@@ -29,6 +33,23 @@
         target = std::chrono::milliseconds(static_cast<std::int64_t>(seconds * 1000));
     }
 
+    void readOpening(SettingsReader& reader, OpeningSettings& opening)
+    {
+        SectionReader& section = reader.section("opening");
+        const auto factor = [&](std::string_view key, float& target, double least) {
+            double value = static_cast<double>(target);
+            section.number(key, value, least, largestFactor);
+            target = static_cast<float>(value);
+        };
+        factor("load_weight", opening.loadWeight, 0);
+        factor("zone_penalty", opening.zonePenalty, 0);
+        factor("idle_flow_weight", opening.idleFlowWeight, 0);
+        factor("cold_factor", opening.coldFactor, 1);
+        factor("failing_penalty", opening.failingPenalty, 0);
+        section.milliseconds("patience_milliseconds", opening.openingPatience, shortestPatience, longestPatience);
+        section.milliseconds("zone_proof_milliseconds", opening.zoneProof, shortestPatience, longestPatience);
+    }
+
     void readLog(SettingsReader& reader, ForwarderSettings& settings)
     {
         SectionReader& section = reader.section("log");
@@ -55,6 +76,7 @@
     SectionReader& limits = reader.section("limits");
     readSeconds(limits, "longest_flow_seconds", settings.longestFlow, 1);
     readSeconds(limits, "grace_seconds", settings.grace, 0);
+    readOpening(reader, settings.opening);
     readLog(reader, settings);
     const SettingsProblems problems = reader.finish();
     if (!problems.isEmpty())
@@ -82,6 +104,7 @@
     compare(peer == other.peer, "listen.peer");
     compare(metrics == other.metrics, "listen.metrics");
     compare(store == other.store, "store.address");
+    compare(opening == other.opening, "opening");
     compare(longestFlow == other.longestFlow, "limits.longest_flow_seconds");
     return names;
 }
--- a/Source/Forwarder/ForwarderSettings.h
+++ b/Source/Forwarder/ForwarderSettings.h
@@ -3,6 +3,7 @@
 #include "Core/Endpoint.h"
 #include "Core/Error.h"
 #include "Core/Log.h"
+#include "Forward/OpeningPolicy.h"
 
 #include <chrono>
 #include <cstdint>
@@ -30,6 +31,9 @@
     // From the order to stop until the process is killed.
     std::chrono::milliseconds grace { 6000 };
 
+    // How new flows find their servers.
+    OpeningSettings opening;
+
     LogLevel logLevel = LogLevel::Info;
     std::uint32_t logBudget = 200;
 
