--- /dev/null
+++ b/Source/Model/EventQueue.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "Core/Clock.h"
+
+#include <cstdint>
+#include <functional>
+#include <queue>
+#include <utility>
+#include <vector>
+
+namespace wisteriadock {
+
+// Simulated time: actions run in the order of their times, and those of one time in the order in which they were added.
+class EventQueue {
+public:
+    TimePoint now() const { return clock_.now(); }
+
+    void at(TimePoint time, std::function<void()> action)
+    {
+        events_.push({ std::max(time, now()), nextOrder_++, std::move(action) });
+    }
+    void after(Duration delay, std::function<void()> action) { at(now() + delay, std::move(action)); }
+
+    void runUntil(TimePoint end)
+    {
+        while (!events_.empty() && events_.top().time <= end) {
+            // The queue only shows its first element as constant; nobody sees it again.
+            Event event = std::move(const_cast<Event&>(events_.top()));
+            events_.pop();
+            clock_.advance(event.time - now());
+            event.action();
+        }
+        clock_.advance(end - now());
+    }
+
+private:
+    struct Event {
+        TimePoint time;
+        std::uint64_t order = 0;
+        std::function<void()> action;
+
+        bool operator<(const Event& other) const
+        {
+            return time != other.time ? time > other.time : order > other.order;
+        }
+    };
+
+    ManualClock clock_;
+    std::priority_queue<Event> events_;
+    std::uint64_t nextOrder_ = 0;
+};
+
+}
--- /dev/null
+++ b/Source/Model/ModelCallers.cpp
@@ -0,0 +1,285 @@
+#include "Model/ModelCallers.h"
+
+#include <boost/random/exponential_distribution.hpp>
+#include <boost/random/lognormal_distribution.hpp>
+#include <boost/random/uniform_01.hpp>
+#include <boost/random/uniform_int_distribution.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace wisteriadock {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    // How callers of the users' platform send again.
+    constexpr std::array<std::chrono::milliseconds, 3> openingsAfter { 0ms, 200ms, 600ms };
+    constexpr std::chrono::milliseconds openingGivenUpAfter { 1400 };
+    constexpr std::chrono::milliseconds firstInterval { 200 };
+    constexpr Duration longestInterval = 1600ms;
+
+    constexpr std::uint16_t requestBytes = 100;
+    constexpr std::uint32_t answerBytes = 1000;
+    constexpr std::uint32_t callerSequence = 1000;
+    constexpr std::uint32_t serverSequence = 5000;
+    constexpr std::uint32_t firstCallerAddress = 0x64400000;
+    // Work takes at most so many times the usual.
+    constexpr double longestWork = 6;
+
+    Duration durationOf(double seconds)
+    {
+        return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+    }
+
+    std::size_t indexOf(Duration since, std::chrono::milliseconds length)
+    {
+        return static_cast<std::size_t>(since / length);
+    }
+
+}
+
+Endpoint modelRouteOf(std::size_t kind) { return { 0xC6120001 + static_cast<std::uint32_t>(kind), 443 }; }
+
+ModelCallers::ModelCallers(EventQueue& events, const ModelScenario& scenario, std::uint64_t seed, Send send)
+    : events_(events)
+    , scenario_(scenario)
+    , random_(seed)
+    , send_(std::move(send))
+    , startedAt_(events.now())
+{
+    result_.windows.resize(indexOf(scenario.length + ModelResult::windowLength - 1ms, ModelResult::windowLength));
+    result_.steps.resize(indexOf(scenario.length + ModelResult::stepLength - 1ms, ModelResult::stepLength));
+}
+
+void ModelCallers::start()
+{
+    for (std::size_t kind = 0; kind < scenario_.kinds.size(); ++kind)
+        scheduleNext(kind);
+}
+
+void ModelCallers::scheduleNext(std::size_t kind)
+{
+    const double rate = scenario_.kinds[kind].perSecond * loadFactor_;
+    if (rate <= 0)
+        return;
+    const double gap = boost::random::exponential_distribution<>(rate)(random_);
+    events_.after(durationOf(gap), [this, kind] {
+        if (events_.now() - startedAt_ >= scenario_.length)
+            return;
+        ask(kind);
+        scheduleNext(kind);
+    });
+}
+
+void ModelCallers::ask(std::size_t kindIndex)
+{
+    const ModelRequestKind& kind = scenario_.kinds[kindIndex];
+    Request request;
+    request.kind = kindIndex;
+    request.zone = boost::random::uniform_int_distribution<std::uint32_t>(0, scenario_.zones - 1)(random_);
+    if (request.zone == 0 && boost::random::uniform_01<>()(random_) < shift_)
+        request.zone = scenario_.zones - 1;
+    request.caller = boost::random::uniform_int_distribution<std::uint32_t>(0, scenario_.callersPerZone - 1)(random_);
+    request.askedAt = events_.now();
+    const double mean = std::log(kind.workMilliseconds) - kind.spread * kind.spread / 2;
+    const double work = boost::random::lognormal_distribution<>(mean, kind.spread)(random_);
+    request.work = durationOf(std::min(work, kind.workMilliseconds * longestWork) / 1000);
+    requests_.push_back(request);
+    const ModelRequestId id = requests_.size();
+    events_.after(kind.budget, [this, id] {
+        if (!requestOf(id).isOver)
+            finish(id, ModelOutcome::Failed);
+    });
+    begin(id, false);
+}
+
+void ModelCallers::begin(ModelRequestId id, bool onNewFlow)
+{
+    Request& request = requestOf(id);
+    ++request.tries;
+    std::vector<FlowEnds>& pool = idle_[{ request.zone, request.caller, request.kind }];
+    if (onNewFlow || pool.empty())
+        return open(id);
+    const FlowEnds ends = pool.back();
+    pool.pop_back();
+    Flow& flow = flows_.at(ends);
+    flow.request = id;
+    sendRequest(ends, ++flow.turn, firstInterval);
+}
+
+FlowEnds ModelCallers::newEnds(const Request& request)
+{
+    // Callers have many ports, and those of a model many addresses too.
+    const std::uint64_t number = nextPort_++;
+    const auto address = firstCallerAddress + static_cast<std::uint32_t>(number / 50000);
+    return { { address, static_cast<std::uint16_t>(1024 + number % 50000) }, modelRouteOf(request.kind) };
+}
+
+void ModelCallers::open(ModelRequestId id)
+{
+    const Request& request = requestOf(id);
+    const FlowEnds ends = newEnds(request);
+    Flow flow;
+    flow.zone = request.zone;
+    flow.caller = request.caller;
+    flow.kind = request.kind;
+    flow.sequence = callerSequence;
+    flow.request = id;
+    flow.turn = 1;
+    flows_.emplace(ends, flow);
+    for (std::uint32_t copies = 0; copies < openingsAfter.size(); ++copies)
+        events_.after(openingsAfter[copies], [this, ends, copies] { sendOpening(ends, copies); });
+    events_.after(openingGivenUpAfter, [this, ends, id] {
+        const Flow* waiting = find(ends);
+        if (!waiting || waiting->isOpen)
+            return;
+        flows_.erase(ends);
+        retry(id, true, ModelOutcome::Failed);
+    });
+}
+
+void ModelCallers::sendOpening(const FlowEnds& ends, std::uint32_t copies)
+{
+    const Flow* flow = find(ends);
+    if (!flow || flow->isOpen)
+        return;
+    TokenPacket packet;
+    packet.ends = ends;
+    packet.sequence = flow->sequence;
+    packet.acknowledgement = copies;
+    packet.opens = true;
+    send_(flow->zone, packet, noModelRequest);
+}
+
+void ModelCallers::handleOpened(const FlowEnds& ends, std::uint32_t token)
+{
+    Flow* flow = find(ends);
+    if (!flow || flow->isOpen)
+        return;
+    flow->isOpen = true;
+    flow->token = token;
+    flow->sequence += 1;
+    flow->acknowledgement = serverSequence;
+    sendRequest(ends, flow->turn, firstInterval);
+}
+
+void ModelCallers::sendRequest(const FlowEnds& ends, std::uint64_t turn, Duration interval)
+{
+    const Flow* flow = find(ends);
+    if (!flow || flow->turn != turn || flow->request == noModelRequest)
+        return;
+    TokenPacket packet;
+    packet.ends = ends;
+    packet.token = flow->token;
+    packet.sequence = flow->sequence;
+    packet.acknowledgement = flow->acknowledgement;
+    packet.acknowledges = true;
+    packet.payloadBytes = requestBytes;
+    send_(flow->zone, packet, flow->request);
+    events_.after(
+        interval, [this, ends, turn, interval] { sendRequest(ends, turn, std::min(interval * 2, longestInterval)); });
+}
+
+void ModelCallers::sendPlain(const FlowEnds& ends, const Flow& flow, bool finishes)
+{
+    TokenPacket packet;
+    packet.ends = ends;
+    packet.token = flow.token;
+    packet.sequence = flow.sequence;
+    packet.acknowledgement = flow.acknowledgement;
+    packet.acknowledges = true;
+    packet.finishes = finishes;
+    send_(flow.zone, packet, noModelRequest);
+}
+
+void ModelCallers::handleAnswer(const FlowEnds& ends, ModelRequestId id)
+{
+    Flow* flow = find(ends);
+    if (!flow || flow->request != id)
+        return;
+    flow->request = noModelRequest;
+    flow->sequence += requestBytes;
+    flow->acknowledgement += answerBytes;
+    const Request& request = requestOf(id);
+    const bool isInTime = events_.now() - request.askedAt <= kindOf(request).aim;
+    finish(id, isInTime ? ModelOutcome::InTime : ModelOutcome::Late);
+    const bool keeps = kindOf(request).keepsFlows && boost::random::uniform_01<>()(random_) >= scenario_.closingShare;
+    if (!keeps)
+        return close(ends);
+    sendPlain(ends, *flow, false);
+    idle_[{ flow->zone, flow->caller, flow->kind }].push_back(ends);
+}
+
+void ModelCallers::handleRefusal(const FlowEnds& ends, ModelRequestId id)
+{
+    const Flow* flow = find(ends);
+    if (!flow || flow->request != id)
+        return;
+    close(ends);
+    retry(id, true, ModelOutcome::Refused);
+}
+
+void ModelCallers::handleReset(const FlowEnds& ends)
+{
+    const Flow* flow = find(ends);
+    if (!flow)
+        return;
+    ++result_.resets;
+    const ModelRequestId id = flow->request;
+    const bool wasOpen = flow->isOpen;
+    std::erase(idle_[{ flow->zone, flow->caller, flow->kind }], ends);
+    flows_.erase(ends);
+    if (id != noModelRequest)
+        retry(id, !wasOpen || kindOf(requestOf(id)).isIdempotent, ModelOutcome::Failed);
+}
+
+void ModelCallers::retry(ModelRequestId id, bool mayRepeat, ModelOutcome otherwise)
+{
+    const Request& request = requestOf(id);
+    if (request.isOver)
+        return;
+    if (mayRepeat && request.tries <= kindOf(request).retries)
+        begin(id, true);
+    else
+        finish(id, otherwise);
+}
+
+void ModelCallers::finish(ModelRequestId id, ModelOutcome outcome)
+{
+    Request& request = requestOf(id);
+    if (std::exchange(request.isOver, true))
+        return;
+    const ModelRequestKind& kind = kindOf(request);
+    const double earned = outcome == ModelOutcome::InTime ? kind.worth
+        : outcome == ModelOutcome::Late                   ? kind.lateWorth
+                                                          : 0;
+    const Duration since = request.askedAt - startedAt_;
+    result_.all.add(outcome, kind.worth, earned);
+    result_.windows[indexOf(since, ModelResult::windowLength)].add(outcome, kind.worth, earned);
+    result_.steps[indexOf(since, ModelResult::stepLength)].add(outcome, kind.worth, earned);
+    if (outcome != ModelOutcome::Failed)
+        return;
+    // Whoever waits no longer ends the flow that the request was on.
+    const auto open = std::ranges::find_if(flows_, [&](const auto& row) { return row.second.request == id; });
+    if (open != flows_.end())
+        close(FlowEnds(open->first));
+}
+
+void ModelCallers::close(const FlowEnds& ends)
+{
+    const Flow flow = flows_.at(ends);
+    flows_.erase(ends);
+    if (flow.isOpen)
+        sendPlain(ends, flow, true);
+}
+
+ModelCallers::Flow* ModelCallers::find(const FlowEnds& ends)
+{
+    const auto found = flows_.find(ends);
+    return found == flows_.end() ? nullptr : &found->second;
+}
+
+}
--- /dev/null
+++ b/Source/Model/ModelRun.cpp
@@ -0,0 +1,447 @@
+#include "Model/ModelRun.h"
+
+#include "Core/Hash.h"
+#include "Model/EventQueue.h"
+#include "Model/ModelCallers.h"
+#include "Model/ModelForwarder.h"
+#include "Model/ModelServer.h"
+
+#include <boost/random/mersenne_twister.hpp>
+#include <boost/random/uniform_01.hpp>
+#include <boost/random/uniform_int_distribution.hpp>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <atomic>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <thread>
+#include <utility>
+
+namespace wisteriadock {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    // The routers' and the servers' habits on the users' platform.
+    constexpr std::chrono::milliseconds probeInterval { 500 };
+    constexpr std::uint32_t missesUntilOut = 2;
+    constexpr std::uint32_t heartbeatsUntilLapse = 3;
+    constexpr std::chrono::microseconds handshakeTime { 300 };
+    // A forwarder's tick, and how it stops as planned.
+    constexpr std::chrono::milliseconds tickInterval { 250 };
+    constexpr std::chrono::milliseconds stopTime { 1500 };
+    constexpr std::chrono::milliseconds betweenStops { 1200 };
+
+    constexpr std::uint32_t firstServerAddress = 0x0A800001;
+    constexpr std::uint16_t serverPort = 8080;
+
+    class Run {
+    public:
+        Run(const ModelScenario& scenario, const ModelPolicy& policy, std::uint64_t seed)
+            : scenario_(scenario)
+            , policy_(policy)
+            , random_(seed)
+            , callers_(events_, scenario, hashPair(seed, 1),
+                  [this](std::uint32_t zone, const TokenPacket& packet, ModelRequestId request) {
+                      events_.after(scenario_.callerDelay, [=, this] { enter(zone, packet, request); });
+                  })
+            , startedAt_(events_.now())
+        {
+            makeServers();
+            makeForwarders();
+            for (const ModelFault& fault : scenario.faults)
+                events_.after(fault.at, [this, &fault] { strike(fault); });
+            events_.after(ModelResult::stepLength, [this] { sample(); });
+        }
+
+        ModelResult play()
+        {
+            callers_.start();
+            std::chrono::milliseconds longestBudget { 0 };
+            for (const ModelRequestKind& kind : scenario_.kinds)
+                longestBudget = std::max(longestBudget, kind.budget);
+            events_.runUntil(startedAt_ + scenario_.length + longestBudget + 1ms);
+            ModelResult result = callers_.result();
+            result.serverLoad = serverLoad_;
+            result.busiestOverMean = busiestOverMean();
+            return result;
+        }
+
+    private:
+        struct Node {
+            std::unique_ptr<ModelForwarder> forwarder;
+            bool isInRotation = true;
+            bool isLeaving = false;
+            std::uint32_t misses = 0;
+            // Counts ends, so that a start that was planned before another end does not count.
+            std::uint64_t life = 0;
+        };
+        // A flow as its server sees it.
+        struct ServerFlow {
+            ModelRequestId request = noModelRequest;
+            bool isAnswered = false;
+        };
+        struct Server {
+            std::unique_ptr<ModelServer> server;
+            std::size_t service = 0;
+            std::uint32_t zone = 0;
+            bool isListed = true;
+            std::uint64_t revision = 0;
+            absl::flat_hash_map<FlowEnds, ServerFlow> flows {};
+        };
+
+        static std::string zoneName(std::uint32_t zone) { return fmt::format("zone-{}", zone); }
+
+        double draw() { return boost::random::uniform_01<>()(random_); }
+
+        void makeServers()
+        {
+            std::uint32_t number = 0;
+            for (std::size_t service = 0; service < scenario_.services.size(); ++service) {
+                const ModelService& kind = scenario_.services[service];
+                for (std::uint32_t zone = 0; zone < scenario_.zones; ++zone) {
+                    for (std::uint32_t i = 0; i < kind.serversPerZone; ++i) {
+                        RegisteredServer entry;
+                        entry.number = hashPair(random_(), ++number) | 1;
+                        entry.id = fmt::format("{:016x}", entry.number);
+                        entry.service = kind.name;
+                        entry.address = { firstServerAddress + number, serverPort };
+                        entry.availabilityZone = zoneName(zone);
+                        entry.slots = kind.slots;
+                        indexOfServer_[entry.id] = servers_.size();
+                        servers_.push_back(
+                            { std::make_unique<ModelServer>(events_, entry, kind.queue), service, zone, true, number });
+                    }
+                }
+            }
+        }
+
+        void makeForwarders()
+        {
+            for (std::size_t kind = 0; kind < scenario_.kinds.size(); ++kind)
+                configuration_.routes.push_back({ scenario_.kinds[kind].name, modelRouteOf(kind),
+                    { { scenario_.kinds[kind].service, 1 } }, scenario_.kinds[kind].aim });
+            configuration_.version = 1;
+            for (std::uint32_t zone = 0; zone < scenario_.zones; ++zone) {
+                for (std::uint32_t i = 0; i < scenario_.forwardersPerZone; ++i) {
+                    nodes_.push_back({});
+                    nodes_.back().forwarder = std::make_unique<ModelForwarder>(
+                        events_, zoneName(zone), policy_, Duration(scenario_.packetTime));
+                }
+            }
+            for (std::size_t node = 0; node < nodes_.size(); ++node) {
+                start(node);
+                events_.after(
+                    std::chrono::duration_cast<Duration>(probeInterval * draw()), [this, node] { probe(node); });
+                events_.after(
+                    std::chrono::duration_cast<Duration>(tickInterval * draw()), [this, node] { tick(node); });
+            }
+        }
+
+        void start(std::size_t index)
+        {
+            Node& node = nodes_[index];
+            node.isLeaving = false;
+            node.forwarder->start(configuration_);
+            for (const Server& server : servers_) {
+                if (server.isListed)
+                    node.forwarder->router()->putServer(server.server->entry(), server.revision, events_.now());
+            }
+        }
+
+        void end(std::size_t index, Duration down)
+        {
+            Node& node = nodes_[index];
+            node.forwarder->end();
+            const Duration whole = down + scenario_.startTime;
+            events_.after(whole, [this, index, life = ++node.life] {
+                if (nodes_[index].life == life)
+                    start(index);
+            });
+        }
+
+        // Some of the numbers below `count`.
+        std::vector<std::size_t> pick(std::size_t count, double share)
+        {
+            std::vector<std::size_t> all(count);
+            for (std::size_t i = 0; i < count; ++i)
+                all[i] = i;
+            const auto wanted = static_cast<std::size_t>(static_cast<double>(count) * share + 0.5);
+            for (std::size_t i = 0; i < wanted; ++i) {
+                const auto other = boost::random::uniform_int_distribution<std::size_t>(i, count - 1)(random_);
+                std::swap(all[i], all[other]);
+            }
+            all.resize(wanted);
+            return all;
+        }
+
+        void strike(const ModelFault& fault)
+        {
+            switch (fault.kind) {
+            case ModelFaultKind::PowerOfAll:
+                return kill(pick(nodes_.size(), 1), fault.length);
+            case ModelFaultKind::Kill:
+                return kill(pick(nodes_.size(), fault.share), fault.length);
+            case ModelFaultKind::Stop:
+                return stop(pick(nodes_.size(), fault.share));
+            case ModelFaultKind::ServersDie:
+                for (const std::size_t server : pick(servers_.size(), fault.share))
+                    die(server);
+                return;
+            case ModelFaultKind::ServersSlow:
+                for (const std::size_t server : pick(servers_.size(), fault.share)) {
+                    servers_[server].server->setSlowness(fault.factor);
+                    events_.after(fault.length, [this, server] { servers_[server].server->setSlowness(1); });
+                }
+                return;
+            case ModelFaultKind::Overload:
+                callers_.setLoadFactor(fault.factor);
+                events_.after(fault.length, [this] { callers_.setLoadFactor(1); });
+                return;
+            case ModelFaultKind::Shift:
+                callers_.setShift(fault.share);
+                events_.after(fault.length, [this] { callers_.setShift(0); });
+                return;
+            }
+        }
+
+        void kill(const std::vector<std::size_t>& nodes, Duration down)
+        {
+            for (const std::size_t node : nodes)
+                end(node, down + std::chrono::duration_cast<Duration>(scenario_.startSpread * draw()));
+        }
+
+        void stop(const std::vector<std::size_t>& nodes)
+        {
+            Duration when {};
+            for (const std::size_t node : nodes) {
+                events_.after(when, [this, node] {
+                    nodes_[node].isLeaving = true;
+                    events_.after(stopTime, [this, node] { end(node, {}); });
+                });
+                when += betweenStops;
+            }
+        }
+
+        void die(std::size_t index)
+        {
+            Server& server = servers_[index];
+            server.server->die();
+            server.flows.clear();
+            events_.after(scenario_.heartbeat * heartbeatsUntilLapse, [this, index] {
+                servers_[index].isListed = false;
+                for (std::size_t node = 0; node < nodes_.size(); ++node) {
+                    events_.after(scenario_.newsDelay, [this, node, index] {
+                        if (TokenRouter* router = nodes_[node].forwarder->router())
+                            router->removeServer(servers_[index].server->entry().id, false, events_.now());
+                    });
+                }
+            });
+        }
+
+        void probe(std::size_t index)
+        {
+            Node& node = nodes_[index];
+            const bool answers = node.forwarder->isUp() && !node.isLeaving;
+            node.misses = answers ? 0 : node.misses + 1;
+            if (answers || node.misses >= missesUntilOut)
+                node.isInRotation = answers;
+            events_.after(probeInterval, [this, index] { probe(index); });
+        }
+
+        void tick(std::size_t index)
+        {
+            nodes_[index].forwarder->tick();
+            events_.after(tickInterval, [this, index] { tick(index); });
+        }
+
+        std::vector<std::size_t> nodesOf(std::uint32_t zone, bool onlyInRotation) const
+        {
+            std::vector<std::size_t> found;
+            const std::size_t first = std::size_t(zone) * scenario_.forwardersPerZone;
+            for (std::size_t i = first; i < first + scenario_.forwardersPerZone; ++i) {
+                if (!onlyInRotation || nodes_[i].isInRotation)
+                    found.push_back(i);
+            }
+            return found;
+        }
+
+        // The nodes that the zone's routers spread packets over.
+        std::vector<std::size_t> targetsOf(std::uint32_t zone) const
+        {
+            std::vector<std::size_t> targets = nodesOf(zone, true);
+            if (targets.empty()) {
+                for (std::uint32_t other = 0; other < scenario_.zones && targets.empty(); ++other)
+                    targets = nodesOf(other, true);
+            } else if (targets.size() * 2 < scenario_.forwardersPerZone) {
+                targets.clear();
+            }
+            return targets.empty() ? nodesOf(zone, false) : targets;
+        }
+
+        void enter(std::uint32_t zone, const TokenPacket& packet, ModelRequestId request)
+        {
+            const std::vector<std::size_t> targets = targetsOf(zone);
+            const std::uint64_t hash = hashPair(
+                (std::uint64_t(packet.ends.caller.address) << 16) | packet.ends.caller.port, packet.ends.route.address);
+            ModelForwarder& forwarder = *nodes_[targets[hash % targets.size()]].forwarder;
+            forwarder.handle(
+                packet,
+                [this, &forwarder, opens = packet.opens] {
+                    if (policy_.knowsAll && opens)
+                        tellAll(*forwarder.router());
+                },
+                [this, &forwarder, packet, request](
+                    const PacketDecision& decision) { perform(forwarder, packet, request, decision); });
+        }
+
+        void tellAll(TokenRouter& router)
+        {
+            router.directory().forEach([&](KnownServer& known) {
+                const ModelServer& server = *servers_[indexOfServer_.at(known.entry.id)].server;
+                known.seen.busy = server.isAlive() ? server.load() : 1000;
+                known.seen.flows = known.seen.busy;
+            });
+        }
+
+        void perform(const ModelForwarder& forwarder, const TokenPacket& packet, ModelRequestId request,
+            const PacketDecision& decision)
+        {
+            if (decision.verdict == PacketVerdict::Reset)
+                events_.after(scenario_.callerDelay, [this, ends = packet.ends] { callers_.handleReset(ends); });
+            if (decision.verdict != PacketVerdict::Forward)
+                return;
+            const bool isNear = decision.server->entry.availabilityZone == forwarder.zone();
+            const std::size_t index = indexOfServer_.at(decision.server->entry.id);
+            events_.after(isNear ? scenario_.zoneDelay : scenario_.crossZoneDelay,
+                [this, index, packet, request] { receive(index, packet, request); });
+        }
+
+        void receive(std::size_t index, const TokenPacket& packet, ModelRequestId request)
+        {
+            Server& server = servers_[index];
+            if (!server.server->isAlive())
+                return;
+            const FlowEnds ends = packet.ends;
+            if (packet.opens) {
+                server.flows.try_emplace(ends);
+                const std::uint32_t token = tokenOf(server.server->entry().number);
+                return answer(handshakeTime, [this, ends, token] { callers_.handleOpened(ends, token); });
+            }
+            const auto found = server.flows.find(ends);
+            if (found == server.flows.end()) {
+                if (!packet.finishes)
+                    answer(Duration {}, [this, ends] { callers_.handleReset(ends); });
+            } else if (packet.finishes) {
+                server.flows.erase(found);
+            } else if (request != noModelRequest) {
+                work(index, found->second, ends, request);
+            }
+        }
+
+        // A request that was sent again is neither run twice nor refused once it runs.
+        void work(std::size_t index, ServerFlow& flow, const FlowEnds& ends, ModelRequestId request)
+        {
+            if (flow.request == request) {
+                if (flow.isAnswered)
+                    answer(Duration {}, [this, ends, request] { callers_.handleAnswer(ends, request); });
+                return;
+            }
+            const bool isTaken = servers_[index].server->take(callers_.workOf(request), [this, index, ends, request] {
+                const auto held = servers_[index].flows.find(ends);
+                if (held != servers_[index].flows.end())
+                    held->second.isAnswered = true;
+                answer(Duration {}, [this, ends, request] { callers_.handleAnswer(ends, request); });
+            });
+            if (isTaken)
+                flow = { request, false };
+            else
+                answer(Duration {}, [this, ends, request] { callers_.handleRefusal(ends, request); });
+        }
+
+        // Servers answer callers directly.
+        void answer(Duration after, std::function<void()> action)
+        {
+            events_.after(after + scenario_.callerDelay, std::move(action));
+        }
+
+        void sample()
+        {
+            std::uint32_t load = 0;
+            for (const Server& server : servers_)
+                load += server.server->isAlive() ? server.server->load() : 0;
+            serverLoad_.push_back(load);
+            if (events_.now() - startedAt_ < scenario_.length)
+                events_.after(ModelResult::stepLength, [this] { sample(); });
+        }
+
+        double busiestOverMean() const
+        {
+            double worst = 0;
+            for (std::size_t service = 0; service < scenario_.services.size(); ++service) {
+                double sum = 0;
+                double most = 0;
+                double count = 0;
+                for (const Server& server : servers_) {
+                    if (server.service != service)
+                        continue;
+                    const auto taken = static_cast<double>(server.server->taken());
+                    sum += taken;
+                    most = std::max(most, taken);
+                    ++count;
+                }
+                worst = std::max(worst, sum > 0 ? most * count / sum : 0);
+            }
+            return worst;
+        }
+
+        const ModelScenario& scenario_;
+        const ModelPolicy& policy_;
+        EventQueue events_;
+        boost::random::mt19937_64 random_;
+        ModelCallers callers_;
+        TimePoint startedAt_;
+        ForwardingConfiguration configuration_;
+        std::vector<Server> servers_;
+        absl::flat_hash_map<std::string, std::size_t> indexOfServer_;
+        std::vector<Node> nodes_;
+        std::vector<std::uint32_t> serverLoad_;
+    };
+
+}
+
+ModelResult runModel(const ModelScenario& scenario, const ModelPolicy& policy, std::uint64_t seed)
+{
+    return Run(scenario, policy, seed).play();
+}
+
+std::vector<ModelRow> runModels(const ModelScenario& scenario, const std::vector<const ModelPolicy*>& policies,
+    std::uint64_t firstSeed, unsigned seeds, unsigned threads, const std::function<void(std::size_t done)>& told)
+{
+    std::vector<ModelRow> rows;
+    for (const ModelPolicy* policy : policies)
+        rows.push_back({ std::string(policy->name), std::vector<ModelResult>(seeds) });
+    std::atomic<std::size_t> next = 0;
+    std::size_t done = 0;
+    std::mutex lock;
+    const auto work = [&] {
+        for (std::size_t i = next++; i < policies.size() * seeds; i = next++) {
+            const std::size_t policy = i / seeds;
+            const std::size_t seed = i % seeds;
+            rows[policy].results[seed] = runModel(scenario, *policies[policy], firstSeed + seed);
+            const std::lock_guard guard(lock);
+            told(++done);
+        }
+    };
+    std::vector<std::thread> workers;
+    for (unsigned i = 0; i < std::max(1U, threads); ++i)
+        workers.emplace_back(work);
+    for (std::thread& worker : workers)
+        worker.join();
+    return rows;
+}
+
+}
--- /dev/null
+++ b/Source/Model/ModelServer.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "Forward/RegisteredServer.h"
+#include "Model/EventQueue.h"
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+
+namespace wisteriadock {
+
+// A backend server's slots and queue.
+class ModelServer {
+public:
+    // Runs when the work is done.
+    using Done = std::function<void()>;
+
+    ModelServer(EventQueue& events, RegisteredServer entry, std::uint32_t queue)
+        : events_(events)
+        , entry_(std::move(entry))
+        , queue_(queue)
+    {
+    }
+
+    const RegisteredServer& entry() const { return entry_; }
+    // False when it refuses the work, since all slots and the queue are full.
+    bool take(Duration work, Done);
+    // Falls silent for good, with all that it works on.
+    void die() { isAlive_ = false; }
+    bool isAlive() const { return isAlive_; }
+    void setSlowness(double factor) { slowness_ = factor; }
+    std::uint32_t load() const { return running_ + static_cast<std::uint32_t>(waiting_.size()); }
+    std::uint64_t taken() const { return taken_; }
+
+private:
+    struct Work {
+        Duration length;
+        Done done;
+    };
+
+    void begin(Work);
+    void end(const Done&);
+
+    EventQueue& events_;
+    RegisteredServer entry_;
+    std::uint32_t queue_;
+    bool isAlive_ = true;
+    double slowness_ = 1;
+    std::uint32_t running_ = 0;
+    std::uint64_t taken_ = 0;
+    std::deque<Work> waiting_;
+};
+
+}
--- /dev/null
+++ b/Tests/Model/ModelTest.cpp
@@ -0,0 +1,182 @@
+#include "Model/ModelRun.h"
+#include "Model/ModelServer.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+namespace wisteriadock {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    TEST(EventQueueTest, actionsRunByTimeAndThenByTheirOrder)
+    {
+        EventQueue events;
+        std::string order;
+        const TimePoint begin = events.now();
+        events.after(20ms, [&] { order += "c"; });
+        events.after(10ms, [&] {
+            order += "a";
+            events.after(10ms, [&] { order += "d"; });
+        });
+        events.after(10ms, [&] { order += "b"; });
+        events.after(30ms, [&] { order += "never"; });
+        events.runUntil(begin + 25ms);
+        EXPECT_EQ(order, "abcd");
+        EXPECT_EQ(events.now(), begin + 25ms);
+    }
+
+    TEST(ModelServerTest, workWaitsForASlotAndIsRefusedBehindAFullQueue)
+    {
+        EventQueue events;
+        RegisteredServer entry;
+        entry.slots = 2;
+        ModelServer server(events, entry, 1);
+        std::vector<int> done;
+        const auto take = [&](int number) { return server.take(10ms, [&done, number] { done.push_back(number); }); };
+        EXPECT_TRUE(take(1));
+        EXPECT_TRUE(take(2));
+        EXPECT_TRUE(take(3));
+        EXPECT_FALSE(take(4));
+        EXPECT_EQ(server.load(), 3U);
+        events.runUntil(events.now() + 10ms);
+        EXPECT_EQ(done, (std::vector { 1, 2 }));
+        events.runUntil(events.now() + 10ms);
+        EXPECT_EQ(done, (std::vector { 1, 2, 3 }));
+        {
+            SCOPED_TRACE("a dead server ends nothing, and a slow one takes longer");
+            server.setSlowness(3);
+            take(5);
+            events.runUntil(events.now() + 29ms);
+            EXPECT_EQ(done.size(), 3U);
+            server.die();
+            events.runUntil(events.now() + 29ms);
+            EXPECT_EQ(done.size(), 3U);
+        }
+    }
+
+    // 4 forwarders before 8 servers of 2 slots, whose callers take 40% of them.
+    std::string scenarioText(const std::string& fault)
+    {
+        return R"([run]
+length_milliseconds = 8000
+[fleet]
+availability_zones = 2
+forwarders_per_zone = 2
+[service tryon]
+servers_per_zone = 4
+slots = 2
+queue = 8
+[requests overlay]
+service = tryon
+per_second = 200
+work_milliseconds = 20
+aim_milliseconds = 120
+keeps_flows = true
+[requests confirm]
+service = tryon
+per_second = 120
+work_milliseconds = 20
+aim_milliseconds = 150
+idempotent = false
+)" + fault;
+    }
+
+    ModelScenario scenario(const std::string& fault)
+    {
+        auto parsed = ModelScenario::parse("test.ini", scenarioText(fault));
+        EXPECT_TRUE(parsed) << parsed.error().detail;
+        return std::move(parsed).value();
+    }
+
+    // The middle of so many seeds.
+    ModelSpread played(const ModelScenario& scenario, const char* policy, double (*value)(const ModelResult&))
+    {
+        constexpr unsigned seeds = 9;
+        const auto rows = runModels(scenario, { findModelPolicy(policy) }, 1, seeds, 2, [](std::size_t) {});
+        std::vector<double> values;
+        for (const ModelResult& result : rows.front().results)
+            values.push_back(value(result));
+        return spreadOf(values);
+    }
+
+    double served(const ModelResult& result) { return result.all.served(); }
+    double worst(const ModelResult& result) { return result.worstWindows(); }
+    double countOf(const ModelResult& result, ModelOutcome outcome)
+    {
+        return static_cast<double>(result.all.outcomes[static_cast<std::size_t>(outcome)]);
+    }
+    double failed(const ModelResult& result) { return countOf(result, ModelOutcome::Failed); }
+
+    TEST(ModelScenarioTest, everyProblemIsToldWithItsLine)
+    {
+        const auto parsed = ModelScenario::parse("bad.ini",
+            "[fleet]\navailability_zones = 0\n[requests a]\nservice = nobody\nwork = 3\n[fault f]\nkind = flood\n");
+        ASSERT_FALSE(parsed);
+        const std::string& detail = parsed.error().detail;
+        for (const char* part : { "bad.ini:2", "bad.ini:4", "bad.ini:5", "bad.ini:7" })
+            EXPECT_NE(detail.find(part), std::string::npos) << part << " in\n" << detail;
+    }
+
+    TEST(ModelRunTest, theSameSeedGivesTheSameRun)
+    {
+        const ModelScenario calm = scenario("");
+        const ModelResult first = runModel(calm, *findModelPolicy("today"), 7);
+        const ModelResult second = runModel(calm, *findModelPolicy("today"), 7);
+        EXPECT_EQ(first.all.asked(), second.all.asked());
+        EXPECT_EQ(first.all.worthEarned, second.all.worthEarned);
+        EXPECT_EQ(first.serverLoad, second.serverLoad);
+        EXPECT_NE(first.all.asked(), runModel(calm, *findModelPolicy("today"), 8).all.asked());
+        EXPECT_GT(first.all.asked(), 2000U);
+    }
+
+    // Load: all slots are taken 40% of the time, nothing fails.
+    TEST(ModelRunTest, inCalmEverythingIsServedInTimeAndNothingIsRefused)
+    {
+        const ModelScenario calm = scenario("");
+        EXPECT_GT(played(calm, "today", served).least, 0.995);
+        EXPECT_EQ(played(calm, "today", failed).most, 0);
+    }
+
+    // Load: callers ask 1.4 times what all slots can do, for 4 s. Without admission 0.42 of the worst windows is
+    // served.
+    TEST(ModelRunTest, underOverloadMoreCallersAreServedInTimeWhenSomeAreRefused)
+    {
+        const ModelScenario overload = scenario(
+            "[fault load]\nkind = overload\nat_milliseconds = 2000\nlength_milliseconds = 4000\nfactor = 3\n");
+        const double without = played(overload, "no_admission", worst).median;
+        const double with = played(overload, "today", worst).median;
+        EXPECT_GT(with, without + 0.05);
+        EXPECT_GT(played(overload, "today", served).median, played(overload, "no_admission", served).median + 0.04);
+    }
+
+    // Load: a quarter of the servers works five times as long; the others have slots free.
+    TEST(ModelRunTest, slowServersMakeNobodyBeRefused)
+    {
+        const ModelScenario slow = scenario("[fault slow]\nkind = servers_slow\nat_milliseconds = "
+                                            "2000\nlength_milliseconds = 4000\nshare = 0.25\nfactor = 5\n");
+        EXPECT_NEAR(played(slow, "today", served).median, played(slow, "no_admission", served).median, 0.002);
+    }
+
+    // Load: a quarter of the servers falls silent, and its entries lapse 3.6 s later.
+    TEST(ModelRunTest, silentServersCostNewFlowsLittle)
+    {
+        const ModelScenario dark = scenario("[fault dark]\nkind = servers_die\nat_milliseconds = 2000\nshare = 0.25\n");
+        EXPECT_GT(played(dark, "today", worst).median, played(dark, "no_leave_out", worst).median + 0.005);
+        EXPECT_GT(played(dark, "today", worst).median, played(dark, "hash", worst).median + 0.05);
+    }
+
+    // Load: what was asked in 1.5 s without any forwarder comes at once, behind servers that are a third busy.
+    TEST(ModelRunTest, afterAReturnOfAllPlacingIsCloseToWhatAnAllKnowingOneDoes)
+    {
+        const ModelScenario power = scenario("[fault power]\nkind = power_of_all\nat_milliseconds = 3000\n");
+        EXPECT_GT(played(power, "today", worst).median, played(power, "all_knowing", worst).median - 0.02);
+        EXPECT_GT(played(power, "today", worst).median, played(power, "hash", worst).median);
+    }
+
+}
+
+}
