Soak, Fuzz: Restart servers under their id, leave foreign entries, fuzz every decoder

The soak learns two steps, drawn apart so that older seeds keep theirs: a server that starts again under its id before its entry lapses, and entries of another writer, among them one that spoils a server's own.

--- a/Source/Model/ModelRun.cpp
+++ b/Source/Model/ModelRun.cpp
@@ -13,6 +13,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <cmath>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -169,7 +170,7 @@
             std::vector<std::size_t> all(count);
             for (std::size_t i = 0; i < count; ++i)
                 all[i] = i;
-            const auto wanted = static_cast<std::size_t>(static_cast<double>(count) * share + 0.5);
+            const auto wanted = static_cast<std::size_t>(std::lround(static_cast<double>(count) * share));
             for (std::size_t i = 0; i < wanted; ++i) {
                 const auto other = boost::random::uniform_int_distribution<std::size_t>(i, count - 1)(random_);
                 std::swap(all[i], all[other]);
@@ -422,6 +423,7 @@
     std::uint64_t firstSeed, unsigned seeds, unsigned threads, const std::function<void(std::size_t done)>& told)
 {
     std::vector<ModelRow> rows;
+    rows.reserve(policies.size());
     for (const ModelPolicy* policy : policies)
         rows.push_back({ std::string(policy->name), std::vector<ModelResult>(seeds) });
     std::atomic<std::size_t> next = 0;
@@ -437,6 +439,7 @@
         }
     };
     std::vector<std::thread> workers;
+    workers.reserve(std::max(1U, threads));
     for (unsigned i = 0; i < std::max(1U, threads); ++i)
         workers.emplace_back(work);
     for (std::thread& worker : workers)
--- a/Source/Soak/SoakRun.cpp
+++ b/Source/Soak/SoakRun.cpp
@@ -210,6 +210,12 @@
     entry.address = address;
     entry.availabilityZone = zone;
     entry.slots = 4;
+    entry.startedAt = ++lastStart_;
+    openServer(entry);
+}
+
+void SoakRun::openServer(const RegisteredServer& entry)
+{
     auto server = SoakServer::open(loop_.context(), entry, flowPort, serverEvents_);
     if (!server)
         return;
--- a/Source/Soak/SoakRun.h
+++ b/Source/Soak/SoakRun.h
@@ -89,6 +89,7 @@
     Result<void> startBalancer(Balancer&);
     Result<void> writeSettings(const Balancer&) const;
     void openServer(const std::string& service, const std::string& zone, Endpoint address);
+    void openServer(const RegisteredServer&);
     void writeEntry(const SoakServer&);
     void writeConfiguration();
 
@@ -103,6 +104,7 @@
     void performOnBalancer(const SoakStep&, Balancer&, TimePoint now);
     void performOnStore(const SoakStep&, TimePoint now);
     void performOnServer(const SoakStep&, TimePoint now);
+    void writeForeignEntries(const SoakStep&, TimePoint now);
     void performOnConfiguration(const SoakStep&, TimePoint now);
     void setStore(SoakStore::Trouble, std::chrono::milliseconds, TimePoint now);
     void setLink(
@@ -131,6 +133,8 @@
     std::set<Endpoint> everyRoute_;
     std::vector<Later> later_;
     std::uint64_t nextServerNumber_ = 0x1000;
+    // When the last server started, as entries tell it: the order is all that matters.
+    std::uint64_t lastStart_ = 0;
     std::uint32_t nextRoute_ = 10;
     SeededRandom random_;
     double flowsDue_ = 0;
--- a/Source/Soak/SoakSchedule.cpp
+++ b/Source/Soak/SoakSchedule.cpp
@@ -40,6 +40,8 @@
         { SoakStepKind::ServerMute, "server_mute" },
         { SoakStepKind::ServerResets, "server_resets" },
         { SoakStepKind::StoreStale, "store_stale" },
+        { SoakStepKind::ServerStartsAgain, "server_starts_again" },
+        { SoakStepKind::ForeignEntries, "foreign_entries" },
     });
     static_assert(stepNames.rows().size() == soakStepKinds);
 
@@ -91,13 +93,16 @@
         next.target = static_cast<std::uint32_t>(random.next() % 1000);
         plan.steps.push_back(next);
     }
-    SeededRandom added(seed ^ 0xADDED);
-    const auto addedCount = static_cast<int>(total / 1000 * troubledPart * addedStepsPerSecond);
-    for (int i = 0; i < addedCount; ++i) {
-        const double at = added.nextBetween(quietBeginning, troubledPart) * total;
-        plan.steps.push_back(
-            drawStep(added, std::chrono::milliseconds(static_cast<int>(at)), firstAddedSoakStep, soakStepKinds));
-    }
+    const auto addKinds = [&](std::uint64_t salt, std::size_t first, std::size_t end) {
+        SeededRandom added(seed ^ salt);
+        const auto addedCount = static_cast<int>(total / 1000 * troubledPart * addedStepsPerSecond);
+        for (int i = 0; i < addedCount; ++i) {
+            const double at = added.nextBetween(quietBeginning, troubledPart) * total;
+            plan.steps.push_back(drawStep(added, std::chrono::milliseconds(static_cast<int>(at)), first, end));
+        }
+    };
+    addKinds(0xADDED, firstAddedSoakStep, firstSoakStepOfIdentity);
+    addKinds(0x1DE17, firstSoakStepOfIdentity, soakStepKinds);
     plan.steps.push_back({ std::chrono::milliseconds(static_cast<int>(total * troubledPart)), SoakStepKind::KillAll, 0,
         std::chrono::milliseconds(static_cast<int>(random.nextBetween(300, 1200))) });
     // Planned work while nothing else is disturbed, when the bounds hold for every forwarder.
--- a/Source/Soak/SoakSchedule.h
+++ b/Source/Soak/SoakSchedule.h
@@ -36,11 +36,14 @@
     ServerMute, // Takes flows and requests, and never answers a request.
     ServerResets, // Takes flows, and resets them at their next request.
     StoreStale, // Listings that may be old are as old as the step.
+    ServerStartsAgain, // Crashes, and starts again under its id before its entry lapses.
+    ForeignEntries, // Another writer spoils a server's entry, and leaves some of its own, until the step ends.
 };
 
-inline constexpr std::size_t soakStepKinds = 26;
-// The kinds from here on are drawn apart from the others, so that older seeds keep their steps.
+inline constexpr std::size_t soakStepKinds = 28;
+// The kinds from each of these on are drawn apart from the others, so that older seeds keep their steps.
 inline constexpr std::size_t firstAddedSoakStep = 23;
+inline constexpr std::size_t firstSoakStepOfIdentity = 26;
 
 std::string_view nameOf(SoakStepKind);
 
--- a/Source/Soak/SoakSteps.cpp
+++ b/Source/Soak/SoakSteps.cpp
@@ -5,7 +5,10 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+#include <array>
 #include <csignal>
+#include <string_view>
 
 namespace wisteriadock {
 
@@ -51,7 +54,10 @@
     case SoakStepKind::ServerFull:
     case SoakStepKind::ServerMute:
     case SoakStepKind::ServerResets:
+    case SoakStepKind::ServerStartsAgain:
         return performOnServer(step, now);
+    case SoakStepKind::ForeignEntries:
+        return writeForeignEntries(step, now);
     case SoakStepKind::RouteAdded:
     case SoakStepKind::RouteRemoved:
     case SoakStepKind::ConfigurationStorm:
@@ -207,6 +213,16 @@
         crash(index, now);
         return after(
             step.length + 2s, now, [this, entry] { openServer(entry.service, entry.availabilityZone, entry.address); });
+    case SoakStepKind::ServerStartsAgain: {
+        servers_.erase(servers_.begin() + static_cast<std::ptrdiff_t>(index));
+        constexpr auto longestDown = 3 * heartbeat;
+        return after(std::min<std::chrono::milliseconds>(step.length, longestDown), now, [this, entry] {
+            RegisteredServer again = entry;
+            again.startedAt = ++lastStart_;
+            again.readiness = ServerReadiness::Ready;
+            openServer(again);
+        });
+    }
     case SoakStepKind::ServerReplacedInPlace:
         crash(index, now);
         // The platform gives an address away after two seconds, to whichever service.
@@ -228,6 +244,25 @@
     });
 }
 
+// What another writer leaves under the servers' keys names no server, and does no harm to the entries beside it.
+void SoakRun::writeForeignEntries(const SoakStep& step, TimePoint now)
+{
+    static constexpr std::array<std::string_view, 6> values { "", "\xff\xfe\x00", "[]", "{\"state\":\"ready\"}",
+        "{\"service\":\"tryon\",\"address\":\"127.0.0.1:9\",\"zone\":\"walu\",\"version\":\"v1\",\"maxConcurrency\":"
+        "\"4\","
+        "\"state\":\"ready\",\"warmupLeftMs\":0,\"sequence\":1}",
+        "{\"service\":\"tryon\",\"address\":\"127.0.0.1:9\",\"zone\":\"walu\",\"version\":\"v1\",\"maxConcurrency\":4,"
+        "\"state\":\"ready\",\"warmupLeftMs\":0,\"sequence\":1,\"born\":1.5}" };
+    for (std::size_t i = 0; i < values.size(); ++i) {
+        const std::string key = platform::serverKeyOf(fmt::format("foreign-{:x}", i + 1));
+        store_->put(key, std::string(values[i]));
+        after(step.length, now, [this, key] { store_->remove(key); });
+    }
+    const std::string id = servers_[step.target % servers_.size()]->entry().id;
+    store_->put(platform::serverKeyOf(id), std::string(values[step.target % values.size()]));
+    after(step.length, now, [this, id] { withServer(id, [this](auto& it) { writeEntry(it); }); });
+}
+
 void SoakRun::performOnConfiguration(const SoakStep& step, TimePoint now)
 {
     constexpr std::size_t fewestRoutes = 3;
--- /dev/null
+++ b/Tests/Fuzz/FuzzTargets.cpp
@@ -0,0 +1,93 @@
+#include "Fuzz/FuzzTargets.h"
+
+#include "Forwarder/ForwarderSettings.h"
+#include "News/NewsBook.h"
+#include "News/PackedValue.h"
+#include "Wire/PeerMessageCodec.h"
+#include "platform/PacketLayout.h"
+#include "platform/StoreDialect.h"
+#include "platform/StoredValues.h"
+
+#include <array>
+#include <cstdlib>
+#include <string>
+
+namespace wisteriadock {
+
+namespace {
+
+    std::string textOf(std::span<const std::uint8_t> input) { return std::string(input.begin(), input.end()); }
+
+    void require(bool isTrue)
+    {
+        if (!isTrue)
+            std::abort();
+    }
+
+    void runDatagram(std::span<const std::uint8_t> input)
+    {
+        const auto packet = platform::decodePacket(input);
+        if (!packet)
+            return;
+        require(packet->payloadBytes + platform::packetHeadBytes == input.size());
+        std::vector<std::uint8_t> copy(input.begin(), input.end());
+        platform::writeToken(copy, 7);
+        require(platform::decodePacket(copy)->token == 7);
+        (void)platform::requestIdOf(input);
+        (void)platform::encodeReset(*packet);
+    }
+
+    void runServerEntry(std::span<const std::uint8_t> input)
+    {
+        const auto server = platform::decodeServer("i-7f3a91c2", textOf(input));
+        if (!server)
+            return;
+        require(server.value().number != 0 && server.value().slots > 0 && !server.value().service.empty());
+        const auto again = platform::decodeServer("i-7f3a91c2", platform::encodeServer(server.value()));
+        require(again && again.value() == server.value());
+    }
+
+    void runConfiguration(std::span<const std::uint8_t> input)
+    {
+        const auto configuration = platform::decodeConfiguration(textOf(input));
+        if (configuration)
+            RouteTable().replace(configuration.value());
+    }
+
+    void runStoreAnswer(std::span<const std::uint8_t> input)
+    {
+        HttpResponse response;
+        response.status = 200;
+        response.body = textOf(input);
+        (void)platform::StoreDialect::decode(ListCall {}, response);
+        (void)platform::StoreDialect::decode(ChangesCall {}, response);
+    }
+
+    void runPeerNews(std::span<const std::uint8_t> input)
+    {
+        const auto delta = decodeMessage<NewsDelta>(input, largestNews);
+        if (!delta)
+            return;
+        NewsBook book;
+        const TimePoint now = TimePoint(std::chrono::hours(1));
+        for (const NewsItem& item : book.merge(delta.value(), now))
+            (void)valueOf(item);
+        require(book.merge(delta.value(), now).empty());
+    }
+
+    void runSettings(std::span<const std::uint8_t> input) { (void)ForwarderSettings::parse("fuzz.ini", textOf(input)); }
+
+    constexpr std::array targets {
+        FuzzTarget { "datagram", runDatagram },
+        FuzzTarget { "server_entry", runServerEntry },
+        FuzzTarget { "configuration", runConfiguration },
+        FuzzTarget { "store_answer", runStoreAnswer },
+        FuzzTarget { "peer_news", runPeerNews },
+        FuzzTarget { "settings", runSettings },
+    };
+
+}
+
+std::span<const FuzzTarget> fuzzTargets() { return targets; }
+
+}
--- a/Tests/PlatformAdapter/StoredValuesTest.cpp
+++ b/Tests/PlatformAdapter/StoredValuesTest.cpp
@@ -90,7 +90,8 @@
                 const bool isText = entry[field] == "half";
                 const bool isFreeText
                     = isText && std::string_view("service zone version").find(field) != std::string_view::npos;
-                const bool isEmptyVersion = entry[field] == "" && std::string_view(field) == "version";
+                const bool isEmptyVersion = entry[field].is_string() && entry[field].get<std::string>().empty()
+                    && std::string_view(field) == "version";
                 EXPECT_EQ(bool(decodeServer("i-1", entry.dump())), isFreeText || isEmptyVersion) << other;
             }
         }
