Forward: Conclude that a process is over from more than the order of writes

Cause, from the log: five servers are killed for 1 s and start again at their addresses with new ids, while the store does writes up to 6 s late; the late write of a dead process had a higher revision than the entry of the living one, and of two entries at an address the one written last was taken for the living one. Change: a process is over when another at its address became known later and by a higher revision, and it gave no sign of life in the 2 s for which addresses are not given away; starts that entries tell go before that; an entry of a process that ended changes nothing. The test that said whatever order the entries come in, the later write lives, is wrong by this trace: it is replaced by one for each order, and the tests beside it let the platform's two seconds pass.

--- a/Source/Forward/ServerDirectory.cpp
+++ b/Source/Forward/ServerDirectory.cpp
@@ -32,7 +32,7 @@
     Transitions transitions;
     auto& slot = records_[entry.id];
     const bool isNew = !slot;
-    if (!isNew && isOfEarlierStart(*slot, entry, now))
+    if (!isNew && (isOfEarlierStart(*slot, entry, now) || isBelated(*slot, entry)))
         return transitions;
     if (isNew) {
         slot = std::make_unique<KnownServer>();
@@ -42,13 +42,17 @@
     }
     KnownServer& record = *slot;
     if (!isNew && record.entry.startedAt != entry.startedAt)
-        restart(record, entry, now, transitions);
+        restart(record, entry, revision, now, transitions);
     if (isNew) {
         byAddress_[entry.address].push_back(&record);
     } else if (record.entry.address != entry.address) {
         std::erase(byAddress_[record.entry.address], &record);
         byAddress_[entry.address].push_back(&record);
     }
+    if (isNew || record.entry.address != entry.address) {
+        record.knownSince = now;
+        record.knownBy = revision;
+    }
     record.entry = entry;
     record.revision = revision;
     record.writtenAt = now;
@@ -58,7 +62,7 @@
         transitions.push_back({ entry.id, entry.service, entry.availabilityZone, record.state, record.state, true });
     }
     enter(record, stateOf(entry), now, transitions);
-    endFormerAt(record, now, transitions);
+    endFormerAt(entry.address, now, transitions);
     isIndexed_ = false;
     return transitions;
 }
@@ -72,12 +76,14 @@
 
 // Whatever was seen of the former process says nothing about this one, which has no flows and fails none.
 void ServerDirectory::restart(
-    KnownServer& record, const RegisteredServer& entry, TimePoint now, Transitions& transitions)
+    KnownServer& record, const RegisteredServer& entry, std::uint64_t revision, TimePoint now, Transitions& transitions)
 {
     const ServerState before = record.state;
     record.seen = {};
     record.state = stateOf(entry);
     record.since = now;
+    record.knownSince = now;
+    record.knownBy = revision;
     record.hasChangedService = record.hasChangedService || record.entry.service != entry.service;
     transitions.push_back({ entry.id, entry.service, entry.availabilityZone, before, record.state, false, true });
 }
@@ -187,19 +193,40 @@
     record.since = now;
 }
 
-// An address is given to another server only after its former one has ended, so of two entries there the one that was
-// written first belongs to a process that is over, even while its entry has not lapsed yet. Without this, callers would
-// get new flows to a server that is dead, and callers of its open flows would wait for nobody.
-void ServerDirectory::endFormerAt(const KnownServer& changed, TimePoint now, Transitions& transitions)
+// An address is given to another server only after its former one has ended, so the process at an address that was
+// known first is over, even while its entry has not lapsed yet. Without this, callers would get new flows to a server
+// that is dead, and callers of its open flows would wait for nobody.
+void ServerDirectory::endFormerAt(Endpoint address, TimePoint now, Transitions& transitions)
 {
-    const std::vector<KnownServer*>& there = byAddress_[changed.entry.address];
-    const KnownServer* newest = *std::ranges::max_element(there, {}, &KnownServer::revision);
+    const std::vector<KnownServer*>& there = byAddress_[address];
     for (KnownServer* record : there) {
-        if (record != newest)
+        const bool isOverNow = std::ranges::any_of(
+            there, [&](const KnownServer* other) { return other != record && isFollowedBy(*record, *other, now); });
+        if (isOverNow)
             enter(*record, ServerState::Ended, now, transitions);
     }
 }
 
+// The store's order of writes alone proves nothing: a write that was under way when its process ended may take effect
+// seconds later, after the next process at the address has registered. Taking that for a later process reset open flows
+// of a living one. Nor does the order in which news arrives, which comes by many ways. Where the two differ, or both
+// became known at once as by a listing, nobody is taken for ended.
+bool ServerDirectory::isFollowedBy(const KnownServer& former, const KnownServer& other, TimePoint now) const
+{
+    const bool areStartsTold = former.entry.startedAt != 0 && other.entry.startedAt != 0;
+    if (areStartsTold)
+        return former.entry.startedAt < other.entry.startedAt;
+    const TimePoint life = former.seen.lastProgress;
+    const bool livedLately = life != TimePoint::min() && now - life < settings_.reuse;
+    return former.knownSince < other.knownSince && former.knownBy < other.knownBy && !livedLately;
+}
+
+bool ServerDirectory::isBelated(const KnownServer& record, const RegisteredServer& entry) const
+{
+    return record.state == ServerState::Ended && record.entry.startedAt == entry.startedAt
+        && record.entry.address == entry.address;
+}
+
 // Two incarnations with one token: packets go to the one whose id is smaller, at every balancer, and the other gets no
 // flows. An incarnation that is over gives way only when it is forgotten, since its flows may be open.
 void ServerDirectory::claimToken(KnownServer& record)
--- a/Source/Forward/ServerDirectory.h
+++ b/Source/Forward/ServerDirectory.h
@@ -54,6 +54,9 @@
     ServerState state = ServerState::Ready;
     // When the state was entered.
     TimePoint since;
+    // Since when this balancer knows of this process at this address, and the revision by which it learned of it.
+    TimePoint knownSince;
+    std::uint64_t knownBy = 0;
     // When the entry was written last, as far as this balancer knows.
     TimePoint writtenAt;
     // An earlier process under the id belonged to another service, so its flows must not reach this one.
@@ -83,6 +86,9 @@
     // operators speak of seconds). An entry of an earlier start counts only if the later one has been silent for so
     // long: then the server's clock was set back between two starts.
     std::chrono::milliseconds earlierStartAfter { 10000 };
+    // An address is given away so long after its server has ended (the platform's bound), so a server that gave a sign
+    // of life since then still has its address, whoever else names it.
+    std::chrono::milliseconds reuse { 2000 };
 };
 
 // A change of what the balancer believes of one server, for the log.
@@ -136,10 +142,13 @@
 
 private:
     bool isOfEarlierStart(const KnownServer&, const RegisteredServer&, TimePoint now) const;
-    void restart(KnownServer&, const RegisteredServer&, TimePoint now, Transitions&);
+    void restart(KnownServer&, const RegisteredServer&, std::uint64_t revision, TimePoint now, Transitions&);
     void enter(KnownServer&, ServerState, TimePoint now, Transitions&);
     bool isDoubtOver(const KnownServer&, TimePoint now) const;
-    void endFormerAt(const KnownServer&, TimePoint now, Transitions&);
+    void endFormerAt(Endpoint, TimePoint now, Transitions&);
+    bool isFollowedBy(const KnownServer& former, const KnownServer& other, TimePoint now) const;
+    // A write of a process that is certainly over, which took effect late.
+    bool isBelated(const KnownServer&, const RegisteredServer&) const;
     void claimToken(KnownServer&);
     void forget(const KnownServer&);
     void index();
--- a/Tests/Forward/ServerDirectoryTest.cpp
+++ b/Tests/Forward/ServerDirectoryTest.cpp
@@ -121,15 +121,21 @@
     {
         const RegisteredServer former = server(1, 7);
         const RegisteredServer next = server(2, 7);
+        directory.put(former, 5, clock.now());
+        clock.advance(3s);
+        directory.put(next, 9, clock.now());
+        EXPECT_EQ(stateOf(former), ServerState::Ended);
+        EXPECT_EQ(stateOf(next), ServerState::Ready);
         {
-            SCOPED_TRACE("whatever order the entries come in, the later one in the store lives");
-            directory.put(next, 9, clock.now());
-            directory.put(former, 5, clock.now());
+            SCOPED_TRACE("a write of the former one that takes effect late changes nothing");
+            clock.advance(1s);
+            EXPECT_TRUE(directory.put(former, 12, clock.now()).empty());
             EXPECT_EQ(stateOf(former), ServerState::Ended);
             EXPECT_EQ(stateOf(next), ServerState::Ready);
         }
         {
             SCOPED_TRACE("and again when the address moves on");
+            clock.advance(3s);
             const RegisteredServer third = server(3, 7);
             directory.put(third, 30, clock.now());
             EXPECT_EQ(stateOf(next), ServerState::Ended);
@@ -137,6 +143,55 @@
         }
     }
 
+    // Symptom: open flows of a living server were reset (FLOW broken on a day of restarts while the store did writes
+    // late). Sequence: a server is killed while a write of its entry is under way; the next process at its address
+    // registers; then the write of the former one takes effect, with a higher revision than the entry of the living
+    // one. Cause: of two entries at an address, the one that was written last was taken for the living process's.
+    TEST_F(ServerDirectoryTest, whoseProcessIsOverIsNotConcludedFromTheOrderOfWritesAlone)
+    {
+        const RegisteredServer dead = server(1, 7);
+        const RegisteredServer living = server(2, 7);
+        const auto expectLiving = [&] {
+            EXPECT_EQ(stateOf(living), ServerState::Ready);
+            EXPECT_TRUE(directory.find(living.id)->mayTakeFlows());
+        };
+        {
+            SCOPED_TRACE("who starts reads both at once");
+            directory.put(living, 71, clock.now());
+            directory.put(dead, 90, clock.now());
+            expectLiving();
+        }
+        {
+            SCOPED_TRACE("who never knew the dead one learns of it last, while the living one answers");
+            directory = ServerDirectory();
+            directory.put(living, 71, clock.now());
+            clock.advance(4s);
+            directory.find(living.id)->seen.lastProgress = clock.now() - 1s;
+            directory.put(dead, 90, clock.now());
+            expectLiving();
+        }
+        {
+            SCOPED_TRACE("the news of both comes in the wrong order");
+            directory = ServerDirectory();
+            directory.put(living, 71, clock.now());
+            clock.advance(1s);
+            directory.put(dead, 57, clock.now());
+            expectLiving();
+        }
+        {
+            SCOPED_TRACE("where entries tell when their processes started, that decides");
+            directory = ServerDirectory();
+            RegisteredServer earlier = dead;
+            RegisteredServer later = living;
+            earlier.startedAt = 1000;
+            later.startedAt = 2000;
+            directory.put(later, 71, clock.now());
+            directory.put(earlier, 90, clock.now());
+            expectLiving();
+            EXPECT_EQ(stateOf(earlier), ServerState::Ended);
+        }
+    }
+
     // Symptom: packets of one flow would reach another server of the same service.
     // Sequence: two incarnations have the same token, which happens about once in four billion pairs.
     // Cause: a token names one server only.
@@ -228,6 +283,7 @@
         }
         {
             SCOPED_TRACE("after its address went to another, at another address, and twice within a heartbeat");
+            clock.advance(3s);
             directory.put(server(2, 1), 12, clock.now());
             EXPECT_EQ(stateOf(entry), ServerState::Ended);
             spoil();
--- a/Tests/Forward/TokenRouterTest.cpp
+++ b/Tests/Forward/TokenRouterTest.cpp
@@ -220,6 +220,8 @@
         const RegisteredServer former = router.directory().findByToken(token)->entry;
         RegisteredServer next = server(77, "scanintake");
         next.address = former.address;
+        // The platform gives an address away two seconds after its server ended.
+        clock.advance(2s);
         put(next);
         const PacketDecision decision = route(data(1, token, 1101));
         EXPECT_EQ(decision.verdict, PacketVerdict::Reset);
