Model, Soak: Split the servers off the run, take foreign entries from the adapter

ModelBackends now holds servers and their flows; platform::unusableServerEntries() gives entries that no server wrote, and the adapter's test refuses each.

--- a/Source/Model/ModelForwarder.h
+++ b/Source/Model/ModelForwarder.h
@@ -7,7 +7,6 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
-#include <optional>
 #include <string>
 
 namespace wisteriadock {
--- a/Source/Model/ModelPolicy.h
+++ b/Source/Model/ModelPolicy.h
@@ -3,7 +3,6 @@
 #include "Forward/OpeningAdmission.h"
 #include "Forward/OpeningPolicy.h"
 
-#include <optional>
 #include <string_view>
 #include <vector>
 
--- a/Source/Model/ModelRun.cpp
+++ b/Source/Model/ModelRun.cpp
@@ -2,19 +2,17 @@
 
 #include "Core/Hash.h"
 #include "Model/EventQueue.h"
+#include "Model/ModelBackends.h"
 #include "Model/ModelCallers.h"
 #include "Model/ModelForwarder.h"
-#include "Model/ModelServer.h"
 
 #include <boost/random/mersenne_twister.hpp>
 #include <boost/random/uniform_01.hpp>
 #include <boost/random/uniform_int_distribution.hpp>
-#include <fmt/format.h>
 
 #include <algorithm>
 #include <atomic>
 #include <cmath>
-#include <map>
 #include <memory>
 #include <mutex>
 #include <thread>
@@ -26,19 +24,14 @@
 
     using namespace std::chrono_literals;
 
-    // The routers' and the servers' habits on the users' platform.
+    // The routers' habits on the users' platform.
     constexpr std::chrono::milliseconds probeInterval { 500 };
     constexpr std::uint32_t missesUntilOut = 2;
-    constexpr std::uint32_t heartbeatsUntilLapse = 3;
-    constexpr std::chrono::microseconds handshakeTime { 300 };
     // A forwarder's tick, and how it stops as planned.
     constexpr std::chrono::milliseconds tickInterval { 250 };
     constexpr std::chrono::milliseconds stopTime { 1500 };
     constexpr std::chrono::milliseconds betweenStops { 1200 };
 
-    constexpr std::uint32_t firstServerAddress = 0x0A800001;
-    constexpr std::uint16_t serverPort = 8080;
-
     class Run {
     public:
         Run(const ModelScenario& scenario, const ModelPolicy& policy, std::uint64_t seed)
@@ -49,9 +42,9 @@
                   [this](std::uint32_t zone, const TokenPacket& packet, ModelRequestId request) {
                       events_.after(scenario_.callerDelay, [=, this] { enter(zone, packet, request); });
                   })
+            , backends_(events_, scenario, callers_, random_)
             , startedAt_(events_.now())
         {
-            makeServers();
             makeForwarders();
             for (const ModelFault& fault : scenario.faults)
                 events_.after(fault.at, [this, &fault] { strike(fault); });
@@ -67,7 +60,7 @@
             events_.runUntil(startedAt_ + scenario_.length + longestBudget + 1ms);
             ModelResult result = callers_.result();
             result.serverLoad = serverLoad_;
-            result.busiestOverMean = busiestOverMean();
+            result.busiestOverMean = backends_.busiestOverMean();
             return result;
         }
 
@@ -80,46 +73,8 @@
             // Counts ends, so that a start that was planned before another end does not count.
             std::uint64_t life = 0;
         };
-        // A flow as its server sees it.
-        struct ServerFlow {
-            ModelRequestId request = noModelRequest;
-            bool isAnswered = false;
-        };
-        struct Server {
-            std::unique_ptr<ModelServer> server;
-            std::size_t service = 0;
-            std::uint32_t zone = 0;
-            bool isListed = true;
-            std::uint64_t revision = 0;
-            absl::flat_hash_map<FlowEnds, ServerFlow> flows {};
-        };
-
-        static std::string zoneName(std::uint32_t zone) { return fmt::format("zone-{}", zone); }
-
         double draw() { return boost::random::uniform_01<>()(random_); }
 
-        void makeServers()
-        {
-            std::uint32_t number = 0;
-            for (std::size_t service = 0; service < scenario_.services.size(); ++service) {
-                const ModelService& kind = scenario_.services[service];
-                for (std::uint32_t zone = 0; zone < scenario_.zones; ++zone) {
-                    for (std::uint32_t i = 0; i < kind.serversPerZone; ++i) {
-                        RegisteredServer entry;
-                        entry.number = hashPair(random_(), ++number) | 1;
-                        entry.id = fmt::format("{:016x}", entry.number);
-                        entry.service = kind.name;
-                        entry.address = { firstServerAddress + number, serverPort };
-                        entry.availabilityZone = zoneName(zone);
-                        entry.slots = kind.slots;
-                        indexOfServer_[entry.id] = servers_.size();
-                        servers_.push_back(
-                            { std::make_unique<ModelServer>(events_, entry, kind.queue), service, zone, true, number });
-                    }
-                }
-            }
-        }
-
         void makeForwarders()
         {
             for (std::size_t kind = 0; kind < scenario_.kinds.size(); ++kind)
@@ -130,7 +85,7 @@
                 for (std::uint32_t i = 0; i < scenario_.forwardersPerZone; ++i) {
                     nodes_.push_back({});
                     nodes_.back().forwarder = std::make_unique<ModelForwarder>(
-                        events_, zoneName(zone), policy_, Duration(scenario_.packetTime));
+                        events_, modelZoneName(zone), policy_, Duration(scenario_.packetTime));
                 }
             }
             for (std::size_t node = 0; node < nodes_.size(); ++node) {
@@ -147,10 +102,7 @@
             Node& node = nodes_[index];
             node.isLeaving = false;
             node.forwarder->start(configuration_);
-            for (const Server& server : servers_) {
-                if (server.isListed)
-                    node.forwarder->router()->putServer(server.server->entry(), server.revision, events_.now());
-            }
+            backends_.listTo(*node.forwarder->router());
         }
 
         void end(std::size_t index, Duration down)
@@ -189,13 +141,13 @@
             case ModelFaultKind::Stop:
                 return stop(pick(nodes_.size(), fault.share));
             case ModelFaultKind::ServersDie:
-                for (const std::size_t server : pick(servers_.size(), fault.share))
+                for (const std::size_t server : pick(backends_.size(), fault.share))
                     die(server);
                 return;
             case ModelFaultKind::ServersSlow:
-                for (const std::size_t server : pick(servers_.size(), fault.share)) {
-                    servers_[server].server->setSlowness(fault.factor);
-                    events_.after(fault.length, [this, server] { servers_[server].server->setSlowness(1); });
+                for (const std::size_t server : pick(backends_.size(), fault.share)) {
+                    backends_.server(server).setSlowness(fault.factor);
+                    events_.after(fault.length, [this, server] { backends_.server(server).setSlowness(1); });
                 }
                 return;
             case ModelFaultKind::Overload:
@@ -229,15 +181,11 @@
 
         void die(std::size_t index)
         {
-            Server& server = servers_[index];
-            server.server->die();
-            server.flows.clear();
-            events_.after(scenario_.heartbeat * heartbeatsUntilLapse, [this, index] {
-                servers_[index].isListed = false;
+            backends_.die(index, [this, index] {
                 for (std::size_t node = 0; node < nodes_.size(); ++node) {
                     events_.after(scenario_.newsDelay, [this, node, index] {
                         if (TokenRouter* router = nodes_[node].forwarder->router())
-                            router->removeServer(servers_[index].server->entry().id, false, events_.now());
+                            router->removeServer(backends_.server(index).entry().id, false, events_.now());
                     });
                 }
             });
@@ -293,21 +241,12 @@
                 packet,
                 [this, &forwarder, opens = packet.opens] {
                     if (policy_.knowsAll && opens)
-                        tellAll(*forwarder.router());
+                        backends_.tellLoadsTo(*forwarder.router());
                 },
                 [this, &forwarder, packet, request](
                     const PacketDecision& decision) { perform(forwarder, packet, request, decision); });
         }
 
-        void tellAll(TokenRouter& router)
-        {
-            router.directory().forEach([&](KnownServer& known) {
-                const ModelServer& server = *servers_[indexOfServer_.at(known.entry.id)].server;
-                known.seen.busy = server.isAlive() ? server.load() : 1000;
-                known.seen.flows = known.seen.busy;
-            });
-        }
-
         void perform(const ModelForwarder& forwarder, const TokenPacket& packet, ModelRequestId request,
             const PacketDecision& decision)
         {
@@ -316,98 +255,26 @@
             if (decision.verdict != PacketVerdict::Forward)
                 return;
             const bool isNear = decision.server->entry.availabilityZone == forwarder.zone();
-            const std::size_t index = indexOfServer_.at(decision.server->entry.id);
+            const std::size_t index = backends_.indexOf(decision.server->entry.id);
             events_.after(isNear ? scenario_.zoneDelay : scenario_.crossZoneDelay,
-                [this, index, packet, request] { receive(index, packet, request); });
-        }
-
-        void receive(std::size_t index, const TokenPacket& packet, ModelRequestId request)
-        {
-            Server& server = servers_[index];
-            if (!server.server->isAlive())
-                return;
-            const FlowEnds ends = packet.ends;
-            if (packet.opens) {
-                server.flows.try_emplace(ends);
-                const std::uint32_t token = tokenOf(server.server->entry().number);
-                return answer(handshakeTime, [this, ends, token] { callers_.handleOpened(ends, token); });
-            }
-            const auto found = server.flows.find(ends);
-            if (found == server.flows.end()) {
-                if (!packet.finishes)
-                    answer(Duration {}, [this, ends] { callers_.handleReset(ends); });
-            } else if (packet.finishes) {
-                server.flows.erase(found);
-            } else if (request != noModelRequest) {
-                work(index, found->second, ends, request);
-            }
-        }
-
-        // A request that was sent again is neither run twice nor refused once it runs.
-        void work(std::size_t index, ServerFlow& flow, const FlowEnds& ends, ModelRequestId request)
-        {
-            if (flow.request == request) {
-                if (flow.isAnswered)
-                    answer(Duration {}, [this, ends, request] { callers_.handleAnswer(ends, request); });
-                return;
-            }
-            const bool isTaken = servers_[index].server->take(callers_.workOf(request), [this, index, ends, request] {
-                const auto held = servers_[index].flows.find(ends);
-                if (held != servers_[index].flows.end())
-                    held->second.isAnswered = true;
-                answer(Duration {}, [this, ends, request] { callers_.handleAnswer(ends, request); });
-            });
-            if (isTaken)
-                flow = { request, false };
-            else
-                answer(Duration {}, [this, ends, request] { callers_.handleRefusal(ends, request); });
-        }
-
-        // Servers answer callers directly.
-        void answer(Duration after, std::function<void()> action)
-        {
-            events_.after(after + scenario_.callerDelay, std::move(action));
+                [this, index, packet, request] { backends_.receive(index, packet, request); });
         }
 
         void sample()
         {
-            std::uint32_t load = 0;
-            for (const Server& server : servers_)
-                load += server.server->isAlive() ? server.server->load() : 0;
-            serverLoad_.push_back(load);
+            serverLoad_.push_back(backends_.load());
             if (events_.now() - startedAt_ < scenario_.length)
                 events_.after(ModelResult::stepLength, [this] { sample(); });
         }
 
-        double busiestOverMean() const
-        {
-            double worst = 0;
-            for (std::size_t service = 0; service < scenario_.services.size(); ++service) {
-                double sum = 0;
-                double most = 0;
-                double count = 0;
-                for (const Server& server : servers_) {
-                    if (server.service != service)
-                        continue;
-                    const auto taken = static_cast<double>(server.server->taken());
-                    sum += taken;
-                    most = std::max(most, taken);
-                    ++count;
-                }
-                worst = std::max(worst, sum > 0 ? most * count / sum : 0);
-            }
-            return worst;
-        }
-
         const ModelScenario& scenario_;
         const ModelPolicy& policy_;
         EventQueue events_;
         boost::random::mt19937_64 random_;
         ModelCallers callers_;
+        ModelBackends backends_;
         TimePoint startedAt_;
         ForwardingConfiguration configuration_;
-        std::vector<Server> servers_;
-        absl::flat_hash_map<std::string, std::size_t> indexOfServer_;
         std::vector<Node> nodes_;
         std::vector<std::uint32_t> serverLoad_;
     };
--- a/Source/Soak/SoakSteps.cpp
+++ b/Source/Soak/SoakSteps.cpp
@@ -6,9 +6,9 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <array>
 #include <csignal>
-#include <string_view>
+#include <string>
+#include <vector>
 
 namespace wisteriadock {
 
@@ -247,19 +247,14 @@
 // What another writer leaves under the servers' keys names no server, and does no harm to the entries beside it.
 void SoakRun::writeForeignEntries(const SoakStep& step, TimePoint now)
 {
-    static constexpr std::array<std::string_view, 6> values { "", "\xff\xfe\x00", "[]", "{\"state\":\"ready\"}",
-        "{\"service\":\"tryon\",\"address\":\"127.0.0.1:9\",\"zone\":\"walu\",\"version\":\"v1\",\"maxConcurrency\":"
-        "\"4\","
-        "\"state\":\"ready\",\"warmupLeftMs\":0,\"sequence\":1}",
-        "{\"service\":\"tryon\",\"address\":\"127.0.0.1:9\",\"zone\":\"walu\",\"version\":\"v1\",\"maxConcurrency\":4,"
-        "\"state\":\"ready\",\"warmupLeftMs\":0,\"sequence\":1,\"born\":1.5}" };
+    const std::vector<std::string> values = platform::unusableServerEntries();
     for (std::size_t i = 0; i < values.size(); ++i) {
         const std::string key = platform::serverKeyOf(fmt::format("foreign-{:x}", i + 1));
-        store_->put(key, std::string(values[i]));
+        store_->put(key, values[i]);
         after(step.length, now, [this, key] { store_->remove(key); });
     }
     const std::string id = servers_[step.target % servers_.size()]->entry().id;
-    store_->put(platform::serverKeyOf(id), std::string(values[step.target % values.size()]));
+    store_->put(platform::serverKeyOf(id), values[step.target % values.size()]);
     after(step.length, now, [this, id] { withServer(id, [this](auto& it) { writeEntry(it); }); });
 }
 
--- a/Tests/PlatformAdapter/StoredValuesTest.cpp
+++ b/Tests/PlatformAdapter/StoredValuesTest.cpp
@@ -107,6 +107,8 @@
         EXPECT_FALSE(with("address", "0.0.0.0:80"));
         for (const char* id : { "zz", "i-0", "i-0123456789abcdef0", "---" })
             EXPECT_FALSE(decodeServer(id, entryText)) << id;
+        for (const std::string& entry : unusableServerEntries())
+            EXPECT_FALSE(decodeServer("i-1", entry)) << entry;
         for (const char* bytes : { "", "\xff\xfe", "[1]", "{\"service\":\"\xff\"}", "{\"service\":" })
             EXPECT_FALSE(decodeServer("i-1", bytes));
     }
