Forwarder: Find the metrics module also where the search path is not seen

Cause: under the address sanitizer dlopen() does not see the program's search path, so the module was not found and the metrics tests ended without a message. It is now looked for beside the program too, and the tests say why a text is missing.

--- a/Source/Forwarder/ForwarderMetrics.cpp
+++ b/Source/Forwarder/ForwarderMetrics.cpp
@@ -8,6 +8,8 @@
 #include <chrono>
 #include <deque>
 #include <dlfcn.h>
+#include <filesystem>
+#include <system_error>
 
 namespace wisteriadock {
 
@@ -59,10 +61,22 @@
         std::deque<Labels> labels_;
     };
 
+    // The module lies beside the program. The program's search path names that place, but where something stands
+    // between the program and the loader, as the address sanitizer does, the loader does not see whose path it is to
+    // use.
+    void* openModule()
+    {
+        if (void* const module = dlopen(metricsTextModule, RTLD_NOW | RTLD_LOCAL))
+            return module;
+        std::error_code error;
+        const std::filesystem::path program = std::filesystem::read_symlink("/proc/self/exe", error);
+        return error ? nullptr : dlopen((program.parent_path() / metricsTextModule).c_str(), RTLD_NOW | RTLD_LOCAL);
+    }
+
     // The module is loaded once and stays, as its libraries can't be unloaded safely.
     Result<WisteriadockWriteMetrics> loadWriter()
     {
-        static void* const module = dlopen(metricsTextModule, RTLD_NOW | RTLD_LOCAL);
+        static void* const module = openModule();
         void* const function = module ? dlsym(module, metricsTextFunction) : nullptr;
         if (!function)
             return Error { ErrorCode::Unavailable, fmt::format("{} can't be loaded", metricsTextModule) };
--- a/Tests/Forwarder/ForwarderMetricsTest.cpp
+++ b/Tests/Forwarder/ForwarderMetricsTest.cpp
@@ -23,10 +23,17 @@
             return readings;
         }
 
+        std::string textOrError()
+        {
+            const Result<std::string> text = metrics.text(readings());
+            EXPECT_TRUE(text) << text.error().toString();
+            return text ? text.value() : std::string();
+        }
+
         // The value behind a metric's name and labels, as the text has it; empty when it is not there.
         std::string valueOf(const std::string& metric)
         {
-            const std::string text = "\n" + metrics.text(readings()).value();
+            const std::string text = "\n" + textOrError();
             const auto begin = text.find("\n" + metric + " ");
             if (begin == std::string::npos)
                 return {};
