--- a/Source/MetricsText/MetricsText.h
+++ b/Source/MetricsText/MetricsText.h
@@ -35,7 +35,7 @@
 // Takes the text that was written.
 typedef void (*WisteriadockMetricsSink)(void* target, const char* text, std::size_t bytes);
 
-// Writes the samples in Prometheus' text format. The module exports it under wisteriadockMetricsTextName.
+// Writes the samples in Prometheus' text format. The module exports it under metricsTextFunction.
 typedef void (*WisteriadockWriteMetrics)(
     const WisteriadockMetricSample* samples, std::size_t count, WisteriadockMetricsSink sink, void* target);
 }
