--- /dev/null
+++ b/Benchmarks/ConfigurationSpreadBenchmark.cpp
@@ -0,0 +1,89 @@
+// What one change of the operators' configuration costs a forwarder, by the number of routes in force: reading the
+// store's answer, packing it for others, unpacking, decoding and taking it.
+#include "Forward/ForwardFixture.h"
+#include "News/PackedValue.h"
+#include "platform/StoreDialect.h"
+#include "platform/StoredValues.h"
+
+#include <benchmark/benchmark.h>
+#include <fmt/format.h>
+
+#include <cstdint>
+#include <string>
+
+namespace wisteriadock {
+namespace {
+
+    ForwardingConfiguration configurationOf(std::uint64_t version, std::size_t routes)
+    {
+        ForwardingConfiguration configuration { version, {}, std::chrono::seconds(15) };
+        for (std::size_t i = 0; i < routes; ++i) {
+            const auto number = static_cast<std::uint32_t>(i);
+            configuration.routes.push_back({ fmt::format("route-{:x}", number * 2654435761U),
+                { 0xC6120000 + number, 443 }, { { "service-1", 1 } }, std::chrono::milliseconds(250) });
+        }
+        return configuration;
+    }
+
+    NewsItem itemOf(std::uint64_t version, std::size_t routes)
+    {
+        return { "configuration", platform::encodeConfiguration(configurationOf(version, routes)), version, false };
+    }
+
+    void readAnswerOfTheStore(benchmark::State& state)
+    {
+        HttpResponse response;
+        response.status = 200;
+        const NewsItem item = itemOf(7, static_cast<std::size_t>(state.range(0)));
+        response.body = platform::encodeChanges({ { { item.key, item.value, 7 } }, 7 });
+        const HttpOutcome outcome = response;
+        for (auto _ : state)
+            benchmark::DoNotOptimize(platform::StoreDialect::decode(ChangesCall {}, outcome));
+        state.counters["bytes"] = static_cast<double>(response.body.size());
+    }
+
+    void packForOthers(benchmark::State& state)
+    {
+        const NewsItem item = itemOf(7, static_cast<std::size_t>(state.range(0)));
+        std::size_t bytes = 0;
+        for (auto _ : state) {
+            NewsItem packed = item;
+            packValue(packed);
+            bytes = packed.value.size();
+        }
+        state.counters["bytes"] = static_cast<double>(bytes);
+    }
+
+    void unpack(benchmark::State& state)
+    {
+        NewsItem item = itemOf(7, static_cast<std::size_t>(state.range(0)));
+        packValue(item);
+        for (auto _ : state)
+            benchmark::DoNotOptimize(valueOf(item));
+    }
+
+    void decode(benchmark::State& state)
+    {
+        const NewsItem item = itemOf(7, static_cast<std::size_t>(state.range(0)));
+        for (auto _ : state)
+            benchmark::DoNotOptimize(platform::decodeConfiguration(item.value));
+    }
+
+    void take(benchmark::State& state)
+    {
+        RouteTable table;
+        ForwardingConfiguration configuration = configurationOf(7, static_cast<std::size_t>(state.range(0)));
+        for (auto _ : state)
+            table.replace(configuration);
+    }
+
+    BENCHMARK(readAnswerOfTheStore)->Arg(100)->Arg(1400)->Arg(10000)->Unit(benchmark::kMicrosecond);
+    BENCHMARK(packForOthers)->Arg(100)->Arg(1400)->Arg(10000)->Unit(benchmark::kMicrosecond);
+    BENCHMARK(unpack)->Arg(100)->Arg(1400)->Arg(10000)->Unit(benchmark::kMicrosecond);
+    BENCHMARK(decode)->Arg(100)->Arg(1400)->Arg(10000)->Unit(benchmark::kMicrosecond);
+    BENCHMARK(take)->Arg(100)->Arg(1400)->Arg(10000)->Unit(benchmark::kMicrosecond);
+
+}
+}
+
+BENCHMARK_MAIN();
--- /dev/null
+++ b/Tests/News/ThinLinkFleet.cpp
@@ -0,0 +1,370 @@
+#include "News/ThinLinkFleet.h"
+
+#include "News/PackedValue.h"
+#include "Peers/ConfigurationWatchers.h"
+#include "Wire/PeerMessageCodec.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace wisteriadock {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr auto stepTime = 5ms;
+    constexpr auto beatPeriod = 250ms;
+    constexpr auto messageTime = 2ms;
+    constexpr double bytesPerMegabit = 1e6 / 8;
+    // The store's own link, which all balancers share.
+    constexpr double storeBytesPerSecond = 1000 * bytesPerMegabit;
+    // Headers of a packet and of an answer, and what surrounds an item in an answer of the store.
+    constexpr double datagramOverhead = 80;
+    constexpr double answerOverhead = 300;
+    constexpr double itemOverhead = 120;
+    constexpr WatcherNumbers watcherNumbers { 1, 1, 3 };
+
+    const std::string configurationKey = "configuration";
+
+    // The store writes values as base64.
+    double sizeOf(const std::vector<PlatformItem>& items)
+    {
+        double bytes = answerOverhead;
+        for (const PlatformItem& item : items)
+            bytes += itemOverhead + static_cast<double>(item.value.size()) * 4 / 3;
+        return bytes;
+    }
+
+}
+
+std::string configurationText(std::uint64_t version, std::size_t routes, std::size_t changed)
+{
+    std::string text = fmt::format(R"({{"version":{},"routes":[)", version);
+    for (std::size_t i = 0; i < routes; ++i) {
+        const auto number = static_cast<std::uint32_t>(i);
+        const bool isChanged = i >= routes / 2 && i < routes / 2 + changed;
+        text += fmt::format(R"({}{{"name":"r-{:08x}","hostname":"198.18.{}.{}","prefix":"/443/","type":"idempotent",)",
+            i == 0 ? "" : ",", number * 2654435761U, number / 250, number % 250);
+        text
+            += fmt::format(R"("timeoutMs":{},"targetLatencyMs":250,"priority":2,"service":"streams","maxAttempts":2}})",
+                isChanged ? 1500 + version : 1500);
+    }
+    return text + R"(],"services":[{"name":"streams","healthPath":"/health"}],"limits":{"idleTimeoutMs":15000}})";
+}
+
+ThinLinkFleet::ThinLinkFleet(std::uint32_t seed, const std::vector<Link>& links)
+    : random_(seed)
+{
+    for (const Link& link : links) {
+        for (std::size_t i = 0; i < link.balancers; ++i) {
+            Balancer balancer;
+            Member& member = balancer.member;
+            member.name = fmt::format("zone-{}", balancers_.size());
+            member.id = balancerIdOf(member.name);
+            member.availabilityZone = "zone";
+            member.state = MemberState::Serving;
+            member.peerAddress = { static_cast<std::uint32_t>(balancers_.size() + 1), 7000 };
+            member.requestAddress = member.peerAddress;
+            balancer.bytesPerSecond = link.megabitsPerSecond * bytesPerMegabit;
+            balancers_.push_back(std::move(balancer));
+        }
+    }
+    for (std::size_t i = 0; i < balancers_.size(); ++i)
+        start(i);
+}
+
+void ThinLinkFleet::start(std::size_t index)
+{
+    Balancer& balancer = balancers_[index];
+    ++balancer.life;
+    balancer.feed = std::make_unique<StoreFeed>(random_());
+    balancer.exchange = std::make_unique<NewsExchange>("zone", random_());
+    balancer.version = 0;
+    balancer.had.clear();
+    balancer.datagramBytes = 0;
+    balancer.nextBeat = clock_.now() + random_() % 250 * 1ms;
+    perform(index, balancer.feed->start(clock_.now()));
+}
+
+void ThinLinkFleet::restartAll()
+{
+    transfers_.clear();
+    datagrams_.clear();
+    watches_.clear();
+    for (std::size_t i = 0; i < balancers_.size(); ++i)
+        start(i);
+}
+
+void ThinLinkFleet::put(PlatformItem item)
+{
+    item.revision = ++revision_;
+    items_[item.key] = std::move(item);
+}
+
+void ThinLinkFleet::writeConfiguration(std::uint64_t version, const std::string& text)
+{
+    texts_[version] = text;
+    writtenAt_[version] = clock_.now();
+    put({ configurationKey, text });
+}
+
+void ThinLinkFleet::write(const std::string& key, const std::string& value) { put({ key, value }); }
+
+std::optional<Duration> ThinLinkFleet::lastHad(std::uint64_t version) const
+{
+    Duration longest {};
+    for (const Balancer& balancer : balancers_) {
+        const auto newer = balancer.had.lower_bound(version);
+        if (newer == balancer.had.end())
+            return std::nullopt;
+        TimePoint first = TimePoint::max();
+        for (auto row = newer; row != balancer.had.end(); ++row)
+            first = std::min(first, row->second);
+        longest = std::max(longest, first - writtenAt_.at(version));
+    }
+    return longest;
+}
+
+std::size_t ThinLinkFleet::informed() const
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(balancers_, [](const Balancer& balancer) { return balancer.version > 0; }));
+}
+
+std::uint64_t ThinLinkFleet::takeMostPeerBytes()
+{
+    std::uint64_t most = 0;
+    for (Balancer& balancer : balancers_)
+        most = std::max(most, std::exchange(balancer.peerBytes, 0));
+    return most;
+}
+
+void ThinLinkFleet::advance(Duration time)
+{
+    const TimePoint end = clock_.now() + time;
+    while (clock_.now() < end)
+        step();
+}
+
+void ThinLinkFleet::step()
+{
+    clock_.advance(stepTime);
+    moveBytes();
+    deliverDatagrams();
+    answerWatches();
+    for (std::size_t i = 0; i < balancers_.size(); ++i) {
+        if (clock_.now() < balancers_[i].nextBeat)
+            continue;
+        balancers_[i].nextBeat += beatPeriod;
+        beat(i);
+    }
+}
+
+// Each transfer gets an equal part of its sender's link and of its receiver's, whichever is less.
+void ThinLinkFleet::moveBytes()
+{
+    const double seconds = std::chrono::duration<double>(stepTime).count();
+    std::vector<double> sending(balancers_.size());
+    std::vector<double> receiving(balancers_.size());
+    double fromStore = 0;
+    for (const Transfer& transfer : transfers_) {
+        ++(transfer.from ? sending[*transfer.from] : fromStore);
+        ++receiving[transfer.to];
+    }
+    for (Balancer& balancer : balancers_)
+        balancer.datagramBytes = std::max(0.0, balancer.datagramBytes - balancer.bytesPerSecond * seconds);
+    std::vector<Transfer> arrived;
+    for (Transfer& transfer : transfers_) {
+        Balancer& receiver = balancers_[transfer.to];
+        double rate = receiver.bytesPerSecond / receiving[transfer.to];
+        if (transfer.from)
+            rate = std::min(rate, balancers_[*transfer.from].bytesPerSecond / sending[*transfer.from]);
+        else
+            rate = std::min(rate, storeBytesPerSecond / fromStore);
+        const double moved = std::min(transfer.bytesLeft, rate * seconds);
+        transfer.bytesLeft -= moved;
+        transfer.hasMoved = true;
+        if (transfer.from) {
+            receiver.peerBytes += static_cast<std::uint64_t>(moved);
+            balancers_[*transfer.from].peerBytes += static_cast<std::uint64_t>(moved);
+        }
+    }
+    std::erase_if(transfers_, [&](Transfer& transfer) {
+        const bool isOver = transfer.bytesLeft <= 0;
+        if (isOver)
+            arrived.push_back(std::move(transfer));
+        return isOver;
+    });
+    for (Transfer& transfer : arrived)
+        deliver(std::move(transfer));
+}
+
+void ThinLinkFleet::deliver(Transfer transfer)
+{
+    Balancer& balancer = balancers_[transfer.to];
+    if (transfer.life != balancer.life)
+        return;
+    if (transfer.page)
+        perform(transfer.to, balancer.feed->handlePage(*transfer.page, clock_.now()));
+    else if (transfer.changes)
+        perform(transfer.to, balancer.feed->handleChanges(transfer.watchNumber, *transfer.changes, clock_.now()));
+    else
+        perform(transfer.to,
+            balancer.exchange->handleAnswer(balancers_[*transfer.from].member.name, *transfer.delta, clock_.now()));
+}
+
+void ThinLinkFleet::deliverDatagrams()
+{
+    std::vector<Datagram> due;
+    std::erase_if(datagrams_, [&](Datagram& datagram) {
+        const bool isDue = datagram.at <= clock_.now();
+        if (isDue)
+            due.push_back(std::move(datagram));
+        return isDue;
+    });
+    for (const Datagram& datagram : due) {
+        const BalancerId sender = balancers_[datagram.from].member.id;
+        perform(datagram.to, balancers_[datagram.to].exchange->handlePush(sender, datagram.delta, clock_.now()));
+    }
+}
+
+void ThinLinkFleet::answerWatches()
+{
+    std::vector<Watch> waiting = std::exchange(watches_, {});
+    for (Watch& watch : waiting) {
+        if (watch.life != balancers_[watch.balancer].life)
+            continue;
+        PlatformChanges changes { {}, revision_ };
+        for (const auto& [key, item] : items_) {
+            if (item.revision > watch.call.call.revision)
+                changes.items.push_back(item);
+        }
+        if (changes.items.empty() && clock_.now() < watch.until) {
+            watches_.push_back(std::move(watch));
+            continue;
+        }
+        Transfer transfer;
+        transfer.to = watch.balancer;
+        transfer.life = watch.life;
+        transfer.bytesLeft = sizeOf(changes.items);
+        transfer.watchNumber = watch.call.number;
+        transfer.changes = std::move(changes);
+        transfers_.push_back(std::move(transfer));
+    }
+}
+
+// What the daemon does at each beat.
+void ThinLinkFleet::beat(std::size_t index)
+{
+    Balancer& balancer = balancers_[index];
+    const TimePoint now = clock_.now();
+    const auto view = viewOf(index);
+    perform(index, balancer.exchange->handleView(view, now));
+    for (Transfer& transfer : transfers_) {
+        if (transfer.to == index && transfer.isFetch && std::exchange(transfer.hasMoved, false))
+            balancer.exchange->noteAnswering(now);
+    }
+    perform(index, balancer.exchange->tick(now));
+    const bool shallWatch = shallWatchConfiguration(*view, watcherNumbers);
+    balancer.exchange->setRole(shallWatch, balancer.feed->isLost());
+    perform(index,
+        balancer.feed->update(
+            balancer.exchange->book().completeTo(), shallWatch, balancer.exchange->behindSince(), now));
+    perform(index, balancer.feed->tick(now));
+}
+
+std::shared_ptr<const MembersView> ThinLinkFleet::viewOf(std::size_t index) const
+{
+    auto view = std::make_shared<MembersView>();
+    view->self = balancers_[index].member.id;
+    view->members.reserve(balancers_.size());
+    for (const Balancer& balancer : balancers_) {
+        view->members.push_back(balancer.member);
+        view->members.back().configurationVersion = balancer.exchange->book().completeTo();
+    }
+    std::ranges::sort(view->members, {}, &Member::id);
+    return view;
+}
+
+std::size_t ThinLinkFleet::indexOf(BalancerId id) const
+{
+    const auto found = std::ranges::find(balancers_, id, [](const Balancer& balancer) { return balancer.member.id; });
+    return static_cast<std::size_t>(found - balancers_.begin());
+}
+
+void ThinLinkFleet::perform(std::size_t index, const StoreFeedActions& actions)
+{
+    Balancer& balancer = balancers_[index];
+    for (const StoreFeedAction& action : actions) {
+        if (const auto* news = std::get_if<StoreNews>(&action)) {
+            perform(index, balancer.exchange->handleStore(news->delta, clock_.now()));
+        } else if (std::holds_alternative<SendList>(action)) {
+            Transfer transfer;
+            transfer.to = index;
+            transfer.life = balancer.life;
+            transfer.page = PlatformPage { {}, false, revision_ };
+            for (const auto& [key, item] : items_)
+                transfer.page->items.push_back(item);
+            transfer.bytesLeft = sizeOf(transfer.page->items);
+            transfers_.push_back(std::move(transfer));
+        } else if (const auto* watch = std::get_if<SendWatch>(&action)) {
+            watches_.push_back({ index, balancer.life, *watch, clock_.now() + watch->call.wait });
+        }
+    }
+}
+
+void ThinLinkFleet::perform(std::size_t index, const NewsActions& actions)
+{
+    Balancer& balancer = balancers_[index];
+    for (const NewsAction& action : actions) {
+        if (const auto* changed = std::get_if<NewsChanged>(&action)) {
+            apply(index, *changed);
+        } else if (const auto* push = std::get_if<PushNews>(&action)) {
+            const double bytes = datagramOverhead + static_cast<double>(encodeMessage(push->delta).size());
+            const std::size_t to = push->to.address - 1;
+            balancer.datagramBytes += bytes;
+            balancer.peerBytes += static_cast<std::uint64_t>(bytes);
+            balancers_[to].peerBytes += static_cast<std::uint64_t>(bytes);
+            const auto onLink = std::chrono::duration<double>(balancer.datagramBytes / balancer.bytesPerSecond);
+            const TimePoint at = clock_.now() + messageTime + std::chrono::duration_cast<Duration>(onLink);
+            datagrams_.push_back({ at, index, to, push->delta });
+        } else {
+            const auto& fetch = std::get<FetchNews>(action);
+            // The daemon has one fetch at a time: a new one ends the former.
+            std::erase_if(
+                transfers_, [&](const Transfer& transfer) { return transfer.isFetch && transfer.to == index; });
+            Transfer transfer;
+            transfer.from = indexOf(fetch.from);
+            transfer.to = index;
+            transfer.life = balancer.life;
+            transfer.isFetch = true;
+            transfer.delta = balancers_[*transfer.from].exchange->book().since(fetch.after, clock_.now());
+            transfer.bytesLeft = answerOverhead + static_cast<double>(encodeMessage(*transfer.delta).size());
+            transfers_.push_back(std::move(transfer));
+        }
+    }
+}
+
+void ThinLinkFleet::apply(std::size_t index, const NewsChanged& news)
+{
+    Balancer& balancer = balancers_[index];
+    for (const NewsItem& item : news.items) {
+        if (item.key != configurationKey)
+            continue;
+        const Result<std::string> text = valueOf(item);
+        constexpr std::size_t beforeNumber = std::string_view(R"({"version":)").size();
+        const std::uint64_t version = text ? std::stoull(text.value().substr(beforeNumber, 20)) : 0;
+        const auto written = texts_.find(version);
+        if (written == texts_.end() || written->second != text.value()) {
+            ++wrongTexts_;
+            continue;
+        }
+        balancer.version = version;
+        balancer.had.emplace(version, clock_.now());
+    }
+}
+
+}
