Forwarder: Don't count a news request that was replaced as one that failed

Cause: to replace the client of a request that is given up ends that request inside fetch(). Its end was handled as a failed answer, which asked once more from there and threw away the new client; both requests then went to one balancer over one connection. Each further one that was given up doubled them. The other client that is replaced (PeerConfiguration) never is while it has a request open.

--- a/Source/Forwarder/PeerNews.cpp
+++ b/Source/Forwarder/PeerNews.cpp
@@ -296,6 +296,10 @@
 void PeerNews::handleFetched(const std::string& source, const HttpOutcome& outcome)
 {
     const TimePoint now = Clock::now();
+    // A request that was replaced ends while its client does, in the middle of fetch(). It must not count as one that
+    // failed: that asked once more from there, and each answer given up doubled the requests.
+    if (!outcome && outcome.error().kind == HttpFailureKind::Cancelled)
+        return;
     const bool isAnswer = outcome && outcome.value().status == 200;
     if (!isAnswer) {
         metrics_.countFetch("no_answer");
