News: Send what changed of a large value instead of the value

Cause: a configuration was one value, so a change of one route went whole to each balancer of a zone, over the link of the one that had it. Class: cost that grows with the whole and with the zone instead of the change. Change: who reads a large value from the store makes a patch against the one that it held (zstd, former value as dictionary, with a checksum) and pushes it as any small news; the last 16 patches are kept and passed on to whoever asks and holds an earlier version. A patch of a value that is not here completes nothing, and the next request asks for whole values. Balancers of an earlier version get whole values as before.

--- a/Benchmarks/ConfigurationSpreadBenchmark.cpp
+++ b/Benchmarks/ConfigurationSpreadBenchmark.cpp
@@ -77,6 +77,28 @@
             table.replace(configuration);
     }
 
+    // The watcher's work for a change of one route, and a receiver's.
+    void makePatch(benchmark::State& state)
+    {
+        const NewsItem former = itemOf(7, static_cast<std::size_t>(state.range(0)));
+        const NewsItem item = itemOf(8, static_cast<std::size_t>(state.range(0)));
+        std::size_t bytes = 0;
+        for (auto _ : state)
+            bytes = patchBytes(former.value, item.value)->size();
+        state.counters["bytes"] = static_cast<double>(bytes);
+    }
+
+    void usePatch(benchmark::State& state)
+    {
+        const NewsItem former = itemOf(7, static_cast<std::size_t>(state.range(0)));
+        const NewsItem item = itemOf(8, static_cast<std::size_t>(state.range(0)));
+        const ValuePatch patch { item.key, 7, 8, *patchBytes(former.value, item.value) };
+        for (auto _ : state)
+            benchmark::DoNotOptimize(applyPatch(former.value, patch));
+    }
+
+    BENCHMARK(makePatch)->Arg(100)->Arg(1400)->Arg(10000)->Unit(benchmark::kMicrosecond);
+    BENCHMARK(usePatch)->Arg(100)->Arg(1400)->Arg(10000)->Unit(benchmark::kMicrosecond);
     BENCHMARK(readAnswerOfTheStore)->Arg(100)->Arg(1400)->Arg(10000)->Unit(benchmark::kMicrosecond);
     BENCHMARK(packForOthers)->Arg(100)->Arg(1400)->Arg(10000)->Unit(benchmark::kMicrosecond);
     BENCHMARK(unpack)->Arg(100)->Arg(1400)->Arg(10000)->Unit(benchmark::kMicrosecond);
--- a/Source/Forwarder/PeerNews.cpp
+++ b/Source/Forwarder/PeerNews.cpp
@@ -15,6 +15,8 @@
 
     // A request for news is this path and the revision after which it is wanted.
     constexpr std::string_view newsPath = "/news/";
+    // Who sends it takes patches of large values; a balancer of an earlier version neither sends it nor looks at it.
+    constexpr const char* takesPatchesHeader = "wisteriadock-takes-patches";
     constexpr std::chrono::milliseconds connectWithin { 800 };
     // The longest that an answer may take, however steadily its bytes come. NewsExchange gives up a silent one sooner.
     constexpr std::chrono::milliseconds fetchWithin { 4000 };
@@ -194,7 +196,9 @@
         exchange->respond(std::move(response));
         return;
     }
-    const std::vector<std::uint8_t> body = encodeMessage(exchange_.book().since(after, Clock::now()));
+    const auto form
+        = exchange->request().header(takesPatchesHeader).empty() ? NewsBook::Form::Whole : NewsBook::Form::Patched;
+    const std::vector<std::uint8_t> body = encodeMessage(exchange_.book().since(after, Clock::now(), form));
     response.body.assign(body.begin(), body.end());
     exchange->respond(std::move(response));
 }
@@ -289,6 +293,8 @@
     HttpRequest request;
     request.path = fmt::format("{}{}", newsPath, fetch.after);
     request.authority = fetch.address.toString();
+    if (fetch.form == NewsBook::Form::Patched)
+        request.headers.push_back({ takesPatchesHeader, "1" });
     fetcher_->send(std::move(request), now + fetchWithin,
         [this, source](const HttpOutcome& outcome) { handleFetched(source, outcome); });
 }
@@ -328,7 +334,8 @@
             .add("after_ms", now - fetchSentAt_)
             .add("bytes", std::uint64_t(body.size()))
             .add("items", std::uint64_t(delta.value().items.size()))
-            .add("from", delta.value().from)
+            .add("patches", std::uint64_t(delta.value().patches.size()))
+            .add("from", delta.value().completeFrom())
             .add("to", delta.value().to)
             .add("whole", boolName(delta.value().isWhole)),
         now);
--- a/Source/News/NewsBook.cpp
+++ b/Source/News/NewsBook.cpp
@@ -1,9 +1,12 @@
 #include "News/NewsBook.h"
 
+#include "News/PackedValue.h"
+
 #include <absl/container/flat_hash_set.h>
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 namespace wisteriadock {
 
@@ -15,68 +18,185 @@
     // Ages above it, of some weeks, are told as this one.
     constexpr std::chrono::milliseconds longestAge { std::numeric_limits<std::uint32_t>::max() };
 
+    // Who missed more versions than so many gets the whole value. The users write configurations in series of about ten
+    // within a few seconds, and hardly ever more often.
+    constexpr std::size_t mostPatches = 16;
+
     std::uint32_t millisecondsBetween(TimePoint then, TimePoint now)
     {
         const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - then);
         return static_cast<std::uint32_t>(std::clamp(age, std::chrono::milliseconds(0), longestAge).count());
     }
 
+    // The value unpacked, if it can be; otherwise as it came, for its reader to refuse.
+    NewsItem unpacked(const NewsItem& item)
+    {
+        NewsItem plain = item;
+        if (!item.isPacked)
+            return plain;
+        if (Result<std::string> value = valueOf(item)) {
+            plain.value = std::move(value).value();
+            plain.isPacked = false;
+        }
+        return plain;
+    }
+
 }
 
 NewsBook::Changed NewsBook::merge(const NewsDelta& delta, TimePoint now)
+{
+    return mergeAll(delta, now, PatchMaking::No);
+}
+
+NewsBook::Changed NewsBook::mergeFromStore(const NewsDelta& delta, TimePoint now)
+{
+    return mergeAll(delta, now, PatchMaking::Yes);
+}
+
+NewsBook::Changed NewsBook::mergeAll(const NewsDelta& delta, TimePoint now, PatchMaking making)
 {
     Changed changed;
+    lacksPatchedValue_ = false;
     // A whole book that is older than this one would take this balancer back.
     if (delta.isWhole && delta.to < completeTo_)
         return changed;
-    const bool isComplete = follows(delta);
-    if (delta.isWhole) {
-        absl::flat_hash_set<std::string> named;
-        for (const NewsItem& item : delta.items)
-            named.insert(item.key);
-        for (auto& [key, row] : rows_) {
-            const bool hasVanished = !row.item.isRemoved && row.item.revision <= delta.to && !named.contains(key);
-            if (!hasVanished)
-                continue;
-            row = { { key, {}, delta.to, true }, now };
-            changed.push_back(row.item);
-        }
-    }
+    if (delta.isWhole)
+        removeUnnamed(delta, now, changed);
     for (const NewsItem& item : delta.items) {
-        if (mergeItem(item, now))
-            changed.push_back(item);
+        if (mergeItem(item, now, making))
+            changed.push_back(rows_.at(item.key).item);
     }
-    if (isComplete)
+    for (const ValuePatch& patch : delta.patches)
+        lacksPatchedValue_ |= !mergePatch(patch, now, changed);
+    const bool follows = delta.isWhole || delta.completeFrom() <= completeTo_;
+    if (follows && !lacksPatchedValue_)
         completeTo_ = std::max(completeTo_, delta.to);
     // Receivers act in the order in which the store made the changes.
     std::ranges::stable_sort(changed, {}, &NewsItem::revision);
     return changed;
 }
 
-bool NewsBook::mergeItem(const NewsItem& item, TimePoint now)
+void NewsBook::removeUnnamed(const NewsDelta& delta, TimePoint now, Changed& changed)
+{
+    absl::flat_hash_set<std::string> named;
+    for (const NewsItem& item : delta.items)
+        named.insert(item.key);
+    for (auto& [key, row] : rows_) {
+        const bool hasVanished = !row.item.isRemoved && row.item.revision <= delta.to && !named.contains(key);
+        if (!hasVanished)
+            continue;
+        row = { { key, {}, delta.to, true }, now };
+        changed.push_back(row.item);
+    }
+}
+
+bool NewsBook::mergeItem(const NewsItem& item, TimePoint now, PatchMaking making)
 {
     const auto [entry, isNew] = rows_.try_emplace(item.key);
     Row& row = entry->second;
     if (!isNew && item.revision <= row.item.revision)
         return false;
     const bool wasKnown = !isNew && !row.item.isRemoved;
-    row = { item, now - std::chrono::milliseconds(item.ageMilliseconds) };
+    Row former = std::exchange(row, { unpacked(item), now - std::chrono::milliseconds(item.ageMilliseconds) });
+    row.travelsPacked = item.isPacked && !row.item.isPacked;
+    if (row.travelsPacked)
+        row.packed = item;
+    if (making == PatchMaking::Yes && wasKnown && row.travelsPacked && former.travelsPacked) {
+        row.patches = std::move(former.patches);
+        if (auto bytes = patchBytes(former.item.value, row.item.value))
+            addPatch(row, { item.key, former.item.revision, item.revision, std::move(*bytes) });
+        else
+            row.patches.clear();
+    }
     return wasKnown || !item.isRemoved;
 }
 
-NewsDelta NewsBook::since(std::uint64_t revision, TimePoint now) const
+// False when the value that the patch changes is not here, so that something remains missing.
+bool NewsBook::mergePatch(const ValuePatch& patch, TimePoint now, Changed& changed)
+{
+    const auto found = rows_.find(patch.key);
+    if (found == rows_.end())
+        return false;
+    Row& row = found->second;
+    if (row.item.revision >= patch.revision)
+        return true;
+    if (row.item.revision != patch.base || row.item.isRemoved)
+        return false;
+    Result<std::string> value = applyPatch(row.item.value, patch);
+    if (!value)
+        return false;
+    row.item.value = std::move(value).value();
+    row.item.revision = patch.revision;
+    row.item.ageMilliseconds = patch.ageMilliseconds;
+    row.at = now - std::chrono::milliseconds(patch.ageMilliseconds);
+    row.travelsPacked = true;
+    row.packed = {};
+    addPatch(row, patch);
+    // Of several patches in a row only what comes out in the end is news.
+    std::erase_if(changed, [&](const NewsItem& item) { return item.key == patch.key; });
+    changed.push_back(row.item);
+    return true;
+}
+
+void NewsBook::addPatch(Row& row, ValuePatch patch)
+{
+    if (row.patches.size() >= mostPatches)
+        row.patches.erase(row.patches.begin());
+    row.patches.push_back(std::move(patch));
+}
+
+const ValuePatch* NewsBook::patchTo(const std::string& key, std::uint64_t revision) const
+{
+    const auto found = rows_.find(key);
+    if (found == rows_.end() || found->second.patches.empty())
+        return nullptr;
+    const ValuePatch& last = found->second.patches.back();
+    return last.revision == revision ? &last : nullptr;
+}
+
+const NewsItem& NewsBook::travellingItem(const Row& row)
+{
+    if (!row.travelsPacked)
+        return row.item;
+    if (row.packed.revision != row.item.revision) {
+        row.packed = row.item;
+        packValue(row.packed);
+    }
+    return row.packed;
+}
+
+// Adds the patches from the value that was in force at the revision, if they are all here. Who is complete up to there
+// holds that value, or a newer one, which the patches also lead on from.
+bool NewsBook::addPatches(const Row& row, std::uint64_t revision, TimePoint now, NewsDelta& delta)
+{
+    const auto first = std::ranges::find_if(
+        row.patches, [&](const ValuePatch& patch) { return patch.base <= revision && patch.revision > revision; });
+    if (first == row.patches.end())
+        return false;
+    for (auto patch = first; patch != row.patches.end(); ++patch) {
+        delta.patches.push_back(*patch);
+        delta.patches.back().ageMilliseconds = millisecondsBetween(row.at, now);
+    }
+    return true;
+}
+
+NewsDelta NewsBook::since(std::uint64_t revision, TimePoint now, Form form) const
 {
     NewsDelta delta;
     delta.isWhole = revision == 0 || revision < forgottenTo_;
     delta.from = delta.isWhole ? 0 : revision;
     delta.to = completeTo_;
+    delta.patchedFrom = delta.from;
     for (const auto& [key, row] : rows_) {
         const bool isWanted = delta.isWhole ? !row.item.isRemoved : row.item.revision > revision;
         if (!isWanted)
             continue;
-        delta.items.push_back(row.item);
+        if (form == Form::Patched && !delta.isWhole && addPatches(row, revision, now, delta))
+            continue;
+        delta.items.push_back(travellingItem(row));
         delta.items.back().ageMilliseconds = millisecondsBetween(row.at, now);
     }
+    std::ranges::sort(delta.patches, {}, &ValuePatch::revision);
     return delta;
 }
 
--- a/Source/News/NewsBook.h
+++ b/Source/News/NewsBook.h
@@ -16,18 +16,31 @@
 // The keys of the platform's service that a balancer cares about, each at its newest revision, whoever told of it.
 // Revisions come from one counter of the service, so news from the store and from any other balancer can be merged in
 // any order and as often as it comes, and nothing ever goes back.
+//
+// Of a large value the book also keeps the last patches that led to it, so that a change of it costs others about what
+// changed, and not the whole value.
 class NewsBook {
 public:
-    // What became new by an update.
+    // What became new by an update; each key once, large values unpacked.
     using Changed = std::vector<NewsItem>;
 
+    // What the receiver of a delta can make use of.
+    enum class Form {
+        Whole, // Large values as they are.
+        Patched, // Patches of large values that it holds at an earlier revision.
+    };
+
     // Merges what the sender knows. Items count also when something before them is missing; completeTo() then stays.
     Changed merge(const NewsDelta&, TimePoint now);
-    // Whether the book would be complete after this delta.
-    bool follows(const NewsDelta& delta) const { return delta.isWhole || delta.from <= completeTo_; }
+    // The same for news of the store itself, which always holds whole values: makes the patches for others.
+    Changed mergeFromStore(const NewsDelta&, TimePoint now);
+    // Whether the last merge had a patch for a value that this book does not hold.
+    bool lacksPatchedValue() const { return lacksPatchedValue_; }
 
     // Everything after a revision; the whole book when removals of that time are forgotten already.
-    NewsDelta since(std::uint64_t revision, TimePoint now) const;
+    NewsDelta since(std::uint64_t revision, TimePoint now, Form = Form::Whole) const;
+    // The patch that made the key's value what it is at this revision; null when there is none.
+    const ValuePatch* patchTo(const std::string& key, std::uint64_t revision) const;
     // The book has all changes up to this revision; 0 before the first listing.
     std::uint64_t completeTo() const { return completeTo_; }
 
@@ -36,17 +49,31 @@
 
 private:
     struct Row {
+        // A value that came packed is held unpacked.
         NewsItem item;
         // When a balancer had it from the store, as far as this one knows.
         TimePoint at;
+        // The patches that led to the value, one behind the other; the last one to its revision.
+        std::vector<ValuePatch> patches {};
+        // The value travels packed. Packing it waits until somebody asks for it whole.
+        bool travelsPacked = false;
+        mutable NewsItem packed {};
     };
+    enum class PatchMaking { No, Yes };
 
-    bool mergeItem(const NewsItem&, TimePoint now);
+    Changed mergeAll(const NewsDelta&, TimePoint now, PatchMaking);
+    void removeUnnamed(const NewsDelta&, TimePoint now, Changed&);
+    bool mergeItem(const NewsItem&, TimePoint now, PatchMaking);
+    bool mergePatch(const ValuePatch&, TimePoint now, Changed&);
+    static void addPatch(Row&, ValuePatch);
+    static const NewsItem& travellingItem(const Row&);
+    static bool addPatches(const Row&, std::uint64_t revision, TimePoint now, NewsDelta&);
 
     absl::flat_hash_map<std::string, Row> rows_;
     std::uint64_t completeTo_ = 0;
     // The highest revision of a removal that was forgotten.
     std::uint64_t forgottenTo_ = 0;
+    bool lacksPatchedValue_ = false;
 };
 
 }
--- a/Source/News/NewsExchange.cpp
+++ b/Source/News/NewsExchange.cpp
@@ -19,41 +19,76 @@
     {
         NewsDelta piece;
         piece.from = from;
+        piece.patchedFrom = from;
         piece.isInDoubt = delta.isInDoubt;
         piece.isFresh = delta.isFresh;
         return piece;
     }
 
-    // The delta in pieces of so many bytes at most, each complete for a receiver that has all before it. An item that
-    // is too large for a piece is left out, so that the piece behind it follows for nobody who lacks the item.
-    std::vector<NewsDelta> piecesOf(const NewsDelta& delta, std::size_t most)
+    // A part of a delta that travels in one datagram: an item, or the patch that stands for it.
+    struct Part {
+        std::uint64_t revision = 0;
+        std::size_t size = 0;
+        const NewsItem* item = nullptr;
+        const ValuePatch* patch = nullptr;
+    };
+
+    Part partOf(const NewsItem& item, const NewsBook& book, std::size_t most)
+    {
+        Part part { item.revision, sizeOf(item), &item, nullptr };
+        const ValuePatch* patch = deltaOverhead + part.size > most ? book.patchTo(item.key, item.revision) : nullptr;
+        if (patch) {
+            part.patch = patch;
+            part.size = item.key.size() + patch->bytes.size() + itemOverhead;
+        }
+        return part;
+    }
+
+    std::vector<Part> partsOf(const NewsDelta& delta, const NewsBook& book, std::size_t most)
     {
-        std::vector<const NewsItem*> items;
+        std::vector<Part> parts;
         for (const NewsItem& item : delta.items)
-            items.push_back(&item);
-        std::ranges::sort(items, {}, &NewsItem::revision);
+            parts.push_back(partOf(item, book, most));
+        std::ranges::sort(parts, {}, &Part::revision);
+        return parts;
+    }
+
+    // The delta in pieces of so many bytes at most, each complete for a receiver that has all before it. A large item
+    // goes as the patch that made it, and is left out where that is too large as well, so that the piece behind it
+    // follows for nobody who lacks the item.
+    std::vector<NewsDelta> piecesOf(const NewsDelta& delta, const NewsBook& book, std::size_t most)
+    {
         std::vector<NewsDelta> pieces;
         NewsDelta piece = emptyLike(delta, delta.from);
         std::size_t size = deltaOverhead;
+        std::optional<std::uint64_t> last;
         const auto close = [&](std::uint64_t to, std::uint64_t next) {
             piece.to = to;
             pieces.push_back(std::exchange(piece, emptyLike(delta, next)));
             size = deltaOverhead;
+            last.reset();
         };
-        for (const NewsItem* item : items) {
-            const bool isTooLarge = deltaOverhead + sizeOf(*item) > most;
-            const bool isFull = size + sizeOf(*item) > most;
-            if (!piece.items.empty() && (isTooLarge || isFull)) {
+        for (const Part& part : partsOf(delta, book, most)) {
+            const bool isTooLarge = deltaOverhead + part.size > most;
+            const bool isFull = size + part.size > most;
+            if (last && (isTooLarge || isFull)) {
                 // Half of a revision is not complete up to it, so what is behind such a split follows for nobody.
-                const bool splitsRevision = piece.items.back().revision == item->revision;
-                close(item->revision - 1, splitsRevision ? item->revision : item->revision - 1);
+                const bool splitsRevision = *last == part.revision;
+                close(part.revision - 1, splitsRevision ? part.revision : part.revision - 1);
             }
+            // A receiver that knows no patches lacks the item.
+            if (isTooLarge || part.patch)
+                piece.from = std::max(piece.from, part.revision);
             if (isTooLarge) {
-                piece.from = std::max(piece.from, item->revision);
+                piece.patchedFrom = piece.from;
                 continue;
             }
-            size += sizeOf(*item);
-            piece.items.push_back(*item);
+            size += part.size;
+            last = part.revision;
+            if (part.patch)
+                piece.patches.push_back(*part.patch);
+            else
+                piece.items.push_back(*part.item);
         }
         close(delta.to, delta.to);
         return pieces;
@@ -70,7 +105,7 @@
 
 NewsActions NewsExchange::handleStore(const NewsDelta& delta, TimePoint now)
 {
-    NewsActions actions = merge("store", delta, now);
+    NewsActions actions = report("store", delta, book_.mergeFromStore(delta, now), now);
     if (delta.isFresh)
         storeHeardAt_ = now;
     const bool isConfirmation = delta.isFresh && delta.items.empty() && delta.from == delta.to;
@@ -86,7 +121,7 @@
     if (delta.isFresh)
         storeHeardAt_ = now;
     const Member* member = view_ ? view_->find(sender) : nullptr;
-    NewsActions actions = merge(member ? member->name : "unknown", delta, now);
+    NewsActions actions = report(member ? member->name : "unknown", delta, book_.merge(delta, now), now);
     review(now, actions);
     return actions;
 }
@@ -99,7 +134,10 @@
     const auto onItsWay = std::chrono::duration_cast<std::chrono::milliseconds>(now - fetchedAt_);
     for (NewsItem& item : aged.items)
         item.ageMilliseconds += static_cast<std::uint32_t>(onItsWay.count());
-    NewsActions actions = merge(sender, aged, now);
+    for (ValuePatch& patch : aged.patches)
+        patch.ageMilliseconds += static_cast<std::uint32_t>(onItsWay.count());
+    NewsActions actions = report(sender, aged, book_.merge(aged, now), now);
+    fetchForm_ = book_.lacksPatchedValue() ? NewsBook::Form::Whole : NewsBook::Form::Patched;
     if (!actions.empty())
         isWatcher_ ? push(aged, actions) : announce(actions);
     review(now, actions);
@@ -154,10 +192,10 @@
     return std::nullopt;
 }
 
-NewsActions NewsExchange::merge(const std::string& source, const NewsDelta& delta, TimePoint now)
+NewsActions NewsExchange::report(
+    const std::string& source, const NewsDelta& delta, NewsBook::Changed changed, TimePoint now) const
 {
     NewsActions actions;
-    NewsBook::Changed changed = book_.merge(delta, now);
     if (!changed.empty())
         actions.emplace_back(NewsChanged { std::move(changed), delta.isInDoubt, source,
             behindSince_ ? now - *behindSince_ : Duration::zero(), book_.completeTo() });
@@ -172,7 +210,7 @@
     if (!view_ || delta.isWhole)
         return;
     const std::vector<const Member*> others = othersInZone();
-    std::vector<NewsDelta> pieces = piecesOf(delta, settings_.pushBytes);
+    std::vector<NewsDelta> pieces = piecesOf(delta, book_, settings_.pushBytes);
     // What is left of so much news is fetched.
     if (pieces.size() * others.size() > settings_.mostPushes)
         pieces = { NewsDelta { delta.to, delta.to, false, delta.isInDoubt, {}, delta.isFresh } };
@@ -226,7 +264,7 @@
     fetchUntil_ = now + settings_.answerWithin;
     fetchedAt_ = now;
     lastSource_ = source->id;
-    actions.emplace_back(FetchNews { source->id, source->requestAddress, book_.completeTo() });
+    actions.emplace_back(FetchNews { source->id, source->requestAddress, book_.completeTo(), fetchForm_ });
 }
 
 Duration NewsExchange::patienceFor(bool hasNearSource) const
--- a/Source/News/NewsExchange.h
+++ b/Source/News/NewsExchange.h
@@ -55,6 +55,8 @@
     BalancerId from;
     Endpoint address;
     std::uint64_t after = 0;
+    // What the answer may hold.
+    NewsBook::Form form = NewsBook::Form::Whole;
 };
 
 // Something became new: the rest of the process shall act on it.
@@ -103,7 +105,7 @@
     std::uint64_t newestElsewhere() const;
 
 private:
-    NewsActions merge(const std::string& source, const NewsDelta&, TimePoint now);
+    NewsActions report(const std::string& source, const NewsDelta&, NewsBook::Changed, TimePoint now) const;
     void push(const NewsDelta&, NewsActions&) const;
     void announce(NewsActions&);
     Duration patienceFor(bool hasNearSource) const;
@@ -127,6 +129,8 @@
     std::optional<TimePoint> fetchUntil_;
     TimePoint fetchedAt_;
     std::optional<BalancerId> lastSource_;
+    // Whole after an answer whose patches were for a value that this balancer does not hold.
+    NewsBook::Form fetchForm_ = NewsBook::Form::Patched;
     bool isWatcher_ = false;
     bool isStoreLost_ = false;
     // This balancer's own part of NewsSettings::spread, drawn anew for each wait.
--- a/Source/News/NewsMessages.h
+++ b/Source/News/NewsMessages.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "News/ValuePatch.h"
+
 #include <msgpack.hpp>
 
 #include <cstddef>
@@ -37,8 +39,14 @@
     std::vector<NewsItem> items;
     // The store itself said this just now, and has been in contact for longer than vanished entries take to come back.
     bool isFresh = false;
+    // Changes of large values, in the order of their revisions. With them the delta is complete for a receiver that has
+    // everything up to patchedFrom and can apply them all; `from` says what holds for one that does not know patches.
+    std::vector<ValuePatch> patches {};
+    std::uint64_t patchedFrom = 0;
+
+    std::uint64_t completeFrom() const { return patches.empty() ? from : patchedFrom; }
 
-    MSGPACK_DEFINE_ARRAY(from, to, isWhole, isInDoubt, items, isFresh);
+    MSGPACK_DEFINE_ARRAY(from, to, isWhole, isInDoubt, items, isFresh, patches, patchedFrom);
 };
 
 // The largest answer to a request for news: a large directory and a large configuration.
--- /dev/null
+++ b/Source/News/ValuePatch.cpp
@@ -0,0 +1,83 @@
+#include "News/ValuePatch.h"
+
+#include "News/NewsMessages.h"
+
+#include <fmt/format.h>
+#include <zstd.h>
+
+#include <algorithm>
+#include <bit>
+#include <memory>
+
+namespace wisteriadock {
+
+namespace {
+
+    // As for packing whole values. Nearly all of a value is found in the former one at any level.
+    constexpr int patchingLevel = 1;
+    // Powers of two; the library's decoder takes no larger window unless asked to.
+    constexpr int smallestWindow = 10;
+    constexpr int largestWindow = 27;
+
+    struct FreeCompressor {
+        void operator()(ZSTD_CCtx* context) const { ZSTD_freeCCtx(context); }
+    };
+    struct FreeDecompressor {
+        void operator()(ZSTD_DCtx* context) const { ZSTD_freeDCtx(context); }
+    };
+
+    Error patchError(const ValuePatch& patch, const char* cause)
+    {
+        return { ErrorCode::InvalidArgument,
+            fmt::format("patch of key '{}' from revision {} to {}, {} bytes: {}", patch.key, patch.base, patch.revision,
+                patch.bytes.size(), cause) };
+    }
+
+    // Both values must lie in the window, or what is far back in the former one is not found.
+    int windowFor(std::size_t bytes)
+    {
+        return std::clamp(static_cast<int>(std::bit_width(bytes)), smallestWindow, largestWindow);
+    }
+
+}
+
+std::optional<std::string> patchBytes(const std::string& former, const std::string& value)
+{
+    const std::unique_ptr<ZSTD_CCtx, FreeCompressor> context(ZSTD_createCCtx());
+    if (!context)
+        return std::nullopt;
+    ZSTD_CCtx_setParameter(context.get(), ZSTD_c_compressionLevel, patchingLevel);
+    ZSTD_CCtx_setParameter(context.get(), ZSTD_c_windowLog, windowFor(former.size() + value.size()));
+    ZSTD_CCtx_setParameter(context.get(), ZSTD_c_enableLongDistanceMatching, 1);
+    ZSTD_CCtx_setParameter(context.get(), ZSTD_c_checksumFlag, 1);
+    ZSTD_CCtx_refPrefix(context.get(), former.data(), former.size());
+    std::string bytes(ZSTD_compressBound(value.size()), '\0');
+    const std::size_t size = ZSTD_compress2(context.get(), bytes.data(), bytes.size(), value.data(), value.size());
+    if (ZSTD_isError(size) || size > value.size() / 2)
+        return std::nullopt;
+    bytes.resize(size);
+    bytes.shrink_to_fit();
+    return bytes;
+}
+
+Result<std::string> applyPatch(const std::string& former, const ValuePatch& patch)
+{
+    const unsigned long long size = ZSTD_getFrameContentSize(patch.bytes.data(), patch.bytes.size());
+    // Both marks of the library for an unknown size are larger than any size that is allowed.
+    if (size > largestNews)
+        return patchError(patch, "no size, or too large");
+    const std::unique_ptr<ZSTD_DCtx, FreeDecompressor> context(ZSTD_createDCtx());
+    if (!context)
+        return patchError(patch, "no memory");
+    ZSTD_DCtx_refPrefix(context.get(), former.data(), former.size());
+    std::string value(static_cast<std::size_t>(size), '\0');
+    const std::size_t made
+        = ZSTD_decompressDCtx(context.get(), value.data(), value.size(), patch.bytes.data(), patch.bytes.size());
+    if (ZSTD_isError(made))
+        return patchError(patch, ZSTD_getErrorName(made));
+    if (made != value.size())
+        return patchError(patch, "shorter than it says");
+    return value;
+}
+
+}
--- a/Tests/News/DecisionFleet.cpp
+++ b/Tests/News/DecisionFleet.cpp
@@ -221,7 +221,7 @@
                     if (other.id == fetch.from && isAnswered && !other.isFrozen)
                         return perform(index,
                             asking.exchange->handleAnswer(
-                                other.name, other.exchange->book().since(fetch.after, now()), now()));
+                                other.name, other.exchange->book().since(fetch.after, now(), fetch.form), now()));
                 }
                 perform(index, asking.exchange->handleNoAnswer(now()));
             });
--- a/Tests/News/ThinLinkFleet.cpp
+++ b/Tests/News/ThinLinkFleet.cpp
@@ -341,7 +341,7 @@
             transfer.to = index;
             transfer.life = balancer.life;
             transfer.isFetch = true;
-            transfer.delta = balancers_[*transfer.from].exchange->book().since(fetch.after, clock_.now());
+            transfer.delta = balancers_[*transfer.from].exchange->book().since(fetch.after, clock_.now(), fetch.form);
             transfer.bytesLeft = answerOverhead + static_cast<double>(encodeMessage(*transfer.delta).size());
             transfers_.push_back(std::move(transfer));
         }
--- /dev/null
+++ b/Tests/News/ValuePatchTest.cpp
@@ -0,0 +1,176 @@
+#include "News/NewsBook.h"
+#include "News/PackedValue.h"
+
+#include <gtest/gtest.h>
+
+#include <fmt/format.h>
+
+#include <map>
+#include <random>
+
+namespace wisteriadock {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    // A large value of which each version differs from the one before in a line.
+    std::string textOf(std::uint64_t version, int lines = 400)
+    {
+        std::string text = fmt::format("version {}\n", version);
+        for (int line = 0; line < lines; ++line)
+            text += fmt::format(
+                "route {:x} to service {}\n", line * 7919, line % 37 == static_cast<int>(version % 37) ? version : 1);
+        return text;
+    }
+
+    NewsItem itemOf(std::uint64_t revision, std::string text)
+    {
+        NewsItem item { "configuration", std::move(text), revision, false };
+        packValue(item);
+        return item;
+    }
+
+    NewsDelta storeDelta(std::uint64_t from, std::uint64_t to, const std::string& text)
+    {
+        return { from, to, from == 0, false, { itemOf(to, text) } };
+    }
+
+    TEST(ValuePatchTest, aPatchIsSmallAndGivesTheValueBack)
+    {
+        const std::string former = textOf(1, 10000);
+        const std::string value = textOf(2, 10000);
+        const auto bytes = patchBytes(former, value);
+        ASSERT_TRUE(bytes);
+        EXPECT_LT(bytes->size(), value.size() / 100);
+        const ValuePatch patch { "configuration", 1, 2, *bytes };
+        EXPECT_EQ(applyPatch(former, patch).value(), value);
+        {
+            SCOPED_TRACE("never of another value: the checksum shows it");
+            EXPECT_FALSE(applyPatch(textOf(3, 10000), patch));
+            EXPECT_FALSE(applyPatch("", patch));
+        }
+    }
+
+    TEST(ValuePatchTest, changedBytesAreRefused)
+    {
+        const std::string former = textOf(1);
+        const std::string value = textOf(2);
+        const ValuePatch good { "configuration", 1, 2, patchBytes(former, value).value() };
+        std::mt19937 random(5);
+        for (int round = 0; round < 5000; ++round) {
+            ValuePatch patch = good;
+            patch.bytes[random() % patch.bytes.size()] ^= static_cast<char>(1 + random() % 255);
+            if (random() % 4 == 0)
+                patch.bytes.resize(random() % patch.bytes.size());
+            const auto made = applyPatch(former, patch);
+            EXPECT_TRUE(!made || made.value() == value);
+        }
+    }
+
+    TEST(ValuePatchTest, whatHasNothingInCommonTravelsWhole)
+    {
+        std::mt19937 random(3);
+        std::string noise(5000, ' ');
+        for (char& byte : noise)
+            byte = static_cast<char>(random());
+        EXPECT_FALSE(patchBytes(textOf(1), noise));
+    }
+
+    TEST(ValuePatchTest, whoHoldsAnEarlierVersionGetsWhatChanged)
+    {
+        const TimePoint now = ManualClock().now();
+        NewsBook sender;
+        NewsBook receiver;
+        sender.mergeFromStore(storeDelta(0, 1, textOf(1)), now);
+        receiver.merge(sender.since(0, now, NewsBook::Form::Patched), now);
+        for (std::uint64_t revision = 2; revision <= 5; ++revision)
+            sender.mergeFromStore(storeDelta(revision - 1, revision, textOf(revision)), now);
+        const NewsDelta delta = sender.since(1, now, NewsBook::Form::Patched);
+        EXPECT_TRUE(delta.items.empty());
+        EXPECT_EQ(delta.patches.size(), 4U);
+        {
+            SCOPED_TRACE("several versions are one piece of news");
+            const auto changed = receiver.merge(delta, now);
+            ASSERT_EQ(changed.size(), 1U);
+            EXPECT_EQ(changed.front().value, textOf(5));
+            EXPECT_EQ(receiver.completeTo(), 5U);
+        }
+        {
+            SCOPED_TRACE("it can pass them on, and whole to one that knows no patches");
+            EXPECT_EQ(receiver.since(3, now, NewsBook::Form::Patched).patches.size(), 2U);
+            const NewsDelta whole = receiver.since(3, now);
+            ASSERT_EQ(whole.items.size(), 1U);
+            EXPECT_EQ(valueOf(whole.items.front()).value(), textOf(5));
+        }
+        {
+            SCOPED_TRACE("patches of a value that is not here change nothing and complete nothing");
+            NewsBook other;
+            other.merge(storeDelta(0, 2, "another text"), now);
+            EXPECT_TRUE(other.merge(delta, now).empty());
+            EXPECT_TRUE(other.lacksPatchedValue());
+            EXPECT_EQ(other.completeTo(), 2U);
+            other.merge(sender.since(2, now), now);
+            EXPECT_FALSE(other.lacksPatchedValue());
+            EXPECT_EQ(other.completeTo(), 5U);
+        }
+    }
+
+    // Watchers miss versions, deltas come late, twice, in any order or never; nobody may hold a value that the store
+    // never had at its revision, be complete with an older one, or stay behind for good.
+    TEST(ValuePatchTest, whateverIsLostNobodyHoldsAValueThatWasNeverWritten)
+    {
+        for (std::uint32_t seed = 1; seed <= 20; ++seed) {
+            SCOPED_TRACE(seed);
+            std::mt19937 random(seed);
+            const TimePoint now = ManualClock().now();
+            std::map<std::uint64_t, std::string> written { { 1, textOf(1) } };
+            std::vector<NewsBook> books(6);
+            std::vector<NewsDelta> late;
+            constexpr std::size_t watchers = 2;
+            for (NewsBook& book : books)
+                book.mergeFromStore(storeDelta(0, 1, textOf(1)), now);
+            const auto check = [&](const NewsBook& book) {
+                for (const NewsItem& item : book.since(0, now).items) {
+                    ASSERT_EQ(valueOf(item).value(), written.at(item.revision));
+                    ASSERT_GE(item.revision, std::prev(written.upper_bound(book.completeTo()))->first);
+                }
+            };
+            const auto ask = [&](NewsBook& book, const NewsBook& other) {
+                const auto form = book.lacksPatchedValue() ? NewsBook::Form::Whole : NewsBook::Form::Patched;
+                return other.since(book.completeTo(), now, form);
+            };
+            std::uint64_t revision = 1;
+            for (int step = 0; step < 300; ++step) {
+                revision += 1 + random() % 3;
+                if (random() % 2 == 0)
+                    written[revision] = textOf(random() % 50);
+                const std::uint64_t newest = written.rbegin()->first;
+                NewsBook& watcher = books[random() % watchers];
+                NewsDelta news { watcher.completeTo(), revision, false, false, {} };
+                if (newest > watcher.completeTo())
+                    news.items.push_back(itemOf(newest, written.at(newest)));
+                watcher.mergeFromStore(news, now);
+                NewsBook& asking = books[random() % books.size()];
+                NewsDelta answer = ask(asking, books[random() % books.size()]);
+                if (random() % 3 == 0)
+                    late.push_back(answer);
+                else if (random() % 3 != 0)
+                    asking.merge(answer, now);
+                if (!late.empty() && random() % 2 == 0)
+                    books[random() % books.size()].merge(late[random() % late.size()], now);
+                for (const NewsBook& book : books)
+                    check(book);
+            }
+            const NewsBook& ahead = books[books[0].completeTo() > books[1].completeTo() ? 0 : 1];
+            for (NewsBook& book : books) {
+                book.merge(ask(book, ahead), now);
+                book.merge(ask(book, ahead), now);
+                EXPECT_EQ(book.completeTo(), ahead.completeTo());
+            }
+        }
+    }
+
+}
+
+}
