--- a/Source/News/NewsExchange.cpp
+++ b/Source/News/NewsExchange.cpp
@@ -1,7 +1,6 @@
 #include "News/NewsExchange.h"
 
 #include <algorithm>
-#include <ranges>
 #include <utility>
 
 namespace wisteriadock {
@@ -306,9 +305,10 @@
 {
     if (members.size() > 1)
         std::erase_if(members, [&](const Member* member) { return member->id == lastSource_; });
-    const auto widthOf = [](const Member* member) { return widthClassOf(member->linkMegabits); };
-    const int widest = std::ranges::max(members | std::views::transform(widthOf));
-    std::erase_if(members, [&](const Member* member) { return widthOf(member) < widest; });
+    int widest = 0;
+    for (const Member* member : members)
+        widest = std::max(widest, widthClassOf(member->linkMegabits));
+    std::erase_if(members, [&](const Member* member) { return widthClassOf(member->linkMegabits) < widest; });
     return members[random_() % members.size()];
 }
 
