News: Add a failing test of a patch that is not passed on

A delta fetched from another zone may hold a patch; its watcher pushes the other items as if they were all, so its zone takes itself for complete without the configuration.

--- a/Tests/News/NewsExchangeTest.cpp
+++ b/Tests/News/NewsExchangeTest.cpp
@@ -1,5 +1,7 @@
 #include "News/NewsExchange.h"
 
+#include "News/PackedValue.h"
+
 #include <gtest/gtest.h>
 
 #include <fmt/format.h>
@@ -220,6 +222,40 @@
         EXPECT_EQ(all<FetchNews>(exchange.tick(clock.now())).size(), 1U);
     }
 
+    // Symptom: a zone that hears from another one keeps an old configuration and takes itself for complete. Sequence:
+    // its watcher, whom the store turns away, fetches from another zone a delta that holds a patch, and pushes it on.
+    // Cause: only the delta's items were pushed, as if they were all there is.
+    TEST_F(NewsExchangeTest, aPatchThatWasFetchedIsPassedOn)
+    {
+        const auto configuration = [](std::uint64_t revision, std::size_t lines) {
+            NewsItem item { "configuration", {}, revision, false };
+            for (std::size_t line = 0; line < lines; ++line)
+                item.value += fmt::format("route {} of {}\n", line * 7919, line == 50 ? revision : 0);
+            packValue(item);
+            return item;
+        };
+        // A change of one line, which fits into a datagram, and one of nearly all.
+        for (const std::size_t lines : { 1000U, 9000U }) {
+            SCOPED_TRACE(lines);
+            NewsExchange other("nabua", 2);
+            NewsExchange watcher("walu", 3);
+            NewsExchange receiver("walu", 4);
+            watcher.handleView(view, clock.now());
+            watcher.setRole(true, true);
+            for (NewsExchange* each : { &other, &watcher, &receiver })
+                each->handleStore({ 0, 5, true, false, { configuration(5, 1000) } }, clock.now());
+            NewsDelta news { 5, 8, false, false, { configuration(7, lines) } };
+            news.items.push_back({ "servers/1", "ready", 8, false });
+            other.handleStore(news, clock.now());
+            const NewsDelta answer = other.book().since(5, clock.now(), NewsBook::Form::Patched);
+            ASSERT_EQ(answer.patches.size(), 1U);
+            for (const PushNews& push : all<PushNews>(watcher.handleAnswer("nabua-0", answer, clock.now())))
+                receiver.handlePush(balancerIdOf("walu-0"), push.delta, clock.now());
+            EXPECT_EQ(watcher.book().completeTo(), 8U);
+            EXPECT_EQ(receiver.book().completeTo(), lines == 1000 ? 8U : 5U);
+        }
+    }
+
     // Symptom: a zone kept an old configuration while the others had the new one.
     // Sequence: the store turns away both watchers of the zone, and only of this zone.
     // Cause: news reached a zone by its own watchers alone.
