News: Pass on patches that were fetched

Cause: piecesOf() took only the items of a delta, so a fetched delta with a patch went on without it, complete for whoever received it. Patches of the delta are parts of the pieces like items. aPatchThatWasFetchedIsPassedOn failed before (complete to 8 without the configuration of 7). The random fleet's configurations are now long enough to travel as patches too.

--- a/Source/News/NewsExchange.cpp
+++ b/Source/News/NewsExchange.cpp
@@ -33,15 +33,16 @@
         const ValuePatch* patch = nullptr;
     };
 
+    Part partOf(const ValuePatch& patch)
+    {
+        return { patch.revision, patch.key.size() + patch.bytes.size() + itemOverhead, nullptr, &patch };
+    }
+
     Part partOf(const NewsItem& item, const NewsBook& book, std::size_t most)
     {
-        Part part { item.revision, sizeOf(item), &item, nullptr };
-        const ValuePatch* patch = deltaOverhead + part.size > most ? book.patchTo(item.key, item.revision) : nullptr;
-        if (patch) {
-            part.patch = patch;
-            part.size = item.key.size() + patch->bytes.size() + itemOverhead;
-        }
-        return part;
+        const Part whole { item.revision, sizeOf(item), &item, nullptr };
+        const ValuePatch* patch = deltaOverhead + whole.size > most ? book.patchTo(item.key, item.revision) : nullptr;
+        return patch ? partOf(*patch) : whole;
     }
 
     std::vector<Part> partsOf(const NewsDelta& delta, const NewsBook& book, std::size_t most)
@@ -49,6 +50,8 @@
         std::vector<Part> parts;
         for (const NewsItem& item : delta.items)
             parts.push_back(partOf(item, book, most));
+        for (const ValuePatch& patch : delta.patches)
+            parts.push_back(partOf(patch));
         std::ranges::sort(parts, {}, &Part::revision);
         return parts;
     }
--- a/Tests/News/DecisionFleet.cpp
+++ b/Tests/News/DecisionFleet.cpp
@@ -1,5 +1,7 @@
 #include "News/DecisionFleet.h"
 
+#include "News/PackedValue.h"
+
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -64,7 +66,8 @@
             configuration.routes.push_back({ fmt::format("r{}", i), routeOf(i), { { servicesByRoute[i], 1 } } });
     }
     configurations_[version] = configuration;
-    put("configuration", std::to_string(version), false);
+    // Long enough to travel packed, and as patches.
+    put("configuration", fmt::format("{}\n{}", version, std::string(packedFrom, 'r')), false);
 }
 
 void DecisionFleet::writeServer(const RegisteredServer& server)
