--- a/Tests/News/NewsExchangeTest.cpp
+++ b/Tests/News/NewsExchangeTest.cpp
@@ -253,10 +253,10 @@
                 receiver.handlePush(balancerIdOf("walu-0"), push.delta, clock.now());
             EXPECT_EQ(watcher.book().completeTo(), 8U);
             EXPECT_EQ(receiver.book().completeTo(), lines == 1000 ? 8U : 5U);
-            for (const NewsItem& held : receiver.book().since(0, clock.now()).items) {
-                if (held.key == "configuration")
-                    EXPECT_EQ(held.revision, lines == 1000 ? 7U : 5U);
-            }
+            const auto held = receiver.book().since(0, clock.now()).items;
+            const auto ofReceiver = std::ranges::find(held, "configuration", &NewsItem::key);
+            ASSERT_NE(ofReceiver, held.end());
+            EXPECT_EQ(ofReceiver->revision, lines == 1000 ? 7U : 5U);
         }
     }
 
