--- a/Source/Peers/ConfigurationWatchers.h
+++ b/Source/Peers/ConfigurationWatchers.h
@@ -24,7 +24,8 @@
 
 // Whether the balancer whose view this is shall watch the platform. All balancers with the same view agree: the
 // watchers of a zone are those of its serving members that have the widest links, and of these the ones that come first
-// by a hash of their id (rendezvous hashing). A detached watcher goes on trying, since its replacement steps back once the platform answers it again.
+// by a hash of their id (rendezvous hashing). A detached watcher goes on trying, since its replacement steps back once
+// the platform answers it again.
 bool shallWatchConfiguration(const MembersView&, const WatcherNumbers& = {});
 
 }
