News: Find the patch of each version, bound the patches by their value's size

Two versions in one answer of the store each have a patch to push. Patches kept took 33 KB for a value of 10 KB when a third of it was new each time; now at most its size.

--- a/Source/News/NewsBook.cpp
+++ b/Source/News/NewsBook.cpp
@@ -18,8 +18,8 @@
     // Ages above it, of some weeks, are told as this one.
     constexpr std::chrono::milliseconds longestAge { std::numeric_limits<std::uint32_t>::max() };
 
-    // Who missed more versions than so many gets the whole value. The users write configurations in series of about ten
-    // within a few seconds, and hardly ever more often.
+    // Who missed more versions than so many, or than patches of the value's size tell, gets the whole value. The users
+    // write configurations in series of about ten within a few seconds, and hardly ever more often.
     constexpr std::size_t mostPatches = 16;
 
     std::uint32_t millisecondsBetween(TimePoint then, TimePoint now)
@@ -140,18 +140,24 @@
 
 void NewsBook::addPatch(Row& row, ValuePatch patch)
 {
-    if (row.patches.size() >= mostPatches)
-        row.patches.erase(row.patches.begin());
     row.patches.push_back(std::move(patch));
+    const auto isTooMuch = [&row] {
+        std::size_t bytes = 0;
+        for (const ValuePatch& held : row.patches)
+            bytes += held.bytes.size();
+        return row.patches.size() > mostPatches || bytes > row.item.value.size();
+    };
+    while (isTooMuch())
+        row.patches.erase(row.patches.begin());
 }
 
 const ValuePatch* NewsBook::patchTo(const std::string& key, std::uint64_t revision) const
 {
     const auto found = rows_.find(key);
-    if (found == rows_.end() || found->second.patches.empty())
+    if (found == rows_.end())
         return nullptr;
-    const ValuePatch& last = found->second.patches.back();
-    return last.revision == revision ? &last : nullptr;
+    const auto patch = std::ranges::find(found->second.patches, revision, &ValuePatch::revision);
+    return patch == found->second.patches.end() ? nullptr : &*patch;
 }
 
 const NewsItem& NewsBook::travellingItem(const Row& row)
