--- a/Tests/Forwarder/PeerNewsTest.cpp
+++ b/Tests/Forwarder/PeerNewsTest.cpp
@@ -138,6 +138,14 @@
         waitUntil([&] { return asking.fetches("asked") >= 6; }, [&] { asking.poll(); });
         const auto givenUp = static_cast<std::uint64_t>((Clock::now() - began) / settings.answerWithin);
         EXPECT_LE(asking.fetches("asked"), 1 + givenUp);
+        {
+            SCOPED_TRACE("also while the connection has not been opened, as to a VM without power");
+            const std::uint64_t before = asking.fetches("asked");
+            const TimePoint since = Clock::now();
+            waitUntil([&] { return asking.fetches("asked") >= before + 6; }, [&] { asking.news->tick(Clock::now()); });
+            const auto more = static_cast<std::uint64_t>((Clock::now() - since) / settings.answerWithin);
+            EXPECT_LE(asking.fetches("asked"), before + 1 + more);
+        }
         {
             SCOPED_TRACE("once it answers again, one answer is enough");
             waitUntil([&] { return !asking.received.empty(); },
