Forwarder: Tell a replaced news request by its number, not by how it ended

Cause: a request whose connection was not open yet ends as not sent, so telling replaced ones by their end as cancelled left the doubling for VMs without power.

--- a/Source/Forwarder/PeerNews.cpp
+++ b/Source/Forwarder/PeerNews.cpp
@@ -76,7 +76,11 @@
 {
 }
 
-PeerNews::~PeerNews() = default;
+PeerNews::~PeerNews()
+{
+    // What is still asked for ends with its client, and nothing is left to hear of it.
+    ++fetchNumber_;
+}
 
 void PeerNews::start(TimePoint now)
 {
@@ -288,6 +292,9 @@
             now);
     fetchSource_ = source;
     fetchSentAt_ = now;
+    // The former request ends with its client, in the middle of this function. It must not count as one that failed:
+    // that asked once more from here, and each answer given up doubled the requests.
+    ++fetchNumber_;
     fetcher_ = std::make_unique<Http2Client>(context_, fetch.address, fetchLimits());
     fetchProgress_ = 0;
     HttpRequest request;
@@ -295,17 +302,16 @@
     request.authority = fetch.address.toString();
     if (fetch.form == NewsBook::Form::Patched)
         request.headers.push_back({ takesPatchesHeader, "1" });
-    fetcher_->send(std::move(request), now + fetchWithin,
-        [this, source](const HttpOutcome& outcome) { handleFetched(source, outcome); });
+    fetcher_->send(
+        std::move(request), now + fetchWithin, [this, source, number = fetchNumber_](const HttpOutcome& outcome) {
+            if (number == fetchNumber_)
+                handleFetched(source, outcome);
+        });
 }
 
 void PeerNews::handleFetched(const std::string& source, const HttpOutcome& outcome)
 {
     const TimePoint now = Clock::now();
-    // A request that was replaced ends while its client does, in the middle of fetch(). It must not count as one that
-    // failed: that asked once more from there, and each answer given up doubled the requests.
-    if (!outcome && outcome.error().kind == HttpFailureKind::Cancelled)
-        return;
     const bool isAnswer = outcome && outcome.value().status == 200;
     if (!isAnswer) {
         metrics_.countFetch("no_answer");
--- a/Source/Forwarder/PeerNews.h
+++ b/Source/Forwarder/PeerNews.h
@@ -91,6 +91,8 @@
     // Whom the fetch in progress asks, and since when; empty when there is none.
     std::string fetchSource_;
     TimePoint fetchSentAt_;
+    // Ends of former fetches don't count.
+    std::uint64_t fetchNumber_ = 0;
     bool hasLoggedBehind_ = false;
 };
 
