Membership, Peers: Join together within seconds, watch the store once the view has settled

Each balancer that did not yet know a member of its zone with a wider link took itself for the zone's watcher.

Ruled out: pages of the listing (the store gives about 500 items a page: one call a start at 293 servers, not 6 or 7).

Change: pages hold packed rows (61 in place of 10 in a datagram), asked for at the first greeting, from whoever knows most, again as soon as somebody knows more members while a balancer is young; greetings ask for details at once. WatchDuty lets a newcomer judge whether it is a watcher only when its view has settled, for 6 s at most (3 s when it meets nobody).

--- a/Source/Forwarder/PeerNews.cpp
+++ b/Source/Forwarder/PeerNews.cpp
@@ -1,6 +1,5 @@
 #include "Forwarder/PeerNews.h"
 
-#include "Peers/ConfigurationWatchers.h"
 #include "Wire/PeerMessageCodec.h"
 
 #include <boost/asio/post.hpp>
@@ -27,9 +26,6 @@
     // One watcher a zone: calls to the store are priced, and whoever misses its zone's watcher hears from other zones.
     // Three in all, so that news gets around whichever of them has just failed.
     constexpr WatcherNumbers watcherNumbers { 1, 3, 3 };
-    // A balancer that has just started meets others within some hundred milliseconds. Until then each would take itself
-    // for a watcher, and when all start together all would call the store for nothing.
-    constexpr std::chrono::milliseconds meetWithin { 1000 };
 
     Http2Limits fetchLimits()
     {
@@ -72,6 +68,7 @@
     , metrics_(metrics)
     , handler_(std::move(handler))
     , membership_({}, self, seed, Clock::now())
+    , watchDuty_({ .numbers = watcherNumbers })
     , exchange_(self.availabilityZone, seed, settings)
 {
 }
@@ -84,7 +81,7 @@
 
 void PeerNews::start(TimePoint now)
 {
-    meetsUntil_ = now + (seeds_.empty() ? std::chrono::milliseconds(0) : meetWithin);
+    watchDuty_.start(!seeds_.empty(), now);
     adviseSeeds(now);
     // Watchers are chosen among those that serve, and until somebody watches nobody learns enough to be ready. Nothing
     // has to be learned from others before packets can be routed by their tokens.
@@ -163,13 +160,7 @@
         perform(membership_.setSelfState(isWatcher && isLost ? MemberState::Detached : MemberState::Serving, now), now);
 }
 
-bool PeerNews::shallWatch(TimePoint now) const
-{
-    const MembersView& view = *membership_.view();
-    if (now < meetsUntil_ && view.members.size() < fewestMembersToShareWatching)
-        return false;
-    return shallWatchConfiguration(view, watcherNumbers);
-}
+bool PeerNews::shallWatch(TimePoint now) const { return watchDuty_.isOn(membership_, now); }
 
 std::uint64_t PeerNews::bytesTransferred() const
 {
--- a/Source/Forwarder/PeerNews.h
+++ b/Source/Forwarder/PeerNews.h
@@ -7,6 +7,7 @@
 #include "Net/Http2Server.h"
 #include "News/NewsExchange.h"
 #include "Peers/PeerLink.h"
+#include "Peers/WatchDuty.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -74,6 +75,7 @@
     ForwarderMetrics& metrics_;
     Handler handler_;
     Membership membership_;
+    WatchDuty watchDuty_;
     NewsExchange exchange_;
     std::unique_ptr<PeerLink> link_;
     std::unique_ptr<Http2Server> server_;
@@ -83,8 +85,6 @@
     std::map<BalancerId, std::pair<MemberState, TimePoint>> memberStates_;
     bool isIsolated_ = false;
     bool isLeaving_ = false;
-    // Until when a balancer that knows nobody yet waits to meet others.
-    TimePoint meetsUntil_ = TimePoint::min();
     std::uint64_t fetchedBytes_ = 0;
     // Bytes of the fetch in progress at the last look.
     std::uint64_t fetchProgress_ = 0;
--- a/Source/Membership/MemberRecord.h
+++ b/Source/Membership/MemberRecord.h
@@ -32,6 +32,8 @@
     // Its latest nonce, to be echoed.
     std::uint32_t lastNonce = 0;
     bool newsHasDetails = false;
+    // How many members it said last that it knows; 0 before it said anything.
+    std::uint32_t membersKnown = 0;
 
     bool isAlive() const { return member.state != MemberState::Dead; }
 };
--- a/Source/Membership/MemberTable.cpp
+++ b/Source/Membership/MemberTable.cpp
@@ -312,6 +312,16 @@
     return rows;
 }
 
+std::vector<MemberRow> MemberTable::rowsAbove(std::uint32_t after, std::size_t most, bool& isLast) const
+{
+    std::vector<MemberRow> rows;
+    auto next = records_.upper_bound(BalancerId { after });
+    for (; next != records_.end() && rows.size() < most; ++next)
+        rows.push_back(rowOf(next->second, next->second.isAlive()));
+    isLast = next == records_.end();
+    return rows;
+}
+
 std::vector<MemberRow> MemberTable::rowsOf(const std::vector<std::uint32_t>& ids) const
 {
     std::vector<MemberRow> rows;
--- a/Source/Membership/MemberTable.h
+++ b/Source/Membership/MemberTable.h
@@ -70,6 +70,8 @@
     std::vector<MemberRow> takeRotation(std::size_t rows);
     // Rows with details above an id, as many as fit one datagram. Sets whether these are the last.
     std::vector<MemberRow> page(std::uint32_t after, bool& isLast) const;
+    // The same for so many rows at most.
+    std::vector<MemberRow> rowsAbove(std::uint32_t after, std::size_t most, bool& isLast) const;
     std::vector<MemberRow> rowsOf(const std::vector<std::uint32_t>& ids) const;
 
     // True when a view published now would differ in more than configuration versions.
--- /dev/null
+++ b/Source/Membership/MembersPages.cpp
@@ -0,0 +1,68 @@
+#include "Membership/MembersPages.h"
+
+#include "Wire/PackedBytes.h"
+#include "Wire/PeerMessageCodec.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace wisteriadock {
+
+namespace {
+
+    // What a page carries beside its packed rows, in bytes.
+    constexpr std::size_t pageBytes = 24;
+    constexpr std::size_t mostPackedBytes = largestPeerPayload - pageBytes;
+    // As many as fit where names are short; fewer are tried when these don't.
+    constexpr std::size_t mostPackedRows = 96;
+    // The most that a page of so many rows unpacks to, with the longest names.
+    constexpr std::size_t mostUnpackedBytes = std::size_t(32) * 1024;
+
+    std::string packedRows(const std::vector<MemberRow>& rows)
+    {
+        const std::vector<std::uint8_t> bytes = encodeMessage(rows);
+        return packBytes({ reinterpret_cast<const char*>(bytes.data()), bytes.size() });
+    }
+
+    MembersPageMessage packedPage(std::uint32_t after, const MemberTable& table)
+    {
+        MembersPageMessage page { after, false, false, {} };
+        std::vector<MemberRow> rows = table.rowsAbove(after, mostPackedRows, page.last);
+        page.packedRows = packedRows(rows);
+        while (page.packedRows.size() > mostPackedBytes && rows.size() > 1) {
+            // A little fewer than the sizes suggest, since fewer rows are packed less well.
+            const std::size_t fitting = rows.size() * mostPackedBytes / page.packedRows.size();
+            rows.resize(std::max<std::size_t>(1, std::min(rows.size() - 1, fitting * 15 / 16)));
+            page.last = false;
+            page.packedRows = packedRows(rows);
+        }
+        return page;
+    }
+
+}
+
+MembersPageMessage pageFor(const MembersRequestMessage& request, const MemberTable& table)
+{
+    if (!request.ids.empty())
+        return { request.after, true, false, table.rowsOf(request.ids) };
+    if (request.takesPacked)
+        return packedPage(request.after, table);
+    MembersPageMessage page { request.after, false, false, {} };
+    page.rows = table.page(request.after, page.last);
+    return page;
+}
+
+std::vector<MemberRow> rowsOf(const MembersPageMessage& page)
+{
+    if (page.packedRows.empty())
+        return page.rows;
+    const Result<std::string> bytes = unpackBytes(page.packedRows, mostUnpackedBytes);
+    if (!bytes)
+        return {};
+    auto rows = decodeMessage<std::vector<MemberRow>>(
+        std::span(reinterpret_cast<const std::uint8_t*>(bytes.value().data()), bytes.value().size()),
+        mostUnpackedBytes);
+    return rows ? std::move(rows).value() : std::vector<MemberRow>();
+}
+
+}
--- a/Source/Membership/Membership.cpp
+++ b/Source/Membership/Membership.cpp
@@ -1,5 +1,7 @@
 #include "Membership/Membership.h"
 
+#include "Membership/MembersPages.h"
+
 #include <algorithm>
 
 namespace wisteriadock {
@@ -26,8 +28,11 @@
     , detector_(settings_, table_)
     , nonces_(self.incarnation, wholeMilliseconds(now))
     , observation_(settings_, wholeMilliseconds(now))
+    , catchUp_(settings_.pageWithin)
+    , startedAt_(wholeMilliseconds(now))
     , nextInterval_(wholeMilliseconds(now))
     , lastCatchUp_(wholeMilliseconds(now))
+    , lastArrival_(wholeMilliseconds(now))
     , view_(table_.publish(1, true))
 {
 }
@@ -142,20 +147,31 @@
         return;
     // A cut has healed: a small fleet reads what it missed at once, a large one learns it from rows in rotation.
     const bool hasHealed = wasDead && sender->isAlive() && isMesh();
-    if (!catchUp_.isRunning() && (hasHealed || isFarBehind(message.membersKnown, now)))
-        startCatchUp(now);
+    const bool isFirst = !catchUp_.isDone() && sender->isAlive();
+    if (!catchUp_.isRunning() && (isFirst || hasHealed || isFarBehind(message.membersKnown, now)))
+        startCatchUp(sender->member.id, now);
     sender->lastNonce = message.nonce;
+    sender->membersKnown = message.membersKnown;
+    mostKnownElsewhere_ = std::max(mostKnownElsewhere_, message.membersKnown);
     noteAnswer(*sender, message.echo, now);
     // A sender that is dead here has to hear so, or it never refutes.
     if (message.wantsAnswer || !sender->isAlive()) {
         answer(sender->member.peerAddress, sender,
             { .wantsAnswer = !sender->isAlive(), .withDetails = message.wantsDetails }, now);
     }
-    requestPage();
+    requestPage(now);
+}
+
+bool Membership::isSettled(TimePoint now) const
+{
+    const bool isWhole = catchUp_.isDone() && !catchUp_.isRunning() && mostKnownElsewhere_ <= table_.size();
+    return isWhole && now - lastArrival_ >= settings_.settledAfter;
 }
 
 bool Membership::isFarBehind(std::uint32_t peerKnows, TimePoint now) const
 {
+    if (isJoining(now))
+        return peerKnows > table_.size() && now - lastCatchUp_ >= settings_.joiningCatchUpPause;
     // When many join at once, news of each of them takes minutes to go round; pages carry no row twice.
     if (peerKnows <= table_.size() + mostMissing)
         return false;
@@ -211,19 +227,18 @@
     if (pagesLeft_ == 0)
         return;
     --pagesLeft_;
-    MembersPageMessage page { message.after, !message.ids.empty(), false, {} };
-    page.rows = page.named ? table_.rowsOf(message.ids) : table_.page(message.after, page.last);
-    send(sender.member.peerAddress, PeerMessageKind::MembersPage, encodeMessage(page));
+    send(sender.member.peerAddress, PeerMessageKind::MembersPage, encodeMessage(pageFor(message, table_)));
 }
 
 void Membership::onMembersPage(const MemberRecord& sender, const MembersPageMessage& message, TimePoint now)
 {
-    mergeRows(message.rows, sender.member.peerAddress, message.named, now);
+    const std::vector<MemberRow> rows = rowsOf(message);
+    mergeRows(rows, sender.member.peerAddress, message.named, now);
     if (message.named)
         return;
-    const auto lastId = message.rows.empty() ? std::nullopt : std::optional(message.rows.back().id);
+    const auto lastId = rows.empty() ? std::nullopt : std::optional(rows.back().id);
     catchUp_.received(message.after, lastId, message.last);
-    requestPage();
+    requestPage(now);
 }
 
 void Membership::mergeRows(const std::vector<MemberRow>& rows, const Endpoint& source, bool passOn, TimePoint now)
@@ -264,7 +279,7 @@
     // acts on what datagrams from before the pause say. The clock went on while nothing was listened to.
     detector_.reset(now);
     relays_.clear();
-    startCatchUp(now);
+    startCatchUp(std::nullopt, now);
     nextInterval_ = now;
 }
 
--- a/Source/Membership/Membership.h
+++ b/Source/Membership/Membership.h
@@ -75,6 +75,8 @@
     std::uint64_t selfIncarnation() const { return table_.self().member.incarnation; }
     // True once a whole view was read from the peers; a balancer that is alone never gets there.
     bool hasCaughtUp() const { return catchUp_.isDone(); }
+    // A whole view was read, nobody is known to know more members, and none was new lately.
+    bool isSettled(TimePoint now) const;
 
 private:
     struct HeartbeatOptions {
@@ -111,9 +113,14 @@
     void retryDead(TimePoint now);
     void contactUnknown(TimePoint now);
     void scheduleCatchUp(TimePoint now);
-    void startCatchUp(TimePoint now);
+    // Reads the view, from this member first.
+    void startCatchUp(std::optional<BalancerId> source, TimePoint now);
     bool isFarBehind(std::uint32_t peerKnows, TimePoint now) const;
-    void requestPage();
+    void requestPage(TimePoint now);
+    // Whom to ask for a page: whoever sent the last one, or else, of some members at random, the one that knows most.
+    // Those that have just started know few, and not all may ask the same.
+    const MemberRecord* pageSource();
+    bool isJoining(TimePoint now) const { return now - startedAt_ < settings_.joining; }
     void act(const ProbeFinding&, TimePoint now);
 
     void probe(MemberRecord&, TimePoint now);
@@ -121,7 +128,7 @@
     void sendHeartbeat(const Endpoint& to, const MemberRecord* peer, HeartbeatOptions, TimePoint now);
     void send(const Endpoint& to, PeerMessageKind, std::vector<std::uint8_t> payload);
     void appendNews(std::vector<MemberRow>&);
-    void admitArrivals();
+    void admitArrivals(TimePoint now);
     MembershipActions finish(TimePoint now, bool endsInterval);
 
     bool isMesh() const { return table_.othersAlive() <= settings_.meshLimit; }
@@ -142,9 +149,15 @@
     std::vector<Endpoint> unknownAddresses_;
 
     std::uint64_t round_ = 0;
+    const TimePoint startedAt_;
     TimePoint nextInterval_;
     TimePoint lastCatchUp_;
+    // Who is asked for pages.
+    std::optional<BalancerId> pageSource_;
     std::optional<TimePoint> secondCatchUp_;
+    // The most members that a heartbeat told of, and when a member came that was not known before.
+    std::uint32_t mostKnownElsewhere_ = 0;
+    TimePoint lastArrival_;
     TimePoint lastRaise_ = TimePoint::min();
     // What is left of the budgets of this interval.
     std::size_t answersLeft_ = 0;
--- a/Source/Membership/MembershipMessages.h
+++ b/Source/Membership/MembershipMessages.h
@@ -91,8 +91,10 @@
 struct MembersRequestMessage {
     std::uint32_t after = 0;
     std::vector<std::uint32_t> ids;
+    // A balancer of an earlier version does not take packed rows.
+    bool takesPacked = false;
 
-    MSGPACK_DEFINE_ARRAY(after, ids);
+    MSGPACK_DEFINE_ARRAY(after, ids, takesPacked);
 };
 
 struct MembersPageMessage {
@@ -103,8 +105,10 @@
     // True when no row follows this page.
     bool last = false;
     std::vector<MemberRow> rows;
+    // An array of rows as encodeMessage() writes it, packed; in place of `rows`.
+    std::string packedRows {};
 
-    MSGPACK_DEFINE_ARRAY(after, named, last, rows);
+    MSGPACK_DEFINE_ARRAY(after, named, last, rows, packedRows);
 };
 
 }
--- a/Source/Membership/MembershipRounds.cpp
+++ b/Source/Membership/MembershipRounds.cpp
@@ -5,6 +5,13 @@
 
 namespace wisteriadock {
 
+namespace {
+
+    // Of so many members, whoever knows most is asked for a page.
+    constexpr std::size_t pageCandidates = 8;
+
+}
+
 void Membership::beginInterval(TimePoint now)
 {
     ++round_;
@@ -24,7 +31,7 @@
     isMesh() ? probeAll(now) : probeSome(now);
     retryDead(now);
     contactUnknown(now);
-    requestPage();
+    requestPage(now);
 }
 
 void Membership::probeAll(TimePoint now)
@@ -49,6 +56,11 @@
         target = allOrder_.next(aliveFilter(), random_);
     if (target)
         probe(*table_.find(*target), now);
+    // Who has just started hears from more members how many there are.
+    if (isJoining(now)) {
+        for (const BalancerId id : sampleAlive(settings_.joiningProbes))
+            probe(*table_.find(id), now);
+    }
     if (!observation_.isSearching(now))
         return;
     for (const BalancerId id : zoneOrder_.sample(settings_.searchFanOut / 2, aliveFilter(), random_))
@@ -114,7 +126,8 @@
     // The first ones of a shuffle that goes no further than needed.
     for (std::size_t i = 0; i < count; ++i) {
         std::swap(unknownAddresses_[i], unknownAddresses_[i + random_() % (unknownAddresses_.size() - i)]);
-        sendHeartbeat(unknownAddresses_[i], nullptr, { .wantsAnswer = true, .withDetails = true }, now);
+        sendHeartbeat(
+            unknownAddresses_[i], nullptr, { .wantsAnswer = true, .wantsDetails = true, .withDetails = true }, now);
     }
 }
 
@@ -123,32 +136,50 @@
     if (catchUp_.isRunning() || table_.othersAlive() == 0)
         return;
     if (!catchUp_.isDone()) {
-        startCatchUp(now);
-        // Those that joined at the same moment are missing from the pages of the first time.
-        secondCatchUp_ = now + settings_.secondCatchUpAfter;
+        startCatchUp(std::nullopt, now);
     } else if (secondCatchUp_ && now >= *secondCatchUp_) {
-        startCatchUp(now);
+        startCatchUp(std::nullopt, now);
         secondCatchUp_.reset();
     }
 }
 
-void Membership::startCatchUp(TimePoint now)
+void Membership::startCatchUp(std::optional<BalancerId> source, TimePoint now)
 {
+    // Those that joined at the same moment are missing from the pages of the first time.
+    if (!catchUp_.isDone())
+        secondCatchUp_ = now + settings_.secondCatchUpAfter;
     catchUp_.start();
+    pageSource_ = source;
     lastCatchUp_ = now;
 }
 
-void Membership::requestPage()
+void Membership::requestPage(TimePoint now)
 {
-    if (!catchUp_.isRunning())
+    if (!catchUp_.mayRequest(now))
         return;
-    const std::vector<BalancerId> peer = sampleAlive(1);
-    if (peer.empty())
+    // Whoever did not send the last page may be silent, or asked by too many.
+    if (catchUp_.isOverdue(now))
+        pageSource_.reset();
+    const MemberRecord* const source = pageSource();
+    if (!source)
         return;
-    if (const auto after = catchUp_.nextRequest()) {
-        send(table_.find(peer[0])->member.peerAddress, PeerMessageKind::MembersRequest,
-            encodeMessage(MembersRequestMessage { *after, {} }));
+    pageSource_ = source->member.id;
+    send(source->member.peerAddress, PeerMessageKind::MembersRequest,
+        encodeMessage(MembersRequestMessage { catchUp_.request(now), {}, true }));
+}
+
+const MemberRecord* Membership::pageSource()
+{
+    const MemberRecord* source = pageSource_ ? table_.find(*pageSource_) : nullptr;
+    if (source && source->isAlive())
+        return source;
+    source = nullptr;
+    for (const BalancerId id : sampleAlive(pageCandidates)) {
+        const MemberRecord* const candidate = table_.find(id);
+        if (!source || candidate->membersKnown > source->membersKnown)
+            source = candidate;
     }
+    return source;
 }
 
 void Membership::answer(const Endpoint& to, const MemberRecord* peer, HeartbeatOptions options, TimePoint now)
@@ -193,9 +224,10 @@
     actions_.push_back(SendPeerMessage { to, { self.id, self.incarnation, kind, std::move(payload) } });
 }
 
-void Membership::admitArrivals()
+void Membership::admitArrivals(TimePoint now)
 {
     for (const BalancerId id : table_.takeArrivals()) {
+        lastArrival_ = now;
         allOrder_.insert(id, random_);
         const MemberRecord* const record = table_.find(id);
         if (record && record->member.availabilityZone == table_.self().member.availabilityZone)
@@ -205,7 +237,7 @@
 
 MembershipActions Membership::finish(TimePoint now, bool endsInterval)
 {
-    admitArrivals();
+    admitArrivals(now);
     const bool isIsolated = observation_.isIsolated(table_.othersAlive() > 0, now);
     // A view of a large fleet is costly to copy, so changes of versions alone, and pages of a catch-up, are collected
     // over an interval.
--- a/Source/Membership/MembershipSettings.h
+++ b/Source/Membership/MembershipSettings.h
@@ -34,16 +34,28 @@
 
     // Budgets for each interval, whatever happens.
     std::size_t verificationsPerInterval = 3;
-    std::size_t answersPerInterval = 16;
+    // When all of a fleet start together, everybody first asks the few addresses that are in the settings. Answers and
+    // pages to all of them together stay below 1 Mbit/s.
+    std::size_t answersPerInterval = 64;
     std::size_t indirectProbesPerInterval = 6;
-    std::size_t pagesPerInterval = 2;
+    std::size_t pagesPerInterval = 64;
     std::size_t detailRequestsPerInterval = 4;
-    std::size_t catchUpPagesPerInterval = 4;
+    std::size_t catchUpPagesPerInterval = 16;
     // The shortest time from the start of one catch-up to that of the next, when much is missing and when little is.
     std::chrono::milliseconds catchUpPause { 5000 };
     std::chrono::milliseconds smallCatchUpPause { 30000 };
     // A newcomer reads the view once more after this time, for those that joined together with it.
     std::chrono::milliseconds secondCatchUpAfter { 15000 };
+    // So long after its start a balancer counts as joining: it reads the view again as soon as a peer knows more
+    // members, since whoever it read from may have started at the same moment.
+    std::chrono::milliseconds joining { 10000 };
+    std::chrono::milliseconds joiningCatchUpPause { 500 };
+    // A view without a new member for so long has settled.
+    std::chrono::milliseconds settledAfter { 500 };
+    // Members that it probes in each interval beside the usual.
+    std::size_t joiningProbes = 3;
+    // A page that has not come for so long is asked for again, of another member.
+    std::chrono::milliseconds pageWithin { 200 };
     // A healthy fleet tries one dead member and one unknown address of the VM list every so many intervals.
     std::size_t retryEvery = 4;
     // Bytes of news in one heartbeat, and in all of an interval.
--- a/Source/Membership/ViewCatchUp.cpp
+++ b/Source/Membership/ViewCatchUp.cpp
@@ -6,13 +6,18 @@
 {
     running_ = true;
     after_ = 0;
+    askedAt_.reset();
 }
 
-std::optional<std::uint32_t> ViewCatchUp::nextRequest()
+bool ViewCatchUp::mayRequest(TimePoint now) const
+{
+    return running_ && pagesLeft_ > 0 && (!askedAt_ || isOverdue(now));
+}
+
+std::uint32_t ViewCatchUp::request(TimePoint now)
 {
-    if (!running_ || pagesLeft_ == 0)
-        return std::nullopt;
     --pagesLeft_;
+    askedAt_ = now;
     return after_;
 }
 
@@ -20,6 +25,7 @@
 {
     if (!running_ || after != after_)
         return;
+    askedAt_.reset();
     if (isLastPage) {
         running_ = false;
         done_ = true;
--- a/Source/Membership/ViewCatchUp.h
+++ b/Source/Membership/ViewCatchUp.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "Core/Clock.h"
+
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -10,19 +12,32 @@
 // a peer that dies halfway costs one interval.
 class ViewCatchUp {
 public:
+    // A page that has not come for so long may be asked for again.
+    explicit ViewCatchUp(Duration pageWithin)
+        : pageWithin_(pageWithin)
+    {
+    }
+
     // Starts from the first id, also in the middle of a catch-up.
     void start();
     bool isRunning() const { return running_; }
     // True once a whole view was read.
     bool isDone() const { return done_; }
-    // Allows so many more requests. An unanswered request may be sent again.
+    // Allows so many more requests.
     void beginInterval(std::size_t pages) { pagesLeft_ = pages; }
-    // The id after which the next page is wanted; nothing while none may be asked for.
-    std::optional<std::uint32_t> nextRequest();
+    // Whether the next page may be asked for now.
+    bool mayRequest(TimePoint now) const;
+    // The page that was asked for last has not come in time.
+    bool isOverdue(TimePoint now) const { return askedAt_ && now - *askedAt_ >= pageWithin_; }
+    // Asks: gives the id after which the page is wanted.
+    std::uint32_t request(TimePoint now);
     // Takes a page in; pages that were not asked for last are ignored.
     void received(std::uint32_t after, std::optional<std::uint32_t> lastId, bool isLastPage);
 
 private:
+    const Duration pageWithin_;
+    // When the page that is wanted was asked for; none when it was not.
+    std::optional<TimePoint> askedAt_;
     bool running_ = false;
     bool done_ = false;
     std::uint32_t after_ = 0;
--- /dev/null
+++ b/Source/Peers/WatchDuty.cpp
@@ -0,0 +1,21 @@
+#include "Peers/WatchDuty.h"
+
+namespace wisteriadock {
+
+void WatchDuty::start(bool expectsOthers, TimePoint now)
+{
+    meetsSince_ = expectsOthers ? std::optional(now) : std::nullopt;
+}
+
+bool WatchDuty::isOn(const Membership& membership, TimePoint now) const
+{
+    const MembersView& view = *membership.view();
+    const bool knowsOthers = view.members.size() >= fewestMembersToShareWatching;
+    const Duration limit = knowsOthers ? settings_.settleWithin : settings_.meetWithin;
+    const bool isWaiting = meetsSince_ && now - *meetsSince_ < limit;
+    if (isWaiting && !membership.isSettled(now))
+        return false;
+    return shallWatchConfiguration(view, settings_.numbers);
+}
+
+}
--- /dev/null
+++ b/Source/Peers/WatchDuty.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "Core/Clock.h"
+#include "Membership/Membership.h"
+#include "Peers/ConfigurationWatchers.h"
+
+#include <chrono>
+#include <optional>
+
+namespace wisteriadock {
+
+struct WatchDutySettings {
+    WatcherNumbers numbers {};
+    // For so long after its start a balancer that has met hardly anybody waits to meet others.
+    std::chrono::milliseconds meetWithin { 3000 };
+    // The same for one that has met others and still learns of more. Half of the time in which the users of a fleet of
+    // hundreds want a configuration to be in force is left to read the platform.
+    std::chrono::milliseconds settleWithin { 6000 };
+};
+
+// Whether this balancer is among those that watch the platform for the others. Who has just started knows few members,
+// so that it would take itself for the first of its availability zone: when all of a fleet of 195 started together,
+// hundreds of watches were sent within two seconds. Until its view has settled it leaves watching to others, for a
+// bounded time, since there may be no others.
+class WatchDuty {
+public:
+    explicit WatchDuty(WatchDutySettings settings)
+        : settings_(settings)
+    {
+    }
+
+    // The process begins to meet others; expectsOthers is false where no address of another balancer is known.
+    void start(bool expectsOthers, TimePoint now);
+    bool isOn(const Membership&, TimePoint now) const;
+
+private:
+    const WatchDutySettings settings_;
+    // Since when it waits for others; none when it does not.
+    std::optional<TimePoint> meetsSince_;
+};
+
+}
--- /dev/null
+++ b/Tests/Peers/WatchDutyTest.cpp
@@ -0,0 +1,117 @@
+#include "Peers/WatchDuty.h"
+
+#include "Support/MembershipNetwork.h"
+
+#include <gtest/gtest.h>
+
+#include <set>
+
+namespace wisteriadock {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr std::size_t zones = 5;
+    constexpr std::size_t seeds = 3;
+    // The first ones of each zone have wide links.
+    constexpr std::size_t widePerZone = 3;
+    constexpr WatcherNumbers numbers { 1, 3, 3 };
+    // A watcher of each zone must be there in time for a configuration to be in force 6 s after the start of all.
+    constexpr auto watchedWithin = 6s;
+
+    // Balancers that start together, and who of them watches.
+    struct Fleet {
+        MembershipNetwork network { 11 };
+        std::vector<WatchDuty> duties;
+        std::set<std::size_t> everWatched;
+        std::vector<Duration> watchedAfter = std::vector<Duration>(zones, Duration::max());
+        TimePoint startedAt;
+
+        void start(std::size_t count, std::size_t knownSeeds)
+        {
+            startedAt = network.now;
+            for (std::size_t i = 0; i < count; ++i) {
+                network.linkMegabits = i < zones * widePerZone ? 200 : 20;
+                network.addWithSeeds(fmt::format("zone{}", i % zones), knownSeeds);
+                duties.emplace_back(WatchDutySettings { .numbers = numbers });
+                duties.back().start(knownSeeds > 0, network.now);
+            }
+        }
+
+        void run(Duration time)
+        {
+            for (const TimePoint end = network.now + time; network.now < end;) {
+                network.run(100ms);
+                look();
+            }
+        }
+
+        void look()
+        {
+            for (std::size_t i = 0; i < duties.size(); ++i) {
+                if (!network.isRunning(i) || !duties[i].isOn(*network.nodes()[i].membership, network.now))
+                    continue;
+                everWatched.insert(i);
+                watchedAfter[i % zones] = std::min(watchedAfter[i % zones], network.now - startedAt);
+            }
+        }
+    };
+
+    // Symptom: of the calls to the platform's service on a day of 195 balancers four in five were watches, most of them
+    // in the seconds after all had started or had lost power. Sequence: all start at once; each knows itself and three
+    // addresses, and for some seconds hardly anybody else; whoever knows no member of its zone with a wider link
+    // watches. Cause: a balancer judged by a view that had just begun to fill.
+    TEST(WatchDutyTest, whenAllStartTogetherFewWatchAndEachZoneIsWatched)
+    {
+        Fleet fleet;
+        fleet.start(195, seeds);
+        fleet.run(20s);
+        EXPECT_LE(fleet.everWatched.size(), 2 * zones);
+        for (const Duration after : fleet.watchedAfter)
+            EXPECT_LE(after, watchedWithin);
+    }
+
+    TEST(WatchDutyTest, aSmallFleetIsWatchedSoonAfterItsStart)
+    {
+        Fleet fleet;
+        fleet.start(2 * zones, seeds);
+        fleet.run(3s);
+        for (const Duration after : fleet.watchedAfter)
+            EXPECT_LE(after, 2s);
+    }
+
+    TEST(WatchDutyTest, whoMeetsNobodyWatchesAlone)
+    {
+        Fleet fleet;
+        // Nobody answers: all but the first are cut off from each other.
+        fleet.network.isCut = [](std::size_t, std::size_t) { return true; };
+        fleet.start(zones, seeds);
+        fleet.run(4s);
+        EXPECT_EQ(fleet.everWatched.size(), zones);
+        {
+            SCOPED_TRACE("at once, where no address of another is known");
+            Fleet lone;
+            lone.start(1, 0);
+            lone.run(100ms);
+            EXPECT_EQ(lone.everWatched.size(), 1U);
+        }
+    }
+
+    TEST(WatchDutyTest, anotherTakesOverFromAWatcherThatDies)
+    {
+        Fleet fleet;
+        fleet.start(40, seeds);
+        fleet.run(10s);
+        for (const std::size_t watcher : std::set<std::size_t>(fleet.everWatched))
+            fleet.network.kill(watcher);
+        fleet.startedAt = fleet.network.now;
+        fleet.watchedAfter.assign(zones, Duration::max());
+        fleet.run(15s);
+        for (const Duration after : fleet.watchedAfter)
+            EXPECT_LE(after, 15s);
+    }
+
+}
+
+}
--- a/Tests/Support/MembershipNetwork.h
+++ b/Tests/Support/MembershipNetwork.h
@@ -42,16 +42,25 @@
     // Starts a new balancer that reads a VM list of all balancers so far.
     std::size_t add(const std::string& availabilityZone)
     {
-        const std::size_t index = nodes_.size();
-        const auto host = static_cast<std::uint32_t>(0x0A000001 + index);
-        const std::string name = fmt::format("{}-{}", availabilityZone, index);
-        nodes_.emplace_back();
-        nodes_.back().self = { balancerIdOf(name), name, availabilityZone, { host, 7000 }, { host, 7001 },
-            { host, 7002 }, firstIncarnation + index, MemberState::Serving, 0 };
+        const std::size_t index = place(availabilityZone);
         start(index);
         return index;
     }
 
+    // Starts a new balancer whose list names the first balancers only, also those that have not started yet.
+    std::size_t addWithSeeds(const std::string& availabilityZone, std::size_t seeds)
+    {
+        const std::size_t index = place(availabilityZone);
+        nodes_[index].membership = std::make_unique<Membership>(settings, nodes_[index].self, random_(), now);
+        VmListReceived list;
+        for (std::size_t seed = 0; seed < seeds; ++seed) {
+            if (seed != index)
+                list.vms.push_back({ peerAddressOf(seed), false });
+        }
+        perform(index, nodes_[index].membership->handle(list, now));
+        return index;
+    }
+
     void start(std::size_t index)
     {
         Node& node = nodes_[index];
@@ -128,12 +137,15 @@
     }
 
     std::vector<Node>& nodes() { return nodes_; }
+    const std::vector<Node>& nodes() const { return nodes_; }
     bool isRunning(std::size_t index) const { return nodes_[index].membership && !nodes_[index].isPaused; }
     const MembersView& view(std::size_t index) const { return *nodes_[index].membership->view(); }
     const Member* seen(std::size_t by, std::size_t who) const { return view(by).find(nodes_[who].self.id); }
 
     MembershipSettings settings;
     double loss = 0;
+    // Of the balancers that are added from now on.
+    std::uint32_t linkMegabits = 0;
     std::function<bool(std::size_t from, std::size_t to)> isCut;
     TimePoint now = ManualClock().now();
 
@@ -149,6 +161,21 @@
 
     static constexpr std::uint64_t firstIncarnation = 1'790'000'000'000;
 
+    static std::uint32_t hostOf(std::size_t index) { return static_cast<std::uint32_t>(0x0A000001 + index); }
+    static Endpoint peerAddressOf(std::size_t index) { return { hostOf(index), 7000 }; }
+
+    // Makes room for a balancer, which has not started.
+    std::size_t place(const std::string& availabilityZone)
+    {
+        const std::size_t index = nodes_.size();
+        const std::string name = fmt::format("{}-{}", availabilityZone, index);
+        nodes_.emplace_back();
+        nodes_.back().self
+            = { balancerIdOf(name), name, availabilityZone, peerAddressOf(index), { hostOf(index), 7001 },
+                  { hostOf(index), 7002 }, firstIncarnation + index, MemberState::Serving, 0, linkMegabits };
+        return index;
+    }
+
     void deliverUntil(TimePoint end)
     {
         for (; !flying_.empty() && flying_.top().at <= end; flying_.pop()) {
