Log: Write in whole pieces, the story first, and listings in one line

A start wrote one line for each of 293 servers and 195 neighbours at once, which is 100 KB or more in one write, and collectors keep some KB of a burst. The process itself wrote whole lines.

Change: pieces of whole lines up to PIPE_BUF with 25 ms between them; lines of process, store, configuration, peers go before those of single flows and servers; more than 16 alike changes of one piece of news or view are one line (server.many, peers.many), and those met while a start's view fills are one line (peers.met_many). wisteriadock-flow-story says how many lines were not written.

EventLogTest.aReaderThatNeverReadsHoldsUpNothing expected one note with all dropped lines; since room now comes back piece by piece there may be several, so it expects their sum, and besides that each line that was not dropped is seen once.

--- a/Source/Core/EventLog.cpp
+++ b/Source/Core/EventLog.cpp
@@ -5,6 +5,7 @@
 #include <spdlog/logger.h>
 #include <spdlog/sinks/base_sink.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <fcntl.h>
 #include <unistd.h>
@@ -41,6 +42,11 @@
     // Room for the fields of nearly every line, so that a line is allocated once.
     constexpr std::size_t usualFieldBytes = 512;
 
+    LineRank rankOf(std::string_view part)
+    {
+        return part == "flow" || part == "server" ? LineRank::Bulk : LineRank::Story;
+    }
+
     // Hands spdlog's messages, which are whole lines already, to the buffer.
     class LineSink : public spdlog::sinks::base_sink<spdlog::details::null_mutex> {
     public:
@@ -49,15 +55,19 @@
         {
         }
 
+        // Of the next message.
+        void setRank(LineRank rank) { rank_ = rank; }
+
     protected:
         void sink_it_(const spdlog::details::log_msg& message) override
         {
-            buffer_->add({ message.payload.data(), message.payload.size() });
+            buffer_->add({ message.payload.data(), message.payload.size() }, rank_);
         }
         void flush_() override { buffer_->flush(); }
 
     private:
         std::shared_ptr<LineBuffer> buffer_;
+        LineRank rank_ = LineRank::Story;
     };
 
     spdlog::level::level_enum toSpdlog(LogLevel level)
@@ -87,35 +97,65 @@
         ::fcntl(descriptor_, F_SETFL, flags | O_NONBLOCK);
 }
 
-bool LineBuffer::add(std::string_view line)
+bool LineBuffer::add(std::string_view line, LineRank rank)
 {
+    std::string& lines = rank == LineRank::Story ? story_ : bulk_;
     std::string note;
     if (droppedUnsaid_ > 0)
         note = fmt::format("{{\"part\":\"log\",\"event\":\"lines_dropped\",\"count\":{}}}\n", droppedUnsaid_);
-    if (bytes_.size() + note.size() + line.size() + 1 > capacity_) {
+    if (lines.size() + note.size() + line.size() + 1 > capacity_) {
         ++dropped_;
         ++droppedUnsaid_;
         return false;
     }
-    bytes_ += note;
+    lines += note;
     droppedUnsaid_ = 0;
-    bytes_ += line;
-    bytes_ += '\n';
+    lines += line;
+    lines += '\n';
     ++lines_;
     return true;
 }
 
-void LineBuffer::flush()
+bool LineBuffer::flush() { return writePiece() && !isEmpty(); }
+
+void LineBuffer::flushAll()
+{
+    while (writePiece()) { }
+}
+
+// True when it wrote something.
+bool LineBuffer::writePiece()
+{
+    if (piece_.empty())
+        fillPiece(story_);
+    if (piece_.size() < pieceBytes)
+        fillPiece(bulk_);
+    if (piece_.empty())
+        return false;
+    ssize_t written = -1;
+    do
+        written = ::write(descriptor_, piece_.data(), piece_.size());
+    while (written < 0 && errno == EINTR);
+    // A full pipe is tried again at the next flush. What can never be written only fills the buffer.
+    if (written <= 0)
+        return false;
+    piece_.erase(0, static_cast<std::size_t>(written));
+    return true;
+}
+
+// Moves as many whole lines as the piece has room for, and one in any case into an empty piece.
+void LineBuffer::fillPiece(std::string& lines)
 {
-    while (!bytes_.empty()) {
-        const ssize_t written = ::write(descriptor_, bytes_.data(), bytes_.size());
-        if (written < 0 && errno == EINTR)
-            continue;
-        // A full pipe is tried again at the next flush. What can never be written only fills the buffer.
-        if (written <= 0)
-            return;
-        bytes_.erase(0, static_cast<std::size_t>(written));
+    const std::size_t room = pieceBytes - std::min(pieceBytes, piece_.size());
+    std::size_t end = lines.size();
+    if (end > room) {
+        const std::size_t last = room == 0 ? std::string::npos : lines.rfind('\n', room - 1);
+        end = last == std::string::npos ? 0 : last + 1;
     }
+    if (end == 0 && piece_.empty() && !lines.empty())
+        end = lines.find('\n') + 1;
+    piece_.append(lines, 0, end);
+    lines.erase(0, end);
 }
 
 Event::Event() { fields_.reserve(usualFieldBytes); }
@@ -174,21 +214,21 @@
 }
 
 struct EventLog::Implementation {
-    spdlog::logger logger;
+    std::shared_ptr<LineSink> sink;
+    spdlog::logger logger { "events", sink };
     std::string line {};
 };
 
 EventLog::EventLog(EventOrigin origin, int descriptor, std::uint32_t budgetPerSecond)
     : origin_(std::move(origin))
     , buffer_(std::make_shared<LineBuffer>(descriptor))
-    , implementation_(
-          std::make_unique<Implementation>(Implementation { { "events", std::make_shared<LineSink>(buffer_) } }))
+    , implementation_(std::make_unique<Implementation>(Implementation { std::make_shared<LineSink>(buffer_) }))
     , budget_(budgetPerSecond)
 {
     setLevel(level_);
 }
 
-EventLog::~EventLog() { buffer_->flush(); }
+EventLog::~EventLog() { buffer_->flushAll(); }
 
 bool EventLog::admits(std::string_view part, std::string_view event, TimePoint now)
 {
@@ -231,14 +271,15 @@
         origin_.availabilityZone, origin_.incarnation);
     line += fields.fields_;
     line += '}';
+    implementation_->sink->setRank(rankOf(part));
     implementation_->logger.log(toSpdlog(level), spdlog::string_view_t(line.data(), line.size()));
 }
 
-void EventLog::flush(TimePoint now)
+bool EventLog::flush(TimePoint now)
 {
     if (now >= second_ + std::chrono::seconds(1))
         beginSecond(now);
-    buffer_->flush();
+    return buffer_->flush();
 }
 
 void EventLog::setLevel(LogLevel level)
--- a/Source/Core/EventLog.h
+++ b/Source/Core/EventLog.h
@@ -13,28 +13,50 @@
 
 namespace wisteriadock {
 
+// Which lines go first when there are more than a reader takes.
+enum class LineRank {
+    Story, // What became of the process, the store, the configuration and the other balancers.
+    Bulk, // Single flows and servers, of which there may be hundreds at once.
+};
+
 // Where lines go until they are written: a bounded buffer in front of a descriptor that may be a pipe nobody reads.
 // Nothing here ever waits. Lines that do not fit are dropped and counted, and the next line that fits says how many.
+//
+// Lines are written whole, in pieces that a pipe takes at once or not at all, and with pauses between them: whoever
+// collects the lines of hundreds of processes keeps only so much of a burst, and cuts the rest off in the middle.
 class LineBuffer {
 public:
     // Room for some seconds of lines at the usual load; with a stuck reader, memory stays bounded by it.
     static constexpr std::size_t defaultCapacity = std::size_t(256) * 1024;
+    // What a pipe takes as a whole (PIPE_BUF). A longer line is a piece by itself.
+    static constexpr std::size_t pieceBytes = 4096;
+    // Between two pieces; 160 KB a second, twice the lines of the busiest balancer known.
+    static constexpr std::chrono::milliseconds pause { 25 };
 
     explicit LineBuffer(int descriptor, std::size_t capacity = defaultCapacity);
 
     // Takes a line without its end. False when it was dropped.
-    bool add(std::string_view line);
-    // Writes what the descriptor takes at once.
-    void flush();
+    bool add(std::string_view line, LineRank = LineRank::Bulk);
+    // Writes one piece, the story first. True when the descriptor took it and more is left.
+    bool flush();
+    // Writes what the descriptor takes at once, for a process that ends.
+    void flushAll();
 
-    bool isEmpty() const { return bytes_.empty(); }
+    bool isEmpty() const { return piece_.empty() && story_.empty() && bulk_.empty(); }
     std::uint64_t dropped() const { return dropped_; }
     std::uint64_t lines() const { return lines_; }
 
 private:
+    bool writePiece();
+    void fillPiece(std::string& lines);
+
     const int descriptor_;
     const std::size_t capacity_;
-    std::string bytes_;
+    // What is being written; empty, or begun with a whole line.
+    std::string piece_;
+    // Each may fill the capacity, so that neither drops lines of the other.
+    std::string story_;
+    std::string bulk_;
     std::uint64_t lines_ = 0;
     std::uint64_t dropped_ = 0;
     std::uint64_t droppedUnsaid_ = 0;
@@ -92,8 +114,9 @@
     void write(LogLevel, std::string_view part, std::string_view event, const Event&, TimePoint now);
     // The same for a line that admits() let through.
     void writeAdmitted(LogLevel, std::string_view part, std::string_view event, const Event&, TimePoint now);
-    // Hands the lines so far to the descriptor, and reports what was left out in the seconds before.
-    void flush(TimePoint now);
+    // Hands a piece of the lines so far to the descriptor, and reports what was left out in the seconds before. True
+    // when it is to be called again after LineBuffer::pause; a reader that takes nothing is tried again later.
+    bool flush(TimePoint now);
 
     void setLevel(LogLevel);
     LogLevel level() const { return level_; }
--- a/Source/FlowStory/FlowStory.cpp
+++ b/Source/FlowStory/FlowStory.cpp
@@ -28,11 +28,12 @@
     bool isCircumstance(const LogLine& line, const std::set<std::string>& servers, const std::set<std::string>& vms)
     {
         const std::string part = line.text("part");
-        if (part == "server")
+        const bool isOfOneServer = part == "server" && !line.text("server").empty();
+        if (isOfOneServer)
             return servers.contains(line.text("server"));
-        if (part == "configuration" || part == "store" || part == "process" || part == "settings" || part == "news")
-            return vms.contains(line.text("vm"));
-        return false;
+        static constexpr std::array<std::string_view, 6> partsOfVms { "configuration", "store", "process", "settings",
+            "news", "server" };
+        return std::ranges::find(partsOfVms, part) != partsOfVms.end() && vms.contains(line.text("vm"));
     }
 
 }
@@ -51,18 +52,32 @@
         if (begin == std::string::npos)
             continue;
         LogLine line { 0, nlohmann::ordered_json::parse(text.substr(begin), nullptr, false) };
-        const bool isLine = line.fields.is_object() && line.fields.contains("part")
-            && line.fields.contains("time_of_day_s") && line.fields["time_of_day_s"].is_number();
-        if (!isLine) {
+        const bool hasTime = line.fields.is_object() && line.fields.contains("time_of_day_s")
+            && line.fields["time_of_day_s"].is_number();
+        // Of lines that were dropped only their number is known.
+        const bool tellsOfLog = line.fields.is_object() && line.text("part") == "log";
+        if (!tellsOfLog && (!hasTime || !line.fields.contains("part"))) {
             ++unreadable;
             continue;
         }
-        line.timeOfDay = line.fields["time_of_day_s"].get<double>();
+        if (hasTime)
+            line.timeOfDay = line.fields["time_of_day_s"].get<double>();
         lines.push_back(std::move(line));
     }
     return lines;
 }
 
+std::size_t countLeftOut(const std::vector<LogLine>& lines)
+{
+    std::size_t count = 0;
+    for (const LogLine& line : lines) {
+        const auto found = line.fields.find("count");
+        if (line.text("part") == "log" && found != line.fields.end() && found->is_number_unsigned())
+            count += found->get<std::size_t>();
+    }
+    return count;
+}
+
 Result<std::vector<LogLine>> storyOf(std::vector<LogLine> lines, const FlowStoryQuery& query)
 {
     if (query.request.empty() && query.flow.empty() && query.server.empty())
--- a/Source/FlowStory/FlowStory.h
+++ b/Source/FlowStory/FlowStory.h
@@ -37,6 +37,9 @@
 // without one are passed over. The number of lines that began like an object and were none is added to `unreadable`.
 std::vector<LogLine> readLogLines(std::istream&, std::size_t& unreadable);
 
+// How many lines their writers say they left out or dropped.
+std::size_t countLeftOut(const std::vector<LogLine>&);
+
 // The lines that tell what became of the flow at all balancers, in the order of time. Fails with InvalidArgument when
 // the query names nothing, and with NotFound when no line fits.
 Result<std::vector<LogLine>> storyOf(std::vector<LogLine> lines, const FlowStoryQuery&);
--- a/Source/FlowStory/main.cpp
+++ b/Source/FlowStory/main.cpp
@@ -47,6 +47,8 @@
             lines = readLogLines(std::cin, unreadable);
         if (unreadable > 0)
             fmt::print(stderr, "{} lines could not be read and are left out\n", unreadable);
+        if (const std::size_t leftOut = countLeftOut(lines))
+            fmt::print(stderr, "{} lines were not written; log.left_out and log.lines_dropped name them\n", leftOut);
         const auto story = storyOf(std::move(lines),
             { absl::GetFlag(FLAGS_request), absl::GetFlag(FLAGS_flow), absl::GetFlag(FLAGS_server),
                 std::chrono::milliseconds(absl::GetFlag(FLAGS_around_milliseconds)) });
--- a/Source/Forwarder/Forwarder.h
+++ b/Source/Forwarder/Forwarder.h
@@ -81,6 +81,7 @@
         , applier_(router_, lines_, metrics_)
         , signals_(context_, SIGTERM, SIGINT, SIGHUP)
         , timer_(context_)
+        , logTimer_(context_)
         , store_(context_, settings.store, seed_, metrics_, [this](const StoreFeedAction& action) { perform(action); })
     {
         log_.setLevel(settings.logLevel);
@@ -199,7 +200,7 @@
                     .add("servers", std::uint64_t(router_.directory().size()))
                     .add("source", news.source),
                 now);
-            log_.flush(now);
+            flushLog(now);
             meetPeers(now);
         }
     }
@@ -243,8 +244,7 @@
             peers_->exchange().behindSince(), now);
         store_.tick(now);
         router_.noteStoreHeard(peers_->exchange().storeHeardAt());
-        for (const ServerTransition& transition : router_.tick(now))
-            lines_.transition(transition, peers_->exchange().book().completeTo(), "time", now);
+        lines_.transitions(router_.tick(now), peers_->exchange().book().completeTo(), "time", now);
         for (const FailingChange& change : router_.takeFailingChanges())
             lines_.failing(change, now);
         for (const ZoneChange& change : router_.takeZoneChanges())
@@ -258,14 +258,26 @@
             end(now);
             return;
         }
-        log_.flush(now);
+        flushLog(now);
         awaitBeat();
     }
 
+    // What is left goes in pieces, so that no burst of lines is more than its reader takes at once.
+    void flushLog(TimePoint now)
+    {
+        if (!log_.flush(now))
+            return;
+        logTimer_.expires_after(LineBuffer::pause);
+        logTimer_.async_wait([this](const boost::system::error_code& error) {
+            if (!error)
+                flushLog(Clock::now());
+        });
+    }
+
     void end(TimePoint now)
     {
         log_.write(LogLevel::Info, "process", "stopped", Event().add("ran_ms", now - startedAt_), now);
-        log_.flush(now);
+        log_.buffer().flushAll();
         context_.stop();
     }
 
@@ -334,6 +346,7 @@
     NewsApplier<Adapter> applier_;
     boost::asio::signal_set signals_;
     boost::asio::steady_timer timer_;
+    boost::asio::steady_timer logTimer_;
     std::unique_ptr<PeerNews> peers_;
     StoreLink<Adapter> store_;
     std::unique_ptr<TokenPacketPath<Adapter>> packets_;
--- a/Source/Forwarder/ForwarderLog.cpp
+++ b/Source/Forwarder/ForwarderLog.cpp
@@ -1,5 +1,8 @@
 #include "Forwarder/ForwarderLog.h"
 
+#include <algorithm>
+#include <map>
+
 namespace wisteriadock {
 
 namespace {
@@ -11,6 +14,11 @@
         return decision.verdict == PacketVerdict::Forward ? LogLevel::Info : LogLevel::Warning;
     }
 
+    std::string_view eventOf(const ServerTransition& transition)
+    {
+        return transition.isRestart ? "restarted" : nameOf(transition.after);
+    }
+
     // How long ago; negative when it never was.
     double ageOf(TimePoint then, TimePoint now)
     {
@@ -89,10 +97,44 @@
         Event().add("bytes", std::uint64_t(bytes)).add("sender", sender.toString()), now);
 }
 
+void ForwarderLog::transitions(
+    const ServerDirectory::Transitions& transitions, std::uint64_t revision, const std::string& source, TimePoint now)
+{
+    std::map<std::string_view, std::vector<const ServerTransition*>> byEvent;
+    for (const ServerTransition& transition : transitions)
+        byEvent[eventOf(transition)].push_back(&transition);
+    for (const auto& [event, alike] : byEvent) {
+        if (alike.size() > mostSingleLines)
+            manyTransitions(alike, revision, source, now);
+        else
+            for (const ServerTransition* one : alike)
+                transition(*one, revision, source, now);
+    }
+}
+
+void ForwarderLog::manyTransitions(
+    const std::vector<const ServerTransition*>& alike, std::uint64_t revision, const std::string& source, TimePoint now)
+{
+    constexpr std::size_t named = 4;
+    std::string names;
+    for (std::size_t i = 0; i < named; ++i)
+        names += (i == 0 ? "" : ",") + alike[i]->id;
+    const auto unknown = std::ranges::count_if(alike, [](const ServerTransition* one) { return one->isNew; });
+    log_.write(LogLevel::Info, "server", "many",
+        Event()
+            .add("became", eventOf(*alike.front()))
+            .add("servers", std::uint64_t(alike.size()))
+            .add("unknown_before", std::uint64_t(unknown))
+            .add("among", names)
+            .add("revision", revision)
+            .add("source", source),
+        now);
+}
+
 void ForwarderLog::transition(
     const ServerTransition& transition, std::uint64_t revision, const std::string& source, TimePoint now)
 {
-    log_.write(LogLevel::Info, "server", transition.isRestart ? "restarted" : nameOf(transition.after),
+    log_.write(LogLevel::Info, "server", eventOf(transition),
         Event()
             .add("server", transition.id)
             .add("service", transition.service)
--- a/Source/Forwarder/ForwarderLog.h
+++ b/Source/Forwarder/ForwarderLog.h
@@ -6,6 +6,7 @@
 
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace wisteriadock {
 
@@ -30,6 +31,7 @@
 public:
     // An answer that takes longer than this is logged. The users want most answers within 250 to 500 ms.
     static constexpr std::chrono::milliseconds slowAnswer { 250 };
+    static constexpr std::size_t mostSingleLines = 16;
 
     explicit ForwarderLog(EventLog& log)
         : log_(log)
@@ -43,7 +45,10 @@
     // What a packet of an open flow showed: a request that begins, one that is repeated, an answer that came late.
     void progress(const TokenPacket&, const PacketDecision&, std::string_view requestId, TimePoint now);
     void malformed(std::size_t bytes, const Endpoint& sender, TimePoint now);
-    void transition(const ServerTransition&, std::uint64_t revision, const std::string& source, TimePoint now);
+    // What one piece of news, or the passing of time, changed. Changes of a kind that befell more servers than
+    // mostSingleLines are told in one line: a listing names hundreds of servers, and what matters would go with them.
+    void transitions(
+        const ServerDirectory::Transitions&, std::uint64_t revision, const std::string& source, TimePoint now);
     void configuration(const ConfigurationArrival&, const NewsChanged&, TimePoint now);
     void unreadable(const std::string& key, const Error&, TimePoint now);
     void news(const NewsChanged&, TimePoint now);
@@ -55,6 +60,10 @@
     EventLog& events() { return log_; }
 
 private:
+    void transition(const ServerTransition&, std::uint64_t revision, const std::string& source, TimePoint now);
+    void manyTransitions(
+        const std::vector<const ServerTransition*>&, std::uint64_t revision, const std::string& source, TimePoint now);
+
     EventLog& log_;
 };
 
--- a/Source/Forwarder/NewsApplier.h
+++ b/Source/Forwarder/NewsApplier.h
@@ -6,6 +6,8 @@
 #include "News/NewsExchange.h"
 #include "News/PackedValue.h"
 
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace wisteriadock {
@@ -26,12 +28,14 @@
     {
         metrics_.countNews(news.source, news.items.size());
         log_.news(news, now);
+        ServerDirectory::Transitions transitions;
         for (const NewsItem& item : news.items) {
             if (item.key == Adapter::configurationKey)
                 applyConfiguration(item, news, now);
             else if (const auto id = Adapter::serverIdOf(item.key))
-                applyServer(*id, item, news, now);
+                std::ranges::move(applyServer(*id, item, news, now), std::back_inserter(transitions));
         }
+        log_.transitions(transitions, news.revision, news.source, now);
     }
 
 private:
@@ -61,16 +65,17 @@
             metrics_.observeConfiguration(arrival.age + arrival.reading, arrival.reading);
     }
 
-    void applyServer(const std::string& id, const NewsItem& item, const NewsChanged& news, TimePoint now)
+    ServerDirectory::Transitions applyServer(
+        const std::string& id, const NewsItem& item, const NewsChanged& news, TimePoint now)
     {
         if (item.isRemoved)
-            return report(router_.removeServer(id, news.isInDoubt, now), item, news, now);
+            return router_.removeServer(id, news.isInDoubt, now);
         const auto server = readServer(id, item);
         if (!server) {
             refuse(item, server.error(), now);
-            return report(router_.disuseServer(id, item.revision, now), item, news, now);
+            return router_.disuseServer(id, item.revision, now);
         }
-        report(router_.putServer(server.value(), item.revision, now), item, news, now);
+        return router_.putServer(server.value(), item.revision, now);
     }
 
     Result<RegisteredServer> readServer(const std::string& id, const NewsItem& item)
@@ -80,13 +85,6 @@
         return Adapter::decodeServer(id, item.value);
     }
 
-    void report(
-        const ServerDirectory::Transitions& transitions, const NewsItem& item, const NewsChanged& news, TimePoint now)
-    {
-        for (const ServerTransition& transition : transitions)
-            log_.transition(transition, item.revision, news.source, now);
-    }
-
     void refuse(const NewsItem& item, const Error& error, TimePoint now)
     {
         metrics_.countRefusedNews();
--- a/Source/Forwarder/PeerNews.cpp
+++ b/Source/Forwarder/PeerNews.cpp
@@ -65,6 +65,7 @@
     , address_(self.peerAddress)
     , seeds_(std::move(seeds))
     , log_(log)
+    , membersLog_(log)
     , metrics_(metrics)
     , handler_(std::move(handler))
     , membership_({}, self, seed, Clock::now())
@@ -82,6 +83,7 @@
 void PeerNews::start(TimePoint now)
 {
     watchDuty_.start(!seeds_.empty(), now);
+    membersLog_.start(now);
     adviseSeeds(now);
     // Watchers are chosen among those that serve, and until somebody watches nobody learns enough to be ready. Nothing
     // has to be learned from others before packets can be routed by their tokens.
@@ -112,6 +114,7 @@
         perform(membership_.setConfigurationVersion(toldRevision_, now), now);
     }
     perform(membership_.tick(now), now);
+    membersLog_.tick(*membership_.view(), membership_.isSettled(now), now);
     noteFetchProgress(now);
     perform(exchange_.tick(now), now);
     logBehind(now);
@@ -206,41 +209,11 @@
             continue;
         }
         const auto& view = std::get<MembersViewChanged>(action).view;
-        logMembers(*view, now);
+        membersLog_.note(*view, membership_.isSettled(now), now);
         perform(exchange_.handleView(view, now), now);
     }
 }
 
-void PeerNews::logMembers(const MembersView& view, TimePoint now)
-{
-    if (view.isolated != isIsolated_) {
-        isIsolated_ = view.isolated;
-        log_.write(isIsolated_ ? LogLevel::Warning : LogLevel::Info, "peers", isIsolated_ ? "isolated" : "in_contact",
-            Event().add("members", std::uint64_t(view.members.size())), now);
-    }
-    for (const Member& member : view.members) {
-        if (member.id == view.self)
-            continue;
-        const auto [known, isNew] = memberStates_.try_emplace(member.id, member.state, now);
-        auto& [state, since] = known->second;
-        if (!isNew && state == member.state)
-            continue;
-        const bool isLost = member.state == MemberState::Dead;
-        const bool isBack = !isNew && state == MemberState::Dead;
-        const char* event = isLost ? "lost" : isBack ? "regained" : isNew ? "met" : "changed";
-        log_.write(isLost ? LogLevel::Warning : LogLevel::Info, "peers", event,
-            Event()
-                .add("peer", member.name)
-                .add("peer_zone", member.availabilityZone)
-                .add("state", nameOf(member.state))
-                .add("former_for_ms", now - since),
-            now);
-        state = member.state;
-        since = now;
-    }
-    std::erase_if(memberStates_, [&](const auto& row) { return !view.find(row.first); });
-}
-
 void PeerNews::perform(const NewsActions& actions, TimePoint now)
 {
     for (const NewsAction& action : actions) {
--- a/Source/Forwarder/PeerNews.h
+++ b/Source/Forwarder/PeerNews.h
@@ -2,6 +2,7 @@
 
 #include "Core/EventLog.h"
 #include "Forwarder/ForwarderMetrics.h"
+#include "Forwarder/MembersLog.h"
 #include "Membership/Membership.h"
 #include "Net/Http2Client.h"
 #include "Net/Http2Server.h"
@@ -65,13 +66,12 @@
     void noteFetchProgress(TimePoint now);
     void logBehind(TimePoint now);
     void adviseSeeds(TimePoint now);
-    // Tells of balancers that were lost, are back, or are new.
-    void logMembers(const MembersView& view, TimePoint now);
 
     boost::asio::io_context& context_;
     const Endpoint address_;
     std::vector<Endpoint> seeds_;
     EventLog& log_;
+    MembersLog membersLog_;
     ForwarderMetrics& metrics_;
     Handler handler_;
     Membership membership_;
@@ -81,9 +81,6 @@
     std::unique_ptr<Http2Server> server_;
     std::unique_ptr<Http2Client> fetcher_;
     std::uint64_t toldRevision_ = 0;
-    // Since when each known balancer is in its state; for the log.
-    std::map<BalancerId, std::pair<MemberState, TimePoint>> memberStates_;
-    bool isIsolated_ = false;
     bool isLeaving_ = false;
     std::uint64_t fetchedBytes_ = 0;
     // Bytes of the fetch in progress at the last look.
--- a/Tests/Core/EventLogTest.cpp
+++ b/Tests/Core/EventLogTest.cpp
@@ -49,6 +49,15 @@
         return count;
     }
 
+    // Of the numbers that follow this text.
+    std::uint64_t sumOf(const std::string& text, const std::string& what)
+    {
+        std::uint64_t sum = 0;
+        for (std::size_t at = text.find(what); at != std::string::npos; at = text.find(what, at + 1))
+            sum += std::stoull(text.substr(at + what.size(), 20));
+        return sum;
+    }
+
     struct EventLogTest : testing::Test {
         ManualClock clock;
         Pipe pipe;
@@ -119,7 +128,8 @@
             log.write(LogLevel::Info, "flow", "opened", Event(), clock.now());
             log.flush(clock.now());
             seen += pipe.read();
-            EXPECT_NE(seen.find("\"event\":\"lines_dropped\",\"count\":" + std::to_string(dropped)), std::string::npos);
+            EXPECT_EQ(sumOf(seen, "\"event\":\"lines_dropped\",\"count\":"), dropped);
+            EXPECT_EQ(countOf(seen, "\"event\":\"opened\""), log.buffer().lines());
         }
     }
 
--- /dev/null
+++ b/Tests/Forwarder/ForwarderLogTest.cpp
@@ -0,0 +1,187 @@
+#include "Forwarder/ForwarderLog.h"
+#include "Forwarder/MembersLog.h"
+
+#include <gtest/gtest.h>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <array>
+#include <fcntl.h>
+#include <sstream>
+#include <string>
+#include <unistd.h>
+#include <vector>
+
+namespace wisteriadock {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr std::size_t serversAtStart = 300;
+    constexpr std::size_t neighboursAtStart = 300;
+    // What the reader takes at each beat of the forwarder.
+    constexpr std::size_t readerBytes = 4096;
+    constexpr auto beat = 250ms;
+    // An engineer who follows a restart sees within a second that the forwarder serves.
+    constexpr int beatsToTellReady = 4;
+
+    // A pipe that holds as much as its reader takes at once.
+    struct ThinReader {
+        std::array<int, 2> ends { -1, -1 };
+
+        ThinReader()
+        {
+            EXPECT_EQ(::pipe(ends.data()), 0);
+            ::fcntl(ends[0], F_SETFL, O_NONBLOCK);
+            ::fcntl(ends[1], F_SETPIPE_SZ, readerBytes);
+        }
+        ~ThinReader()
+        {
+            ::close(ends[0]);
+            ::close(ends[1]);
+        }
+        ThinReader(const ThinReader&) = delete;
+        ThinReader& operator=(const ThinReader&) = delete;
+
+        std::string read() const
+        {
+            std::string text(readerBytes, '\0');
+            const ssize_t count = ::read(ends[0], text.data(), text.size());
+            text.resize(count > 0 ? static_cast<std::size_t>(count) : 0);
+            return text;
+        }
+    };
+
+    // A forwarder's log at a start of hundreds, as the forwarder writes it.
+    struct ForwarderLogTest : testing::Test {
+        ManualClock clock;
+        ThinReader reader;
+        EventLog log { { "edge-1", "walu", 7 }, reader.ends[1] };
+        ForwarderLog lines { log };
+        MembersLog members { log };
+        std::string seen;
+
+        void writeStart()
+        {
+            log.write(LogLevel::Info, "process", "started", Event(), clock.now());
+            ServerDirectory::Transitions listed;
+            for (std::size_t i = 0; i < serversAtStart; ++i)
+                listed.push_back({ fmt::format("i-{:010x}", i * 2654435761), "streams", "walu", ServerState::Ready,
+                    ServerState::Ready, true });
+            listed.front().after = ServerState::Draining;
+            lines.transitions(listed, 42, "store", clock.now());
+            log.write(LogLevel::Info, "process", "ready", Event().add("servers", serversAtStart), clock.now());
+        }
+
+        void meetNeighbours()
+        {
+            members.start(clock.now());
+            MembersView view;
+            for (std::size_t i = 0; i < neighboursAtStart; ++i) {
+                Member member;
+                member.name = fmt::format("edge-walu-{}", i);
+                member.id = balancerIdOf(member.name);
+                member.availabilityZone = "walu";
+                member.state = MemberState::Serving;
+                view.members.push_back(member);
+                std::ranges::sort(view.members, {}, &Member::id);
+                if (i % 10 == 0)
+                    members.note(view, false, clock.now());
+            }
+            members.note(view, true, clock.now());
+        }
+
+        void passBeat()
+        {
+            log.flush(clock.now());
+            seen += reader.read();
+            clock.advance(beat);
+        }
+
+        std::vector<nlohmann::json> linesSeen() const
+        {
+            std::vector<nlohmann::json> found;
+            std::istringstream input(seen);
+            for (std::string line; std::getline(input, line);)
+                found.push_back(nlohmann::json::parse(line, nullptr, false));
+            return found;
+        }
+
+        static bool isEvent(const nlohmann::json& line, const char* part, const char* event)
+        {
+            return line.is_object() && line["part"] == part && line["event"] == event;
+        }
+        std::ptrdiff_t countOf(const char* part, const char* event) const
+        {
+            return std::ranges::count_if(linesSeen(), [&](const auto& line) { return isEvent(line, part, event); });
+        }
+    };
+
+    // Symptom: after a loss of all power, logs of 195 machines held 195 process.started and no process.ready, and a
+    // hundredth of all lines was cut in the middle, so that nobody could say when a machine began to serve.
+    // Sequence: a start writes one line for each of 293 servers and 195 neighbours at once; the collector keeps some
+    // kilobytes of such a burst and cuts off the rest.
+    // Cause: a listing was told like as many changes, and everything was written at once in the order in which it came.
+    TEST_F(ForwarderLogTest, aStartOfHundredsTellsWhatMattersToAThinReader)
+    {
+        writeStart();
+        meetNeighbours();
+        for (int i = 0; i < beatsToTellReady; ++i)
+            passBeat();
+        for (const auto& line : linesSeen())
+            EXPECT_TRUE(line.is_object());
+        EXPECT_EQ(countOf("process", "started"), 1);
+        EXPECT_EQ(countOf("process", "ready"), 1);
+        EXPECT_TRUE(log.buffer().isEmpty());
+        {
+            SCOPED_TRACE("the listing is told in one line, and what is not like the rest by itself");
+            EXPECT_EQ(countOf("server", "many"), 1);
+            EXPECT_EQ(countOf("server", "draining"), 1);
+        }
+        {
+            SCOPED_TRACE("and those that were met as well");
+            EXPECT_EQ(countOf("peers", "met_many"), 1);
+            EXPECT_EQ(countOf("peers", "met"), 0);
+        }
+    }
+
+    TEST_F(ForwarderLogTest, theStoryGoesBeforeLinesOfSingleFlows)
+    {
+        for (std::size_t i = 0; i < 150; ++i)
+            log.write(LogLevel::Info, "flow", "opened", Event().add("flow", i), clock.now());
+        log.write(LogLevel::Warning, "store", "lost", Event(), clock.now());
+        passBeat();
+        EXPECT_EQ(countOf("store", "lost"), 1);
+        for (const auto& line : linesSeen())
+            EXPECT_TRUE(line.is_object());
+        {
+            SCOPED_TRACE("which come later and whole");
+            for (int i = 0; i < 20; ++i)
+                passBeat();
+            EXPECT_EQ(countOf("flow", "opened"), 150);
+        }
+    }
+
+    TEST_F(ForwarderLogTest, aNeighbourThatComesLaterIsToldByItself)
+    {
+        meetNeighbours();
+        MembersView view;
+        for (const char* name : { "edge-walu-0", "edge-walu-new" }) {
+            Member member;
+            member.name = name;
+            member.id = balancerIdOf(member.name);
+            member.state = MemberState::Serving;
+            view.members.push_back(member);
+        }
+        std::ranges::sort(view.members, {}, &Member::id);
+        members.note(view, true, clock.now());
+        passBeat();
+        EXPECT_EQ(countOf("peers", "met"), 1);
+    }
+
+}
+
+}
