News: Check an old first listing when packets contradict it

Ruled out: reading the first listing fresh at every start, which costs ten times as much and counts against the store's rate.

Change: a packet with an unknown token, or for a service without servers, within 15 s of a start makes the forwarder ask the store once for what changed since its listing. What it finds it keeps for itself.

--- a/Source/Forwarder/Forwarder.h
+++ b/Source/Forwarder/Forwarder.h
@@ -106,8 +106,8 @@
             PeerNews::open(context_, self(), settings_.seeds, seed_, log_, metrics_,
                 [this](const NewsChanged& news) { handleNews(news); }));
         peers_ = std::move(peers);
-        packets_ = std::make_unique<TokenPacketPath<Adapter>>(
-            context_, std::move(socket), router_, peers_->exchange(), life_, lines_, metrics_);
+        packets_ = std::make_unique<TokenPacketPath<Adapter>>(context_, std::move(socket), router_, peers_->exchange(),
+            life_, lines_, metrics_, [this](TimePoint now) { store_.noteContradiction(now); });
         const auto onRequest = [this](const std::shared_ptr<Http1Exchange>& exchange) {
             exchange->respond(answer(exchange->request()));
         };
@@ -215,7 +215,7 @@
     {
         const TimePoint now = Clock::now();
         if (const auto* news = std::get_if<StoreNews>(&action)) {
-            peers_->handleStore(news->delta, now);
+            peers_->handleStore(*news, now);
         } else if (const auto* lost = std::get_if<StoreLost>(&action)) {
             peers_->noteStore(true, now);
             log_.write(LogLevel::Warning, "store", "lost", Event().add("error", lost->error.toString()), now);
--- a/Source/Forwarder/PeerNews.cpp
+++ b/Source/Forwarder/PeerNews.cpp
@@ -147,7 +147,10 @@
     fetchProgress_ = bytes;
 }
 
-void PeerNews::handleStore(const NewsDelta& delta, TimePoint now) { perform(exchange_.handleStore(delta, now), now); }
+void PeerNews::handleStore(const StoreNews& news, TimePoint now)
+{
+    perform(exchange_.handleStore(news.delta, now, news.isForOthers), now);
+}
 
 void PeerNews::leave(TimePoint now)
 {
--- a/Source/Forwarder/PeerNews.h
+++ b/Source/Forwarder/PeerNews.h
@@ -7,6 +7,7 @@
 #include "Net/Http2Client.h"
 #include "Net/Http2Server.h"
 #include "News/NewsExchange.h"
+#include "News/StoreFeed.h"
 #include "Peers/PeerLink.h"
 #include "Peers/WatchDuty.h"
 
@@ -39,7 +40,7 @@
     // Call it every 100 to 250 ms.
     void tick(TimePoint now);
     // News that this balancer read from the store.
-    void handleStore(const NewsDelta&, TimePoint now);
+    void handleStore(const StoreNews&, TimePoint now);
     // A planned stop begins.
     void leave(TimePoint now);
     void setSeeds(std::vector<Endpoint> seeds, TimePoint now);
--- a/Source/Forwarder/StoreLink.h
+++ b/Source/Forwarder/StoreLink.h
@@ -33,6 +33,7 @@
     {
         perform(feed_.update(completeTo, shallWatch, behindSince, now));
     }
+    void noteContradiction(TimePoint now) { perform(feed_.noteContradiction(now)); }
     void tick(TimePoint now) { perform(feed_.tick(now)); }
 
     const StoreFeed& feed() const { return feed_; }
--- a/Source/Forwarder/TokenPacketPath.h
+++ b/Source/Forwarder/TokenPacketPath.h
@@ -11,6 +11,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/posix/stream_descriptor.hpp>
 
+#include <functional>
 #include <span>
 #include <string_view>
 #include <utility>
@@ -20,8 +21,12 @@
 // The packets' way through the process: reads them in batches, asks the router, and sends them on in one call.
 template <typename Adapter> class TokenPacketPath {
 public:
+    // Runs when a packet names a server that is not known here, or a service without servers.
+    using OnContradiction = std::function<void(TimePoint)>;
+
     TokenPacketPath(boost::asio::io_context& context, PacketSocket socket, TokenRouter& router,
-        const NewsExchange& news, ForwarderLife& life, ForwarderLog& log, ForwarderMetrics& metrics)
+        const NewsExchange& news, ForwarderLife& life, ForwarderLog& log, ForwarderMetrics& metrics,
+        OnContradiction onContradiction)
         : socket_(std::move(socket))
         , descriptor_(context, socket_.descriptor())
         , router_(router)
@@ -29,6 +34,7 @@
         , life_(life)
         , log_(log)
         , metrics_(metrics)
+        , onContradiction_(std::move(onContradiction))
         , batch_(PacketWait::Never, Adapter::largestPacket)
     {
     }
@@ -81,6 +87,8 @@
         const PacketDecision decision = router_.route(*packet, now);
         metrics_.countPacket(decision.reason, decision.verdict);
         metrics_.observe(decision.progress);
+        if (decision.reason == PacketReason::TokenUnknown || decision.reason == PacketReason::NoServer)
+            onContradiction_(now);
         const std::string_view requestId = showsRequest(*packet, decision) ? Adapter::requestIdOf(datagram) : "";
         log_.packet(*packet, decision, requestId, router_.configurationVersion(), news_.book().completeTo(), now);
         for (const KnownServer* server : decision.choice.leftOut)
@@ -126,6 +134,7 @@
     ForwarderLife& life_;
     ForwarderLog& log_;
     ForwarderMetrics& metrics_;
+    OnContradiction onContradiction_;
     PacketBatch batch_;
 };
 
--- a/Source/News/NewsExchange.cpp
+++ b/Source/News/NewsExchange.cpp
@@ -106,13 +106,13 @@
 {
 }
 
-NewsActions NewsExchange::handleStore(const NewsDelta& delta, TimePoint now)
+NewsActions NewsExchange::handleStore(const NewsDelta& delta, TimePoint now, bool isForOthers)
 {
     NewsActions actions = report("store", delta, book_.mergeFromStore(delta, now), now);
     if (delta.isFresh)
         storeHeardAt_ = now;
     const bool isConfirmation = delta.isFresh && delta.items.empty() && delta.from == delta.to;
-    if (!actions.empty() || isConfirmation)
+    if (isForOthers && (!actions.empty() || isConfirmation))
         push(delta, actions);
     review(now, actions);
     return actions;
--- a/Source/News/NewsExchange.h
+++ b/Source/News/NewsExchange.h
@@ -87,8 +87,8 @@
 public:
     NewsExchange(std::string availabilityZone, std::uint64_t seed, NewsSettings settings = {});
 
-    // News of the store itself, which this balancer shares with its zone.
-    NewsActions handleStore(const NewsDelta&, TimePoint now);
+    // News of the store itself, which this balancer shares with its zone, if it is for others.
+    NewsActions handleStore(const NewsDelta&, TimePoint now, bool isForOthers = true);
     NewsActions handlePush(BalancerId sender, const NewsDelta&, TimePoint now);
     NewsActions handleAnswer(const std::string& sender, const NewsDelta&, TimePoint now);
     NewsActions handleNoAnswer(TimePoint now);
--- a/Source/News/StoreFeed.cpp
+++ b/Source/News/StoreFeed.cpp
@@ -70,6 +70,7 @@
     completeTo_ = std::max(completeTo_, delta.to);
     listed_.clear();
     listRevision_.reset();
+    listedStaleAt_ = mayListStale_ ? std::optional(now) : std::nullopt;
     mayListStale_ = false;
     actions.emplace_back(StoreNews { std::move(delta) });
     state_ = State::Idle;
@@ -79,6 +80,12 @@
 }
 
 void StoreFeed::watch(TimePoint now, StoreFeedActions& actions)
+{
+    isChecking_ = false;
+    watch(watchTime(now), now, actions);
+}
+
+void StoreFeed::watch(std::chrono::milliseconds wait, TimePoint now, StoreFeedActions& actions)
 {
     state_ = State::Watching;
     pauseUntil_.reset();
@@ -86,7 +93,6 @@
     watchedRevision_ = completeTo_;
     overtakenSince_.reset();
     ++watchNumber_;
-    const auto wait = watchTime(now);
     actions.emplace_back(SendWatch { { "", completeTo_, wait }, wait + settings_.answerWithin, watchNumber_ });
 }
 
@@ -132,8 +138,9 @@
         delta.items.push_back(newsOf(item));
     completeTo_ = delta.to;
     const bool isNews = !delta.items.empty();
+    const bool isForOthers = !std::exchange(isChecking_, false);
     if (isNews || delta.to > delta.from || isConfirmation)
-        actions.emplace_back(StoreNews { std::move(delta) });
+        actions.emplace_back(StoreNews { std::move(delta), isForOthers });
     if (!shallWatch_)
         state_ = State::Idle;
     else if (isNews)
@@ -163,6 +170,19 @@
     return actions;
 }
 
+// Without this, a balancer that had started with an old listing dropped the packets of open flows to servers that the
+// listing lacked until its zone's watcher told of them, a second later.
+StoreFeedActions StoreFeed::noteContradiction(TimePoint now)
+{
+    StoreFeedActions actions;
+    const auto listedAt = std::exchange(listedStaleAt_, std::nullopt);
+    if (!listedAt || state_ != State::Idle || now - *listedAt >= settings_.oldestListing)
+        return actions;
+    isChecking_ = true;
+    watch(settings_.shortestWatch, now, actions);
+    return actions;
+}
+
 StoreFeedActions StoreFeed::update(
     std::uint64_t completeTo, bool shallWatch, std::optional<TimePoint> behindSince, TimePoint now)
 {
--- a/Source/News/StoreFeed.h
+++ b/Source/News/StoreFeed.h
@@ -36,6 +36,8 @@
     std::chrono::milliseconds returnWithin { 2000 };
     // The shortest wait of that question.
     std::chrono::milliseconds shortestWatch { 50 };
+    // The oldest that a listing is taken to be: twice what was seen of stores that answer from a copy.
+    std::chrono::milliseconds oldestListing { 15000 };
     // So many entries that vanish at once are taken for the work of an outage that this balancer did not see.
     std::size_t massRemoval = 3;
 };
@@ -56,6 +58,9 @@
 // News for NewsExchange::handleStore().
 struct StoreNews {
     NewsDelta delta;
+    // False where this balancer asked for itself only: others of its zone do so too, and all telling all would fill
+    // their links.
+    bool isForOthers = true;
 };
 
 // The store stopped answering this balancer, or does so again.
@@ -83,6 +88,10 @@
     StoreFeedActions update(
         std::uint64_t completeTo, bool shallWatch, std::optional<TimePoint> behindSince, TimePoint now);
     StoreFeedActions tick(TimePoint now);
+    // Packets show that the listing of the start, which may be seconds old, lacks something, such as servers that came
+    // back after a cut. Asks the store once what has changed since then. Of no effect when this was done, when this
+    // balancer watches anyway, and when the start is longer ago than listings are old.
+    StoreFeedActions noteContradiction(TimePoint now);
     // When tick() should be called next; none when there is nothing to wait for.
     std::optional<TimePoint> nextTick() const { return pauseUntil_; }
 
@@ -108,6 +117,7 @@
 
     void list(StoreFeedActions&);
     void watch(TimePoint now, StoreFeedActions&);
+    void watch(std::chrono::milliseconds wait, TimePoint now, StoreFeedActions&);
     bool isSilent(std::optional<TimePoint> behindSince, TimePoint now) const;
     StoreFeedActions takeLateAnswer(std::uint64_t number, const Result<PlatformChanges>&, TimePoint now);
     std::chrono::milliseconds watchTime(TimePoint now) const;
@@ -138,6 +148,10 @@
     std::optional<std::uint64_t> listRevision_;
     // A first reading may be old, since there is nothing yet that it could take back.
     bool mayListStale_ = true;
+    // When the listing that may be old came; none after it was checked.
+    std::optional<TimePoint> listedStaleAt_;
+    // The watch in progress is the check of that listing.
+    bool isChecking_ = false;
 };
 
 }
--- a/Tests/News/StoreFeedTest.cpp
+++ b/Tests/News/StoreFeedTest.cpp
@@ -247,6 +247,48 @@
         EXPECT_EQ(only<SendWatch>(advanceTo(feed.nextTick()))->call.revision, 25U);
     }
 
+    // Symptom: after all of a zone had lost power, callers whose flows were open waited a second and more, and some for
+    // good, although their servers lived.
+    // Sequence: the zone had been cut off, so that the entries of its servers lapsed and came back; then all balancers
+    // lost power and started with a listing that was some seconds old, in which the servers were missing. Packets of
+    // their flows were dropped until the zone had a watcher and that one told.
+    // Cause: nothing compared what packets showed with a listing that may be old.
+    TEST_F(StoreFeedTest, anOldListingThatPacketsContradictIsCheckedAtOnce)
+    {
+        feed.start(clock.now());
+        feed.handlePage(page(10), clock.now());
+        const StoreFeedActions check = feed.noteContradiction(clock.now());
+        ASSERT_NE(only<SendWatch>(check), nullptr);
+        EXPECT_EQ(only<SendWatch>(check)->call.revision, 10U);
+        EXPECT_LE(only<SendWatch>(check)->call.wait, 50ms);
+        const auto news
+            = feed.handleChanges(only<SendWatch>(check)->number, PlatformChanges { page(14).items, 14 }, clock.now());
+        {
+            SCOPED_TRACE("what it finds is for this balancer only, as all of its zone may ask");
+            ASSERT_NE(only<StoreNews>(news), nullptr);
+            EXPECT_FALSE(only<StoreNews>(news)->isForOthers);
+            EXPECT_EQ(only<SendWatch>(news), nullptr);
+        }
+        {
+            SCOPED_TRACE("it is asked once, whatever else packets show");
+            EXPECT_TRUE(feed.noteContradiction(clock.now()).empty());
+        }
+    }
+
+    TEST_F(StoreFeedTest, aListingIsNotCheckedWhenItCannotBeOldAnyMoreOrIsWatched)
+    {
+        feed.start(clock.now());
+        feed.handlePage(page(10), clock.now());
+        clock.advance(20s);
+        EXPECT_TRUE(feed.noteContradiction(clock.now()).empty());
+
+        StoreFeed watching { 2 };
+        watching.start(clock.now());
+        watching.update(0, true, std::nullopt, clock.now());
+        watching.handlePage(page(10), clock.now());
+        EXPECT_TRUE(watching.noteContradiction(clock.now()).empty());
+    }
+
 }
 
 }
