--- a/Tests/PlatformAdapter/ConfigurationTextTest.cpp
+++ b/Tests/PlatformAdapter/ConfigurationTextTest.cpp
@@ -213,6 +213,30 @@
         }
     }
 
+    // Symptom: routes that no operator had set were in force, and the configuration's own were not.
+    // Sequence: a text holds an object with a list of its own named "routes", and its own list behind it is empty.
+    // Cause: the first list of that name was taken for the configuration's, and what was left with an empty list in its
+    // place looked like a configuration without routes.
+    TEST(ConfigurationTextTest, aListOfTheSameNameInsideAnObjectIsNotTheRoutes)
+    {
+        const std::string inside = R"({"name":"r-9","hostname":"198.18.0.9","prefix":"/443/","service":"streams"})";
+        const std::string text
+            = R"({"version":3,"other":{"note":"a \"routes\":[ {","routes":[)" + inside + R"(]},"routes":[]})";
+        Table table;
+        ASSERT_TRUE(table.read(text));
+        table.expectSameAs(text);
+        {
+            SCOPED_TRACE("also where the configuration has routes, of which only changes are read");
+            std::string good = encodeConfiguration(configurationOf(4, { route(1), route(2) }));
+            good.insert(1, R"("a":{"routes":[)" + inside + "]},");
+            ASSERT_TRUE(table.read(good));
+            table.expectSameAs(good);
+            ASSERT_TRUE(table.read(good));
+            table.expectSameAs(good);
+            EXPECT_EQ(table.changes, 0U);
+        }
+    }
+
 }
 
 }
