News: Have the store asked again about what vanished by a late answer

Cause: takeLateAnswer() put its news together by itself and did not plan the question whether entries that vanished in doubt are back, so their servers stayed in doubt for up to 10 s. Both answers are now read by one function. Fails first: StoreFeedTest.whatVanishedByALateAnswerIsAskedForAsWell (the next watch waited 2.5 s).

--- a/Source/News/StoreFeed.cpp
+++ b/Source/News/StoreFeed.cpp
@@ -153,20 +153,11 @@
         return actions;
     }
     noteSuccess(now, actions);
-    const auto removals = static_cast<std::size_t>(
-        std::ranges::count_if(changes.value().items, [](const PlatformItem& item) { return item.isRemoved; }));
-    NewsDelta delta;
-    delta.from = completeTo_;
-    delta.to = std::max(changes.value().revision, completeTo_);
-    delta.isInDoubt = isTroubled(now) || removals >= settings_.massRemoval;
-    delta.isFresh = now >= freshFrom_;
     const bool isConfirmation = confirmAt_ && now >= *confirmAt_;
     if (isConfirmation)
         confirmAt_.reset();
-    if (delta.isInDoubt && removals > 0)
-        confirmAt_ = now + settings_.returnWithin;
-    for (const PlatformItem& item : changes.value().items)
-        delta.items.push_back(newsOf(item));
+    NewsDelta delta = deltaOf(changes.value(), completeTo_, now);
+    delta.isFresh = now >= freshFrom_;
     completeTo_ = delta.to;
     const bool isNews = !delta.items.empty();
     const bool isForOthers = !std::exchange(isChecking_, false);
@@ -181,6 +172,22 @@
     return actions;
 }
 
+// What changed after a revision. Has the store asked once more about what vanished in doubt.
+NewsDelta StoreFeed::deltaOf(const PlatformChanges& changes, std::uint64_t from, TimePoint now)
+{
+    const auto removals = static_cast<std::size_t>(
+        std::ranges::count_if(changes.items, [](const PlatformItem& item) { return item.isRemoved; }));
+    NewsDelta delta;
+    delta.from = from;
+    delta.to = std::max(changes.revision, from);
+    delta.isInDoubt = isTroubled(now) || removals >= settings_.massRemoval;
+    if (delta.isInDoubt && removals > 0)
+        confirmAt_ = now + settings_.returnWithin;
+    for (const PlatformItem& item : changes.items)
+        delta.items.push_back(newsOf(item));
+    return delta;
+}
+
 // A watch that was taken for silent may only have been slow: a large configuration takes seconds on a thin link. Its
 // answer is as good as that of the watch that replaced it, and comes sooner.
 StoreFeedActions StoreFeed::takeLateAnswer(std::uint64_t number, const Result<PlatformChanges>& changes, TimePoint now)
@@ -189,12 +196,7 @@
     const bool isFormer = formerWatch_ && formerWatch_->number == number;
     if (!isFormer || !changes || changes.value().revision <= completeTo_)
         return actions;
-    NewsDelta delta;
-    delta.from = formerWatch_->revision;
-    delta.to = changes.value().revision;
-    delta.isInDoubt = isTroubled(now);
-    for (const PlatformItem& item : changes.value().items)
-        delta.items.push_back(newsOf(item));
+    NewsDelta delta = deltaOf(changes.value(), formerWatch_->revision, now);
     formerWatch_.reset();
     completeTo_ = delta.to;
     actions.emplace_back(StoreNews { std::move(delta) });
--- a/Source/News/StoreFeed.h
+++ b/Source/News/StoreFeed.h
@@ -142,6 +142,7 @@
     void watch(TimePoint now, StoreFeedActions&);
     void watch(std::chrono::milliseconds wait, TimePoint now, StoreFeedActions&);
     bool isSilent(std::optional<TimePoint> behindSince, TimePoint now) const;
+    NewsDelta deltaOf(const PlatformChanges&, std::uint64_t from, TimePoint now);
     StoreFeedActions takeLateAnswer(std::uint64_t number, const Result<PlatformChanges>&, TimePoint now);
     std::chrono::milliseconds watchTime(TimePoint now) const;
     void pause(State, std::chrono::milliseconds, TimePoint now);
--- a/Tests/News/StoreFeedTest.cpp
+++ b/Tests/News/StoreFeedTest.cpp
@@ -247,6 +247,25 @@
         EXPECT_EQ(only<SendWatch>(advanceTo(feed.nextTick()))->call.revision, 25U);
     }
 
+    // Symptom: servers that had ended with an outage of the store stayed in doubt for 10 s instead of 2.
+    // Sequence: the watch that tells of their entries' vanishing was taken for silent, and its answer comes late.
+    // Cause: only the answer of the watch in force made the store be asked again.
+    TEST_F(StoreFeedTest, whatVanishedByALateAnswerIsAskedForAsWell)
+    {
+        const std::uint64_t first = beginToWatch();
+        const TimePoint behindSince = clock.now();
+        clock.advance(800ms);
+        const StoreFeedActions replaced = feed.update(10, true, behindSince, clock.now());
+        ASSERT_NE(only<SendWatch>(replaced), nullptr);
+        const StoreFeedActions late = feed.handleChanges(first, removals(14, 3), clock.now());
+        ASSERT_NE(only<StoreNews>(late), nullptr);
+        EXPECT_TRUE(only<StoreNews>(late)->delta.isInDoubt);
+        const auto next
+            = feed.handleChanges(only<SendWatch>(replaced)->number, PlatformChanges { {}, 14 }, clock.now());
+        ASSERT_NE(only<SendWatch>(next), nullptr);
+        EXPECT_LE(only<SendWatch>(next)->call.wait, 2s) << "the question whether they are back";
+    }
+
     // Symptom: after all of a zone had lost power, callers whose flows were open waited a second and more, and some for
     // good, although their servers lived.
     // Sequence: the zone had been cut off, so that the entries of its servers lapsed and came back; then all balancers
