--- a/Source/Core/EventLog.h
+++ b/Source/Core/EventLog.h
@@ -30,7 +30,7 @@
     static constexpr std::size_t defaultCapacity = std::size_t(256) * 1024;
     // What a pipe takes as a whole (PIPE_BUF). A longer line is a piece by itself.
     static constexpr std::size_t pieceBytes = 4096;
-    // Between two pieces; 160 KB a second, twice the lines of the busiest balancer known.
+    // Between two pieces: 160 KB a second at most.
     static constexpr std::chrono::milliseconds pause { 25 };
 
     explicit LineBuffer(int descriptor, std::size_t capacity = defaultCapacity);
--- a/Source/Forwarder/Forwarder.h
+++ b/Source/Forwarder/Forwarder.h
@@ -8,7 +8,7 @@
 #include "Forwarder/ForwarderSettings.h"
 #include "Forwarder/NewsApplier.h"
 #include "Forwarder/PeerNews.h"
-#include "Forwarder/SettingsWatch.h"
+#include "Forwarder/SettingsReload.h"
 #include "Forwarder/StoreLink.h"
 #include "Forwarder/TokenPacketPath.h"
 #include "Net/Http1Server.h"
@@ -22,6 +22,7 @@
 #include <string>
 #include <unistd.h>
 #include <utility>
+#include <vector>
 
 namespace wisteriadock {
 
@@ -65,12 +66,9 @@
     static constexpr std::chrono::milliseconds firstBeat { 60 };
     // The same while nothing is known yet, and callers wait.
     static constexpr std::chrono::milliseconds uninformedBeat { 100 };
-    // Settings may change without a signal.
-    static constexpr std::chrono::seconds settingsCheck { 2 };
 
     Forwarder(const ForwarderSettings& settings, std::string settingsPath)
         : settings_(settings)
-        , settingsWatch_(std::move(settingsPath))
         , startedAt_(Clock::now())
         , incarnation_(static_cast<std::uint64_t>(
               std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch())
@@ -78,6 +76,8 @@
         , seed_(balancerIdOf(settings.vm).value ^ incarnation_)
         , log_({ settings.vm, settings.availabilityZone, incarnation_ }, STDOUT_FILENO, settings.logBudget)
         , lines_(log_)
+        , reload_(settings_, std::move(settingsPath), log_,
+              [this](const std::vector<Endpoint>& seeds, TimePoint now) { peers_->setSeeds(seeds, now); })
         , router_(routerSettings(settings))
         , life_({ .grace = settings.grace })
         , applier_(router_, lines_, metrics_)
@@ -260,11 +260,7 @@
             lines_.failing(change, now);
         for (const ZoneChange& change : router_.takeZoneChanges())
             lines_.zone(change, now);
-        if (now - lastSettingsCheck_ >= settingsCheck) {
-            lastSettingsCheck_ = now;
-            if (settingsWatch_.hasChanged())
-                reload("file", now);
-        }
+        reload_.tick(now);
         if (life_.isOver(now)) {
             end(now);
             return;
@@ -299,7 +295,7 @@
                 return;
             const TimePoint now = Clock::now();
             if (signal == SIGHUP)
-                reload("signal", now);
+                reload_.reload("signal", now);
             else
                 stop(now);
             awaitSignal();
@@ -314,43 +310,14 @@
         peers_->leave(now);
     }
 
-    void reload(const char* cause, TimePoint now)
-    {
-        const auto fresh = settingsWatch_.read();
-        if (!fresh) {
-            log_.write(LogLevel::Error, "settings", "refused",
-                Event().add("cause", cause).add("error", fresh.error().toString()), now);
-            return;
-        }
-        std::string waiting;
-        for (const std::string& name : settings_.differencesThatNeedRestart(fresh.value()))
-            waiting += (waiting.empty() ? "" : ",") + name;
-        log_.write(LogLevel::Info, "settings", "reloaded",
-            Event()
-                .add("cause", cause)
-                .add("seeds_changed", fresh.value().seeds != settings_.seeds)
-                .add("log_changed",
-                    fresh.value().logLevel != settings_.logLevel || fresh.value().logBudget != settings_.logBudget)
-                .add("needs_restart", waiting),
-            now);
-        settings_.logLevel = fresh.value().logLevel;
-        settings_.logBudget = fresh.value().logBudget;
-        log_.setLevel(settings_.logLevel);
-        log_.setBudget(settings_.logBudget);
-        if (settings_.seeds != fresh.value().seeds) {
-            settings_.seeds = fresh.value().seeds;
-            peers_->setSeeds(settings_.seeds, now);
-        }
-    }
-
     ForwarderSettings settings_;
-    SettingsWatch settingsWatch_;
     const TimePoint startedAt_;
     const std::uint64_t incarnation_;
     const std::uint64_t seed_;
     boost::asio::io_context context_ { 1 };
     EventLog log_;
     ForwarderLog lines_;
+    SettingsReload reload_;
     ForwarderMetrics metrics_;
     TokenRouter router_;
     ForwarderLife life_;
@@ -363,7 +330,6 @@
     std::unique_ptr<TokenPacketPath<Adapter>> packets_;
     std::unique_ptr<Http1Server> ready_;
     std::unique_ptr<Http1Server> metricsServer_;
-    TimePoint lastSettingsCheck_ = startedAt_;
     bool hasMetPeers_ = false;
 };
 
--- /dev/null
+++ b/Source/Forwarder/SettingsReload.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "Core/EventLog.h"
+#include "Forwarder/ForwarderSettings.h"
+#include "Forwarder/SettingsWatch.h"
+
+#include <chrono>
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace wisteriadock {
+
+// Takes changed settings into force while the process runs: the log's level and budget and the seeds. A file that can't
+// be read whole changes nothing; what needs a restart is named in the log and waits for it.
+class SettingsReload {
+public:
+    using OnSeeds = std::function<void(const std::vector<Endpoint>&, TimePoint)>;
+
+    // The settings stay with the caller, and are those in force.
+    SettingsReload(ForwarderSettings&, std::string path, EventLog&, OnSeeds);
+
+    // Looks now and then whether the file has changed, for programs that may not be told.
+    void tick(TimePoint now);
+    // Reads the file. The cause is for the log.
+    void reload(const char* cause, TimePoint now);
+
+private:
+    static constexpr std::chrono::seconds checkPeriod { 2 };
+
+    ForwarderSettings& settings_;
+    SettingsWatch watch_;
+    EventLog& log_;
+    OnSeeds onSeeds_;
+    TimePoint lastCheck_;
+};
+
+}
--- a/Source/News/StoreFeed.h
+++ b/Source/News/StoreFeed.h
@@ -36,7 +36,7 @@
     std::chrono::milliseconds returnWithin { 2000 };
     // The shortest wait of that question.
     std::chrono::milliseconds shortestWatch { 50 };
-    // The oldest that a listing is taken to be: twice what was seen of stores that answer from a copy.
+    // The oldest that a listing is taken to be.
     std::chrono::milliseconds oldestListing { 15000 };
     // A first listing is looked at so long after it was sent. If then more than leaveWhenLeft is to come, at the pace
     // so far, it is left to others, and neighbours are asked for what it holds.
@@ -98,9 +98,9 @@
 
     StoreFeedActions start(TimePoint now);
     StoreFeedActions handlePage(const Result<PlatformPage>&, TimePoint now);
-    // Of the page in progress so many bytes have come. When all of a fleet start together, they share the store's link:
-    // 195 listings of 2.4 MB over 1,000 Mbit/s take each of them 3.8 s, and callers wait.
-    // knowsWiderNeighbour: somebody is known whose link is much wider, and who stays with the listing.
+    // Of the page in progress so many bytes have come; somebody is known whose link is much wider, and who stays with
+    // the listing. When all of a fleet start together, they share the store's link, so that a long listing takes
+    // seconds however wide their own links are, and callers wait.
     StoreFeedActions handlePageProgress(
         std::uint64_t received, std::uint64_t total, bool knowsWiderNeighbour, TimePoint now);
     StoreFeedActions handleChanges(std::uint64_t number, const Result<PlatformChanges>&, TimePoint now);
