News: Keep a first listing that the own link holds up

A listing is left now only if it comes at less than half the pace of the own link, so that the store's link holds it up. Fails first: ThinStoreFeedTest.aListingThatTheOwnLinkHoldsUpIsNotLeftToOthers.

--- a/Source/News/StoreFeed.cpp
+++ b/Source/News/StoreFeed.cpp
@@ -88,7 +88,8 @@
     StoreFeedActions actions;
     const Duration taken = now - pageSentAt_;
     const bool isFirst = state_ == State::Listing && completeTo_ == 0 && !hasLeftListing_;
-    if (!isFirst || taken < settings_.judgeListingAfter || staysWithListing(total, knowsWiderNeighbour))
+    const bool isHeldUp = received < linkCarries(taken / 2);
+    if (!isFirst || taken < settings_.judgeListingAfter || !isHeldUp || staysWithListing(total, knowsWiderNeighbour))
         return actions;
     const double left
         = static_cast<double>(total - received) / static_cast<double>(std::max<std::uint64_t>(received, 1));
@@ -103,11 +104,16 @@
 
 bool StoreFeed::staysWithListing(std::uint64_t bytes, bool knowsWiderNeighbour) const
 {
-    constexpr std::uint64_t bitsPerByte = 8;
-    constexpr std::uint64_t bitsPerMillisecondAndMegabit = 1000;
-    const std::uint64_t linkCarries = settings_.linkMegabits * bitsPerMillisecondAndMegabit
-        * static_cast<std::uint64_t>(settings_.wideLinkTakes.count()) / bitsPerByte;
-    return settings_.linkMegabits == 0 || bytes <= linkCarries || (staysByChance_ && !knowsWiderNeighbour);
+    const bool isWide = settings_.linkMegabits == 0 || bytes <= linkCarries(settings_.wideLinkTakes);
+    return isWide || (staysByChance_ && !knowsWiderNeighbour);
+}
+
+// The bytes that this balancer's own link carries in a time.
+std::uint64_t StoreFeed::linkCarries(Duration time) const
+{
+    constexpr std::uint64_t bytesPerMegabit = 125'000;
+    return static_cast<std::uint64_t>(
+        std::chrono::duration<double>(time).count() * settings_.linkMegabits * bytesPerMegabit);
 }
 
 void StoreFeed::watch(TimePoint now, StoreFeedActions& actions)
--- a/Source/News/StoreFeed.h
+++ b/Source/News/StoreFeed.h
@@ -38,8 +38,9 @@
     std::chrono::milliseconds shortestWatch { 50 };
     // The oldest that a listing is taken to be.
     std::chrono::milliseconds oldestListing { 15000 };
-    // A first listing is looked at so long after it was sent. If then more than leaveWhenLeft is to come, at the pace
-    // so far, it is left to others, and neighbours are asked for what it holds.
+    // A first listing is looked at so long after it was sent. If it comes at less than half the pace of this balancer's
+    // own link, so that the store's link holds it up, and more than leaveWhenLeft is to come at that pace, it is left
+    // to others, and neighbours are asked for what it holds.
     std::chrono::milliseconds judgeListingAfter { 150 };
     std::chrono::milliseconds leaveWhenLeft { 500 };
     // A balancer whose own link would carry the listing within this time stays with it, and where no wider neighbour is
@@ -139,6 +140,7 @@
 
     void list(TimePoint now, StoreFeedActions&);
     bool staysWithListing(std::uint64_t bytes, bool knowsWiderNeighbour) const;
+    std::uint64_t linkCarries(Duration) const;
     void watch(TimePoint now, StoreFeedActions&);
     void watch(std::chrono::milliseconds wait, TimePoint now, StoreFeedActions&);
     bool isSilent(std::optional<TimePoint> behindSince, TimePoint now) const;
