Forward: Give each question of a new flow's choice a part of its own

OpeningPolicy answered who is dead, who has room, who is far and who is cold in one place, so that none of the answers could be exchanged by itself. Behaviour is unchanged; the tests of OpeningPolicy and TokenRouter stand as they were.

--- /dev/null
+++ b/Source/Forward/ServerCost.cpp
@@ -0,0 +1,39 @@
+#include "Forward/ServerCost.h"
+
+#include <algorithm>
+
+namespace wisteriadock {
+
+float ServerCost::loadOf(const KnownServer& server) const
+{
+    const ServerObservation& seen = server.seen;
+    const auto idle = static_cast<float>(seen.flows - std::min(seen.flows, seen.busy));
+    const float load = static_cast<float>(seen.busy) + idle * settings_.idleFlowWeight;
+    return load / static_cast<float>(std::max(1U, server.entry.slots));
+}
+
+// A server that takes flows and then answers only some of their requests looks well to health checks and to the store.
+// The cost rises with the share that it fails, so that it is spared and not shut out.
+float ServerCost::costOf(const KnownServer& server, float usualFailingShare, TimePoint now) const
+{
+    float cost = settings_.loadWeight * (loadOf(server) + 1.0F / static_cast<float>(std::max(1U, server.entry.slots)));
+    if (server.warmUntil > now)
+        cost *= settings_.coldFactor;
+    if (server.entry.availabilityZone != availabilityZone_)
+        cost += settings_.zonePenalty;
+    const float excess = server.seen.outcomes.failingShare(now) - usualFailingShare;
+    return excess > settings_.failingTolerance ? cost + excess * settings_.failingPenalty : cost;
+}
+
+float ServerCost::failingShareOf(const std::vector<KnownServer*>& servers, TimePoint now)
+{
+    float answered = 0;
+    float unanswered = 0;
+    for (const KnownServer* server : servers) {
+        answered += server->seen.outcomes.answered(now);
+        unanswered += server->seen.outcomes.unanswered(now);
+    }
+    return unanswered > 0 ? unanswered / (answered + unanswered) : 0;
+}
+
+}
