Forward, Forwarder: Keep new flows out of zones that operators order to be emptied

Now the key, whatever its value, is an order, and its removal the end of it; both travel as all news does. New flows, and copies of openings that no server has answered, go to no server of the zone, also as the last resort when all others are silent. Open flows stay. When all servers stand in emptied zones a first opening is reset at once; a copy, whose flow may be open at a server that another balancer chose, with the last one only. A line for each order and its end, a gauge for each emptied zone, a reason of its own for refusals.

--- a/Source/Forward/OpeningPolicy.cpp
+++ b/Source/Forward/OpeningPolicy.cpp
@@ -30,8 +30,8 @@
 
 }
 
-OpeningChoice OpeningPolicy::choose(
-    const std::vector<KnownServer*>& servers, const FlowEnds& ends, const FlowMemory* former, TimePoint now)
+OpeningChoice OpeningPolicy::choose(const std::vector<KnownServer*>& servers, const EmptiedZones& emptied,
+    const FlowEnds& ends, const FlowMemory* former, TimePoint now)
 {
     OpeningChoice choice;
     Candidate best;
@@ -43,6 +43,10 @@
     for (KnownServer* server : servers) {
         if (!server->mayTakeFlows())
             continue;
+        if (emptied.contains(server->entry.availabilityZone)) {
+            ++choice.emptied;
+            continue;
+        }
         ++choice.eligible;
         if (review(*server, now))
             choice.leftOut.push_back(server);
--- a/Source/Forward/OpeningPolicy.h
+++ b/Source/Forward/OpeningPolicy.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Core/Clock.h"
+#include "Forward/EmptiedZones.h"
 #include "Forward/FlowBook.h"
 #include "Forward/OpeningSettings.h"
 #include "Forward/ServerCost.h"
@@ -21,6 +22,8 @@
     // How many servers may take flows, and how many of those were passed over as silent.
     std::uint32_t eligible = 0;
     std::uint32_t silent = 0;
+    // How many could, if operators had not ordered their zones to be emptied.
+    std::uint32_t emptied = 0;
     // The chosen server's load in requests for each slot, as far as this balancer knows.
     float load = 0;
     // The share of its requests that it left unanswered lately.
@@ -44,9 +47,10 @@
     {
     }
 
-    // former is what is remembered of the flow, or null. The servers that it tried are avoided.
-    OpeningChoice choose(
-        const std::vector<KnownServer*>& servers, const FlowEnds&, const FlowMemory* former, TimePoint now);
+    // former is what is remembered of the flow, or null. The servers that it tried are avoided. Those of emptied zones
+    // are never chosen, whatever becomes of the others.
+    OpeningChoice choose(const std::vector<KnownServer*>& servers, const EmptiedZones&, const FlowEnds&,
+        const FlowMemory* former, TimePoint now);
 
     // An opening packet goes to the server.
     void noteTry(const KnownServer& server, TimePoint now) { reach_.noteTry(server, now); }
--- a/Source/Forward/TokenRouter.cpp
+++ b/Source/Forward/TokenRouter.cpp
@@ -22,6 +22,7 @@
         { PacketReason::ServerEnded, "server_ended" },
         { PacketReason::Overloaded, "overloaded" },
         { PacketReason::NoServer, "no_server" },
+        { PacketReason::ZonesEmptied, "zones_emptied" },
         { PacketReason::NoRoute, "no_route" },
         { PacketReason::NoConfiguration, "no_configuration" },
         { PacketReason::TokenMissing, "token_missing" },
@@ -145,11 +146,11 @@
         if (silent && silent->seen.lastProgress < former->triedAt && policy_.review(*silent, now))
             leftOut = silent;
     }
-    decision.choice = policy_.choose(directory_.serversOf(*service), packet.ends, former, now);
+    decision.choice = policy_.choose(directory_.serversOf(*service), emptiedZones_, packet.ends, former, now);
     if (leftOut)
         decision.choice.leftOut.push_back(leftOut);
     if (!decision.choice.server)
-        return refuse(packet, PacketReason::NoServer);
+        return decision.choice.emptied > 0 ? refuseEmptied(packet, former) : refuse(packet, PacketReason::NoServer);
     decision.reason = former ? PacketReason::OpenedElsewhere : PacketReason::Opened;
     decision.server = decision.choice.server;
     policy_.noteTry(*decision.choice.server, now);
@@ -167,7 +168,8 @@
         return nullptr;
     if (former->isOpen)
         return server;
-    const bool isStillRight = server->mayTakeFlows() && server->entry.service == service;
+    const bool isStillRight = server->mayTakeFlows() && server->entry.service == service
+        && !emptiedZones_.contains(server->entry.availabilityZone);
     const bool hasLivedSince = server->seen.lastProgress >= former->triedAt;
     return isStillRight && hasLivedSince ? server : nullptr;
 }
@@ -214,4 +216,14 @@
     return decision;
 }
 
+// What certainly can't be served is refused with the first packet. A copy may belong to a flow that another balancer
+// opened before the order, so it is refused as late as any other that finds no server.
+PacketDecision TokenRouter::refuseEmptied(const TokenPacket& packet, const FlowMemory* former) const
+{
+    PacketDecision decision = refuse(packet, PacketReason::ZonesEmptied);
+    if (!former && packet.acknowledgement == 0)
+        decision.verdict = PacketVerdict::Reset;
+    return decision;
+}
+
 }
--- a/Source/Forward/TokenRouter.h
+++ b/Source/Forward/TokenRouter.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Core/Clock.h"
+#include "Forward/EmptiedZones.h"
 #include "Forward/FlowBook.h"
 #include "Forward/ForwardingConfiguration.h"
 #include "Forward/OpeningAdmission.h"
@@ -10,6 +11,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -32,6 +34,7 @@
     ServerEnded, // The flow's server is certainly over.
     Overloaded, // All servers of the service have long queues, so the flow would be served late.
     NoServer, // The route's service has no server that takes flows.
+    ZonesEmptied, // All servers that could take the flow are in zones that operators ordered to be emptied.
     NoRoute, // No route has the address.
     NoConfiguration, // This balancer does not know the routes yet.
     TokenMissing, // Not an opening packet, and without a token.
@@ -40,7 +43,7 @@
 };
 
 inline constexpr std::size_t packetVerdicts = 3;
-inline constexpr std::size_t packetReasons = 12;
+inline constexpr std::size_t packetReasons = 13;
 
 std::string_view nameOf(PacketVerdict);
 std::string_view nameOf(PacketReason);
@@ -84,6 +87,12 @@
     ServerDirectory::Transitions putServer(const RegisteredServer&, std::uint64_t revision, TimePoint now);
     ServerDirectory::Transitions disuseServer(const std::string& id, std::uint64_t revision, TimePoint now);
     ServerDirectory::Transitions removeServer(const std::string& id, bool inDoubt, TimePoint now);
+    // Operators ordered that new flows go to no server of the zone, or took the order back. Nothing when that is known.
+    std::optional<ZoneOrderChange> orderZone(
+        const std::string& availabilityZone, bool isEmptied, std::uint64_t revision, TimePoint now)
+    {
+        return emptiedZones_.set(availabilityZone, isEmptied, revision, now);
+    }
     // The store told what is certain, at this time.
     void noteStoreHeard(TimePoint at) { directory_.noteStoreHeard(at); }
     // Call it a few times a second while there are flows or servers in doubt.
@@ -99,12 +108,14 @@
     std::uint64_t configurationVersion() const { return version_; }
     ServerDirectory& directory() { return directory_; }
     const FlowBook& flows() const { return flows_; }
+    const EmptiedZones& emptiedZones() const { return emptiedZones_; }
     std::size_t routes() const { return routes_.size(); }
 
 private:
     PacketDecision routeOpening(const TokenPacket&, TimePoint now);
     PacketDecision routeEstablished(const TokenPacket&, TimePoint now);
     PacketDecision refuse(const TokenPacket&, PacketReason) const;
+    PacketDecision refuseEmptied(const TokenPacket&, const FlowMemory* former) const;
     bool isOfFormerProcess(const TokenPacket&, const KnownServer&) const;
     // The server that a copy of an opening packet shall go to again, or null for another choice.
     KnownServer* formerServerFor(const FlowMemory*, const std::string& service, TimePoint now);
@@ -113,6 +124,7 @@
     OpeningAdmission admission_;
     OpeningPolicy policy_;
     ServerDirectory directory_;
+    EmptiedZones emptiedZones_;
     FlowBook flows_;
     std::vector<FailingChange> failingChanges_;
     RouteTable routes_;
--- a/Source/Forwarder/Forwarder.h
+++ b/Source/Forwarder/Forwarder.h
@@ -190,6 +190,7 @@
         readings.peerBytes = peers_->bytesTransferred();
         readings.storeBytes = store_.bytesTransferred();
         readings.directory = &router_.directory();
+        readings.emptiedZones = &router_.emptiedZones();
         return readings;
     }
 
--- a/Source/Forwarder/ForwarderMetrics.cpp
+++ b/Source/Forwarder/ForwarderMetrics.cpp
@@ -175,6 +175,9 @@
     state("peer_bytes", readings.peerBytes);
     state("store_bytes", readings.storeBytes);
     state("servers_failing", readings.directory->countFailing());
+    for (const auto& [zone, since] : readings.emptiedZones->all())
+        samples.gauge("wisteriadock_forwarder_emptied_zone", "1 for each zone that operators ordered to be emptied", 1,
+            { { "zone", zone.c_str() } });
     for (const ServerState believed :
         { ServerState::Ready, ServerState::Draining, ServerState::Doubtful, ServerState::Gone, ServerState::Ended })
         samples.gauge("wisteriadock_forwarder_servers", "Backend servers by what this balancer believes of them",
--- a/Source/Forwarder/NewsApplier.h
+++ b/Source/Forwarder/NewsApplier.h
@@ -7,6 +7,7 @@
 #include "News/PackedValue.h"
 
 #include <algorithm>
+#include <chrono>
 #include <iterator>
 #include <utility>
 
@@ -32,6 +33,8 @@
         for (const NewsItem& item : news.items) {
             if (item.key == Adapter::configurationKey)
                 applyConfiguration(item, news, now);
+            else if (const auto zone = Adapter::emptiedZoneOf(item.key))
+                applyZoneOrder(*zone, item, news, now);
             else if (const auto id = Adapter::serverIdOf(item.key))
                 std::ranges::move(applyServer(*id, item, news, now), std::back_inserter(transitions));
         }
@@ -65,6 +68,14 @@
             metrics_.observeConfiguration(arrival.age + arrival.reading, arrival.reading);
     }
 
+    // The order is the key, and its value says nothing: an order with a value that can't be read is one too.
+    void applyZoneOrder(const std::string& zone, const NewsItem& item, const NewsChanged& news, TimePoint now)
+    {
+        const auto change = router_.orderZone(zone, !item.isRemoved, item.revision, now);
+        if (change)
+            log_.zoneOrder(*change, std::chrono::milliseconds(item.ageMilliseconds), news.source, now);
+    }
+
     ServerDirectory::Transitions applyServer(
         const std::string& id, const NewsItem& item, const NewsChanged& news, TimePoint now)
     {
--- a/Source/Forwarder/TokenPacketPath.h
+++ b/Source/Forwarder/TokenPacketPath.h
@@ -21,7 +21,7 @@
 // The packets' way through the process: reads them in batches, asks the router, and sends them on in one call.
 template <typename Adapter> class TokenPacketPath {
 public:
-    // Runs when a packet names a server that is not known here, or a service without servers.
+    // Runs when a packet names a server that is not known here, or a service without servers that may get it.
     using OnContradiction = std::function<void(TimePoint)>;
 
     TokenPacketPath(boost::asio::io_context& context, PacketSocket socket, TokenRouter& router,
@@ -87,7 +87,8 @@
         const PacketDecision decision = router_.route(*packet, now);
         metrics_.countPacket(decision.reason, decision.verdict);
         metrics_.observe(decision.progress);
-        if (decision.reason == PacketReason::TokenUnknown || decision.reason == PacketReason::NoServer)
+        if (decision.reason == PacketReason::TokenUnknown || decision.reason == PacketReason::NoServer
+            || decision.reason == PacketReason::ZonesEmptied)
             onContradiction_(now);
         const std::string_view requestId = showsRequest(*packet, decision) ? Adapter::requestIdOf(datagram) : "";
         log_.packet(*packet, decision, requestId, router_.configurationVersion(), news_.book().completeTo(), now);
--- a/Tests/Forwarder/ForwarderMetricsTest.cpp
+++ b/Tests/Forwarder/ForwarderMetricsTest.cpp
@@ -20,6 +20,7 @@
         {
             ForwarderMetrics::Readings readings;
             readings.directory = &router.directory();
+            readings.emptiedZones = &router.emptiedZones();
             return readings;
         }
 
--- a/Tests/Forwarder/PeerNewsTest.cpp
+++ b/Tests/Forwarder/PeerNewsTest.cpp
@@ -34,6 +34,7 @@
         EventLog log { { "vm", "walu", 1 }, descriptor };
         ForwarderMetrics metrics;
         ServerDirectory directory;
+        EmptiedZones emptiedZones;
         std::unique_ptr<PeerNews> news;
         std::vector<NewsItem> received;
 
@@ -73,6 +74,7 @@
         {
             ForwarderMetrics::Readings readings;
             readings.directory = &directory;
+            readings.emptiedZones = &emptiedZones;
             const std::string text = metrics.text(readings).value();
             const std::string name = "wisteriadock_forwarder_fetches_total{outcome=\"" + outcome + "\"} ";
             const auto found = text.find(name);
--- a/Tests/News/DecisionFleet.cpp
+++ b/Tests/News/DecisionFleet.cpp
@@ -152,8 +152,9 @@
         };
         if (const auto* news = std::get_if<StoreNews>(&action)) {
             perform(index, balancers_[index].exchange->handleStore(news->delta, now()));
-        } else if (std::holds_alternative<SendList>(action)) {
-            schedule(storeTime, whenAlive([this, index] { answerList(index); }));
+        } else if (const auto* list = std::get_if<SendList>(&action)) {
+            const bool mayBeOld = list->call.mayBeStale;
+            schedule(storeTime, whenAlive([this, index, mayBeOld] { answerList(index, mayBeOld); }));
         } else if (const auto* watch = std::get_if<SendWatch>(&action)) {
             schedule(storeTime, whenAlive([this, index, watch = *watch, until = now() + watch->call.wait] {
                 answerWatch(index, watch, until);
@@ -162,16 +163,23 @@
     }
 }
 
-void DecisionFleet::answerList(std::size_t index)
+void DecisionFleet::keepListings(bool keeps) { keptPage_ = keeps ? std::optional(page()) : std::nullopt; }
+
+PlatformPage DecisionFleet::page() const
 {
-    Balancer& balancer = balancers_[index];
-    if (isStoreDown || balancer.isTurnedAway)
-        return perform(index, balancer.feed->handlePage(Error { ErrorCode::Unavailable, "status 503" }, now()));
     PlatformPage page;
     page.revision = revision_;
     for (const auto& [key, item] : items_)
         page.items.push_back(item);
-    perform(index, balancer.feed->handlePage(page, now()));
+    return page;
+}
+
+void DecisionFleet::answerList(std::size_t index, bool mayBeOld)
+{
+    Balancer& balancer = balancers_[index];
+    if (isStoreDown || balancer.isTurnedAway)
+        return perform(index, balancer.feed->handlePage(Error { ErrorCode::Unavailable, "status 503" }, now()));
+    perform(index, balancer.feed->handlePage(mayBeOld && keptPage_ ? *keptPage_ : page(), now()));
 }
 
 void DecisionFleet::answerWatch(std::size_t index, const SendWatch& watch, TimePoint until)
@@ -239,6 +247,8 @@
             balancer.router->applyConfiguration(configurations_.at(std::stoull(item.value)));
             regressions_ += balancer.router->configurationVersion() < balancer.newestVersion;
             balancer.newestVersion = balancer.router->configurationVersion();
+        } else if (item.key.starts_with("empty ")) {
+            balancer.router->orderZone(item.key.substr(6), !item.isRemoved, item.revision, now());
         } else if (item.isRemoved) {
             balancer.router->removeServer(item.key.substr(7), news.isInDoubt, now());
         } else {
--- a/Tests/News/DecisionFleet.h
+++ b/Tests/News/DecisionFleet.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -41,7 +42,12 @@
     void writeConfiguration(std::uint64_t version, const std::vector<std::string>& servicesByRoute);
     void writeServer(const RegisteredServer&);
     void removeServer(const RegisteredServer&);
+    // Operators order that a zone is emptied, or take the order back.
+    void orderZone(const std::string& zone) { put("empty " + zone, {}, false); }
+    void takeZoneBack(const std::string& zone) { put("empty " + zone, {}, true); }
     void forgetHistory() { forgottenTo_ = revision_; }
+    // From now on first listings show what there is now, or again what there is then.
+    void keepListings(bool keeps);
 
     // Starts a balancer, or starts it anew with nothing.
     void start(std::size_t index);
@@ -68,7 +74,8 @@
     void perform(std::size_t, const StoreFeedActions&);
     void perform(std::size_t, const NewsActions&);
     void apply(Balancer&, const NewsChanged&);
-    void answerList(std::size_t);
+    PlatformPage page() const;
+    void answerList(std::size_t, bool mayBeOld);
     void answerWatch(std::size_t, const SendWatch&, TimePoint until);
     void beat();
     bool isLost() { return std::uniform_real_distribution<>()(random_) < loss; }
@@ -82,6 +89,8 @@
     std::map<std::string, RegisteredServer> servers_;
     std::map<std::uint64_t, ForwardingConfiguration> configurations_;
     std::uint64_t revision_ = 1;
+    // The listing that may be old, where one is kept.
+    std::optional<PlatformPage> keptPage_;
     std::uint64_t forgottenTo_ = 0;
     std::uint64_t regressions_ = 0;
     std::uint64_t nextOrder_ = 0;
--- a/Tests/PlatformAdapter/StoredValuesTest.cpp
+++ b/Tests/PlatformAdapter/StoredValuesTest.cpp
@@ -136,6 +136,11 @@
         EXPECT_EQ(serverIdOf(serverKeyOf("i-2")), "i-2");
         EXPECT_FALSE(serverIdOf("servers/").has_value());
         EXPECT_FALSE(serverIdOf("op/config").has_value());
+        EXPECT_EQ(emptiedZoneOf("op/evacuate/walu"), "walu");
+        EXPECT_EQ(emptiedZoneOf(emptiedZoneKeyOf("nabua")), "nabua");
+        EXPECT_FALSE(emptiedZoneOf("op/evacuate/").has_value());
+        EXPECT_FALSE(emptiedZoneOf("op/config").has_value());
+        EXPECT_FALSE(serverIdOf("op/evacuate/walu").has_value());
     }
 
     // Every text with random changes is either read or refused; none stops the process.
