Forward: Judge a zone's servers together when several fall silent at once

Now three servers of a service and zone that are silent for longer than flows usually take to open (mean and deviation as TCP smooths round trips), while none gave a sign of life since, speak against all of them; one flow at a time tries them until one answers. A zone that is not proven goes before servers that are silent. Three, since two can be chance where a zone has few flows. ZoneOutageTest and GroupSilenceTest fail with each server judged by itself.

--- a/Source/Forward/FlowBook.cpp
+++ b/Source/Forward/FlowBook.cpp
@@ -13,6 +13,7 @@
     {
         seen.lastProgress = now;
         seen.waitingSince = TimePoint::max();
+        seen.silentSince = TimePoint::max();
         seen.failures = 0;
         seen.leftOutUntil = TimePoint::min();
     }
@@ -29,6 +30,8 @@
 {
     if (server.seen.waitingSince == TimePoint::max())
         server.seen.waitingSince = now;
+    if (server.seen.silentSince == TimePoint::max())
+        server.seen.silentSince = now;
     if (flows_.size() >= limit)
         return;
     const auto [entry, isNew] = flows_.try_emplace(ends);
--- a/Source/Forward/OpeningPolicy.cpp
+++ b/Source/Forward/OpeningPolicy.cpp
@@ -3,6 +3,8 @@
 #include "Core/Hash.h"
 
 #include <algorithm>
+#include <array>
+#include <cstddef>
 
 namespace wisteriadock {
 
@@ -30,16 +32,26 @@
 
 }
 
+OpeningPolicy::Standing OpeningPolicy::standingOf(const KnownServer& server, const FlowMemory* former, TimePoint now)
+{
+    const ZoneReach::Reach reach = reach_.reachOf(server.entry.availabilityZone, now);
+    if (reach == ZoneReach::Reach::Away || SilentServers::isSilent(server, now)
+        || GroupSilence::isLeftOut(*server.group, now))
+        return Standing::Silent;
+    if (reach == ZoneReach::Reach::Unproven)
+        return Standing::Unproven;
+    return wasTried(former, server.token) ? Standing::Tried : Standing::Good;
+}
+
 OpeningChoice OpeningPolicy::choose(const std::vector<KnownServer*>& servers, const EmptiedZones& emptied,
     const FlowEnds& ends, const FlowMemory* former, TimePoint now)
 {
     OpeningChoice choice;
-    Candidate best;
-    Candidate bestTried;
-    Candidate bestSilent;
+    std::array<Candidate, standings> best;
     const std::uint64_t flowHash
         = hashPair((std::uint64_t(ends.caller.address) << 16) | ends.caller.port, ends.route.address);
     const float usualFailingShare = ServerCost::failingShareOf(servers, now);
+    groups_.review(servers, now);
     for (KnownServer* server : servers) {
         if (!server->mayTakeFlows())
             continue;
@@ -50,29 +62,22 @@
         ++choice.eligible;
         if (review(*server, now))
             choice.leftOut.push_back(server);
+        const Standing standing = standingOf(*server, former, now);
+        choice.silent += standing == Standing::Unproven || standing == Standing::Silent;
         const Candidate candidate { server, cost_.costOf(*server, usualFailingShare, now),
             hashPair(flowHash, server->entry.number) };
-        Candidate* group = &best;
-        if (SilentServers::isSilent(*server, now) || reach_.isOutOfReach(server->entry.availabilityZone, now)) {
-            ++choice.silent;
-            group = &bestSilent;
-        } else if (wasTried(former, server->token)) {
-            group = &bestTried;
-        }
-        if (candidate.isBetterThan(*group))
-            *group = candidate;
-    }
-    Candidate chosen = best.server ? best : bestTried;
-    if (!chosen.server) {
-        chosen = bestSilent;
-        choice.isDesperate = chosen.server != nullptr;
-    }
-    choice.server = chosen.server;
-    if (choice.server) {
-        choice.load = cost_.loadOf(*choice.server);
-        choice.failing = choice.server->seen.outcomes.failingShare(now);
-        choice.isTrial = choice.server->seen.failures > 0;
+        Candidate& rival = best[static_cast<std::size_t>(standing)];
+        if (candidate.isBetterThan(rival))
+            rival = candidate;
     }
+    const auto chosen = std::ranges::find_if(best, [](const Candidate& candidate) { return candidate.server; });
+    if (chosen == best.end())
+        return choice;
+    choice.server = chosen->server;
+    choice.isDesperate = chosen - best.begin() >= static_cast<std::ptrdiff_t>(Standing::Unproven);
+    choice.load = cost_.loadOf(*choice.server);
+    choice.failing = choice.server->seen.outcomes.failingShare(now);
+    choice.isTrial = choice.server->seen.failures > 0 || choice.server->group->failures > 0;
     return choice;
 }
 
--- a/Source/Forward/OpeningPolicy.h
+++ b/Source/Forward/OpeningPolicy.h
@@ -3,12 +3,14 @@
 #include "Core/Clock.h"
 #include "Forward/EmptiedZones.h"
 #include "Forward/FlowBook.h"
+#include "Forward/GroupSilence.h"
 #include "Forward/OpeningSettings.h"
 #include "Forward/ServerCost.h"
 #include "Forward/ServerDirectory.h"
 #include "Forward/SilentServers.h"
 #include "Forward/ZoneReach.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -19,7 +21,7 @@
 struct OpeningChoice {
     // Null when the service has no server that may take flows.
     KnownServer* server = nullptr;
-    // How many servers may take flows, and how many of those were passed over as silent.
+    // How many servers may take flows, and how many of those were passed over as silent or not proven to be in reach.
     std::uint32_t eligible = 0;
     std::uint32_t silent = 0;
     // How many could, if operators had not ordered their zones to be emptied.
@@ -43,6 +45,7 @@
     OpeningPolicy(const std::string& availabilityZone, OpeningSettings settings = {})
         : cost_(availabilityZone, settings)
         , silence_(settings)
+        , groups_(settings)
         , reach_(availabilityZone, settings)
     {
     }
@@ -53,17 +56,36 @@
         const FlowMemory* former, TimePoint now);
 
     // An opening packet goes to the server.
-    void noteTry(const KnownServer& server, TimePoint now) { reach_.noteTry(server, now); }
+    void noteTry(const KnownServer& server, TimePoint now)
+    {
+        reach_.noteTry(server, now);
+        GroupSilence::noteTry(*server.group, now);
+    }
     // The server gave a sign of life.
-    void noteProgress(const KnownServer& server, TimePoint now) { reach_.noteProgress(server, now); }
+    void noteProgress(const KnownServer& server, TimePoint now)
+    {
+        reach_.noteProgress(server, now);
+        groups_.noteProgress(*server.group, now);
+    }
+    // A flow took so long to open.
+    void noteOpeningTime(Duration took) { groups_.noteOpeningTime(took); }
     // Leaves the server out when an opening has waited too long for it. True when that is new.
     bool review(KnownServer& server, TimePoint now) const { return silence_.review(server, now); }
     // What became of other zones since the last call.
     std::vector<ZoneChange> takeZoneChanges() { return reach_.takeChanges(); }
+    // What became of servers that fell silent together since the last call.
+    std::vector<GroupChange> takeGroupChanges() { return groups_.takeChanges(); }
 
 private:
+    // The better ones first.
+    enum class Standing { Good, Tried, Unproven, Silent };
+    static constexpr std::size_t standings = 4;
+
+    Standing standingOf(const KnownServer&, const FlowMemory* former, TimePoint now);
+
     ServerCost cost_;
     SilentServers silence_;
+    GroupSilence groups_;
     ZoneReach reach_;
 };
 
--- a/Source/Forward/ServerDirectory.cpp
+++ b/Source/Forward/ServerDirectory.cpp
@@ -54,6 +54,7 @@
         record.knownBy = revision;
     }
     record.entry = entry;
+    record.group = groupOf(entry);
     record.revision = revision;
     record.writtenAt = now;
     record.warmUntil = now + entry.warmupLeft;
@@ -67,6 +68,14 @@
     return transitions;
 }
 
+ServerGroup* ServerDirectory::groupOf(const RegisteredServer& entry)
+{
+    auto& group = groups_[{ entry.service, entry.availabilityZone }];
+    if (!group)
+        group = std::make_unique<ServerGroup>(ServerGroup { entry.service, entry.availabilityZone });
+    return group.get();
+}
+
 // Sequence: a server is killed while a write of its entry waits at the store, starts again under its id, registers, and
 // then the write of its former process takes effect, with a higher revision.
 bool ServerDirectory::isOfEarlierStart(const KnownServer& record, const RegisteredServer& entry, TimePoint now) const
--- a/Source/Forward/ServerDirectory.h
+++ b/Source/Forward/ServerDirectory.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace wisteriadock {
@@ -36,6 +37,9 @@
     TimePoint lastProgress = TimePoint::min();
     // Since when an opening packet waits for any sign of the server; TimePoint::max() when none does.
     TimePoint waitingSince = TimePoint::max();
+    // When the first opening packet was sent there that was not answered since its last sign of life; TimePoint::max()
+    // when there is none.
+    TimePoint silentSince = TimePoint::max();
     // Tries that the server left unanswered since its last sign of life.
     std::uint32_t failures = 0;
     // Until when it gets no new flows.
@@ -46,6 +50,22 @@
     bool isFailing = false;
 };
 
+// The servers of a service in one availability zone, and what this balancer saw of them together; see GroupSilence.
+struct ServerGroup {
+    std::string service;
+    std::string availabilityZone;
+    // When one of them last proved that it answers.
+    TimePoint lastProgress = TimePoint::min();
+    // How often all of them were left out in a row, until when, and since when a trial of them waits; TimePoint::max()
+    // when none does.
+    std::uint32_t failures = 0;
+    TimePoint leftOutUntil = TimePoint::min();
+    TimePoint triedSince = TimePoint::max();
+    // Counted by the review in progress.
+    std::uint32_t servers = 0;
+    std::uint32_t silent = 0;
+};
+
 struct KnownServer {
     RegisteredServer entry;
     std::uint32_t token = 0;
@@ -65,6 +85,8 @@
     // Another living server has the same token, so packets could not be told apart: it gets no flows.
     bool isAmbiguous = false;
     ServerObservation seen;
+    // Never null for a server of a directory, which owns it.
+    ServerGroup* group = nullptr;
 
     bool mayTakeFlows() const
     {
@@ -150,12 +172,15 @@
     // A write of a process that is certainly over, which took effect late.
     bool isBelated(const KnownServer&, const RegisteredServer&) const;
     void claimToken(KnownServer&);
+    ServerGroup* groupOf(const RegisteredServer&);
     void forget(const KnownServer&);
     void index();
 
     DirectorySettings settings_;
     absl::flat_hash_map<std::string, std::unique_ptr<KnownServer>> records_;
     absl::flat_hash_map<std::uint32_t, KnownServer*> byToken_;
+    // By service and zone. There are few, and none is forgotten.
+    absl::flat_hash_map<std::pair<std::string, std::string>, std::unique_ptr<ServerGroup>> groups_;
     // Every incarnation that had the address, also those that are over.
     absl::flat_hash_map<Endpoint, std::vector<KnownServer*>> byAddress_;
     // Made anew when it is asked for after a change, since a listing changes thousands of servers at once.
--- a/Source/Forward/TokenRouter.cpp
+++ b/Source/Forward/TokenRouter.cpp
@@ -191,6 +191,8 @@
     decision.verdict = PacketVerdict::Forward;
     decision.reason = PacketReason::Established;
     decision.progress = flows_.noteTraffic(packet, *server, now);
+    if (decision.progress.openingTime)
+        policy_.noteOpeningTime(*decision.progress.openingTime);
     if (decision.progress.answerTime)
         admission_.noteAnswer(server->entry.service, *decision.progress.answerTime, now);
     if (decision.progress.hasAnswered)
--- a/Source/Forward/ZoneReach.cpp
+++ b/Source/Forward/ZoneReach.cpp
@@ -9,10 +9,10 @@
     return zone.lastProgress == TimePoint::min() || now - zone.lastProgress > settings_.zoneProof;
 }
 
-bool ZoneReach::isOutOfReach(const std::string& availabilityZone, TimePoint now)
+ZoneReach::Reach ZoneReach::reachOf(const std::string& availabilityZone, TimePoint now)
 {
     if (availabilityZone == ownZone_)
-        return false;
+        return Reach::Near;
     Zone& zone = otherZones_[availabilityZone];
     if (zone.waitingSince != TimePoint::max() && now - zone.waitingSince > settings_.openingPatience) {
         zone.waitingSince = TimePoint::max();
@@ -21,7 +21,9 @@
         changes_.push_back({ availabilityZone, false, zone.failures });
     }
     const bool isBeingTried = zone.waitingSince != TimePoint::max();
-    return zone.leftOutUntil > now || (isBeingTried && isUnproven(zone, now));
+    if (zone.leftOutUntil > now)
+        return Reach::Away;
+    return isBeingTried && isUnproven(zone, now) ? Reach::Unproven : Reach::Near;
 }
 
 void ZoneReach::noteTry(const KnownServer& server, TimePoint now)
--- a/Source/Forward/ZoneReach.h
+++ b/Source/Forward/ZoneReach.h
@@ -31,8 +31,13 @@
     {
     }
 
+    enum class Reach {
+        Near, // Nothing speaks against it.
+        Unproven, // Not heard of lately, and a flow is trying it.
+        Away, // That flow failed.
+    };
     // A zone that has not been heard of lately gets one flow at a time, and none for a while after that one failed.
-    bool isOutOfReach(const std::string& availabilityZone, TimePoint now);
+    Reach reachOf(const std::string& availabilityZone, TimePoint now);
     // An opening packet goes to the server.
     void noteTry(const KnownServer&, TimePoint now);
     // The server gave a sign of life.
--- a/Source/Forwarder/Forwarder.h
+++ b/Source/Forwarder/Forwarder.h
@@ -261,6 +261,8 @@
             lines_.failing(change, now);
         for (const ZoneChange& change : router_.takeZoneChanges())
             lines_.zone(change, now);
+        for (const GroupChange& change : router_.takeGroupChanges())
+            lines_.group(change, now);
         reload_.tick(now);
         if (life_.isOver(now)) {
             end(now);
--- a/Source/Forwarder/ForwarderLog.cpp
+++ b/Source/Forwarder/ForwarderLog.cpp
@@ -215,6 +215,18 @@
         Event().add("zone", change.availabilityZone).add("failures", change.failures), now);
 }
 
+void ForwarderLog::group(const GroupChange& change, TimePoint now)
+{
+    log_.write(change.isBack ? LogLevel::Info : LogLevel::Warning, "servers", change.isBack ? "back" : "left_out",
+        Event()
+            .add("service", change.service)
+            .add("zone", change.availabilityZone)
+            .add("silent", change.silent)
+            .add("of", change.servers)
+            .add("failures", change.failures),
+        now);
+}
+
 void ForwarderLog::zoneOrder(
     const ZoneOrderChange& change, std::chrono::milliseconds age, const std::string& source, TimePoint now)
 {
