--- a/Tests/PlatformAdapter/ConfigurationTextTest.cpp
+++ b/Tests/PlatformAdapter/ConfigurationTextTest.cpp
@@ -213,6 +213,20 @@
         }
     }
 
+    // Guards against a text being read or refused by where in memory a control character lies.
+    TEST(ConfigurationTextTest, aControlCharacterIsRefusedWhereverItStands)
+    {
+        const std::string good = encodeConfiguration(configurationOf(1, routesTo(2)));
+        const std::size_t name = good.find("streams");
+        for (std::size_t spaces = 0; spaces < 16; ++spaces) {
+            std::string text = std::string(spaces, ' ') + good;
+            text[spaces + name] = '\x1b';
+            ConfigurationReader reader;
+            EXPECT_FALSE(decodeConfiguration(text)) << spaces;
+            EXPECT_FALSE(reader.read(text)) << spaces;
+        }
+    }
+
     // Symptom: routes that no operator had set were in force, and the configuration's own were not.
     // Sequence: a text holds an object with a list of its own named "routes", and its own list behind it is empty.
     // Cause: the first list of that name was taken for the configuration's, and what was left with an empty list in its
