Forward, Platform: Share what a cold server bears among few balancers of its zone

Cause: the configuration's warmupPerS and warmupS and the bounds' warmupOverage and warmupSlack were not read, so nothing kept the flows that all balancers together send to a cold server within its rate. Each cold server has two owners by hash among the balancers of its own zone, each with half of the bound in any 1.1 s; nobody else sends it new flows. A balancer owns nothing while its view has not settled or shows less than half of whom it knew, and takes over only when the former owner has certainly heard and its last second is over. Servers count as cold beyond their entries after their group returned from a silence and after an order for their zone was taken back.

--- a/Source/Forward/EmptiedZones.h
+++ b/Source/Forward/EmptiedZones.h
@@ -39,6 +39,7 @@
             return std::nullopt;
         const ZoneOrderChange change { availabilityZone, false, revision, now - order->second };
         since_.erase(order);
+        takenBackAt_[availabilityZone] = now;
         return change;
     }
 
@@ -46,11 +47,18 @@
     {
         return !since_.empty() && since_.contains(availabilityZone);
     }
+    // When the last order for the zone was taken back; TimePoint::min() when none was.
+    TimePoint takenBackAt(const std::string& availabilityZone) const
+    {
+        const auto found = takenBackAt_.find(availabilityZone);
+        return found == takenBackAt_.end() ? TimePoint::min() : found->second;
+    }
     // By zone, since when.
     const absl::flat_hash_map<std::string, TimePoint>& all() const { return since_; }
 
 private:
     absl::flat_hash_map<std::string, TimePoint> since_;
+    absl::flat_hash_map<std::string, TimePoint> takenBackAt_;
 };
 
 }
--- a/Source/Forward/ForwardingConfiguration.h
+++ b/Source/Forward/ForwardingConfiguration.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Core/Endpoint.h"
+#include "Forward/ColdStart.h"
 #include "Forward/TokenPacket.h"
 
 #include <absl/container/flat_hash_map.h>
@@ -38,12 +39,16 @@
     std::vector<FlowRoute> routes;
     // A flow that carried nothing for so long may be forgotten.
     std::chrono::milliseconds idleTimeout { 0 };
+    // Services that are not named have no rate for their cold servers.
+    ColdStarts coldStarts {};
 };
 
 // What a version of the configuration changes.
 struct ConfigurationChange {
     std::uint64_t version = 0;
     std::chrono::milliseconds idleTimeout { 0 };
+    // All there are.
+    ColdStarts coldStarts {};
     // The routes are all there are. Otherwise they are those that are new or changed, and the others stay.
     bool isWhole = false;
     std::vector<FlowRoute> routes;
--- a/Source/Forward/GroupSilence.cpp
+++ b/Source/Forward/GroupSilence.cpp
@@ -41,6 +41,8 @@
 
 void GroupSilence::leaveOut(ServerGroup& group, TimePoint now)
 {
+    if (group.failures == 0)
+        group.failedAt = now;
     group.triedSince = TimePoint::max();
     group.leftOutUntil = now + leaveOutAfter(group.failures, settings_);
     ++group.failures;
@@ -60,9 +62,11 @@
 
 void GroupSilence::noteProgress(ServerGroup& group, TimePoint now)
 {
-    if (group.failures > 0)
+    if (group.failures > 0) {
+        group.returnedAt = now;
         changes_.push_back(
             { group.service, group.availabilityZone, true, group.silent, group.servers, group.failures });
+    }
     group.failures = 0;
     group.triedSince = TimePoint::max();
     group.leftOutUntil = TimePoint::min();
--- a/Source/Forward/OpeningPolicy.cpp
+++ b/Source/Forward/OpeningPolicy.cpp
@@ -32,6 +32,14 @@
 
 }
 
+const ColdStart* OpeningPolicy::coldStartOf(const std::string& service) const
+{
+    if (coldStarts_.empty())
+        return nullptr;
+    const auto found = coldStarts_.find(service);
+    return found == coldStarts_.end() ? nullptr : &found->second;
+}
+
 OpeningPolicy::Standing OpeningPolicy::standingOf(const KnownServer& server, const FlowMemory* former, TimePoint now)
 {
     const ZoneReach::Reach reach = reach_.reachOf(server.entry.availabilityZone, now);
@@ -51,6 +59,7 @@
     const std::uint64_t flowHash
         = hashPair((std::uint64_t(ends.caller.address) << 16) | ends.caller.port, ends.route.address);
     const float usualFailingShare = ServerCost::failingShareOf(servers, now);
+    const ColdStart* coldStart = servers.empty() ? nullptr : coldStartOf(servers.front()->entry.service);
     groups_.review(servers, now);
     for (KnownServer* server : servers) {
         if (!server->mayTakeFlows())
@@ -59,6 +68,11 @@
             ++choice.emptied;
             continue;
         }
+        if (coldStart && coldUntil(*server, *coldStart, emptied) > now
+            && !coldShares_.mayTake(server->entry, *coldStart, now)) {
+            ++choice.coldAndFull;
+            continue;
+        }
         ++choice.eligible;
         if (review(*server, now))
             choice.leftOut.push_back(server);
--- a/Source/Forward/OpeningPolicy.h
+++ b/Source/Forward/OpeningPolicy.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Core/Clock.h"
+#include "Forward/ColdStart.h"
 #include "Forward/EmptiedZones.h"
 #include "Forward/FlowBook.h"
 #include "Forward/GroupSilence.h"
@@ -13,6 +14,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace wisteriadock {
@@ -26,6 +28,8 @@
     std::uint32_t silent = 0;
     // How many could, if operators had not ordered their zones to be emptied.
     std::uint32_t emptied = 0;
+    // How many could, if they were not cold and this balancer's share of them used up.
+    std::uint32_t coldAndFull = 0;
     // The chosen server's load in requests for each slot, as far as this balancer knows.
     float load = 0;
     // The share of its requests that it left unanswered lately.
@@ -42,8 +46,9 @@
 // Equal servers are told apart by a hash of flow and server, so balancers that know nothing yet choose alike.
 class OpeningPolicy {
 public:
-    OpeningPolicy(const std::string& availabilityZone, OpeningSettings settings = {})
+    OpeningPolicy(const std::string& availabilityZone, OpeningSettings settings = {}, ColdStartSettings cold = {})
         : cost_(availabilityZone, settings)
+        , coldShares_(availabilityZone, cold)
         , silence_(settings)
         , groups_(settings)
         , reach_(availabilityZone, settings)
@@ -51,13 +56,25 @@
     }
 
     // former is what is remembered of the flow, or null. The servers that it tried are avoided. Those of emptied zones
-    // are never chosen, whatever becomes of the others.
+    // are never chosen, nor cold ones beyond their rate, whatever becomes of the others.
     OpeningChoice choose(const std::vector<KnownServer*>& servers, const EmptiedZones&, const FlowEnds&,
         const FlowMemory* former, TimePoint now);
 
+    // What the operators' configuration says of cold servers.
+    void setColdStarts(ColdStarts coldStarts) { coldStarts_ = std::move(coldStarts); }
+    // See ColdStartShares.
+    void setBalancers(std::uint32_t self, std::vector<std::uint32_t> ids, bool isSettled, TimePoint now)
+    {
+        coldShares_.setBalancers(self, std::move(ids), isSettled, now);
+    }
+    void tick(TimePoint now) { coldShares_.tick(now); }
+
     // An opening packet goes to the server.
-    void noteTry(const KnownServer& server, TimePoint now)
+    void noteTry(const KnownServer& server, const EmptiedZones& emptied, TimePoint now)
     {
+        if (const ColdStart* coldStart = coldStartOf(server.entry.service);
+            coldStart && coldUntil(server, *coldStart, emptied) > now)
+            coldShares_.noteTry(server.entry, now);
         reach_.noteTry(server, now);
         GroupSilence::noteTry(*server.group, now);
     }
@@ -82,8 +99,12 @@
     static constexpr std::size_t standings = 4;
 
     Standing standingOf(const KnownServer&, const FlowMemory* former, TimePoint now);
+    // Null for a service whose cold servers have no rate.
+    const ColdStart* coldStartOf(const std::string& service) const;
 
     ServerCost cost_;
+    ColdStartShares coldShares_;
+    ColdStarts coldStarts_;
     SilentServers silence_;
     GroupSilence groups_;
     ZoneReach reach_;
--- a/Source/Forward/ServerDirectory.h
+++ b/Source/Forward/ServerDirectory.h
@@ -61,6 +61,9 @@
     std::uint32_t failures = 0;
     TimePoint leftOutUntil = TimePoint::min();
     TimePoint triedSince = TimePoint::max();
+    // When all of them were left out last, and when they were back after it.
+    TimePoint failedAt = TimePoint::min();
+    TimePoint returnedAt = TimePoint::min();
     // Counted by the review in progress.
     std::uint32_t servers = 0;
     std::uint32_t silent = 0;
--- a/Source/Forward/TokenRouter.cpp
+++ b/Source/Forward/TokenRouter.cpp
@@ -22,6 +22,7 @@
         { PacketReason::ServerEnded, "server_ended" },
         { PacketReason::Overloaded, "overloaded" },
         { PacketReason::NoServer, "no_server" },
+        { PacketReason::ColdServersFull, "cold_servers_full" },
         { PacketReason::ZonesEmptied, "zones_emptied" },
         { PacketReason::NoRoute, "no_route" },
         { PacketReason::NoConfiguration, "no_configuration" },
@@ -49,7 +50,7 @@
 TokenRouter::TokenRouter(RouterSettings settings)
     : settings_(std::move(settings))
     , admission_(settings_.admission)
-    , policy_(settings_.availabilityZone, settings_.opening)
+    , policy_(settings_.availabilityZone, settings_.opening, settings_.coldStart)
     , directory_(settings_.directory)
     , flows_(directory_)
 {
@@ -60,6 +61,7 @@
     if (configuration.version <= version_)
         return false;
     routes_.replace(configuration);
+    policy_.setColdStarts(configuration.coldStarts);
     version_ = configuration.version;
     return true;
 }
@@ -69,6 +71,7 @@
     if (change.version <= version_)
         return false;
     version_ = change.version;
+    policy_.setColdStarts(std::move(change.coldStarts));
     routes_.apply(std::move(change));
     return true;
 }
@@ -98,6 +101,7 @@
 {
     for (FailingChange& change : flows_.tick(now))
         failingChanges_.push_back(std::move(change));
+    policy_.tick(now);
     return directory_.tick(now);
 }
 
@@ -150,10 +154,10 @@
     if (leftOut)
         decision.choice.leftOut.push_back(leftOut);
     if (!decision.choice.server)
-        return decision.choice.emptied > 0 ? refuseEmptied(packet, former) : refuse(packet, PacketReason::NoServer);
+        return refuseChoice(packet, decision.choice, former);
     decision.reason = former ? PacketReason::OpenedElsewhere : PacketReason::Opened;
     decision.server = decision.choice.server;
-    policy_.noteTry(*decision.choice.server, now);
+    policy_.noteTry(*decision.choice.server, emptiedZones_, now);
     flows_.noteTry(packet.ends, *decision.choice.server, packet.acknowledgement, now);
     return decision;
 }
@@ -219,11 +223,17 @@
 }
 
 // What certainly can't be served is refused with the first packet. A copy may belong to a flow that another balancer
-// opened before the order, so it is refused as late as any other that finds no server.
-PacketDecision TokenRouter::refuseEmptied(const TokenPacket& packet, const FlowMemory* former) const
+// opened before, so it is refused as late as any other that finds no server.
+PacketDecision TokenRouter::refuseChoice(
+    const TokenPacket& packet, const OpeningChoice& choice, const FlowMemory* former) const
 {
-    PacketDecision decision = refuse(packet, PacketReason::ZonesEmptied);
-    if (!former && packet.acknowledgement == 0)
+    const bool isCertain = choice.coldAndFull > 0 || choice.emptied > 0;
+    const PacketReason reason = choice.coldAndFull > 0 ? PacketReason::ColdServersFull
+        : choice.emptied > 0                           ? PacketReason::ZonesEmptied
+                                                       : PacketReason::NoServer;
+    PacketDecision decision = refuse(packet, reason);
+    decision.choice = choice;
+    if (isCertain && !former && packet.acknowledgement == 0)
         decision.verdict = PacketVerdict::Reset;
     return decision;
 }
--- a/Source/Forward/TokenRouter.h
+++ b/Source/Forward/TokenRouter.h
@@ -15,6 +15,7 @@
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 namespace wisteriadock {
 
@@ -34,6 +35,7 @@
     ServerEnded, // The flow's server is certainly over.
     Overloaded, // All servers of the service have long queues, so the flow would be served late.
     NoServer, // The route's service has no server that takes flows.
+    ColdServersFull, // All servers that could take the flow are cold, and this balancer's share of them is used up.
     ZonesEmptied, // All servers that could take the flow are in zones that operators ordered to be emptied.
     NoRoute, // No route has the address.
     NoConfiguration, // This balancer does not know the routes yet.
@@ -43,7 +45,7 @@
 };
 
 inline constexpr std::size_t packetVerdicts = 3;
-inline constexpr std::size_t packetReasons = 13;
+inline constexpr std::size_t packetReasons = 14;
 
 std::string_view nameOf(PacketVerdict);
 std::string_view nameOf(PacketReason);
@@ -66,6 +68,7 @@
 struct RouterSettings {
     std::string availabilityZone;
     OpeningSettings opening;
+    ColdStartSettings coldStart;
     AdmissionSettings admission;
     DirectorySettings directory;
     // The caller's copy of an opening packet that is the last one; after it, the caller gives up.
@@ -95,6 +98,11 @@
     }
     // The store told what is certain, at this time.
     void noteStoreHeard(TimePoint at) { directory_.noteStoreHeard(at); }
+    // The balancers of the own zone that are alive; see ColdStartShares.
+    void setBalancers(std::uint32_t self, std::vector<std::uint32_t> ids, bool isSettled, TimePoint now)
+    {
+        policy_.setBalancers(self, std::move(ids), isSettled, now);
+    }
     // Call it a few times a second while there are flows or servers in doubt.
     ServerDirectory::Transitions tick(TimePoint now);
 
@@ -117,7 +125,7 @@
     PacketDecision routeOpening(const TokenPacket&, TimePoint now);
     PacketDecision routeEstablished(const TokenPacket&, TimePoint now);
     PacketDecision refuse(const TokenPacket&, PacketReason) const;
-    PacketDecision refuseEmptied(const TokenPacket&, const FlowMemory* former) const;
+    PacketDecision refuseChoice(const TokenPacket&, const OpeningChoice&, const FlowMemory* former) const;
     bool isOfFormerProcess(const TokenPacket&, const KnownServer&) const;
     // The server that a copy of an opening packet shall go to again, or null for another choice.
     KnownServer* formerServerFor(const FlowMemory*, const std::string& service, TimePoint now);
--- a/Source/Forwarder/Forwarder.h
+++ b/Source/Forwarder/Forwarder.h
@@ -95,6 +95,7 @@
         RouterSettings router;
         router.availabilityZone = settings.availabilityZone;
         router.opening = settings.opening;
+        router.coldStart = settings.coldStart;
         // A quarter more than a flow lasts, for packets that are still on their way.
         router.directory.retention = settings.longestFlow * 5 / 4;
         return router;
@@ -256,6 +257,7 @@
             peers_->exchange().behindSince(), now);
         store_.tick(peers_->exchange().knowsMuchWider(), now);
         router_.noteStoreHeard(peers_->exchange().storeHeardAt());
+        router_.setBalancers(balancerIdOf(settings_.vm).value, peers_->balancersOfZone(), peers_->isSettled(now), now);
         lines_.transitions(router_.tick(now), peers_->exchange().book().completeTo(), "time", now);
         for (const FailingChange& change : router_.takeFailingChanges())
             lines_.failing(change, now);
--- a/Source/Forwarder/ForwarderSettings.cpp
+++ b/Source/Forwarder/ForwarderSettings.cpp
@@ -10,6 +10,9 @@
     constexpr std::uint32_t largestLogBudget = 1'000'000;
     constexpr double longestSeconds = 86'400;
     constexpr double largestFactor = 1000;
+    constexpr std::uint32_t largestGroup = 1'000'000;
+    // Flows a second.
+    constexpr double largestSlack = 1e9;
     // Mbit/s.
     constexpr double widestLink = 1e9;
     constexpr std::chrono::milliseconds shortestPatience { 1 };
@@ -48,6 +51,8 @@
         factor("idle_flow_weight", opening.idleFlowWeight, 0);
         factor("cold_factor", opening.coldFactor, 1);
         factor("failing_penalty", opening.failingPenalty, 0);
+        section.integer<std::uint32_t>(
+            "silent_servers_of_a_group", opening.silentServersOfAGroup, 0, largestGroup);
         section.milliseconds("patience_milliseconds", opening.openingPatience, shortestPatience, longestPatience);
         section.milliseconds("zone_proof_milliseconds", opening.zoneProof, shortestPatience, longestPatience);
     }
@@ -81,6 +86,8 @@
     double linkMegabits = settings.linkMegabits;
     limits.number("link_megabits_per_second", linkMegabits, 0, widestLink);
     settings.linkMegabits = static_cast<std::uint32_t>(linkMegabits);
+    limits.number("cold_overage", settings.coldStart.overage, 0, largestFactor);
+    limits.number("cold_slack_flows", settings.coldStart.slack, 0, largestSlack);
     readOpening(reader, settings.opening);
     readLog(reader, settings);
     const SettingsProblems problems = reader.finish();
@@ -110,6 +117,7 @@
     compare(metrics == other.metrics, "listen.metrics");
     compare(store == other.store, "store.address");
     compare(opening == other.opening, "opening");
+    compare(coldStart == other.coldStart, "limits.cold_overage, limits.cold_slack_flows");
     compare(linkMegabits == other.linkMegabits, "limits.link_megabits_per_second");
     compare(longestFlow == other.longestFlow, "limits.longest_flow_seconds");
     return names;
--- a/Source/Forwarder/ForwarderSettings.h
+++ b/Source/Forwarder/ForwarderSettings.h
@@ -3,7 +3,8 @@
 #include "Core/Endpoint.h"
 #include "Core/Error.h"
 #include "Core/Log.h"
-#include "Forward/OpeningPolicy.h"
+#include "Forward/ColdStart.h"
+#include "Forward/OpeningSettings.h"
 
 #include <chrono>
 #include <cstdint>
@@ -35,6 +36,7 @@
 
     // How new flows find their servers.
     OpeningSettings opening;
+    ColdStartSettings coldStart;
 
     LogLevel logLevel = LogLevel::Info;
     std::uint32_t logBudget = 200;
--- a/Source/Forwarder/PeerNews.cpp
+++ b/Source/Forwarder/PeerNews.cpp
@@ -107,6 +107,19 @@
     adviseSeeds(now);
 }
 
+std::vector<std::uint32_t> PeerNews::balancersOfZone() const
+{
+    const auto view = membership_.view();
+    const Member* self = view->findSelf();
+    std::vector<std::uint32_t> ids;
+    for (const Member& member : view->members) {
+        const bool isAlive = member.state != MemberState::Dead && member.state != MemberState::Leaving;
+        if (isAlive && self && member.availabilityZone == self->availabilityZone)
+            ids.push_back(member.id.value);
+    }
+    return ids;
+}
+
 void PeerNews::tick(TimePoint now)
 {
     if (exchange_.book().completeTo() > toldRevision_) {
--- a/Source/Forwarder/PeerNews.h
+++ b/Source/Forwarder/PeerNews.h
@@ -53,6 +53,10 @@
     bool shallWatch(TimePoint now) const;
     const NewsExchange& exchange() const { return exchange_; }
     std::size_t members() const { return membership_.view()->members.size(); }
+    // Those of this balancer's zone that are alive, itself included.
+    std::vector<std::uint32_t> balancersOfZone() const;
+    // More balancers may be met at any moment while this is false.
+    bool isSettled(TimePoint now) const { return membership_.isSettled(now); }
     std::uint64_t bytesTransferred() const;
 
 private:
--- a/Tests/Forwarder/ForwarderSettingsTest.cpp
+++ b/Tests/Forwarder/ForwarderSettingsTest.cpp
@@ -30,6 +30,8 @@
 longest_flow_seconds = 60
 grace_seconds = 6.5
 link_megabits_per_second = 200.0
+cold_overage = 1.5
+cold_slack_flows = 5
 
 [log]
 level = warning
@@ -46,6 +48,8 @@
         EXPECT_EQ(settings.value().longestFlow, std::chrono::seconds(60));
         EXPECT_EQ(settings.value().grace, std::chrono::milliseconds(6500));
         EXPECT_EQ(settings.value().linkMegabits, 200U);
+        EXPECT_EQ(settings.value().coldStart.overage, 1.5);
+        EXPECT_EQ(settings.value().coldStart.slack, 5.0);
         EXPECT_EQ(settings.value().logLevel, LogLevel::Warning);
     }
 
--- a/Tests/PlatformAdapter/ConfigurationTextTest.cpp
+++ b/Tests/PlatformAdapter/ConfigurationTextTest.cpp
@@ -227,6 +227,33 @@
         }
     }
 
+    // Guards against a rate of cold servers that is lost where only changes are read, or that stays when it is taken away.
+    TEST(ConfigurationTextTest, ratesOfColdServersAreThoseOfTheNewestVersion)
+    {
+        ForwardingConfiguration configuration = configurationOf(1, routesTo(3));
+        configuration.coldStarts["streams"] = { std::chrono::milliseconds(2500), 12.5 };
+        ConfigurationReader reader;
+        EXPECT_EQ(reader.read(encodeConfiguration(configuration)).value().coldStarts, configuration.coldStarts);
+        configuration.version = 2;
+        configuration.coldStarts["streams"].perSecond = 3;
+        EXPECT_EQ(reader.read(encodeConfiguration(configuration)).value().coldStarts, configuration.coldStarts);
+        configuration.version = 3;
+        configuration.coldStarts["streams"].perSecond = 0;
+        EXPECT_TRUE(reader.read(encodeConfiguration(configuration)).value().coldStarts.empty());
+    }
+
+    // Guards against routes being refused with a service that can't be read.
+    TEST(ConfigurationTextTest, servicesThatCannotBeReadNameNoRate)
+    {
+        for (const char* services : { "7", "[7]", R"([{"warmupPerS":3}])", R"([{"name":"streams","warmupPerS":"3"}])",
+                 R"([{"name":"streams","warmupPerS":-1,"warmupS":2}])" }) {
+            const std::string text = std::string(R"({"version":3,"routes":[],"services":)") + services + "}";
+            const auto read = decodeConfiguration(text);
+            ASSERT_TRUE(read) << services;
+            EXPECT_TRUE(read.value().coldStarts.empty()) << services;
+        }
+    }
+
     // Symptom: routes that no operator had set were in force, and the configuration's own were not.
     // Sequence: a text holds an object with a list of its own named "routes", and its own list behind it is empty.
     // Cause: the first list of that name was taken for the configuration's, and what was left with an empty list in its
