Experiment, Soak: Let no child keep its parent's sockets, and tell steps that can't be done

Cause: started processes inherited every socket that was open at that moment. After the first restart of a forwarder in a soak the addresses of servers that ended stayed taken, so a server that was to start again there never did (bind: address already in use), and the soak passed over the error. Seen when the orders to empty a zone were broken on purpose and the soak held: the servers of two zones were gone for good by then, so no opening could break the order. The child closes what it does not need; a step that can't be done breaks the run. The new test fails without the change.

--- a/Source/Experiment/ChildProcess.cpp
+++ b/Source/Experiment/ChildProcess.cpp
@@ -35,6 +35,8 @@
         sigprocmask(SIG_SETMASK, &none, nullptr);
         dup2(output, STDOUT_FILENO);
         dup2(log, STDERR_FILENO);
+        // Sockets of the parent that the child kept open would hold their addresses after the parent has closed them.
+        close_range(STDERR_FILENO + 1, ~0U, 0);
         execv(arguments[0], arguments);
         _exit(childSetupFailed);
     }
--- a/Source/Soak/SoakJudge.h
+++ b/Source/Soak/SoakJudge.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Core/Clock.h"
+#include "Core/Error.h"
 #include "Forward/ForwardingConfiguration.h"
 
 #include <chrono>
@@ -67,6 +68,8 @@
     void noteRequest(bool isServed, const std::string& balancer, Endpoint route, TimePoint sent, TimePoint now);
     // A balancer's process ended although nobody ended it, or not as a planned stop should.
     void noteExit(const std::string& balancer, int code, bool wasExpected);
+    // A step of the run could not be done, so that the run proves less than it says.
+    void noteFailedStep(const Error& error) { violate("STEP: " + error.toString()); }
     // Everything was started again after all was killed.
     void noteAllBack(TimePoint now) { allBack_ = now; }
 
--- a/Source/Soak/SoakRun.cpp
+++ b/Source/Soak/SoakRun.cpp
@@ -219,7 +219,7 @@
 {
     auto server = SoakServer::open(loop_.context(), entry, flowPort, serverEvents_);
     if (!server)
-        return;
+        return judge_.noteFailedStep(server.error());
     servers_.push_back(std::move(server).value());
     writeEntry(*servers_.back());
 }
--- a/Tests/Experiment/ChildProcessTest.cpp
+++ b/Tests/Experiment/ChildProcessTest.cpp
@@ -1,6 +1,7 @@
 #include "Experiment/ChildProcess.h"
 
 #include "Experiment/EventLoop.h"
+#include "Net/UdpSocket.h"
 
 #include <gtest/gtest.h>
 
@@ -8,6 +9,7 @@
 #include <filesystem>
 #include <fstream>
 #include <memory>
+#include <span>
 #include <thread>
 
 namespace wisteriadock {
@@ -51,6 +53,22 @@
         std::filesystem::path directory_;
     };
 
+    // Guards against addresses that stay taken after their socket was closed, as a child that started meanwhile holds
+    // it.
+    TEST_F(ChildProcessTest, aChildHoldsNoSocketsOfItsParent)
+    {
+        const auto ignore = [](const Endpoint&, std::span<const std::uint8_t>) {};
+        auto socket = UdpSocket::bind(loop_.context(), { 0x7F000001, 0 }, ignore);
+        ASSERT_TRUE(socket);
+        const Endpoint address = socket.value()->address();
+        const auto child = startShell("echo listening ready 127.0.0.1:1; sleep 30");
+        waitFor([&] { return child->listening("ready").has_value(); });
+        socket.value().reset();
+        EXPECT_TRUE(UdpSocket::bind(loop_.context(), address, ignore));
+        child->signal(SIGKILL);
+        waitFor([&] { return !child->running(); });
+    }
+
     TEST_F(ChildProcessTest, readsListeningLinesAndKeepsTheRest)
     {
         const auto process = startShell("echo listening flow 127.0.0.1:5; echo listening 127.0.0.1:6;"
