--- a/Source/Forward/TokenRouter.h
+++ b/Source/Forward/TokenRouter.h
@@ -117,6 +117,7 @@
     // 0 before the first configuration.
     std::uint64_t configurationVersion() const { return version_; }
     ServerDirectory& directory() { return directory_; }
+    const ServerDirectory& directory() const { return directory_; }
     const FlowBook& flows() const { return flows_; }
     const EmptiedZones& emptiedZones() const { return emptiedZones_; }
     std::size_t routes() const { return routes_.size(); }
--- a/Source/Forwarder/Forwarder.h
+++ b/Source/Forwarder/Forwarder.h
@@ -2,6 +2,7 @@
 
 #include "Core/EventLog.h"
 #include "Forward/TokenRouter.h"
+#include "Forwarder/ForwarderAnswers.h"
 #include "Forwarder/ForwarderLife.h"
 #include "Forwarder/ForwarderLog.h"
 #include "Forwarder/ForwarderMetrics.h"
@@ -119,8 +120,9 @@
         peers_ = std::move(peers);
         packets_ = std::make_unique<TokenPacketPath<Adapter>>(context_, std::move(socket), router_, peers_->exchange(),
             life_, lines_, metrics_, [this](TimePoint now) { store_.noteContradiction(now); });
+        answers_ = std::make_unique<ForwarderAnswers<Adapter>>(router_, *peers_, store_, life_, log_, metrics_);
         const auto onRequest = [this](const std::shared_ptr<Http1Exchange>& exchange) {
-            exchange->respond(answer(exchange->request()));
+            exchange->respond(answers_->answer(exchange->request(), Clock::now()));
         };
         BOOST_OUTCOME_TRY(ready, Http1Server::listen(context_, settings_.ready, onRequest));
         ready_ = std::move(ready);
@@ -150,51 +152,6 @@
         return member;
     }
 
-    HttpResponse answer(const HttpRequest& request)
-    {
-        HttpResponse response;
-        if (request.path == Adapter::readinessPath) {
-            response.status = life_.isReady() ? 200 : 503;
-        } else if (request.path == "/metrics") {
-            return answerMetrics();
-        } else {
-            response.status = 404;
-        }
-        return response;
-    }
-
-    HttpResponse answerMetrics()
-    {
-        HttpResponse response;
-        Result<std::string> text = metrics_.text(readings());
-        response.status = text ? 200 : 503;
-        response.headers = { { "content-type", text ? "text/plain; version=0.0.4" : "text/plain" } };
-        response.body = text ? std::move(text).value() : text.error().toString() + "\n";
-        return response;
-    }
-
-    ForwarderMetrics::Readings readings()
-    {
-        ForwarderMetrics::Readings readings;
-        readings.configurationVersion = router_.configurationVersion();
-        readings.newsRevision = peers_->exchange().book().completeTo();
-        if (const auto since = peers_->exchange().behindSince())
-            readings.newsBehind = Clock::now() - *since;
-        readings.flows = router_.flows().size();
-        readings.members = peers_->members();
-        readings.isReady = life_.isReady();
-        readings.isStoreLost = store_.feed().isLost();
-        readings.isWatching = store_.feed().isWatching();
-        readings.logLines = log_.buffer().lines();
-        readings.logDropped = log_.buffer().dropped();
-        readings.logLeftOut = log_.leftOut();
-        readings.peerBytes = peers_->bytesTransferred();
-        readings.storeBytes = store_.bytesTransferred();
-        readings.directory = &router_.directory();
-        readings.emptiedZones = &router_.emptiedZones();
-        return readings;
-    }
-
     void handleNews(const NewsChanged& news)
     {
         const TimePoint now = Clock::now();
@@ -333,6 +290,7 @@
     std::unique_ptr<PeerNews> peers_;
     StoreLink<Adapter> store_;
     std::unique_ptr<TokenPacketPath<Adapter>> packets_;
+    std::unique_ptr<ForwarderAnswers<Adapter>> answers_;
     std::unique_ptr<Http1Server> ready_;
     std::unique_ptr<Http1Server> metricsServer_;
     bool hasMetPeers_ = false;
--- /dev/null
+++ b/Source/Forwarder/ForwarderAnswers.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "Core/EventLog.h"
+#include "Forward/TokenRouter.h"
+#include "Forwarder/ForwarderLife.h"
+#include "Forwarder/ForwarderMetrics.h"
+#include "Forwarder/PeerNews.h"
+#include "Forwarder/StoreLink.h"
+#include "Net/HttpMessage.h"
+
+#include <string>
+#include <utility>
+
+namespace wisteriadock {
+
+// What the forwarder answers over HTTP: whether it is ready, and its metrics.
+template <typename Adapter> class ForwarderAnswers {
+public:
+    ForwarderAnswers(const TokenRouter& router, const PeerNews& peers, const StoreLink<Adapter>& store,
+        const ForwarderLife& life, EventLog& log, ForwarderMetrics& metrics)
+        : router_(router)
+        , peers_(peers)
+        , store_(store)
+        , life_(life)
+        , log_(log)
+        , metrics_(metrics)
+    {
+    }
+
+    HttpResponse answer(const HttpRequest& request, TimePoint now)
+    {
+        HttpResponse response;
+        if (request.path == Adapter::readinessPath)
+            response.status = life_.isReady() ? 200 : 503;
+        else if (request.path == "/metrics")
+            response = metricsAt(now);
+        else
+            response.status = 404;
+        return response;
+    }
+
+private:
+    HttpResponse metricsAt(TimePoint now)
+    {
+        HttpResponse response;
+        Result<std::string> text = metrics_.text(readingsAt(now));
+        response.status = text ? 200 : 503;
+        response.headers = { { "content-type", text ? "text/plain; version=0.0.4" : "text/plain" } };
+        response.body = text ? std::move(text).value() : text.error().toString() + "\n";
+        return response;
+    }
+
+    ForwarderMetrics::Readings readingsAt(TimePoint now) const
+    {
+        ForwarderMetrics::Readings readings;
+        readings.configurationVersion = router_.configurationVersion();
+        readings.newsRevision = peers_.exchange().book().completeTo();
+        if (const auto since = peers_.exchange().behindSince())
+            readings.newsBehind = now - *since;
+        readings.flows = router_.flows().size();
+        readings.members = peers_.members();
+        readings.isReady = life_.isReady();
+        readings.isStoreLost = store_.feed().isLost();
+        readings.isWatching = store_.feed().isWatching();
+        readings.logLines = log_.buffer().lines();
+        readings.logDropped = log_.buffer().dropped();
+        readings.logLeftOut = log_.leftOut();
+        readings.peerBytes = peers_.bytesTransferred();
+        readings.storeBytes = store_.bytesTransferred();
+        readings.directory = &router_.directory();
+        readings.emptiedZones = &router_.emptiedZones();
+        return readings;
+    }
+
+    const TokenRouter& router_;
+    const PeerNews& peers_;
+    const StoreLink<Adapter>& store_;
+    const ForwarderLife& life_;
+    EventLog& log_;
+    ForwarderMetrics& metrics_;
+};
+
+}
--- a/Source/Forwarder/ForwarderMetrics.h
+++ b/Source/Forwarder/ForwarderMetrics.h
@@ -76,7 +76,7 @@
         std::uint64_t logLeftOut = 0;
         std::uint64_t peerBytes = 0;
         std::uint64_t storeBytes = 0;
-        ServerDirectory* directory = nullptr;
+        const ServerDirectory* directory = nullptr;
         const EmptiedZones* emptiedZones = nullptr;
     };
     // Fails with Unavailable when the module that writes the text can't be loaded.
