--- a/Source/Forwarder/Forwarder.h
+++ b/Source/Forwarder/Forwarder.h
@@ -77,6 +77,7 @@
         , seed_(balancerIdOf(settings.vm).value ^ incarnation_)
         , log_({ settings.vm, settings.availabilityZone, incarnation_ }, STDOUT_FILENO, settings.logBudget)
         , lines_(log_)
+        , traffic_(log_, startedAt_)
         , reload_(settings_, std::move(settingsPath), log_,
               [this](const std::vector<Endpoint>& seeds, TimePoint now) { peers_->setSeeds(seeds, now); })
         , router_(routerSettings(settings))
@@ -223,6 +224,8 @@
         for (const GroupChange& change : router_.takeGroupChanges())
             lines_.group(change, now);
         reload_.tick(now);
+        if (traffic_.isDue(now))
+            traffic_.write(answers_->traffic(), now);
         if (life_.isOver(now)) {
             end(now);
             return;
@@ -245,6 +248,7 @@
 
     void end(TimePoint now)
     {
+        traffic_.write(answers_->traffic(), now);
         log_.write(LogLevel::Info, "process", "stopped", Event().add("ran_ms", now - startedAt_), now);
         log_.buffer().flushAll();
         context_.stop();
@@ -279,6 +283,7 @@
     boost::asio::io_context context_ { 1 };
     EventLog log_;
     ForwarderLog lines_;
+    TrafficReport traffic_;
     SettingsReload reload_;
     ForwarderMetrics metrics_;
     TokenRouter router_;
--- a/Source/Forwarder/ForwarderAnswers.h
+++ b/Source/Forwarder/ForwarderAnswers.h
@@ -10,10 +10,11 @@
 
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace wisteriadock {
 
-// What the forwarder answers over HTTP: whether it is ready, and its metrics.
+// What the forwarder answers over HTTP, whether it is ready and its metrics, and what it reads for that.
 template <typename Adapter> class ForwarderAnswers {
 public:
     ForwarderAnswers(const TokenRouter& router, const PeerNews& peers, const StoreLink<Adapter>& store,
@@ -27,6 +28,14 @@
     {
     }
 
+    std::vector<TrafficRow> traffic() const
+    {
+        std::vector<TrafficRow> rows = peers_.traffic();
+        rows.push_back({ "store", metrics_.storeCalls(), 0, store_.bytesTransferred() });
+        rows.push_back({ "packets", metrics_.forwarded(), metrics_.forwardedBytes(), metrics_.forwardedBytes() });
+        return rows;
+    }
+
     HttpResponse answer(const HttpRequest& request, TimePoint now)
     {
         HttpResponse response;
@@ -65,6 +74,7 @@
         readings.logLines = log_.buffer().lines();
         readings.logDropped = log_.buffer().dropped();
         readings.logLeftOut = log_.leftOut();
+        readings.traffic = traffic();
         readings.peerBytes = peers_.bytesTransferred();
         readings.storeBytes = store_.bytesTransferred();
         readings.directory = &router_.directory();
--- a/Source/Forwarder/ForwarderMetrics.cpp
+++ b/Source/Forwarder/ForwarderMetrics.cpp
@@ -113,6 +113,14 @@
     storeTime_.observe(secondsOf(took));
 }
 
+std::uint64_t ForwarderMetrics::storeCalls() const
+{
+    std::uint64_t sum = 0;
+    for (const auto& [key, count] : storeCalls_)
+        sum += count;
+    return sum;
+}
+
 void ForwarderMetrics::observe(const FlowProgress& progress)
 {
     if (progress.openingTime)
@@ -175,6 +183,13 @@
     state("peer_bytes", readings.peerBytes);
     state("store_bytes", readings.storeBytes);
     state("servers_failing", readings.directory->countFailing());
+    const char* bytesHelp = "Bytes by what they were for; those of connections count as sent";
+    for (const TrafficRow& row : readings.traffic) {
+        samples.count("wisteriadock_forwarder_traffic_bytes_total", bytesHelp, row.sentBytes,
+            { { "cause", row.cause.data() }, { "direction", "sent" } });
+        samples.count("wisteriadock_forwarder_traffic_bytes_total", bytesHelp, row.receivedBytes,
+            { { "cause", row.cause.data() }, { "direction", "received" } });
+    }
     for (const auto& [zone, since] : readings.emptiedZones->all())
         samples.gauge("wisteriadock_forwarder_emptied_zone", "1 for each zone that operators ordered to be emptied", 1,
             { { "zone", zone.c_str() } });
--- a/Source/Forwarder/ForwarderMetrics.h
+++ b/Source/Forwarder/ForwarderMetrics.h
@@ -2,6 +2,7 @@
 
 #include "Core/Error.h"
 #include "Forward/TokenRouter.h"
+#include "Forwarder/TrafficReport.h"
 
 #include <array>
 #include <cstdint>
@@ -44,6 +45,14 @@
     {
         ++packets_[static_cast<std::size_t>(reason)][static_cast<std::size_t>(verdict)];
     }
+    void countForwarded(std::size_t bytes)
+    {
+        ++forwarded_;
+        forwardedBytes_ += bytes;
+    }
+    std::uint64_t forwarded() const { return forwarded_; }
+    std::uint64_t forwardedBytes() const { return forwardedBytes_; }
+    std::uint64_t storeCalls() const;
     void countMalformed() { ++malformed_; }
     void countSendFailures(unsigned count) { sendFailed_ += count; }
     void countStoreCall(const std::string& call, const std::string& outcome, Duration took);
@@ -74,6 +83,8 @@
         std::uint64_t logLines = 0;
         std::uint64_t logDropped = 0;
         std::uint64_t logLeftOut = 0;
+        // By cause.
+        std::vector<TrafficRow> traffic;
         std::uint64_t peerBytes = 0;
         std::uint64_t storeBytes = 0;
         const ServerDirectory* directory = nullptr;
@@ -84,6 +95,8 @@
 
 private:
     std::array<std::array<std::uint64_t, packetVerdicts>, packetReasons> packets_ {};
+    std::uint64_t forwarded_ = 0;
+    std::uint64_t forwardedBytes_ = 0;
     std::uint64_t malformed_ = 0;
     std::uint64_t sendFailed_ = 0;
     std::uint64_t refusedNews_ = 0;
--- a/Source/Forwarder/PeerNews.cpp
+++ b/Source/Forwarder/PeerNews.cpp
@@ -186,6 +186,25 @@
     return link_->bytesTransferred() + server_->bytesTransferred() + fetchedBytes_;
 }
 
+std::vector<TrafficRow> PeerNews::traffic() const
+{
+    const auto rowOf = [this](std::string_view cause, std::initializer_list<PeerMessageKind> kinds) {
+        LinkTraffic sum;
+        for (const PeerMessageKind kind : kinds)
+            sum += link_->trafficOf(kind);
+        return TrafficRow { cause, sum.sent + sum.received, sum.sentBytes, sum.receivedBytes };
+    };
+    const std::uint64_t asked = fetchedBytes_ + (fetcher_ ? fetcher_->bytesTransferred() : 0);
+    return {
+        rowOf(
+            "membership", { PeerMessageKind::Heartbeat, PeerMessageKind::ProbeRequest, PeerMessageKind::ProbeResult }),
+        rowOf("member_pages", { PeerMessageKind::MembersRequest, PeerMessageKind::MembersPage }),
+        rowOf("pushes", { PeerMessageKind::News }),
+        { "fetches_asked", fetchNumber_, 0, asked },
+        { "fetches_served", fetchesServed_, server_->bytesTransferred(), 0 },
+    };
+}
+
 void PeerNews::receive(const PeerEnvelope& envelope, const Endpoint& sender)
 {
     const TimePoint now = Clock::now();
@@ -214,6 +233,7 @@
         = exchange->request().header(takesPatchesHeader).empty() ? NewsBook::Form::Whole : NewsBook::Form::Patched;
     const std::vector<std::uint8_t> body = encodeMessage(exchange_.book().since(after, Clock::now(), form));
     response.body.assign(body.begin(), body.end());
+    ++fetchesServed_;
     exchange->respond(std::move(response));
 }
 
--- a/Source/Forwarder/PeerNews.h
+++ b/Source/Forwarder/PeerNews.h
@@ -3,6 +3,7 @@
 #include "Core/EventLog.h"
 #include "Forwarder/ForwarderMetrics.h"
 #include "Forwarder/MembersLog.h"
+#include "Forwarder/TrafficReport.h"
 #include "Membership/Membership.h"
 #include "Net/Http2Client.h"
 #include "Net/Http2Server.h"
@@ -58,6 +59,8 @@
     // More balancers may be met at any moment while this is false.
     bool isSettled(TimePoint now) const { return membership_.isSettled(now); }
     std::uint64_t bytesTransferred() const;
+    // What of it is for what.
+    std::vector<TrafficRow> traffic() const;
 
 private:
     PeerNews(boost::asio::io_context&, const Member& self, std::vector<Endpoint> seeds, std::uint64_t seed, EventLog&,
@@ -97,6 +100,7 @@
     TimePoint fetchSentAt_;
     // Ends of former fetches don't count.
     std::uint64_t fetchNumber_ = 0;
+    std::uint64_t fetchesServed_ = 0;
     bool hasLoggedBehind_ = false;
 };
 
--- a/Source/Forwarder/TokenPacketPath.h
+++ b/Source/Forwarder/TokenPacketPath.h
@@ -116,6 +116,7 @@
     void forward(unsigned index, const KnownServer& server)
     {
         const std::span<std::uint8_t> packet = batch_.mutableDatagram(index);
+        metrics_.countForwarded(packet.size());
         Adapter::writeToken(packet, server.token);
         const auto prefix = Adapter::serverPrefix(server.entry.number);
         batch_.queue(prefix, packet, server.entry.address);
--- a/Source/Peers/PeerLink.cpp
+++ b/Source/Peers/PeerLink.cpp
@@ -20,18 +20,28 @@
 
 void PeerLink::send(Endpoint receiver, const PeerEnvelope& envelope)
 {
-    if (const auto datagram = encodePeerEnvelope(envelope))
-        socket_->send(receiver, datagram.value());
-    else
+    const auto datagram = encodePeerEnvelope(envelope);
+    if (!datagram) {
         ++malformed_;
+        return;
+    }
+    LinkTraffic& traffic = traffic_[static_cast<std::size_t>(envelope.kind)];
+    ++traffic.sent;
+    traffic.sentBytes += datagram.value().size();
+    socket_->send(receiver, datagram.value());
 }
 
 void PeerLink::receive(Endpoint sender, std::span<const std::uint8_t> datagram)
 {
-    if (const auto envelope = decodePeerEnvelope(datagram))
-        handler_(envelope.value(), sender);
-    else
+    const auto envelope = decodePeerEnvelope(datagram);
+    if (!envelope) {
         ++malformed_;
+        return;
+    }
+    LinkTraffic& traffic = traffic_[static_cast<std::size_t>(envelope.value().kind)];
+    ++traffic.received;
+    traffic.receivedBytes += datagram.size();
+    handler_(envelope.value(), sender);
 }
 
 }
--- a/Source/Peers/PeerLink.h
+++ b/Source/Peers/PeerLink.h
@@ -7,6 +7,8 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -14,6 +16,23 @@
 
 namespace wisteriadock {
 
+// Datagrams and their bytes, both ways.
+struct LinkTraffic {
+    std::uint64_t sent = 0;
+    std::uint64_t sentBytes = 0;
+    std::uint64_t received = 0;
+    std::uint64_t receivedBytes = 0;
+
+    LinkTraffic& operator+=(const LinkTraffic& other)
+    {
+        sent += other.sent;
+        sentBytes += other.sentBytes;
+        received += other.received;
+        receivedBytes += other.receivedBytes;
+        return *this;
+    }
+};
+
 // The datagrams between this balancer and the others: puts messages into envelopes and takes them out again. What they
 // mean is the handler's business. Runs on the thread of the io_context.
 class PeerLink {
@@ -31,6 +50,7 @@
 
     Endpoint address() const { return socket_->address(); }
     std::uint64_t bytesTransferred() const { return socket_->bytesSent() + socket_->bytesReceived(); }
+    const LinkTraffic& trafficOf(PeerMessageKind kind) const { return traffic_[static_cast<std::size_t>(kind)]; }
     // Datagrams that were no envelope, in either direction.
     std::uint64_t malformed() const { return malformed_; }
 
@@ -41,6 +61,7 @@
 
     Handler handler_;
     std::uint64_t malformed_ = 0;
+    std::array<LinkTraffic, peerMessageKinds> traffic_ {};
     std::unique_ptr<UdpSocket> socket_;
 };
 
--- a/Source/Wire/PeerMessage.h
+++ b/Source/Wire/PeerMessage.h
@@ -36,6 +36,9 @@
     News = 9, // What the platform's store holds, from a balancer that watches it.
 };
 
+// One more than the highest kind.
+inline constexpr std::size_t peerMessageKinds = 10;
+
 std::string_view nameOf(PeerMessageKind);
 
 // What every datagram between balancers carries around its payload.
