--- a/Tests/Forward/GroupSilenceTest.cpp
+++ b/Tests/Forward/GroupSilenceTest.cpp
@@ -29,7 +29,7 @@
         std::string serve(std::uint32_t caller)
         {
             const PacketDecision decision = route(opening(caller));
-            const std::string zone = decision.server->entry.availabilityZone;
+            std::string zone = decision.server->entry.availabilityZone;
             const std::uint32_t token = decision.server->token;
             clock.advance(5ms);
             route(data(caller, token, 1001, 5001, 0));
@@ -39,9 +39,9 @@
         // Opens a flow that is answered unless its server stands in the dead zone. Returns the server's zone.
         std::string open(const std::string& deadZone)
         {
-            const std::uint32_t caller = ++nextCaller_;
+            const std::uint32_t caller = ++nextCaller;
             const PacketDecision decision = route(opening(caller));
-            const std::string zone = decision.server->entry.availabilityZone;
+            std::string zone = decision.server->entry.availabilityZone;
             const std::uint32_t token = decision.server->token;
             clock.advance(5ms);
             if (zone != deadZone)
@@ -49,7 +49,7 @@
             return zone;
         }
 
-        std::uint32_t nextCaller_ = 1000;
+        std::uint32_t nextCaller = 1000;
     };
 
     // Guards against an opening being lost at each of a zone's servers when all of them end together.
@@ -83,7 +83,7 @@
     {
         const auto isDead = [](const KnownServer& server) { return server.entry.number <= 4; };
         for (int i = 0; i < 200; ++i) {
-            const std::uint32_t caller = ++nextCaller_;
+            const std::uint32_t caller = ++nextCaller;
             const PacketDecision decision = route(opening(caller));
             const KnownServer& server = *decision.server;
             EXPECT_EQ(server.entry.availabilityZone, "walu");
@@ -109,7 +109,7 @@
     TEST_F(GroupSilenceTest, withAllGroupsSilentFlowsStillTrySomeServer)
     {
         for (int i = 0; i < 400; ++i) {
-            const PacketDecision decision = route(opening(++nextCaller_));
+            const PacketDecision decision = route(opening(++nextCaller));
             ASSERT_EQ(decision.verdict, PacketVerdict::Forward);
             clock.advance(5ms);
         }
@@ -125,7 +125,7 @@
         };
         std::vector<Waiting> waiting;
         for (int i = 0; i < 600; ++i) {
-            const std::uint32_t caller = ++nextCaller_;
+            const std::uint32_t caller = ++nextCaller;
             const PacketDecision decision = route(opening(caller));
             // 60 to 140 ms, which is below the patience for one server.
             waiting.push_back({ caller, decision.server->token, clock.now() + 60ms + (i * 37 % 80) * 1ms });
