--- a/Tests/PlatformAdapter/ConfigurationTextTest.cpp
+++ b/Tests/PlatformAdapter/ConfigurationTextTest.cpp
@@ -227,7 +227,8 @@
         }
     }
 
-    // Guards against a rate of cold servers that is lost where only changes are read, or that stays when it is taken away.
+    // Guards against a rate of cold servers that is lost where only changes are read, or that stays when it is taken
+    // away.
     TEST(ConfigurationTextTest, ratesOfColdServersAreThoseOfTheNewestVersion)
     {
         ForwardingConfiguration configuration = configurationOf(1, routesTo(3));
