Soak: Give each new server an address that nobody has

Cause: the successor of a server that drains or is replaced got the former one's address plus 50 or 100, which another successor may have had already; the run passed over the failed bind until steps that can't be done break it.

--- a/Source/Soak/SoakRun.cpp
+++ b/Source/Soak/SoakRun.cpp
@@ -208,13 +208,21 @@
     entry.number = ++nextServerNumber_ * 0x9E3779B1;
     entry.id = fmt::format("i-{:012x}", entry.number);
     entry.service = service;
-    entry.address = address;
+    entry.address = freeAddressFrom(address);
     entry.availabilityZone = zone;
     entry.slots = 4;
     entry.startedAt = ++lastStart_;
     openServer(entry);
 }
 
+// Two servers may be replaced whose successors were to get the same address.
+Endpoint SoakRun::freeAddressFrom(Endpoint address) const
+{
+    while (std::ranges::any_of(servers_, [&](const auto& server) { return server->entry().address == address; }))
+        ++address.address;
+    return address;
+}
+
 void SoakRun::openServer(const RegisteredServer& entry)
 {
     auto server = SoakServer::open(loop_.context(), entry, flowPort, serverEvents_);
--- a/Source/Soak/SoakRun.h
+++ b/Source/Soak/SoakRun.h
@@ -90,6 +90,7 @@
     Result<void> writeSettings(const Balancer&) const;
     void openServer(const std::string& service, const std::string& zone, Endpoint address);
     void openServer(const RegisteredServer&);
+    Endpoint freeAddressFrom(Endpoint) const;
     void writeEntry(const SoakServer&);
     void writeConfiguration();
 
