ReplicaSync: Push what a new listing of the store has changed

Cause: when the store drops its history, the watcher of a zone lists it again, and a listing was never pushed. The others learned of the changes in it by gossip of revisions only, which slows down as the fleet grows.

Change: a listing that is not the first one is pushed as the changes since the revision that the replica had.

Measured in paused time, 197 balancers, revisions gossiped once a minute: before, 196 of them lack the version after 5 s (ChangeInADroppedHistoryArrivesInTime fails); after, none does.

--- a/Source/StoreSync/ReplicaSync.cpp
+++ b/Source/StoreSync/ReplicaSync.cpp
@@ -109,18 +109,32 @@
 
 ReplicaSyncActions ReplicaSync::handleStoreDelta(const StoreDelta& delta, TimePoint now, bool isForOthers)
 {
+    const std::uint64_t formerRevision = replica_.completeTo();
     ReplicaSyncActions actions = reportChanges("store", delta, replica_.mergeFromStore(delta, now), now);
     if (delta.isFresh)
         lastStoreContact_ = now;
-    if (delta.isSnapshot)
-        announceToUninformed(actions);
     const bool isConfirmation = delta.isFresh && delta.items.empty() && delta.from == delta.to;
     if (isForOthers && (!actions.empty() || isConfirmation))
-        push(delta, actions);
+        push(delta.isSnapshot ? changesInSnapshot(delta, formerRevision, now) : delta, actions);
+    if (delta.isSnapshot)
+        announceToUninformed(actions);
     fetchIfBehind(now, actions);
     return actions;
 }
 
+// A watcher lists the store again when the store has dropped its history. The others of the zone lack what changed
+// since the former revision, as after any other delta, and would otherwise learn of it by gossip only.
+StoreDelta ReplicaSync::changesInSnapshot(
+    const StoreDelta& snapshot, std::uint64_t formerRevision, TimePoint now) const
+{
+    if (formerRevision == 0)
+        return snapshot;
+    StoreDelta changes = replica_.deltaSince(formerRevision, now, StoreReplica::Encoding::Patched);
+    changes.isInDoubt = snapshot.isInDoubt;
+    changes.isFresh = snapshot.isFresh;
+    return changes;
+}
+
 ReplicaSyncActions ReplicaSync::handlePush(BalancerId sender, const StoreDelta& delta, TimePoint now)
 {
     pushedRevisions_[sender] = std::max(pushedRevisions_[sender], delta.to);
--- a/Source/StoreSync/ReplicaSync.h
+++ b/Source/StoreSync/ReplicaSync.h
@@ -122,6 +122,9 @@
 private:
     ReplicaSyncActions reportChanges(
         const std::string& source, const StoreDelta&, StoreReplica::Updates, TimePoint now) const;
+    // The changes since the former revision that a snapshot, merged just now, has brought; the snapshot itself if this
+    // replica was empty before.
+    StoreDelta changesInSnapshot(const StoreDelta& snapshot, std::uint64_t formerRevision, TimePoint now) const;
     void push(const StoreDelta&, ReplicaSyncActions&) const;
     void announce(ReplicaSyncActions&);
     void announceToUninformed(ReplicaSyncActions&);
--- a/Tests/StoreSync/ConfigurationSpreadTest.cpp
+++ b/Tests/StoreSync/ConfigurationSpreadTest.cpp
@@ -68,6 +68,23 @@
         EXPECT_EQ(fleet.corruptTexts(), 0U);
     }
 
+    // Guards against a zone that learns only by gossip what its watcher read in a listing, after the store has dropped
+    // its history.
+    TEST(ConfigurationSpreadTest, ChangeInADroppedHistoryArrivesInTime)
+    {
+        SlowLinkSimulation fleet(1, { { 10, 200 }, { 187, 20 } });
+        fleet.writeConfiguration(1, configurationText(1, 250, 0));
+        fleet.advance(5s);
+        fleet.setGossipInterval(1min);
+        fleet.advance(1s);
+        fleet.writeConfiguration(2, configurationText(2, 250, 1));
+        fleet.write("server 1", std::string(200, 'x'));
+        fleet.dropHistory();
+        fleet.advance(appliedWithin);
+        ASSERT_TRUE(fleet.slowestArrival(2));
+        EXPECT_EQ(fleet.corruptTexts(), 0U);
+    }
+
     // Guards against slow changes of a large configuration where the watcher of the zone has a slow link.
     TEST(ConfigurationSpreadTest, ChangesOfTenThousandRoutesArriveInTime)
     {
--- a/Tests/StoreSync/SlowLinkSimulation.cpp
+++ b/Tests/StoreSync/SlowLinkSimulation.cpp
@@ -87,6 +87,7 @@
     balancer.sync = std::make_unique<ReplicaSync>("zone", random_());
     balancer.version = 0;
     balancer.receivedAt.clear();
+    balancer.gossipedRevision = 0;
     balancer.queuedDatagramBytes = 0;
     balancer.nextTick = clock_.now() + random_() % 250 * 1ms;
     perform(index, balancer.feed->start(clock_.now()));
@@ -158,6 +159,7 @@
     moveBytes();
     deliverDatagrams();
     answerWatches();
+    gossipRevisions();
     for (std::size_t i = 0; i < balancers_.size(); ++i) {
         if (clock_.now() < balancers_[i].nextTick)
             continue;
@@ -240,6 +242,12 @@
     for (Watch& watch : waiting) {
         if (watch.incarnation != balancers_[watch.balancer].incarnation)
             continue;
+        if (watch.call.call.revision < droppedTo_) {
+            perform(watch.balancer,
+                balancers_[watch.balancer].feed->handleChanges(
+                    watch.call.number, Error { ErrorCode::NotFound, "history dropped" }, clock_.now()));
+            continue;
+        }
         PlatformChanges changes { {}, revision_ };
         for (const auto& [key, item] : items_) {
             if (item.revision > watch.call.call.revision)
@@ -292,6 +300,15 @@
     perform(index, balancer.feed->handlePageProgress(received, total, balancer.sync->knowsFasterPeer(), clock_.now()));
 }
 
+void SlowLinkSimulation::gossipRevisions()
+{
+    if (clock_.now() < nextGossip_)
+        return;
+    nextGossip_ = clock_.now() + gossipInterval_;
+    for (Balancer& balancer : balancers_)
+        balancer.gossipedRevision = balancer.sync->replica().completeTo();
+}
+
 std::shared_ptr<const MembersView> SlowLinkSimulation::viewOf(std::size_t index) const
 {
     auto view = std::make_shared<MembersView>();
@@ -299,7 +316,7 @@
     view->members.reserve(balancers_.size());
     for (const Balancer& balancer : balancers_) {
         view->members.push_back(balancer.member);
-        view->members.back().configurationVersion = balancer.sync->replica().completeTo();
+        view->members.back().configurationVersion = balancer.gossipedRevision;
     }
     std::ranges::sort(view->members, {}, &Member::id);
     return view;
--- a/Tests/StoreSync/SlowLinkSimulation.h
+++ b/Tests/StoreSync/SlowLinkSimulation.h
@@ -30,6 +30,10 @@
     void writeConfiguration(std::uint64_t version, const std::string& text);
     // Writes another key, such as the entry of a server.
     void write(const std::string& key, const std::string& value);
+    // The store drops its history: watches of earlier revisions fail, and their balancers have to list it again.
+    void dropHistory() { droppedTo_ = revision_; }
+    // How old the revisions are that membership tells of other balancers; zero at the start.
+    void setGossipInterval(Duration interval) { gossipInterval_ = interval; }
     // Restarts all balancers at once with empty replicas.
     void restartAll();
     void advance(Duration);
@@ -55,6 +59,8 @@
         std::map<std::uint64_t, TimePoint> receivedAt;
         std::uint64_t incarnation = 0;
         std::uint64_t peerBytes = 0;
+        // The revision that membership tells the others.
+        std::uint64_t gossipedRevision = 0;
         // Bytes of datagrams that wait for its link.
         double queuedDatagramBytes = 0;
         TimePoint nextTick;
@@ -102,6 +108,7 @@
     void perform(std::size_t, const ReplicaSyncActions&);
     void apply(std::size_t, const ReplicaChanged&);
     std::size_t indexOf(BalancerId) const;
+    void gossipRevisions();
     std::shared_ptr<const MembersView> viewOf(std::size_t) const;
     void put(PlatformItem);
 
@@ -115,6 +122,10 @@
     std::map<std::uint64_t, std::string> texts_;
     std::map<std::uint64_t, TimePoint> writtenAt_;
     std::uint64_t revision_ = 1;
+    // Watches of this and earlier revisions fail; none do at 0.
+    std::uint64_t droppedTo_ = 0;
+    Duration gossipInterval_ {};
+    TimePoint nextGossip_;
     std::uint64_t corruptTexts_ = 0;
 };
 
