--- a/Tests/Forward/TokenRouterTest.cpp
+++ b/Tests/Forward/TokenRouterTest.cpp
@@ -258,6 +258,39 @@
         }
     }
 
+    // Guards against a non-idempotent request that runs twice because its packets reach a second server after the answer
+    // to the opening or to the request was lost.
+    TEST_F(TokenRouterTest, RequestBytesOnlyEverReachTheServerThatTheCallerOpenedTheFlowAt)
+    {
+        const std::uint32_t first = route(opening(1)).server->token;
+        clock.advance(200ms);
+        const std::uint32_t second = route(opening(1, 1)).server->token;
+        ASSERT_NE(first, second);
+        for (const std::uint32_t opened : { first, second }) {
+            SCOPED_TRACE(opened);
+            const std::uint32_t caller = opened == first ? 1 : 2;
+            EXPECT_EQ(route(data(caller, opened, 1001, 5001, 0)).server->token, opened);
+            for (int retransmission = 0; retransmission < 8; ++retransmission) {
+                const PacketDecision decision = route(data(caller, opened));
+                EXPECT_EQ(decision.verdict, PacketVerdict::Forward);
+                EXPECT_EQ(decision.server->token, opened);
+                clock.advance(400ms);
+                router.tick(clock.now());
+            }
+        }
+        {
+            SCOPED_TRACE("also after the server has been ejected and its entry has vanished");
+            for (std::uint32_t caller = 100; caller < 140; ++caller)
+                route(opening(caller));
+            clock.advance(300ms);
+            for (std::uint32_t caller = 140; caller < 180; ++caller)
+                route(opening(caller));
+            router.removeServer(router.directory().findByToken(first)->entry.id, false, clock.now());
+            EXPECT_EQ(route(data(1, first)).server->token, first);
+            EXPECT_EQ(route(data(1, first)).verdict, PacketVerdict::Forward);
+        }
+    }
+
     TEST_F(TokenRouterTest, FlowsStayAfterTheEntryOfTheirServerVanished)
     {
         const std::uint32_t token = openFlow(1);
