Forward: Compare only the servers that can win, and tick only those that change

Cause: each opening looked at all servers of its service in all zones four times (outcomes, two passes over groups, the comparison with two lookups of the zone by name each); each tick of 250 ms at all servers three times; each change of a server sorted all of them by id anew. All of this grows with the servers of the fleet, not with what a forwarder does.

Change: servers stand in groups by service and zone, kept in order as they change. Other zones are compared only if the own zone's best server isn't cheaper than any server of another zone can be; the choice is the same. Unanswered openings are reviewed from a set of the servers that have some; the usual share of unanswered requests is summed up by group as outcomes come. A tick visits only servers that are doubtful, gone or ended, and those with outcomes lately.

--- a/Benchmarks/ForwarderBenchmark.cpp
+++ b/Benchmarks/ForwarderBenchmark.cpp
@@ -9,6 +9,7 @@
 #include <array>
 #include <cstdint>
 #include <fcntl.h>
+#include <string>
 #include <unistd.h>
 
 namespace wisteriadock {
@@ -16,15 +17,16 @@
 
     // Formats log lines and writes them to /dev/null.
     struct LoggingForwarder : ForwardFixture {
-        explicit LoggingForwarder(LogLevel level, std::uint32_t budget)
+        explicit LoggingForwarder(LogLevel level, std::uint32_t budget, std::uint64_t servers = 20)
             : descriptor(::open("/dev/null", O_WRONLY | O_CLOEXEC))
             , events({ "edge-1", "walu", 1 }, descriptor, budget)
             , log(events)
         {
             events.setLevel(level);
             router.applyConfiguration(configuration(3));
-            for (std::uint64_t number = 1; number <= 20; ++number)
-                put(server(number));
+            const std::array<std::string, 5> zones { "walu", "laucala", "nabua", "samabula", "raiwai" };
+            for (std::uint64_t number = 1; number <= servers; ++number)
+                put(server(number, "tryon", servers > 20 ? zones[number % zones.size()] : "walu"));
         }
         ~LoggingForwarder() { ::close(descriptor); }
         LoggingForwarder(const LoggingForwarder&) = delete;
@@ -79,6 +81,44 @@
         }
     }
 
+    // Each packet opens a flow of a service with this many servers in five availability zones.
+    void openingsAmongManyServers(benchmark::State& state)
+    {
+        LoggingForwarder forwarder(LogLevel::Error, unbounded, static_cast<std::uint64_t>(state.range(0)));
+        std::uint32_t caller = 0;
+        for (auto _ : state) {
+            benchmark::DoNotOptimize(forwarder.openFlow(++caller & 0xFFFFF));
+            forwarder.clock.advance(std::chrono::milliseconds(500));
+        }
+    }
+
+    // A tick of a forwarder that knows this many servers and has a few open flows.
+    void ticksAmongManyServers(benchmark::State& state)
+    {
+        LoggingForwarder forwarder(LogLevel::Error, unbounded, static_cast<std::uint64_t>(state.range(0)));
+        for (std::uint32_t caller = 1; caller <= 5; ++caller)
+            forwarder.openFlow(caller);
+        for (auto _ : state) {
+            forwarder.clock.advance(std::chrono::milliseconds(250));
+            forwarder.router.tick(forwarder.clock.now());
+        }
+    }
+
+    // A server registers and another one leaves, and a flow opens, among this many servers.
+    void changesAmongManyServers(benchmark::State& state)
+    {
+        const auto servers = static_cast<std::uint64_t>(state.range(0));
+        LoggingForwarder forwarder(LogLevel::Error, unbounded, servers);
+        std::uint64_t next = servers;
+        for (auto _ : state) {
+            forwarder.put(ForwardFixture::server(++next));
+            forwarder.router.removeServer(ForwardFixture::server(next - servers).id, false, forwarder.clock.now());
+            benchmark::DoNotOptimize(forwarder.openFlow(static_cast<std::uint32_t>(next) & 0xFFFFF));
+            forwarder.clock.advance(std::chrono::milliseconds(500));
+            forwarder.router.tick(forwarder.clock.now());
+        }
+    }
+
     void packetsOfOpenFlows(benchmark::State& state)
     {
         LoggingForwarder forwarder(levelOf(state), EventLog::defaultBudget);
@@ -114,6 +154,9 @@
     // Argument: 1 with logging, 0 at a level that writes none of these lines.
     BENCHMARK(openings)->Arg(0)->Arg(1);
     BENCHMARK(openingsWithinBudget)->Arg(0)->Arg(1);
+    BENCHMARK(openingsAmongManyServers)->Arg(200)->Arg(2000)->Arg(10000)->Arg(20000);
+    BENCHMARK(ticksAmongManyServers)->Arg(200)->Arg(2000)->Arg(10000)->Arg(20000);
+    BENCHMARK(changesAmongManyServers)->Arg(200)->Arg(2000)->Arg(10000)->Arg(20000);
     BENCHMARK(packetsOfOpenFlows)->Arg(0)->Arg(1);
     BENCHMARK(floodOfUnknownTokens)->Arg(0)->Arg(1);
     BENCHMARK(floodOfMalformedPackets)->Arg(0)->Arg(1);
--- a/Source/Forward/GroupLiveness.cpp
+++ b/Source/Forward/GroupLiveness.cpp
@@ -14,31 +14,34 @@
         std::min<Duration>(settings_.minOpeningTimeout, longest), longest);
 }
 
-void GroupLiveness::review(const std::vector<KnownServer*>& servers, TimePoint now)
+void GroupLiveness::review(const std::vector<ServerGroup*>& groups, TimePoint now)
 {
     if (settings_.groupEjectionThreshold < 2)
         return;
-    for (const KnownServer* server : servers)
-        server->group->servers = server->group->unresponsive = 0;
     const Duration timeout = this->timeout();
-    for (const KnownServer* server : servers) {
-        if (!server->mayTakeFlows())
+    for (ServerGroup* group : groups) {
+        const bool isTrialOver = group->trialSince != TimePoint::max() && now - group->trialSince > timeout;
+        if (group->awaited.empty() && !isTrialOver)
             continue;
-        ServerGroup& group = *server->group;
-        const TimePoint since = server->seen.unansweredSince;
-        ++group.servers;
-        group.unresponsive += since != TimePoint::max() && since > group.lastProgress && now - since > timeout;
-    }
-    for (const KnownServer* server : servers) {
-        ServerGroup& group = *server->group;
-        const bool isTrialOver = group.trialSince != TimePoint::max() && now - group.trialSince > timeout;
-        const std::uint32_t threshold = std::min(settings_.groupEjectionThreshold, group.servers);
-        const bool isUnresponsive = group.failures == 0 && group.servers > 1 && group.unresponsive >= threshold;
+        countServers(*group, timeout, now);
+        const std::uint32_t threshold = std::min(settings_.groupEjectionThreshold, group->servers);
+        const bool isUnresponsive = group->failures == 0 && group->servers > 1 && group->unresponsive >= threshold;
         if (isTrialOver || isUnresponsive)
-            eject(group, now);
+            eject(*group, now);
     }
 }
 
+void GroupLiveness::countServers(ServerGroup& group, Duration timeout, TimePoint now)
+{
+    group.unresponsive = static_cast<std::uint32_t>(std::ranges::count_if(group.awaited, [&](const KnownServer* server) {
+        const TimePoint since = server->seen.unansweredSince;
+        const bool isAwaited = since != TimePoint::max() && since > group.lastProgress;
+        return isAwaited && server->mayTakeFlows() && now - since > timeout;
+    }));
+    group.servers = static_cast<std::uint32_t>(
+        std::ranges::count_if(group.members, [](const KnownServer* server) { return server->mayTakeFlows(); }));
+}
+
 void GroupLiveness::eject(ServerGroup& group, TimePoint now)
 {
     if (group.failures == 0)
--- a/Source/Forward/GroupLiveness.h
+++ b/Source/Forward/GroupLiveness.h
@@ -36,8 +36,8 @@
     {
     }
 
-    // Updates the state of the groups of a service's servers. Called before every choice among them.
-    void review(const std::vector<KnownServer*>& servers, TimePoint now);
+    // Updates the state of the groups of a service. Called before every choice among their servers.
+    void review(const std::vector<ServerGroup*>& groups, TimePoint now);
     // Returns whether the group is ejected or its trial flow is still unanswered.
     static bool isEjected(const ServerGroup&, TimePoint now);
 
@@ -51,6 +51,7 @@
 
 private:
     Duration timeout() const;
+    static void countServers(ServerGroup&, Duration timeout, TimePoint now);
     void eject(ServerGroup&, TimePoint now);
 
     OpeningSettings settings_;
--- a/Source/Forward/OpenFlowTable.cpp
+++ b/Source/Forward/OpenFlowTable.cpp
@@ -32,6 +32,7 @@
         server.seen.waitingSince = now;
     if (server.seen.unansweredSince == TimePoint::max())
         server.seen.unansweredSince = now;
+    server.group->awaited.insert(&server);
     if (flows_.size() >= maxFlows)
         return;
     const auto [entry, isNew] = flows_.try_emplace(ends);
@@ -161,13 +162,17 @@
 std::vector<FailingChange> OpenFlowTable::updateFailingServers(TimePoint now)
 {
     std::vector<FailingChange> changes;
-    directory_.forEach([&](KnownServer& server) {
-        const float share = server.seen.outcomes.failingShare(now);
-        const bool isFailing = share >= (server.seen.isFailing ? recoveryThreshold : failingThreshold);
-        if (isFailing == server.seen.isFailing)
-            return;
-        server.seen.isFailing = isFailing;
-        changes.push_back({ server.entry.id, server.entry.service, isFailing, share });
+    absl::erase_if(observed_, [&](std::uint32_t token) {
+        KnownServer* server = directory_.findByToken(token);
+        if (!server)
+            return true;
+        const float share = server->seen.outcomes.failingShare(now);
+        const bool isFailing = share >= (server->seen.isFailing ? recoveryThreshold : failingThreshold);
+        if (isFailing != server->seen.isFailing)
+            changes.push_back({ server->entry.id, server->entry.service, isFailing, share });
+        server->seen.isFailing = isFailing;
+        // The share only falls until the next outcome.
+        return share < recoveryThreshold;
     });
     return changes;
 }
@@ -200,6 +205,8 @@
         return;
     flow.isOverdue = !isAnswered;
     server->seen.outcomes.note(isAnswered, now);
+    server->group->outcomes.note(isAnswered, now);
+    observed_.insert(flow.token);
 }
 
 void OpenFlowTable::uncount(FlowRecord& flow) { adjustCounters(flow.token, -1, flow.isBusy ? -1 : 0); }
--- a/Source/Forward/OpenFlowTable.h
+++ b/Source/Forward/OpenFlowTable.h
@@ -5,6 +5,7 @@
 #include "Forward/TokenPacket.h"
 
 #include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
 
 #include <array>
 #include <cstddef>
@@ -117,6 +118,8 @@
 
     ServerDirectory& directory_;
     absl::flat_hash_map<FlowEnds, FlowRecord> flows_;
+    // Tokens of the servers whose outcomes were noted lately. Only these can start or stop failing.
+    absl::flat_hash_set<std::uint32_t> observed_;
 };
 
 }
--- a/Source/Forward/OpeningPolicy.cpp
+++ b/Source/Forward/OpeningPolicy.cpp
@@ -3,7 +3,6 @@
 #include "Core/Hash.h"
 
 #include <algorithm>
-#include <array>
 #include <cstddef>
 
 namespace wisteriadock {
@@ -17,20 +16,6 @@
         return previous->token == token || std::ranges::count(previous->previousTokens, token) > 0;
     }
 
-    struct Candidate {
-        KnownServer* server = nullptr;
-        float cost = 0;
-        // The higher one wins among candidates of equal cost.
-        std::uint64_t tieBreaker = 0;
-
-        bool isBetterThan(const Candidate& other) const
-        {
-            if (!other.server || cost != other.cost)
-                return !other.server || cost < other.cost;
-            return tieBreaker > other.tieBreaker;
-        }
-    };
-
 }
 
 const ColdStartLimit* OpeningPolicy::coldStartLimitOf(const std::string& service) const
@@ -41,55 +26,92 @@
     return found == coldStartLimits_.end() ? nullptr : &found->second;
 }
 
-OpeningPolicy::Rank OpeningPolicy::rankOf(const KnownServer& server, const FlowRecord* previous, TimePoint now)
+OpeningPolicy::Rank OpeningPolicy::rankOf(const ServerGroup& group, TimePoint now)
 {
-    const ZoneReachability::State zoneState = reachability_.stateOf(server.entry.availabilityZone, now);
-    if (zoneState == ZoneReachability::State::Unreachable || ServerLiveness::isUnresponsive(server, now)
-        || GroupLiveness::isEjected(*server.group, now))
+    const ZoneReachability::State zoneState = reachability_.stateOf(group.availabilityZone, now);
+    if (zoneState == ZoneReachability::State::Unreachable || GroupLiveness::isEjected(group, now))
         return Rank::Unresponsive;
-    if (zoneState == ZoneReachability::State::Unproven)
-        return Rank::Unproven;
-    return wasTried(previous, server.token) ? Rank::Tried : Rank::Responsive;
+    return zoneState == ZoneReachability::State::Unproven ? Rank::Unproven : Rank::Responsive;
 }
 
-OpeningChoice OpeningPolicy::choose(const std::vector<KnownServer*>& servers, const EvacuatedZones& evacuated,
-    const FlowEnds& ends, const FlowRecord* previous, TimePoint now)
+OpeningPolicy::Rank OpeningPolicy::rankOf(
+    const KnownServer& server, Rank groupRank, const FlowRecord* previous, TimePoint now)
 {
-    OpeningChoice choice;
-    std::array<Candidate, rankCount> best;
-    const std::uint64_t flowHash
-        = hashPair((std::uint64_t(ends.caller.address) << 16) | ends.caller.port, ends.route.address);
-    const float usualFailingShare = ServerCost::failingShareOf(servers, now);
-    const ColdStartLimit* coldStart = servers.empty() ? nullptr : coldStartLimitOf(servers.front()->entry.service);
-    groupLiveness_.review(servers, now);
-    for (KnownServer* server : servers) {
+    if (ServerLiveness::isUnresponsive(server, now))
+        return Rank::Unresponsive;
+    return groupRank == Rank::Responsive && wasTried(previous, server.token) ? Rank::Tried : groupRank;
+}
+
+void OpeningPolicy::reviewLiveness(const std::vector<ServerGroup*>& groups, OpeningChoice& choice, TimePoint now)
+{
+    for (ServerGroup* group : groups) {
+        reachability_.stateOf(group->availabilityZone, now);
+        absl::erase_if(
+            group->awaited, [](const KnownServer* server) { return server->seen.unansweredSince == TimePoint::max(); });
+        for (KnownServer* server : group->awaited) {
+            if (server->mayTakeFlows() && review(*server, now))
+                choice.ejected.push_back(server);
+        }
+    }
+    groupLiveness_.review(groups, now);
+}
+
+void OpeningPolicy::compare(const ServerGroup& group, Comparison& comparison, OpeningChoice& choice)
+{
+    const TimePoint now = comparison.now;
+    const bool isEvacuated = comparison.evacuated.contains(group.availabilityZone);
+    const Rank groupRank = rankOf(group, now);
+    for (KnownServer* server : group.members) {
         if (!server->mayTakeFlows())
             continue;
-        if (evacuated.contains(server->entry.availabilityZone)) {
+        if (isEvacuated) {
             ++choice.evacuated;
             continue;
         }
-        if (coldStart && coldUntil(*server, *coldStart, evacuated) > now
-            && !coldStartLimiter_.mayOpenFlow(server->entry, *coldStart, now)) {
+        if (comparison.coldStart && coldUntil(*server, *comparison.coldStart, comparison.evacuated) > now
+            && !coldStartLimiter_.mayOpenFlow(server->entry, *comparison.coldStart, now)) {
             ++choice.coldLimited;
             continue;
         }
         ++choice.eligible;
-        if (review(*server, now))
-            choice.ejected.push_back(server);
-        const Rank rank = rankOf(*server, previous, now);
+        const Rank rank = rankOf(*server, groupRank, comparison.previous, now);
         choice.unresponsive += rank == Rank::Unproven || rank == Rank::Unresponsive;
-        const Candidate candidate { server, cost_.costOf(*server, usualFailingShare, now),
-            hashPair(flowHash, server->entry.number) };
-        Candidate& bestOfRank = best[static_cast<std::size_t>(rank)];
+        const Candidate candidate { server, cost_.costOf(*server, comparison.usualFailingShare, now),
+            hashPair(comparison.flowHash, server->entry.number) };
+        Candidate& bestOfRank = comparison.best[static_cast<std::size_t>(rank)];
         if (candidate.isBetterThan(bestOfRank))
             bestOfRank = candidate;
     }
-    const auto chosen = std::ranges::find_if(best, [](const Candidate& candidate) { return candidate.server; });
-    if (chosen == best.end())
+}
+
+OpeningChoice OpeningPolicy::choose(const std::vector<ServerGroup*>& groups, const EvacuatedZones& evacuated,
+    const FlowEnds& ends, const FlowRecord* previous, TimePoint now)
+{
+    OpeningChoice choice;
+    if (groups.empty())
+        return choice;
+    Comparison comparison { previous, evacuated, coldStartLimitOf(groups.front()->service),
+        hashPair((std::uint64_t(ends.caller.address) << 16) | ends.caller.port, ends.route.address),
+        ServerCost::failingShareOf(groups, now), now };
+    reviewLiveness(groups, choice, now);
+    const auto isOwn = [this](const ServerGroup* group) { return group->availabilityZone == availabilityZone_; };
+    const auto own = std::ranges::find_if(groups, isOwn);
+    if (own != groups.end())
+        compare(**own, comparison, choice);
+    // Other zones hold most of the servers and are seldom needed, so they are compared only if they could win.
+    const Candidate& ownBest = comparison.best[static_cast<std::size_t>(Rank::Responsive)];
+    if (!ownBest.server || ownBest.cost >= cost_.minOtherZoneCost()) {
+        for (const ServerGroup* group : groups) {
+            if (!isOwn(group))
+                compare(*group, comparison, choice);
+        }
+    }
+    const auto chosen
+        = std::ranges::find_if(comparison.best, [](const Candidate& candidate) { return candidate.server; });
+    if (chosen == comparison.best.end())
         return choice;
     choice.server = chosen->server;
-    choice.isLastResort = chosen - best.begin() >= static_cast<std::ptrdiff_t>(Rank::Unproven);
+    choice.isLastResort = chosen - comparison.best.begin() >= static_cast<std::ptrdiff_t>(Rank::Unproven);
     choice.load = cost_.loadOf(*choice.server);
     choice.failingShare = choice.server->seen.outcomes.failingShare(now);
     choice.isTrial = choice.server->seen.failures > 0 || choice.server->group->failures > 0;
--- a/Source/Forward/OpeningPolicy.h
+++ b/Source/Forward/OpeningPolicy.h
@@ -11,6 +11,7 @@
 #include "Forward/ServerLiveness.h"
 #include "Forward/ZoneReachability.h"
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <string>
@@ -23,7 +24,7 @@
 struct OpeningChoice {
     // Null if the service has no server that may take new flows.
     KnownServer* server = nullptr;
-    // Number of servers that may take new flows, and of those that are ejected or whose zone may be unreachable.
+    // Number of servers that were compared, and of those that are ejected or whose zone may be unreachable.
     std::uint32_t eligible = 0;
     std::uint32_t unresponsive = 0;
     // Number of servers excluded because their zone is evacuated.
@@ -50,7 +51,8 @@
     // The latency must outlive this object.
     OpeningPolicy(const std::string& availabilityZone, const OpeningLatency& openingLatency,
         OpeningSettings settings = {}, ColdStartSettings cold = {})
-        : cost_(availabilityZone, settings)
+        : availabilityZone_(availabilityZone)
+        , cost_(availabilityZone, settings)
         , coldStartLimiter_(availabilityZone, cold)
         , serverLiveness_(settings)
         , groupLiveness_(settings, openingLatency)
@@ -60,7 +62,7 @@
 
     // previous is the flow's record, or null. Servers that the flow tried before are avoided. Servers of evacuated
     // zones and cold servers beyond their limit are never chosen, even if no other server is left.
-    OpeningChoice choose(const std::vector<KnownServer*>& servers, const EvacuatedZones&, const FlowEnds&,
+    OpeningChoice choose(const std::vector<ServerGroup*>& groups, const EvacuatedZones&, const FlowEnds&,
         const FlowRecord* previous, TimePoint now);
 
     void setColdStartLimits(ColdStartLimits coldStartLimits) { coldStartLimits_ = std::move(coldStartLimits); }
@@ -98,10 +100,41 @@
     enum class Rank { Responsive, Tried, Unproven, Unresponsive };
     static constexpr std::size_t rankCount = 4;
 
-    Rank rankOf(const KnownServer&, const FlowRecord* previous, TimePoint now);
+    struct Candidate {
+        KnownServer* server = nullptr;
+        float cost = 0;
+        // The higher one wins among candidates of equal cost.
+        std::uint64_t tieBreaker = 0;
+
+        bool isBetterThan(const Candidate& other) const
+        {
+            if (!other.server || cost != other.cost)
+                return !other.server || cost < other.cost;
+            return tieBreaker > other.tieBreaker;
+        }
+    };
+
+    // What the candidates of one choice are compared by, and the best of each rank so far.
+    struct Comparison {
+        const FlowRecord* previous = nullptr;
+        const EvacuatedZones& evacuated;
+        const ColdStartLimit* coldStart = nullptr;
+        std::uint64_t flowHash = 0;
+        float usualFailingShare = 0;
+        TimePoint now;
+        std::array<Candidate, rankCount> best {};
+    };
+
+    // Ejects zones, servers and groups that have left openings unanswered for too long.
+    void reviewLiveness(const std::vector<ServerGroup*>&, OpeningChoice&, TimePoint now);
+    void compare(const ServerGroup&, Comparison&, OpeningChoice&);
+    // The rank of servers of the group that are responsive themselves and were not tried.
+    Rank rankOf(const ServerGroup&, TimePoint now);
+    static Rank rankOf(const KnownServer&, Rank groupRank, const FlowRecord* previous, TimePoint now);
     // Returns null for a service without a limit for cold servers.
     const ColdStartLimit* coldStartLimitOf(const std::string& service) const;
 
+    const std::string availabilityZone_;
     ServerCost cost_;
     ColdStartLimiter coldStartLimiter_;
     ColdStartLimits coldStartLimits_;
--- a/Source/Forward/ServerCost.cpp
+++ b/Source/Forward/ServerCost.cpp
@@ -25,13 +25,13 @@
     return excess > settings_.failingTolerance ? cost + excess * settings_.failingPenalty : cost;
 }
 
-float ServerCost::failingShareOf(const std::vector<KnownServer*>& servers, TimePoint now)
+float ServerCost::failingShareOf(const std::vector<ServerGroup*>& groups, TimePoint now)
 {
     float answered = 0;
     float unanswered = 0;
-    for (const KnownServer* server : servers) {
-        answered += server->seen.outcomes.answered(now);
-        unanswered += server->seen.outcomes.unanswered(now);
+    for (const ServerGroup* group : groups) {
+        answered += group->outcomes.answered(now);
+        unanswered += group->outcomes.unanswered(now);
     }
     return unanswered > 0 ? unanswered / (answered + unanswered) : 0;
 }
--- a/Source/Forward/ServerCost.h
+++ b/Source/Forward/ServerCost.h
@@ -20,12 +20,14 @@
     {
     }
 
-    // usualFailingShare is the result of failingShareOf() for all servers of the service.
+    // usualFailingShare is the result of failingShareOf() for the service.
     float costOf(const KnownServer&, float usualFailingShare, TimePoint now) const;
     // Returns the load in requests per slot.
     float loadOf(const KnownServer&) const;
-    // Returns the share of unanswered requests of all these servers together, 0 to 1.
-    static float failingShareOf(const std::vector<KnownServer*>&, TimePoint now);
+    // A lower bound of the cost of any server of another zone.
+    float minOtherZoneCost() const { return settings_.zonePenalty; }
+    // Returns the share of unanswered requests of all servers of these groups together, 0 to 1.
+    static float failingShareOf(const std::vector<ServerGroup*>&, TimePoint now);
 
 private:
     std::string availabilityZone_;
--- a/Source/Forward/ServerDirectory.cpp
+++ b/Source/Forward/ServerDirectory.cpp
@@ -18,6 +18,8 @@
 
     bool isTerminated(ServerState state) { return state == ServerState::Gone || state == ServerState::Ended; }
 
+    const std::string& idOf(const KnownServer* server) { return server->entry.id; }
+
     ServerState stateOf(const RegisteredServer& entry)
     {
         return entry.readiness == ServerReadiness::Ready ? ServerState::Ready : ServerState::Draining;
@@ -54,7 +56,7 @@
         record.knownSinceRevision = revision;
     }
     record.entry = entry;
-    record.group = groupOf(entry);
+    setGroup(record, groupOf(entry));
     record.revision = revision;
     record.writtenAt = now;
     record.warmUntil = now + entry.warmupLeft;
@@ -64,16 +66,45 @@
     }
     enter(record, stateOf(entry), now, transitions);
     endFormerServersAt(entry.address, now, transitions);
-    isServiceIndexCurrent_ = false;
     return transitions;
 }
 
 ServerGroup* ServerDirectory::groupOf(const RegisteredServer& entry)
 {
-    auto& group = groups_[{ entry.service, entry.availabilityZone }];
-    if (!group)
-        group = std::make_unique<ServerGroup>(ServerGroup { entry.service, entry.availabilityZone });
-    return group.get();
+    std::vector<ServerGroup*>& groups = groupsByService_[entry.service];
+    const auto place = std::ranges::lower_bound(groups, entry.availabilityZone, {}, &ServerGroup::availabilityZone);
+    if (place != groups.end() && (*place)->availabilityZone == entry.availabilityZone)
+        return *place;
+    groups_.push_back(std::make_unique<ServerGroup>(ServerGroup { entry.service, entry.availabilityZone }));
+    return *groups.insert(place, groups_.back().get());
+}
+
+void ServerDirectory::setGroup(KnownServer& record, ServerGroup* group)
+{
+    if (record.group == group)
+        return;
+    if (record.group)
+        removeFromGroup(record);
+    record.group = group;
+    if (!isTerminated(record.state))
+        addToGroup(record);
+}
+
+void ServerDirectory::addToGroup(KnownServer& record)
+{
+    std::vector<KnownServer*>& members = record.group->members;
+    members.insert(std::ranges::lower_bound(members, record.entry.id, {}, idOf), &record);
+    if (record.seen.unansweredSince != TimePoint::max())
+        record.group->awaited.insert(&record);
+}
+
+void ServerDirectory::removeFromGroup(KnownServer& record)
+{
+    std::vector<KnownServer*>& members = record.group->members;
+    const auto place = std::ranges::lower_bound(members, record.entry.id, {}, idOf);
+    if (place != members.end() && *place == &record)
+        members.erase(place);
+    record.group->awaited.erase(&record);
 }
 
 // Guards against a delayed write of a killed process: it can take effect after the server has restarted under its id
@@ -89,8 +120,7 @@
 {
     const ServerState before = record.state;
     record.seen = {};
-    record.state = stateOf(entry);
-    record.stateSince = now;
+    setState(record, stateOf(entry), now);
     record.knownSince = now;
     record.knownSinceRevision = revision;
     record.hasChangedService = record.hasChangedService || record.entry.service != entry.service;
@@ -113,28 +143,19 @@
         return transitions;
     const bool mayReturn = isUncertain && record->state != ServerState::Draining;
     enter(*record, mayReturn ? ServerState::Doubtful : ServerState::Gone, now, transitions);
-    isServiceIndexCurrent_ = false;
     return transitions;
 }
 
 ServerDirectory::Transitions ServerDirectory::tick(TimePoint now)
 {
     Transitions transitions;
-    for (auto& [id, record] : records_) {
+    const std::vector<KnownServer*> expiring(expiring_.begin(), expiring_.end());
+    for (KnownServer* record : expiring) {
         if (record->state == ServerState::Doubtful && isDoubtExpired(*record, now))
             enter(*record, ServerState::Gone, now, transitions);
+        if (isTerminated(record->state) && now - record->stateSince >= settings_.retention)
+            drop(*record);
     }
-    const std::size_t before = records_.size();
-    absl::erase_if(records_, [&](const auto& row) {
-        const KnownServer& record = *row.second;
-        const bool isExpired = isTerminated(record.state) && now - record.stateSince >= settings_.retention;
-        if (!isExpired)
-            return false;
-        forget(record);
-        return true;
-    });
-    if (!transitions.empty() || records_.size() != before)
-        isServiceIndexCurrent_ = false;
     return transitions;
 }
 
@@ -147,8 +168,10 @@
     return age >= settings_.maxDoubtfulTime || (age >= settings_.minDoubtfulTime && isConfirmed);
 }
 
-void ServerDirectory::forget(const KnownServer& record)
+void ServerDirectory::drop(KnownServer& record)
 {
+    expiring_.erase(&record);
+    removeFromGroup(record);
     const auto claimed = byToken_.find(record.token);
     if (claimed != byToken_.end() && claimed->second == &record)
         byToken_.erase(claimed);
@@ -156,6 +179,7 @@
     std::erase(sameAddress->second, &record);
     if (sameAddress->second.empty())
         byAddress_.erase(sameAddress);
+    records_.erase(records_.find(record.entry.id));
 }
 
 KnownServer* ServerDirectory::findByToken(std::uint32_t token)
@@ -170,13 +194,19 @@
     return found == records_.end() ? nullptr : found->second.get();
 }
 
-const std::vector<KnownServer*>& ServerDirectory::serversOf(const std::string& service)
+const std::vector<ServerGroup*>& ServerDirectory::groupsOf(const std::string& service) const
+{
+    static const std::vector<ServerGroup*> none;
+    const auto found = groupsByService_.find(service);
+    return found == groupsByService_.end() ? none : found->second;
+}
+
+std::vector<KnownServer*> ServerDirectory::serversOf(const std::string& service) const
 {
-    if (!isServiceIndexCurrent_)
-        rebuildServiceIndex();
-    static const std::vector<KnownServer*> none;
-    const auto found = byService_.find(service);
-    return found == byService_.end() ? none : found->second;
+    std::vector<KnownServer*> servers;
+    for (const ServerGroup* group : groupsOf(service))
+        servers.insert(servers.end(), group->members.begin(), group->members.end());
+    return servers;
 }
 
 std::size_t ServerDirectory::countFailing() const
@@ -197,8 +227,23 @@
         return;
     const RegisteredServer& entry = record.entry;
     transitions.push_back({ entry.id, entry.service, entry.availabilityZone, record.state, state });
+    setState(record, state, now);
+}
+
+void ServerDirectory::setState(KnownServer& record, ServerState state, TimePoint now)
+{
+    const bool wasListed = !isTerminated(record.state);
+    const bool isListed = !isTerminated(state);
     record.state = state;
     record.stateSince = now;
+    if (wasListed && !isListed)
+        removeFromGroup(record);
+    else if (isListed && !wasListed)
+        addToGroup(record);
+    if (isListed && state != ServerState::Doubtful)
+        expiring_.erase(&record);
+    else
+        expiring_.insert(&record);
 }
 
 // An address is reused only after its former server has ended, so of two servers at an address the former one has ended
@@ -250,19 +295,4 @@
     claimed->second = otherHoldsFlows ? &other : &record;
 }
 
-void ServerDirectory::rebuildServiceIndex()
-{
-    isServiceIndexCurrent_ = true;
-    for (auto& [service, servers] : byService_)
-        servers.clear();
-    for (auto& [id, record] : records_) {
-        if (!isTerminated(record->state))
-            byService_[record->entry.service].push_back(record.get());
-    }
-    // Sorted, so that balancers with the same view choose the same servers.
-    for (auto& [service, servers] : byService_)
-        std::ranges::sort(
-            servers, [](const KnownServer* a, const KnownServer* b) { return a->entry.id < b->entry.id; });
-}
-
 }
--- a/Source/Forward/ServerDirectory.h
+++ b/Source/Forward/ServerDirectory.h
@@ -5,6 +5,7 @@
 #include "Forward/RequestOutcomes.h"
 
 #include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
 
 #include <algorithm>
 #include <cstdint>
@@ -49,10 +50,18 @@
     bool isFailing = false;
 };
 
+struct KnownServer;
+
 // The servers of a service in one availability zone and their joint liveness; see GroupLiveness.
 struct ServerGroup {
     std::string service;
     std::string availabilityZone;
+    // Those that are neither gone nor ended, ordered by id.
+    std::vector<KnownServer*> members {};
+    // Those whose last opening packet may be unanswered. The others are known to answer.
+    absl::flat_hash_set<KnownServer*> awaited {};
+    // Of the requests to all servers of the group.
+    RequestOutcomes outcomes {};
     // When a server of the group last answered.
     TimePoint lastProgress = TimePoint::min();
     // Number of ejections since the last answer.
@@ -63,7 +72,8 @@
     // When the group last failed, and when it last recovered.
     TimePoint failedAt = TimePoint::min();
     TimePoint returnedAt = TimePoint::min();
-    // Counters of GroupLiveness::review().
+    // Number of servers that may take new flows, and of those that are unresponsive, as of the last change of the
+    // group's liveness.
     std::uint32_t servers = 0;
     std::uint32_t unresponsive = 0;
 };
@@ -155,8 +165,10 @@
     KnownServer* findByToken(std::uint32_t token);
     // Returns null for an unknown id.
     KnownServer* find(const std::string& id);
-    // The servers of a service that are neither gone nor ended, ordered by id.
-    const std::vector<KnownServer*>& serversOf(const std::string& service);
+    // The groups of a service, ordered by availability zone. Some may be empty.
+    const std::vector<ServerGroup*>& groupsOf(const std::string& service) const;
+    // The servers of a service that are neither gone nor ended, ordered by availability zone and id.
+    std::vector<KnownServer*> serversOf(const std::string& service) const;
 
     std::size_t size() const { return records_.size(); }
     std::size_t countOf(ServerState) const;
@@ -172,6 +184,7 @@
     bool isOfEarlierStart(const KnownServer&, const RegisteredServer&, TimePoint now) const;
     void restart(KnownServer&, const RegisteredServer&, std::uint64_t revision, TimePoint now, Transitions&);
     void enter(KnownServer&, ServerState, TimePoint now, Transitions&);
+    void setState(KnownServer&, ServerState, TimePoint now);
     bool isDoubtExpired(const KnownServer&, TimePoint now) const;
     void endFormerServersAt(Endpoint, TimePoint now, Transitions&);
     bool isReplacedBy(const KnownServer& former, const KnownServer& other, TimePoint now) const;
@@ -179,19 +192,21 @@
     bool isLateWrite(const KnownServer&, const RegisteredServer&) const;
     void claimToken(KnownServer&);
     ServerGroup* groupOf(const RegisteredServer&);
-    void forget(const KnownServer&);
-    void rebuildServiceIndex();
+    void setGroup(KnownServer&, ServerGroup*);
+    static void addToGroup(KnownServer&);
+    static void removeFromGroup(KnownServer&);
+    void drop(KnownServer&);
 
     DirectorySettings settings_;
     absl::flat_hash_map<std::string, std::unique_ptr<KnownServer>> records_;
     absl::flat_hash_map<std::uint32_t, KnownServer*> byToken_;
-    // By service and availability zone. There are few, and none is dropped.
-    absl::flat_hash_map<std::pair<std::string, std::string>, std::unique_ptr<ServerGroup>> groups_;
+    // Servers that are doubtful, gone or ended. Only these change with time, and they are few among thousands.
+    absl::flat_hash_set<KnownServer*> expiring_;
+    // By service. There are few groups, and none is dropped.
+    absl::flat_hash_map<std::string, std::vector<ServerGroup*>> groupsByService_;
+    std::vector<std::unique_ptr<ServerGroup>> groups_;
     // All known incarnations with the address, including ended ones.
     absl::flat_hash_map<Endpoint, std::vector<KnownServer*>> byAddress_;
-    // Rebuilt at the first lookup after a change, since a listing changes thousands of servers at once.
-    absl::flat_hash_map<std::string, std::vector<KnownServer*>> byService_;
-    bool isServiceIndexCurrent_ = true;
     TimePoint lastStoreContact_ = TimePoint::min();
 };
 
--- a/Source/Forward/TokenRouter.cpp
+++ b/Source/Forward/TokenRouter.cpp
@@ -151,7 +151,7 @@
             && policy_.review(*previousServer, now))
             ejected = previousServer;
     }
-    decision.choice = policy_.choose(directory_.serversOf(*service), evacuatedZones_, packet.ends, previous, now);
+    decision.choice = policy_.choose(directory_.groupsOf(*service), evacuatedZones_, packet.ends, previous, now);
     if (ejected)
         decision.choice.ejected.push_back(ejected);
     if (!decision.choice.server)
--- a/Tests/Forward/OpeningPolicyTest.cpp
+++ b/Tests/Forward/OpeningPolicyTest.cpp
@@ -67,6 +67,48 @@
         EXPECT_EQ(openFlows(100, 1)[server(2).id], 1);
     }
 
+    // Guards against openings that cost as much as there are servers in all zones together.
+    TEST_F(OpeningPolicyTest, OtherZonesAreComparedOnlyWhileTheyCouldWin)
+    {
+        constexpr std::uint64_t serversPerZone = 10;
+        for (std::uint64_t number = 1; number <= serversPerZone; ++number) {
+            put(server(number));
+            put(server(100 + number, "tryon", "nabua"));
+            put(server(200 + number, "tryon", "laucala"));
+        }
+        EXPECT_EQ(route(opening(1)).choice.eligible, serversPerZone);
+        {
+            SCOPED_TRACE("no own server is idle");
+            for (std::uint64_t number = 1; number <= serversPerZone; ++number) {
+                for (std::uint32_t caller = 0; caller < 4; ++caller)
+                    route(data(static_cast<std::uint32_t>(1000 + 10 * number) + caller, tokenOf(number)));
+            }
+            const PacketDecision decision = route(opening(2));
+            EXPECT_EQ(decision.choice.eligible, 3 * serversPerZone);
+            EXPECT_NE(decision.server->entry.availabilityZone, "walu");
+        }
+        {
+            SCOPED_TRACE("the own servers are gone");
+            for (std::uint64_t number = 1; number <= serversPerZone; ++number)
+                router.removeServer(server(number).id, false, clock.now());
+            EXPECT_EQ(route(opening(3)).choice.eligible, 2 * serversPerZone);
+        }
+    }
+
+    // Guards against a server that is ejected only when flows of its own zone are chosen for it again.
+    TEST_F(OpeningPolicyTest, UnansweredOpeningOfAnotherZoneIsReviewedWhileTheOwnZoneIsIdle)
+    {
+        put(server(2, "tryon", "nabua"));
+        put(server(3, "tryon", "nabua"));
+        const KnownServer* silent = route(opening(1)).server;
+        put(server(1));
+        clock.advance(200ms);
+        const OpeningChoice choice = route(opening(2)).choice;
+        ASSERT_EQ(choice.ejected.size(), 1U);
+        EXPECT_EQ(choice.ejected.front(), silent);
+        EXPECT_EQ(choice.server->entry.availabilityZone, "walu");
+    }
+
     // Guards against sending new flows to each server of an unreachable zone in turn while the own servers are busy.
     TEST_F(OpeningPolicyTest, UnreachableZoneLosesFewFlows)
     {
--- a/Tests/Forward/RequestOutcomesTest.cpp
+++ b/Tests/Forward/RequestOutcomesTest.cpp
@@ -96,9 +96,14 @@
 
     TEST_F(UnansweredRequestsTest, StartAndEndOfFailingAreReportedOnce)
     {
-        KnownServer* failing = serverOf(openFlow(1));
-        for (int i = 0; i < 3; ++i)
-            failing->seen.outcomes.note(false, clock.now());
+        const std::uint32_t token = openFlow(1);
+        const KnownServer* failing = serverOf(token);
+        for (std::uint32_t caller = 2; caller < 5; ++caller) {
+            route(data(caller, token));
+            TokenPacket end = data(caller, token, 1101, 5001, 0);
+            end.finishes = true;
+            route(end);
+        }
         router.tick(clock.now());
         const auto started = router.takeFailingChanges();
         ASSERT_EQ(started.size(), 1U);
