StoreSync: Compress deltas that take several datagrams

Cause: each entry of a server travelled as its whole text, about 200 bytes, to each balancer of the zone, and the pieces were encoded once for each receiver.

Change: a delta that does not fit into one datagram is split into pieces that are compressed (zstd) and encoded once. Balancers of earlier versions drop the new kind of datagram and fetch the contents, as after a loss.

--- a/Source/Forward/GroupLiveness.cpp
+++ b/Source/Forward/GroupLiveness.cpp
@@ -33,11 +33,12 @@
 
 void GroupLiveness::countServers(ServerGroup& group, Duration timeout, TimePoint now)
 {
-    group.unresponsive = static_cast<std::uint32_t>(std::ranges::count_if(group.awaited, [&](const KnownServer* server) {
-        const TimePoint since = server->seen.unansweredSince;
-        const bool isAwaited = since != TimePoint::max() && since > group.lastProgress;
-        return isAwaited && server->mayTakeFlows() && now - since > timeout;
-    }));
+    group.unresponsive
+        = static_cast<std::uint32_t>(std::ranges::count_if(group.awaited, [&](const KnownServer* server) {
+              const TimePoint since = server->seen.unansweredSince;
+              const bool isAwaited = since != TimePoint::max() && since > group.lastProgress;
+              return isAwaited && server->mayTakeFlows() && now - since > timeout;
+          }));
     group.servers = static_cast<std::uint32_t>(
         std::ranges::count_if(group.members, [](const KnownServer* server) { return server->mayTakeFlows(); }));
 }
--- a/Source/Forwarder/PeerSync.cpp
+++ b/Source/Forwarder/PeerSync.cpp
@@ -200,7 +200,7 @@
         rowOf(
             "membership", { PeerMessageKind::Heartbeat, PeerMessageKind::ProbeRequest, PeerMessageKind::ProbeResult }),
         rowOf("member_pages", { PeerMessageKind::MembersRequest, PeerMessageKind::MembersPage }),
-        rowOf("pushes", { PeerMessageKind::ReplicaSync }),
+        rowOf("pushes", { PeerMessageKind::ReplicaSync, PeerMessageKind::CompressedReplicaSync }),
         { "fetches_asked", fetchNumber_, 0, fetchBytes },
         { "fetches_served", fetchesServed_, server_->bytesTransferred(), 0 },
     };
@@ -209,11 +209,12 @@
 void PeerSync::receive(const PeerEnvelope& envelope, const Endpoint& sender)
 {
     const TimePoint now = Clock::now();
-    if (envelope.kind != PeerMessageKind::ReplicaSync) {
+    const bool isCompressed = envelope.kind == PeerMessageKind::CompressedReplicaSync;
+    if (envelope.kind != PeerMessageKind::ReplicaSync && !isCompressed) {
         perform(membership_.handle(PeerMessageReceived { sender, envelope }, now), now);
         return;
     }
-    if (const auto delta = decodeMessage<StoreDelta>(envelope.payload))
+    if (const auto delta = decodePiece(envelope.payload, isCompressed))
         perform(replicaSync_.handlePush(envelope.sender, delta.value(), now), now);
 }
 
@@ -270,11 +271,12 @@
 
 void PeerSync::push(const PushDelta& push)
 {
+    const DeltaPiece& piece = *push.piece;
     link_->send(push.to,
         { .sender = membership_.view()->self,
             .senderIncarnation = membership_.selfIncarnation(),
-            .kind = PeerMessageKind::ReplicaSync,
-            .payload = encodeMessage(push.delta) });
+            .kind = piece.isCompressed ? PeerMessageKind::CompressedReplicaSync : PeerMessageKind::ReplicaSync,
+            .payload = piece.bytes });
 }
 
 void PeerSync::fetch(const FetchDelta& fetch)
--- a/Source/StoreSync/ReplicaSync.cpp
+++ b/Source/StoreSync/ReplicaSync.cpp
@@ -9,95 +9,6 @@
 
     bool isReachable(const Member& member) { return member.state != MemberState::Dead; }
 
-    // Largest overhead of msgpack, in bytes: for a delta, and for each item.
-    constexpr std::size_t deltaOverhead = 32;
-    constexpr std::size_t itemOverhead = 24;
-
-    std::size_t encodedSize(const StoreUpdate& item) { return item.key.size() + item.value.size() + itemOverhead; }
-
-    StoreDelta emptyPiece(const StoreDelta& delta, std::uint64_t from)
-    {
-        StoreDelta piece;
-        piece.from = from;
-        piece.patchedFrom = from;
-        piece.isInDoubt = delta.isInDoubt;
-        piece.isFresh = delta.isFresh;
-        return piece;
-    }
-
-    // An indivisible part of a delta: an update, or the patch that replaces it.
-    struct Part {
-        std::uint64_t revision = 0;
-        std::size_t size = 0;
-        const StoreUpdate* item = nullptr;
-        const ValuePatch* patch = nullptr;
-    };
-
-    Part partOf(const ValuePatch& patch)
-    {
-        return { patch.revision, patch.key.size() + patch.bytes.size() + itemOverhead, nullptr, &patch };
-    }
-
-    Part partOf(const StoreUpdate& item, const StoreReplica& replica, std::size_t maxBytes)
-    {
-        const Part full { item.revision, encodedSize(item), &item, nullptr };
-        const ValuePatch* patch
-            = deltaOverhead + full.size > maxBytes ? replica.patchTo(item.key, item.revision) : nullptr;
-        return patch ? partOf(*patch) : full;
-    }
-
-    std::vector<Part> partsOf(const StoreDelta& delta, const StoreReplica& replica, std::size_t maxBytes)
-    {
-        std::vector<Part> parts;
-        for (const StoreUpdate& item : delta.items)
-            parts.push_back(partOf(item, replica, maxBytes));
-        for (const ValuePatch& patch : delta.patches)
-            parts.push_back(partOf(patch));
-        std::ranges::sort(parts, {}, &Part::revision);
-        return parts;
-    }
-
-    // Splits the delta into pieces of at most maxBytes, each complete for a receiver that has all pieces before it. An
-    // item that is too large is replaced by its patch. Where that is too large as well, it is omitted, and the next
-    // piece is complete only for receivers that have the item already.
-    std::vector<StoreDelta> piecesOf(const StoreDelta& delta, const StoreReplica& replica, std::size_t maxBytes)
-    {
-        std::vector<StoreDelta> pieces;
-        StoreDelta piece = emptyPiece(delta, delta.from);
-        std::size_t size = deltaOverhead;
-        std::optional<std::uint64_t> lastRevision;
-        const auto close = [&](std::uint64_t to, std::uint64_t next) {
-            piece.to = to;
-            pieces.push_back(std::exchange(piece, emptyPiece(delta, next)));
-            size = deltaOverhead;
-            lastRevision.reset();
-        };
-        for (const Part& part : partsOf(delta, replica, maxBytes)) {
-            const bool isTooLarge = deltaOverhead + part.size > maxBytes;
-            const bool isFull = size + part.size > maxBytes;
-            if (lastRevision && (isTooLarge || isFull)) {
-                // A piece with only some of the items of a revision must not make the receiver complete up to it.
-                const bool splitsRevision = *lastRevision == part.revision;
-                close(part.revision - 1, splitsRevision ? part.revision : part.revision - 1);
-            }
-            // A receiver that does not support patches lacks the item.
-            if (isTooLarge || part.patch)
-                piece.from = std::max(piece.from, part.revision);
-            if (isTooLarge) {
-                piece.patchedFrom = piece.from;
-                continue;
-            }
-            size += part.size;
-            lastRevision = part.revision;
-            if (part.patch)
-                piece.patches.push_back(*part.patch);
-            else
-                piece.items.push_back(*part.item);
-        }
-        close(delta.to, delta.to);
-        return pieces;
-    }
-
 }
 
 ReplicaSync::ReplicaSync(std::string availabilityZone, std::uint64_t seed, ReplicaSyncSettings settings)
@@ -124,8 +35,7 @@
 
 // A watcher lists the store again when the store has dropped its history. The others of the zone lack what changed
 // since the former revision, as after any other delta, and would otherwise learn of it by gossip only.
-StoreDelta ReplicaSync::changesInSnapshot(
-    const StoreDelta& snapshot, std::uint64_t formerRevision, TimePoint now) const
+StoreDelta ReplicaSync::changesInSnapshot(const StoreDelta& snapshot, std::uint64_t formerRevision, TimePoint now) const
 {
     if (formerRevision == 0)
         return snapshot;
@@ -231,11 +141,13 @@
     if (!view_ || delta.isSnapshot)
         return;
     const std::vector<const Member*> others = othersInZone();
-    std::vector<StoreDelta> pieces = piecesOf(delta, replica_, settings_.maxPushBytes);
+    if (others.empty())
+        return;
+    auto pieces = splitDelta(delta, replica_, settings_.maxPushBytes, settings_.maxPushes / others.size());
     // Only announces the revision of a delta that needs too many datagrams.
-    if (pieces.size() * others.size() > settings_.maxPushes)
-        pieces = { StoreDelta { delta.to, delta.to, false, delta.isInDoubt, {}, delta.isFresh } };
-    for (const StoreDelta& piece : pieces) {
+    if (!pieces)
+        pieces = DeltaPieces { pieceOf({ delta.to, delta.to, false, delta.isInDoubt, {}, delta.isFresh }) };
+    for (const auto& piece : *pieces) {
         for (const Member* member : others)
             actions.emplace_back(PushDelta { member->peerAddress, piece });
     }
@@ -248,7 +160,7 @@
     std::vector<const Member*> others = view_ ? othersInZone() : std::vector<const Member*>();
     if (others.size() < settings_.largeZoneSize)
         return;
-    const StoreDelta announcement { replica_.completeTo(), replica_.completeTo(), false, false, {} };
+    const auto announcement = pieceOf({ replica_.completeTo(), replica_.completeTo(), false, false, {} });
     for (std::size_t i = 0; i < settings_.announcementFanout; ++i)
         actions.emplace_back(PushDelta { others[random_() % others.size()]->peerAddress, announcement });
 }
@@ -265,7 +177,7 @@
     const std::size_t maxAnnouncements
         = std::max<std::size_t>(settings_.announcementFanout, self->linkMegabits / settings_.megabitsPerUninformedPeer);
     uninformed.resize(std::min(uninformed.size(), maxAnnouncements));
-    const StoreDelta announcement { replica_.completeTo(), replica_.completeTo(), false, false, {} };
+    const auto announcement = pieceOf({ replica_.completeTo(), replica_.completeTo(), false, false, {} });
     for (const Member* member : uninformed)
         actions.emplace_back(PushDelta { member->peerAddress, announcement });
 }
--- a/Source/StoreSync/ReplicaSync.h
+++ b/Source/StoreSync/ReplicaSync.h
@@ -4,6 +4,7 @@
 #include "Core/Endpoint.h"
 #include "Core/Identifiers.h"
 #include "Membership/Member.h"
+#include "StoreSync/DeltaPieces.h"
 #include "StoreSync/StoreDelta.h"
 #include "StoreSync/StoreReplica.h"
 
@@ -43,17 +44,17 @@
     // How long a fetch may go without receiving any bytes before another balancer is asked. Counted from the last
     // bytes, since large answers over slow links take long and starting over delays them further.
     std::chrono::milliseconds answerTimeout { 800 };
-    // Largest delta that is pushed, in bytes of payload. A larger one is split, and an update larger than this is
-    // fetched by the receiver.
+    // Largest datagram that is pushed, in bytes of payload. A larger delta is split and compressed, and an update
+    // larger than this is fetched by the receiver.
     std::size_t maxPushBytes = 1100;
     // Most datagrams sent for one delta. Above it only its revision is announced, and receivers fetch the delta.
     std::size_t maxPushes = 400;
 };
 
-// Send the delta to this balancer as one datagram.
+// Send the piece to this balancer as one datagram.
 struct PushDelta {
     Endpoint to;
-    StoreDelta delta;
+    std::shared_ptr<const DeltaPiece> piece;
 };
 
 // Request all changes after the revision from this balancer. Pass the answer to handleAnswer(), or call
--- a/Source/Wire/PeerMessage.cpp
+++ b/Source/Wire/PeerMessage.cpp
@@ -17,6 +17,7 @@
         { PeerMessageKind::FlowControl, "flow_control" },
         { PeerMessageKind::Request, "request" },
         { PeerMessageKind::ReplicaSync, "news" },
+        { PeerMessageKind::CompressedReplicaSync, "compressed_news" },
     });
 
     bool isKnown(PeerMessageKind kind)
--- a/Source/Wire/PeerMessage.h
+++ b/Source/Wire/PeerMessage.h
@@ -34,10 +34,11 @@
     FlowControl = 7,
     Request = 8,
     ReplicaSync = 9, // Contents of the platform's store, which balancers pass on to each other.
+    CompressedReplicaSync = 10, // The same, compressed. Balancers of earlier versions drop it and fetch the contents.
 };
 
 // One more than the highest kind; the size of arrays indexed by kind.
-inline constexpr std::size_t peerMessageKinds = 10;
+inline constexpr std::size_t peerMessageKinds = 11;
 
 std::string_view nameOf(PeerMessageKind);
 
--- a/Tests/Forward/TokenRouterTest.cpp
+++ b/Tests/Forward/TokenRouterTest.cpp
@@ -258,8 +258,8 @@
         }
     }
 
-    // Guards against a non-idempotent request that runs twice because its packets reach a second server after the answer
-    // to the opening or to the request was lost.
+    // Guards against a non-idempotent request that runs twice because its packets reach a second server after the
+    // answer to the opening or to the request was lost.
     TEST_F(TokenRouterTest, RequestBytesOnlyEverReachTheServerThatTheCallerOpenedTheFlowAt)
     {
         const std::uint32_t first = route(opening(1)).server->token;
--- a/Tests/Forwarder/StoreUpdateApplierTest.cpp
+++ b/Tests/Forwarder/StoreUpdateApplierTest.cpp
@@ -82,9 +82,11 @@
     // Guards against an entry of another writer that spoils the entries beside it or names a server to use.
     TEST_F(StoreUpdateApplierTest, EntryOfAnotherWriterNamesNoServerAndTheOthersHold)
     {
-        const std::vector<std::string> foreign { "", "\xff\xfe\x00", R"({"service":"tryon"})",
+        const std::vector<std::string> foreign {
+            "", "\xff\xfe\x00", R"({"service":"tryon"})",
             R"({"service":7,"address":"10.1.1.1:80","zone":"walu","version":"1","maxConcurrency":2,"state":"ready","warmupLeftMs":0,"sequence":1})",
-            R"({"service":"tryon","address":"10.1.1.1:80","zone":"walu","version":"1","maxConcurrency":2,"state":"resting","warmupLeftMs":0,"sequence":1})" };
+            R"({"service":"tryon","address":"10.1.1.1:80","zone":"walu","version":"1","maxConcurrency":2,"state":"resting","warmupLeftMs":0,"sequence":1})"
+        };
         for (const std::string& value : foreign) {
             SCOPED_TRACE(value);
             const RegisteredServer overwritten = server(1);
@@ -127,7 +129,8 @@
         successor.startedAt = replaced.startedAt + 60'000;
         RegisteredServer again = restarted;
         again.startedAt += 60'000;
-        apply({ entryOf(successor), entryOf(again), { platform::serverKeyOf(server(3).id), "half an entry", 0, false } });
+        apply(
+            { entryOf(successor), entryOf(again), { platform::serverKeyOf(server(3).id), "half an entry", 0, false } });
         EXPECT_EQ(route(data(1, tokenOf(replaced.number))).reason, PacketReason::ServerEnded);
         EXPECT_EQ(usableServers(), 1U);
         {
--- a/Tests/StoreSync/FleetSimulation.cpp
+++ b/Tests/StoreSync/FleetSimulation.cpp
@@ -218,7 +218,7 @@
             schedule(messageLatency, [this, self, push = *push] {
                 for (std::size_t to = 0; to < balancers_.size(); ++to) {
                     if (balancers_[to].id.value == push.to.address && !balancers_[to].isFrozen)
-                        perform(to, balancers_[to].sync->handlePush(self, push.delta, now()));
+                        perform(to, balancers_[to].sync->handlePush(self, push.piece->delta, now()));
                 }
             });
         } else if (const auto* fetch = std::get_if<FetchDelta>(&action)) {
--- a/Tests/StoreSync/ReplicaSyncTest.cpp
+++ b/Tests/StoreSync/ReplicaSyncTest.cpp
@@ -7,6 +7,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <random>
 #include <set>
 
 namespace wisteriadock {
@@ -19,6 +20,7 @@
         ManualClock clock;
         ReplicaSync sync { "walu", 1 };
         std::shared_ptr<MembersView> view = std::make_shared<MembersView>();
+        std::mt19937 random { 1 };
 
         ReplicaSyncTest()
         {
@@ -53,6 +55,15 @@
             return { from, to, false, false, { { "key", std::string(bytes, 'x'), to, false } } };
         }
 
+        // Text that fills as many datagrams as its length says.
+        std::string incompressible(std::size_t bytes)
+        {
+            std::string text(bytes, '\0');
+            for (char& byte : text)
+                byte = static_cast<char>(random());
+            return text;
+        }
+
         template <typename Action> static std::vector<Action> all(const ReplicaSyncActions& actions)
         {
             std::vector<Action> found;
@@ -85,7 +96,7 @@
         EXPECT_EQ(all<ReplicaChanged>(actions).size(), 1U);
         ASSERT_EQ(all<PushDelta>(actions).size(), 2U);
         for (const PushDelta& push : all<PushDelta>(actions))
-            EXPECT_EQ(push.delta.items.size(), 1U);
+            EXPECT_EQ(push.piece->delta.items.size(), 1U);
         {
             SCOPED_TRACE("the same delta again has no effect");
             EXPECT_TRUE(sync.handleStoreDelta(change(5, 7), clock.now()).empty());
@@ -97,13 +108,13 @@
         sync.handleStoreDelta({ 0, 5, true, false, {} }, clock.now());
         const auto pushes = all<PushDelta>(sync.handleStoreDelta(change(5, 7, 5000), clock.now()));
         ASSERT_EQ(pushes.size(), 2U);
-        EXPECT_TRUE(pushes.front().delta.items.empty());
+        EXPECT_TRUE(pushes.front().piece->delta.items.empty());
 
         ReplicaSync receiver("walu", 2);
         view->self = balancerIdOf("walu-1");
         receiver.handleView(view, clock.now());
         receiver.handleStoreDelta({ 0, 5, true, false, {} }, clock.now());
-        EXPECT_TRUE(receiver.handlePush(balancerIdOf("walu-0"), pushes.front().delta, clock.now()).empty());
+        EXPECT_TRUE(receiver.handlePush(balancerIdOf("walu-0"), pushes.front().piece->delta, clock.now()).empty());
         EXPECT_EQ(receiver.replica().completeTo(), 5U);
         clock.advance(300ms);
         const auto fetches = all<FetchDelta>(receiver.tick(clock.now()));
@@ -138,7 +149,7 @@
         std::vector<StoreDelta> pieces;
         for (const PushDelta& push : pushes) {
             if (push.to == view->find(balancerIdOf("walu-1"))->peerAddress)
-                pieces.push_back(push.delta);
+                pieces.push_back(push.piece->delta);
         }
         for (const StoreDelta& piece : pieces)
             deliver(receiver, piece);
@@ -180,26 +191,60 @@
     {
         StoreDelta delta { 5, 7, false, false, {} };
         for (int i = 0; i < 20; ++i)
-            delta.items.push_back({ fmt::format("key{}", i), std::string(100, 's'), 7, false });
+            delta.items.push_back({ fmt::format("key{}", i), incompressible(100), 7, false });
         sync.handleStoreDelta({ 0, 5, true, false, {} }, clock.now());
         const auto pushes = all<PushDelta>(sync.handleStoreDelta(delta, clock.now()));
         ASSERT_GT(pushes.size(), 2U);
         ReplicaSync receiver("walu", 2);
         receiver.handleStoreDelta({ 0, 5, true, false, {} }, clock.now());
-        receiver.handlePush(balancerIdOf("walu-0"), pushes.front().delta, clock.now());
+        receiver.handlePush(balancerIdOf("walu-0"), pushes.front().piece->delta, clock.now());
         EXPECT_EQ(receiver.replica().completeTo(), 6U);
     }
 
+    TEST_F(ReplicaSyncTest, DeltaOfManySimilarUpdatesIsPushedCompressed)
+    {
+        StoreDelta delta { 5, 405, false, false, {} };
+        for (std::uint64_t revision = 6; revision <= 405; ++revision)
+            delta.items.push_back({ fmt::format("servers/{}", revision), std::string(150, 's'), revision, false });
+        sync.handleStoreDelta({ 0, 5, true, false, {} }, clock.now());
+        const auto pushes = all<PushDelta>(sync.handleStoreDelta(delta, clock.now()));
+        ReplicaSync receiver("walu", 2);
+        receiver.handleStoreDelta({ 0, 5, true, false, {} }, clock.now());
+        std::size_t pieces = 0;
+        for (const PushDelta& push : pushes) {
+            EXPECT_LE(push.piece->bytes.size(), ReplicaSyncSettings().maxPushBytes);
+            const auto decoded = decodePiece(push.piece->bytes, push.piece->isCompressed);
+            ASSERT_TRUE(decoded);
+            if (push.to != pushes.front().to)
+                continue;
+            ++pieces;
+            receiver.handlePush(balancerIdOf("walu-0"), decoded.value(), clock.now());
+        }
+        EXPECT_LT(pieces, 40U);
+        EXPECT_EQ(receiver.replica().completeTo(), 405U);
+        EXPECT_EQ(receiver.replica().deltaSince(0, clock.now()).items.size(), 400U);
+    }
+
+    TEST_F(ReplicaSyncTest, CorruptPieceIsRejected)
+    {
+        std::vector<std::uint8_t> bytes(300);
+        for (int i = 0; i < 2000; ++i) {
+            for (std::uint8_t& byte : bytes)
+                byte = static_cast<std::uint8_t>(random());
+            EXPECT_FALSE(decodePiece(bytes, true));
+        }
+    }
+
     TEST_F(ReplicaSyncTest, DeltaOfTooManyDatagramsIsOnlyAnnounced)
     {
         StoreDelta delta { 5, 2005, false, false, {} };
         for (std::uint64_t revision = 6; revision <= 2005; ++revision)
-            delta.items.push_back({ fmt::format("servers/{}", revision), std::string(150, 's'), revision, false });
+            delta.items.push_back({ fmt::format("servers/{}", revision), incompressible(150), revision, false });
         sync.handleStoreDelta({ 0, 5, true, false, {} }, clock.now());
         const auto pushes = all<PushDelta>(sync.handleStoreDelta(delta, clock.now()));
         ASSERT_EQ(pushes.size(), 2U);
-        EXPECT_TRUE(pushes.front().delta.items.empty());
-        EXPECT_EQ(pushes.front().delta.to, 2005U);
+        EXPECT_TRUE(pushes.front().piece->delta.items.empty());
+        EXPECT_EQ(pushes.front().piece->delta.to, 2005U);
     }
 
     // Guards against giving up a fetch by its age while its bytes still arrive.
@@ -245,7 +290,7 @@
             const StoreDelta answer = other.replica().deltaSince(5, clock.now(), StoreReplica::Encoding::Patched);
             ASSERT_EQ(answer.patches.size(), 1U);
             for (const PushDelta& push : all<PushDelta>(watcher.handleAnswer("nabua-0", answer, clock.now())))
-                receiver.handlePush(balancerIdOf("walu-0"), push.delta, clock.now());
+                receiver.handlePush(balancerIdOf("walu-0"), push.piece->delta, clock.now());
             EXPECT_EQ(watcher.replica().completeTo(), 8U);
             EXPECT_EQ(receiver.replica().completeTo(), lines == 1000 ? 8U : 5U);
             const auto held = receiver.replica().deltaSince(0, clock.now()).items;
@@ -369,7 +414,7 @@
         const std::vector<PushDelta> pushes = all<PushDelta>(actions);
         ASSERT_EQ(pushes.size(), 1U);
         EXPECT_EQ(pushes.front().to, view->find(balancerIdOf("walu-2"))->peerAddress);
-        EXPECT_TRUE(pushes.front().delta.items.empty());
+        EXPECT_TRUE(pushes.front().piece->delta.items.empty());
         {
             SCOPED_TRACE("a balancer that cancelled its listing fetches at once");
             ReplicaSync other("walu", 2);
@@ -379,7 +424,7 @@
                 member.configurationVersion = 0;
             other.setFetchesImmediately(true);
             other.handleView(std::make_shared<MembersView>(otherView), clock.now());
-            const ReplicaSyncActions asked = other.handlePush(view->self, pushes.front().delta, clock.now());
+            const ReplicaSyncActions asked = other.handlePush(view->self, pushes.front().piece->delta, clock.now());
             EXPECT_EQ(all<FetchDelta>(asked).size(), 1U);
         }
     }
--- /dev/null
+++ b/Tests/StoreSync/ServerSpreadTest.cpp
@@ -0,0 +1,57 @@
+#include "StoreSync/SlowLinkSimulation.h"
+
+#include <gtest/gtest.h>
+
+#include <fmt/format.h>
+
+#include <random>
+
+namespace wisteriadock {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    // Bound from the registration of a server to its arrival in every replica of the zone.
+    constexpr auto knownWithin = 2s;
+    // Most bytes a second that the busiest balancer exchanges with others.
+    constexpr std::uint64_t maxPeerBytesPerSecond = 200'000;
+
+    // An entry as servers write it, about 200 bytes with random parts.
+    std::string entryText(std::size_t number, std::mt19937_64& random)
+    {
+        return fmt::format(R"({{"service":"tryon","address":"10.{}.{}.{}:8080","zone":"walu","version":"1.{}",)"
+                           R"("maxConcurrency":2,"state":"ready","warmupLeftMs":{},"sequence":1,"born":{}}})",
+            number >> 16, (number >> 8) & 255, number & 255, random() % 3, random() % 2000,
+            1'770'000'000'000 + random() % 20'000);
+    }
+
+    void registerServers(SlowLinkSimulation& fleet, std::size_t count, std::size_t perSecond)
+    {
+        constexpr std::size_t roundsPerSecond = 10;
+        std::mt19937_64 random(1);
+        for (std::size_t number = 0; number < count; ++number) {
+            fleet.write(fmt::format("servers/i-{:010x}", random() % (1ULL << 40U)), entryText(number, random));
+            if ((number + 1) % (perSecond / roundsPerSecond) == 0)
+                fleet.advance(1s / roundsPerSecond);
+        }
+    }
+
+    // Guards against pushes that send each receiver the whole text of each entry.
+    TEST(ServerSpreadTest, HundredsOfServersRegisterInASmallZone)
+    {
+        constexpr std::size_t servers = 500;
+        constexpr std::size_t perSecond = 100;
+        SlowLinkSimulation fleet(1, { { 2, 200 }, { 26, 10 } });
+        fleet.writeConfiguration(1, configurationText(1, 40, 0));
+        fleet.advance(5s);
+        fleet.takeMaxPeerBytes();
+        registerServers(fleet, servers, perSecond);
+        fleet.advance(knownWithin);
+        EXPECT_EQ(fleet.balancersBehind(), 0U);
+        EXPECT_LT(fleet.takeMaxPeerBytes() / (servers / perSecond), maxPeerBytesPerSecond);
+    }
+
+}
+
+}
--- a/Tests/StoreSync/SlowLinkSimulation.cpp
+++ b/Tests/StoreSync/SlowLinkSimulation.cpp
@@ -138,6 +138,12 @@
         std::ranges::count_if(balancers_, [](const Balancer& balancer) { return balancer.version > 0; }));
 }
 
+std::size_t SlowLinkSimulation::balancersBehind() const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(
+        balancers_, [this](const Balancer& balancer) { return balancer.sync->replica().completeTo() < revision_; }));
+}
+
 std::uint64_t SlowLinkSimulation::takeMaxPeerBytes()
 {
     std::uint64_t most = 0;
@@ -359,7 +365,7 @@
         if (const auto* changed = std::get_if<ReplicaChanged>(&action)) {
             apply(index, *changed);
         } else if (const auto* push = std::get_if<PushDelta>(&action)) {
-            const double bytes = datagramOverhead + static_cast<double>(encodeMessage(push->delta).size());
+            const double bytes = datagramOverhead + static_cast<double>(push->piece->bytes.size());
             const std::size_t to = push->to.address - 1;
             balancer.queuedDatagramBytes += bytes;
             balancer.peerBytes += static_cast<std::uint64_t>(bytes);
@@ -367,7 +373,7 @@
             const auto queueDelay
                 = std::chrono::duration<double>(balancer.queuedDatagramBytes / balancer.bytesPerSecond);
             const TimePoint at = clock_.now() + messageLatency + std::chrono::duration_cast<Duration>(queueDelay);
-            datagrams_.push_back({ at, index, to, push->delta });
+            datagrams_.push_back({ at, index, to, push->piece->delta });
         } else {
             const auto& fetch = std::get<FetchDelta>(action);
             // The daemon has one fetch at a time: a new one cancels the former.
--- a/Tests/StoreSync/SlowLinkSimulation.h
+++ b/Tests/StoreSync/SlowLinkSimulation.h
@@ -43,6 +43,8 @@
     std::optional<Duration> slowestArrival(std::uint64_t version) const;
     // How many balancers have any configuration.
     std::size_t configuredBalancers() const;
+    // How many balancers lack a change of the store.
+    std::size_t balancersBehind() const;
     // The largest number of bytes that a balancer exchanged with others since the last call.
     std::uint64_t takeMaxPeerBytes();
     // How often a balancer received a configuration that differs from the one written with that version.
