StoreSync: Relay deltas through a tree, and let them arrive in any order

Cause: a watcher sent each delta to every other balancer of its zone. Above 400 datagrams it announced the revision only, and all of them fetched the contents from it: at 197 balancers from three datagrams on. Bytes of the busiest grew as servers times machines of a zone.

Change: above 64 datagrams, pieces go to four balancers and one more at most, each of which passes them on to the rest of a range of ids, by its own view. Who isn't reached, because a relay is dead or knows few members, finds out by the next piece or heartbeat and fetches, as after any loss. Pieces overtake each other on their ways; a replica now remembers ranges of revisions beyond a gap, where before each overtaking cost a fetch.

--- a/Source/Forwarder/PeerSync.cpp
+++ b/Source/Forwarder/PeerSync.cpp
@@ -200,7 +200,9 @@
         rowOf(
             "membership", { PeerMessageKind::Heartbeat, PeerMessageKind::ProbeRequest, PeerMessageKind::ProbeResult }),
         rowOf("member_pages", { PeerMessageKind::MembersRequest, PeerMessageKind::MembersPage }),
-        rowOf("pushes", { PeerMessageKind::ReplicaSync, PeerMessageKind::CompressedReplicaSync }),
+        rowOf("pushes",
+            { PeerMessageKind::ReplicaSync, PeerMessageKind::CompressedReplicaSync,
+                PeerMessageKind::RelayedReplicaSync }),
         { "fetches_asked", fetchNumber_, 0, fetchBytes },
         { "fetches_served", fetchesServed_, server_->bytesTransferred(), 0 },
     };
@@ -209,13 +211,33 @@
 void PeerSync::receive(const PeerEnvelope& envelope, const Endpoint& sender)
 {
     const TimePoint now = Clock::now();
-    const bool isCompressed = envelope.kind == PeerMessageKind::CompressedReplicaSync;
-    if (envelope.kind != PeerMessageKind::ReplicaSync && !isCompressed) {
+    switch (envelope.kind) {
+    case PeerMessageKind::ReplicaSync:
+    case PeerMessageKind::CompressedReplicaSync:
+        if (const auto delta = decodePiece(envelope.payload, envelope.kind == PeerMessageKind::CompressedReplicaSync))
+            perform(replicaSync_.handlePush(envelope.sender, delta.value(), now), now);
+        break;
+    case PeerMessageKind::RelayedReplicaSync:
+        receiveRelay(envelope, now);
+        break;
+    default:
         perform(membership_.handle(PeerMessageReceived { sender, envelope }, now), now);
-        return;
+        break;
     }
-    if (const auto delta = decodePiece(envelope.payload, isCompressed))
-        perform(replicaSync_.handlePush(envelope.sender, delta.value(), now), now);
+}
+
+void PeerSync::receiveRelay(const PeerEnvelope& envelope, TimePoint now)
+{
+    auto message = decodeMessage<RelayedDeltaMessage>(envelope.payload);
+    if (!message)
+        return;
+    auto delta = decodePiece(message.value().bytes, message.value().isCompressed);
+    if (!delta)
+        return;
+    const Relay relay = message.value().relay();
+    const auto piece = std::make_shared<const DeltaPiece>(
+        DeltaPiece { std::move(delta).value(), std::move(message.value().bytes), message.value().isCompressed });
+    perform(replicaSync_.handleRelay(relay, piece, now), now);
 }
 
 void PeerSync::answerFetch(const std::shared_ptr<Http2Exchange>& exchange)
@@ -272,11 +294,15 @@
 void PeerSync::push(const PushDelta& push)
 {
     const DeltaPiece& piece = *push.piece;
-    link_->send(push.to,
-        { .sender = membership_.view()->self,
-            .senderIncarnation = membership_.selfIncarnation(),
-            .kind = piece.isCompressed ? PeerMessageKind::CompressedReplicaSync : PeerMessageKind::ReplicaSync,
-            .payload = piece.bytes });
+    PeerEnvelope envelope { membership_.view()->self, membership_.selfIncarnation(),
+        piece.isCompressed ? PeerMessageKind::CompressedReplicaSync : PeerMessageKind::ReplicaSync, piece.bytes };
+    if (push.relay) {
+        const RelayRange range = push.relay->range;
+        envelope.kind = PeerMessageKind::RelayedReplicaSync;
+        envelope.payload = encodeMessage(
+            RelayedDeltaMessage { push.relay->origin.value, range.first, range.last, piece.isCompressed, piece.bytes });
+    }
+    link_->send(push.to, envelope);
 }
 
 void PeerSync::fetch(const FetchDelta& fetch)
--- a/Source/Forwarder/PeerSync.h
+++ b/Source/Forwarder/PeerSync.h
@@ -71,6 +71,7 @@
         ForwarderMetrics&, Handler, ReplicaSyncSettings);
 
     void receive(const PeerEnvelope&, const Endpoint& sender);
+    void receiveRelay(const PeerEnvelope&, TimePoint now);
     void answerFetch(const std::shared_ptr<Http2Exchange>&);
     void perform(const MembershipActions&, TimePoint now);
     void perform(const ReplicaSyncActions&, TimePoint now);
--- a/Source/StoreSync/ReplicaSync.cpp
+++ b/Source/StoreSync/ReplicaSync.cpp
@@ -1,6 +1,7 @@
 #include "StoreSync/ReplicaSync.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace wisteriadock {
@@ -57,6 +58,20 @@
     return actions;
 }
 
+ReplicaSyncActions ReplicaSync::handleRelay(
+    const Relay& incoming, const std::shared_ptr<const DeltaPiece>& piece, TimePoint now)
+{
+    ReplicaSyncActions actions;
+    std::vector<const Member*> receivers = view_ ? othersInZone() : std::vector<const Member*>();
+    std::erase_if(receivers,
+        [&](const Member* member) { return !incoming.range.contains(member->id) || member->id == incoming.origin; });
+    if (!receivers.empty())
+        relay(receivers, incoming.origin, { piece }, actions);
+    // The origin holds everything up to the delta's revision; the balancer that relayed it may have a gap.
+    std::ranges::move(handlePush(incoming.origin, piece->delta, now), std::back_inserter(actions));
+    return actions;
+}
+
 ReplicaSyncActions ReplicaSync::handleAnswer(const std::string& sender, const StoreDelta& delta, TimePoint now)
 {
     fetchDeadline_.reset();
@@ -136,23 +151,35 @@
 // Pushes small updates at once, in as many datagrams as they need, so that they don't wait for a large configuration.
 // Large items are left to be fetched. A lost datagram or an omitted item leaves a gap in the revisions, which the
 // receiver detects.
-void ReplicaSync::push(const StoreDelta& delta, ReplicaSyncActions& actions) const
+void ReplicaSync::push(const StoreDelta& delta, ReplicaSyncActions& actions)
 {
     if (!view_ || delta.isSnapshot)
         return;
     const std::vector<const Member*> others = othersInZone();
     if (others.empty())
         return;
-    auto pieces = splitDelta(delta, replica_, settings_.maxPushBytes, settings_.maxPushes / others.size());
+    const std::size_t targets = std::min(others.size(), settings_.relayFanout + 1);
+    auto pieces = splitDelta(delta, replica_, settings_.maxPushBytes, settings_.maxPushes / targets);
     // Only announces the revision of a delta that needs too many datagrams.
     if (!pieces)
         pieces = DeltaPieces { pieceOf({ delta.to, delta.to, false, delta.isInDoubt, {}, delta.isFresh }) };
+    if (pieces->size() * others.size() > settings_.maxDirectPushes)
+        return relay(others, view_->self, *pieces, actions);
     for (const auto& piece : *pieces) {
         for (const Member* member : others)
             actions.emplace_back(PushDelta { member->peerAddress, piece });
     }
 }
 
+void ReplicaSync::relay(const std::vector<const Member*>& receivers, BalancerId origin, const DeltaPieces& pieces,
+    ReplicaSyncActions& actions)
+{
+    for (const RelayTarget& target : relayTargets(receivers, view_->self, settings_.relayFanout, random_)) {
+        for (const auto& piece : pieces)
+            actions.emplace_back(PushDelta { target.member->peerAddress, piece, Relay { origin, target.range } });
+    }
+}
+
 // Tells some balancers of a large zone that they can fetch from this one. Fetches of the whole zone from its watchers
 // would saturate their links.
 void ReplicaSync::announce(ReplicaSyncActions& actions)
--- a/Source/StoreSync/ReplicaSync.h
+++ b/Source/StoreSync/ReplicaSync.h
@@ -5,6 +5,7 @@
 #include "Core/Identifiers.h"
 #include "Membership/Member.h"
 #include "StoreSync/DeltaPieces.h"
+#include "StoreSync/RelayTree.h"
 #include "StoreSync/StoreDelta.h"
 #include "StoreSync/StoreReplica.h"
 
@@ -47,14 +48,21 @@
     // Largest datagram that is pushed, in bytes of payload. A larger delta is split and compressed, and an update
     // larger than this is fetched by the receiver.
     std::size_t maxPushBytes = 1100;
-    // Most datagrams sent for one delta. Above it only its revision is announced, and receivers fetch the delta.
+    // Most datagrams that a balancer sends for one delta. Above it only its revision is announced, and receivers fetch
+    // the delta.
     std::size_t maxPushes = 400;
+    // Up to this many datagrams are sent to their receivers directly. More would take too much of one balancer's link,
+    // so they are relayed: each balancer sends them to relayFanout others, which pass them on.
+    std::size_t maxDirectPushes = 64;
+    std::size_t relayFanout = 4;
 };
 
-// Send the piece to this balancer as one datagram.
+// Send the piece to this balancer as one datagram. If there is a relay, the receiver passes it to handleRelay(),
+// otherwise to handlePush().
 struct PushDelta {
     Endpoint to;
     std::shared_ptr<const DeltaPiece> piece;
+    std::optional<Relay> relay {};
 };
 
 // Request all changes after the revision from this balancer. Pass the answer to handleAnswer(), or call
@@ -96,6 +104,8 @@
     ReplicaSyncActions handleStoreDelta(const StoreDelta&, TimePoint now, bool isForOthers = true);
     // A delta that another balancer pushed.
     ReplicaSyncActions handlePush(BalancerId sender, const StoreDelta&, TimePoint now);
+    // A delta that another balancer relayed. It is passed on to the range of the relay.
+    ReplicaSyncActions handleRelay(const Relay&, const std::shared_ptr<const DeltaPiece>&, TimePoint now);
     // The outcome of the fetch in progress; sender is the name of the balancer that answered.
     ReplicaSyncActions handleAnswer(const std::string& sender, const StoreDelta&, TimePoint now);
     ReplicaSyncActions handleFetchFailure(TimePoint now);
@@ -126,7 +136,8 @@
     // The changes since the former revision that a snapshot, merged just now, has brought; the snapshot itself if this
     // replica was empty before.
     StoreDelta changesInSnapshot(const StoreDelta& snapshot, std::uint64_t formerRevision, TimePoint now) const;
-    void push(const StoreDelta&, ReplicaSyncActions&) const;
+    void push(const StoreDelta&, ReplicaSyncActions&);
+    void relay(const std::vector<const Member*>& receivers, BalancerId origin, const DeltaPieces&, ReplicaSyncActions&);
     void announce(ReplicaSyncActions&);
     void announceToUninformed(ReplicaSyncActions&);
     Duration fetchDelay(bool hasSourceInZone) const;
--- a/Source/StoreSync/StoreReplica.cpp
+++ b/Source/StoreSync/StoreReplica.cpp
@@ -22,6 +22,9 @@
     // revisions get the whole value.
     constexpr std::size_t maxPatches = 16;
 
+    // Deltas remembered beyond a gap. Later ones are merged, but count only after a fetch.
+    constexpr std::size_t maxAheadRanges = 256;
+
     std::uint32_t millisecondsBetween(TimePoint then, TimePoint now)
     {
         const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - then);
@@ -68,14 +71,28 @@
     }
     for (const ValuePatch& patch : delta.patches)
         lacksPatchBase_ |= !mergePatch(patch, now, changed);
-    const bool isConsecutive = delta.isSnapshot || delta.completeFrom() <= completeTo_;
-    if (isConsecutive && !lacksPatchBase_)
-        completeTo_ = std::max(completeTo_, delta.to);
+    if (!lacksPatchBase_)
+        extendCompleteness(delta.isSnapshot ? 0 : delta.completeFrom(), delta.to);
     // Receivers apply changes in the order in which the store made them.
     std::ranges::stable_sort(changed, {}, &StoreUpdate::revision);
     return changed;
 }
 
+// Datagrams overtake each other, so a delta may arrive before the one that it follows.
+void StoreReplica::extendCompleteness(std::uint64_t from, std::uint64_t to)
+{
+    if (from > completeTo_) {
+        if (aheadRanges_.size() < maxAheadRanges)
+            aheadRanges_.insert({ from, to });
+        return;
+    }
+    completeTo_ = std::max(completeTo_, to);
+    while (!aheadRanges_.empty() && aheadRanges_.begin()->first <= completeTo_) {
+        completeTo_ = std::max(completeTo_, aheadRanges_.begin()->second);
+        aheadRanges_.erase(aheadRanges_.begin());
+    }
+}
+
 void StoreReplica::removeMissing(const StoreDelta& delta, TimePoint now, Updates& changed)
 {
     absl::flat_hash_set<std::string> present;
--- a/Source/StoreSync/StoreReplica.h
+++ b/Source/StoreSync/StoreReplica.h
@@ -8,7 +8,9 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace wisteriadock {
@@ -30,7 +32,8 @@
         Patched, // Patches to the value that the receiver holds, where the replica still has them.
     };
 
-    // Merges a delta of another balancer. After a gap its updates are merged as well, but completeTo() stays.
+    // Merges a delta of another balancer. After a gap its updates are merged as well, but completeTo() stays until the
+    // gap is closed.
     Updates merge(const StoreDelta&, TimePoint now);
     // Merges a delta of the store, which holds whole values, and makes patches of large values for other balancers.
     Updates mergeFromStore(const StoreDelta&, TimePoint now);
@@ -63,6 +66,7 @@
     enum class PatchCreation { No, Yes };
 
     Updates mergeAll(const StoreDelta&, TimePoint now, PatchCreation);
+    void extendCompleteness(std::uint64_t from, std::uint64_t to);
     void removeMissing(const StoreDelta&, TimePoint now, Updates&);
     bool mergeItem(const StoreUpdate&, TimePoint now, PatchCreation);
     bool mergePatch(const ValuePatch&, TimePoint now, Updates&);
@@ -72,6 +76,8 @@
 
     absl::flat_hash_map<std::string, Row> rows_;
     std::uint64_t completeTo_ = 0;
+    // Ranges of revisions beyond a gap of which the replica has all changes.
+    std::set<std::pair<std::uint64_t, std::uint64_t>> aheadRanges_;
     // The highest revision of a removal that was dropped.
     std::uint64_t droppedRemovalsTo_ = 0;
     bool lacksPatchBase_ = false;
--- a/Source/Wire/PeerMessage.cpp
+++ b/Source/Wire/PeerMessage.cpp
@@ -18,6 +18,7 @@
         { PeerMessageKind::Request, "request" },
         { PeerMessageKind::ReplicaSync, "news" },
         { PeerMessageKind::CompressedReplicaSync, "compressed_news" },
+        { PeerMessageKind::RelayedReplicaSync, "relayed_news" },
     });
 
     bool isKnown(PeerMessageKind kind)
--- a/Source/Wire/PeerMessage.h
+++ b/Source/Wire/PeerMessage.h
@@ -35,10 +35,11 @@
     Request = 8,
     ReplicaSync = 9, // Contents of the platform's store, which balancers pass on to each other.
     CompressedReplicaSync = 10, // The same, compressed. Balancers of earlier versions drop it and fetch the contents.
+    RelayedReplicaSync = 11, // The same, to be passed on by the receiver. Earlier versions drop it, too.
 };
 
 // One more than the highest kind; the size of arrays indexed by kind.
-inline constexpr std::size_t peerMessageKinds = 11;
+inline constexpr std::size_t peerMessageKinds = 12;
 
 std::string_view nameOf(PeerMessageKind);
 
--- a/Tests/StoreSync/FleetSimulation.cpp
+++ b/Tests/StoreSync/FleetSimulation.cpp
@@ -217,8 +217,12 @@
                 continue;
             schedule(messageLatency, [this, self, push = *push] {
                 for (std::size_t to = 0; to < balancers_.size(); ++to) {
-                    if (balancers_[to].id.value == push.to.address && !balancers_[to].isFrozen)
-                        perform(to, balancers_[to].sync->handlePush(self, push.piece->delta, now()));
+                    if (balancers_[to].id.value != push.to.address || balancers_[to].isFrozen)
+                        continue;
+                    ReplicaSync& sync = *balancers_[to].sync;
+                    perform(to,
+                        push.relay ? sync.handleRelay(*push.relay, push.piece, now())
+                                   : sync.handlePush(self, push.piece->delta, now()));
                 }
             });
         } else if (const auto* fetch = std::get_if<FetchDelta>(&action)) {
--- a/Tests/StoreSync/ServerSpreadTest.cpp
+++ b/Tests/StoreSync/ServerSpreadTest.cpp
@@ -28,12 +28,13 @@
 
     void registerServers(SlowLinkSimulation& fleet, std::size_t count, std::size_t perSecond)
     {
-        constexpr std::size_t roundsPerSecond = 10;
+        constexpr auto round = 100ms;
+        const std::size_t perRound = perSecond * static_cast<std::size_t>(round / 1ms) / 1000;
         std::mt19937_64 random(1);
         for (std::size_t number = 0; number < count; ++number) {
             fleet.write(fmt::format("servers/i-{:010x}", random() % (1ULL << 40U)), entryText(number, random));
-            if ((number + 1) % (perSecond / roundsPerSecond) == 0)
-                fleet.advance(1s / roundsPerSecond);
+            if ((number + 1) % perRound == 0)
+                fleet.advance(round);
         }
     }
 
@@ -52,6 +53,22 @@
         EXPECT_LT(fleet.takeMaxPeerBytes() / (servers / perSecond), maxPeerBytesPerSecond);
     }
 
+    // Guards against a zone in which each balancer fetches from the watcher what thousands of servers register.
+    TEST(ServerSpreadTest, ThousandsOfServersRegisterWithoutOverloadingTheWatcher)
+    {
+        constexpr std::size_t servers = 4000;
+        constexpr std::size_t perSecond = 1000;
+        SlowLinkSimulation fleet(1, { { 10, 200 }, { 187, 20 } });
+        fleet.writeConfiguration(1, configurationText(1, 250, 0));
+        fleet.advance(5s);
+        fleet.setGossipInterval(10s);
+        fleet.takeMaxPeerBytes();
+        registerServers(fleet, servers, perSecond);
+        fleet.advance(knownWithin);
+        EXPECT_EQ(fleet.balancersBehind(), 0U);
+        EXPECT_LT(fleet.takeMaxPeerBytes() / (servers / perSecond), maxPeerBytesPerSecond);
+    }
+
 }
 
 }
--- a/Tests/StoreSync/SlowLinkSimulation.cpp
+++ b/Tests/StoreSync/SlowLinkSimulation.cpp
@@ -238,7 +238,11 @@
     });
     for (const Datagram& datagram : due) {
         const BalancerId sender = balancers_[datagram.from].member.id;
-        perform(datagram.to, balancers_[datagram.to].sync->handlePush(sender, datagram.delta, clock_.now()));
+        ReplicaSync& sync = *balancers_[datagram.to].sync;
+        const PushDelta& push = datagram.push;
+        perform(datagram.to,
+            push.relay ? sync.handleRelay(*push.relay, push.piece, clock_.now())
+                       : sync.handlePush(sender, push.piece->delta, clock_.now()));
     }
 }
 
@@ -373,7 +377,7 @@
             const auto queueDelay
                 = std::chrono::duration<double>(balancer.queuedDatagramBytes / balancer.bytesPerSecond);
             const TimePoint at = clock_.now() + messageLatency + std::chrono::duration_cast<Duration>(queueDelay);
-            datagrams_.push_back({ at, index, to, push->piece->delta });
+            datagrams_.push_back({ at, index, to, *push });
         } else {
             const auto& fetch = std::get<FetchDelta>(action);
             // The daemon has one fetch at a time: a new one cancels the former.
--- a/Tests/StoreSync/SlowLinkSimulation.h
+++ b/Tests/StoreSync/SlowLinkSimulation.h
@@ -87,7 +87,7 @@
         TimePoint at;
         std::size_t from = 0;
         std::size_t to = 0;
-        StoreDelta delta;
+        PushDelta push;
     };
 
     struct Watch {
--- a/Tests/StoreSync/StoreReplicaTest.cpp
+++ b/Tests/StoreSync/StoreReplicaTest.cpp
@@ -53,6 +53,24 @@
         EXPECT_EQ(replica.completeTo(), 22U);
     }
 
+    // Guards against fetching what has arrived already because datagrams overtook each other.
+    TEST_F(StoreReplicaTest, DeltasInAnyOrderMakeItComplete)
+    {
+        const std::vector<StoreDelta> deltas { delta(10, 12, { item("a", "1", 12) }), delta(12, 15, {}),
+            delta(14, 20, { item("b", "1", 17) }), delta(20, 21, { item("a", "2", 21) }) };
+        std::vector<std::size_t> order { 0, 1, 2, 3 };
+        do {
+            StoreReplica each;
+            each.merge(snapshot(10, {}), clock.now());
+            for (std::size_t i = 0; i < order.size(); ++i) {
+                EXPECT_LT(each.completeTo(), 21U);
+                each.merge(deltas[order[i]], clock.now());
+            }
+            EXPECT_EQ(each.completeTo(), 21U);
+            EXPECT_EQ(each.deltaSince(0, clock.now()).items.size(), 2U);
+        } while (std::ranges::next_permutation(order).found);
+    }
+
     // Guards against going back to an older configuration when a stale listing or an old push arrives.
     TEST_F(StoreReplicaTest, OlderStateNeverReplacesNewerState)
     {
