Forwarder: Compress answers to fetches and keep them for a moment

Change: answers travel compressed where the asking balancer says that it accepts that (accept-encoding), and the last four are kept for a second. What is sent and read moved from PeerSync into FetchProtocol, so that it is tested without a network. A request without a revision gets 404; it was answered with everything before.

Measured: 1,000 entries take less than a quarter of the bytes (FetchProtocolTest).

--- a/Source/Forwarder/PeerSync.cpp
+++ b/Source/Forwarder/PeerSync.cpp
@@ -5,17 +5,12 @@
 #include <boost/asio/post.hpp>
 #include <fmt/format.h>
 
-#include <charconv>
 #include <utility>
 
 namespace wisteriadock {
 
 namespace {
 
-    // A fetch requests this path followed by the revision after which changes are wanted.
-    constexpr std::string_view deltaPath = "/news/";
-    // Sent by balancers that accept patches of large values. Earlier versions neither send nor read it.
-    constexpr const char* acceptsPatchesHeader = "wisteriadock-takes-patches";
     constexpr std::chrono::milliseconds connectTimeout { 800 };
     // Limit for a whole answer, even while its bytes keep arriving. ReplicaSync abandons a stalled one sooner.
     constexpr std::chrono::milliseconds fetchTimeout { 4000 };
@@ -71,6 +66,7 @@
     , membership_({}, self, seed, Clock::now())
     , watcherRole_({ .counts = watcherCounts })
     , replicaSync_(self.availabilityZone, seed, settings)
+    , fetchAnswers_(replicaSync_.replica())
 {
 }
 
@@ -129,6 +125,7 @@
     perform(membership_.tick(now), now);
     membersLog_.tick(*membership_.view(), membership_.isSettled(now), now);
     noteFetchProgress(now);
+    fetchAnswers_.tick(now);
     perform(replicaSync_.tick(now), now);
     logLag(now);
 }
@@ -242,23 +239,8 @@
 
 void PeerSync::answerFetch(const std::shared_ptr<Http2Exchange>& exchange)
 {
-    const std::string& path = exchange->request().path;
-    std::uint64_t after = 0;
-    const char* end = path.data() + path.size();
-    const bool isKnown
-        = path.starts_with(deltaPath) && std::from_chars(path.data() + deltaPath.size(), end, after).ptr == end;
-    HttpResponse response;
-    if (!isKnown) {
-        response.status = 404;
-        exchange->respond(std::move(response));
-        return;
-    }
-    const auto encoding = exchange->request().header(acceptsPatchesHeader).empty() ? StoreReplica::Encoding::Full
-                                                                                   : StoreReplica::Encoding::Patched;
-    const std::vector<std::uint8_t> body
-        = encodeMessage(replicaSync_.replica().deltaSince(after, Clock::now(), encoding));
-    response.body.assign(body.begin(), body.end());
-    ++fetchesServed_;
+    HttpResponse response = fetchAnswers_.answer(exchange->request(), Clock::now());
+    fetchesServed_ += response.status == 200;
     exchange->respond(std::move(response));
 }
 
@@ -327,13 +309,8 @@
     ++fetchNumber_;
     fetchClient_ = std::make_unique<Http2Client>(context_, fetch.address, fetchLimits());
     fetchReceivedBytes_ = 0;
-    HttpRequest request;
-    request.path = fmt::format("{}{}", deltaPath, fetch.after);
-    request.authority = fetch.address.toString();
-    if (fetch.encoding == StoreReplica::Encoding::Patched)
-        request.headers.push_back({ acceptsPatchesHeader, "1" });
     fetchClient_->send(
-        std::move(request), now + fetchTimeout, [this, source, number = fetchNumber_](const HttpOutcome& outcome) {
+        fetchRequest(fetch), now + fetchTimeout, [this, source, number = fetchNumber_](const HttpOutcome& outcome) {
             if (number == fetchNumber_)
                 handleFetchOutcome(source, outcome);
         });
@@ -353,9 +330,7 @@
         perform(replicaSync_.handleFetchFailure(now), now);
         return;
     }
-    const std::string& body = outcome.value().body;
-    const auto delta = decodeMessage<StoreDelta>(
-        std::span(reinterpret_cast<const std::uint8_t*>(body.data()), body.size()), maxDeltaBytes);
+    const auto delta = deltaOf(outcome.value());
     if (!delta) {
         metrics_.countFetch("unreadable");
         log_.write(LogLevel::Error, "news", "fetch_unreadable",
@@ -368,7 +343,7 @@
         Event()
             .add("source", source)
             .add("after_ms", now - fetchSentAt_)
-            .add("bytes", std::uint64_t(body.size()))
+            .add("bytes", std::uint64_t(outcome.value().body.size()))
             .add("items", std::uint64_t(delta.value().items.size()))
             .add("patches", std::uint64_t(delta.value().patches.size()))
             .add("from", delta.value().completeFrom())
--- a/Source/Forwarder/PeerSync.h
+++ b/Source/Forwarder/PeerSync.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Core/EventLog.h"
+#include "Forwarder/FetchProtocol.h"
 #include "Forwarder/ForwarderMetrics.h"
 #include "Forwarder/MembersLog.h"
 #include "Forwarder/TrafficReport.h"
@@ -92,6 +93,7 @@
     Membership membership_;
     WatcherRole watcherRole_;
     ReplicaSync replicaSync_;
+    FetchAnswers fetchAnswers_;
     std::unique_ptr<PeerSocket> link_;
     std::unique_ptr<Http2Server> server_;
     std::unique_ptr<Http2Client> fetchClient_;
--- /dev/null
+++ b/Tests/Forwarder/FetchProtocolTest.cpp
@@ -0,0 +1,88 @@
+#include "Forwarder/FetchProtocol.h"
+
+#include <gtest/gtest.h>
+
+#include <fmt/format.h>
+
+#include <random>
+
+namespace wisteriadock {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    struct FetchProtocolTest : testing::Test {
+        ManualClock clock;
+        StoreReplica replica;
+        FetchAnswers answers { replica };
+
+        FetchProtocolTest()
+        {
+            StoreDelta listing { 0, 1001, true, false, {} };
+            for (std::uint64_t revision = 2; revision <= 1001; ++revision) {
+                const std::string text = fmt::format(
+                    R"({{"service":"tryon","address":"10.1.{}.7:8080","zone":"walu","state":"ready"}})", revision);
+                listing.items.push_back({ fmt::format("servers/i-{:010x}", revision * 7919), text, revision, false });
+            }
+            replica.merge(listing, clock.now());
+        }
+
+        static HttpRequest requestAfter(std::uint64_t revision)
+        {
+            return fetchRequest(
+                { BalancerId { 1 }, { 0x0A000001, 7000 }, revision, StoreReplica::Encoding::Patched });
+        }
+    };
+
+    // Guards against answers that carry the whole text of thousands of similar entries to each balancer.
+    TEST_F(FetchProtocolTest, AnswerIsCompressedForWhomAcceptsIt)
+    {
+        const HttpResponse compressed = answers.answer(requestAfter(0), clock.now());
+        HttpRequest old = requestAfter(0);
+        std::erase_if(old.headers, [](const HttpHeader& header) { return header.name == "accept-encoding"; });
+        const HttpResponse plain = answers.answer(old, clock.now());
+        EXPECT_LT(compressed.body.size() * 4, plain.body.size());
+        for (const HttpResponse& response : { compressed, plain }) {
+            const auto delta = deltaOf(response);
+            ASSERT_TRUE(delta);
+            EXPECT_TRUE(delta.value().isSnapshot);
+            EXPECT_EQ(delta.value().items.size(), 1000U);
+        }
+    }
+
+    TEST_F(FetchProtocolTest, KeptAnswersAreNotUsedAfterAChange)
+    {
+        const auto itemsAfter = [&](std::uint64_t revision) {
+            return deltaOf(answers.answer(requestAfter(revision), clock.now())).value().items.size();
+        };
+        EXPECT_EQ(itemsAfter(1000), 1U);
+        EXPECT_EQ(itemsAfter(1000), 1U);
+        EXPECT_EQ(itemsAfter(999), 2U);
+        replica.merge({ 1001, 1002, false, false, { { "servers/i-1", "x", 1002, false } } }, clock.now());
+        EXPECT_EQ(itemsAfter(1000), 2U);
+        clock.advance(2s);
+        answers.tick(clock.now());
+        EXPECT_EQ(itemsAfter(1000), 2U);
+    }
+
+    TEST_F(FetchProtocolTest, OtherRequestsAndCorruptAnswersAreRejected)
+    {
+        for (const char* path : { "/", "/news/", "/news/x", "/news/1x", "/news/-1", "/news/99999999999999999999999" }) {
+            HttpRequest request;
+            request.path = path;
+            EXPECT_EQ(answers.answer(request, clock.now()).status, 404) << path;
+        }
+        EXPECT_FALSE(deltaOf({ 503, {}, {} }));
+        const HttpResponse good = answers.answer(requestAfter(0), clock.now());
+        std::mt19937 random(1);
+        for (int i = 0; i < 2000; ++i) {
+            HttpResponse corrupt = good;
+            corrupt.body.resize(random() % corrupt.body.size());
+            EXPECT_FALSE(deltaOf(corrupt));
+        }
+    }
+
+}
+
+}
