StoreSync: Leave a listing of many pages to few readers of each zone

Cause: whether a first listing is left to peers was judged by the page in progress. A page of 500 entries takes a link of 20 Mbit/s 80 ms, so each balancer held itself for fast enough and read all pages over the store's one link: machines times bytes, 985 times 4 MB over 1,000 Mbit/s are 31 s by arithmetic, where recovery may take 18 s. It was judged right while a listing was one page. Those with slow links, besides, kept reading as long as they got half of their own pace, and so took it from the fast ones that the others wait for.

Change: the readers of a zone are those with the fastest links, as many as have 400 Mbit/s together; two where they have 200, twenty where they have 20. Whoever knows better readers leaves a slow listing, and one of several pages after its first page, asks peers at once, and lists again after 2 s, three times at most, since those readers may be kept from the store.

--- a/Source/Forwarder/FetchProtocol.cpp
+++ b/Source/Forwarder/FetchProtocol.cpp
@@ -17,7 +17,8 @@
 
     // A fetch requests this path followed by the revision after which changes are wanted.
     constexpr std::string_view deltaPath = "/news/";
-    // Sent by balancers that accept patches of large values. Earlier versions neither send nor read it, nor the encodings.
+    // Sent by balancers that accept patches of large values. Earlier versions neither send nor read it, nor the
+    // encodings.
     constexpr const char* acceptsPatchesHeader = "wisteriadock-takes-patches";
     constexpr const char* acceptEncodingHeader = "accept-encoding";
     constexpr const char* contentEncodingHeader = "content-encoding";
--- a/Source/Forwarder/FetchProtocol.h
+++ b/Source/Forwarder/FetchProtocol.h
@@ -21,8 +21,8 @@
 // the body is malformed or too large.
 Result<StoreDelta> deltaOf(const HttpResponse&);
 
-// Answers the fetches of other balancers with deltas of the replica, compressed (zstd) if they accept that. Hundreds may
-// ask for the same delta at once, so the last answers are kept for a moment. Used by PeerSync.
+// Answers the fetches of other balancers with deltas of the replica, compressed (zstd) if they accept that. Hundreds
+// may ask for the same delta at once, so the last answers are kept for a moment. Used by PeerSync.
 class FetchAnswers {
 public:
     // The replica must outlive this object.
--- a/Source/Forwarder/Forwarder.h
+++ b/Source/Forwarder/Forwarder.h
@@ -217,7 +217,7 @@
         peerSync_->tick(now);
         storeDriver_.update(peerSync_->replicaSync().replica().completeTo(),
             peerSync_->isWatcher(now) && !lifecycle_.isStopping(), peerSync_->replicaSync().behindSince(), now);
-        storeDriver_.tick(peerSync_->replicaSync().knowsFasterPeer(), now);
+        storeDriver_.tick(peerSync_->replicaSync().knowsBetterReaders(), now);
         router_.noteStoreContact(peerSync_->replicaSync().lastStoreContact());
         router_.setBalancers(
             balancerIdOf(settings_.vm).value, peerSync_->liveBalancersOfZone(), peerSync_->isSettled(now), now);
--- a/Source/Forwarder/StoreFeedDriver.h
+++ b/Source/Forwarder/StoreFeedDriver.h
@@ -36,10 +36,11 @@
         perform(feed_.update(completeTo, shallWatch, behindSince, now));
     }
     void noteContradiction(TimePoint now) { perform(feed_.noteContradiction(now)); }
-    void tick(bool knowsFasterPeer, TimePoint now)
+    void tick(bool knowsBetterReaders, TimePoint now)
     {
+        feed_.setKnowsBetterReaders(knowsBetterReaders);
         if (const auto progress = client_.http().progress())
-            perform(feed_.handlePageProgress(progress->received, progress->total, knowsFasterPeer, now));
+            perform(feed_.handlePageProgress(progress->received, progress->total, now));
         perform(feed_.tick(now));
     }
 
--- a/Source/StoreSync/ReplicaSync.cpp
+++ b/Source/StoreSync/ReplicaSync.cpp
@@ -256,7 +256,21 @@
     return settings_.pushTimeout + jitter_ + (mayFetchSooner ? Duration::zero() : Duration(settings_.otherZoneDelay));
 }
 
-bool ReplicaSync::knowsFasterPeer() const { return view_ && hasFasterPeer(othersInZone()); }
+bool ReplicaSync::knowsBetterReaders() const
+{
+    const Member* self = view_ ? view_->findSelf() : nullptr;
+    if (!self)
+        return false;
+    const std::vector<const Member*> others = othersInZone();
+    const auto rankOf
+        = [](const Member& member) { return std::pair(-bandwidthClassOf(member.linkMegabits), member.id); };
+    std::uint32_t megabitsBefore = 0;
+    for (const Member* member : others) {
+        if (rankOf(*member) < rankOf(*self))
+            megabitsBefore += member->linkMegabits;
+    }
+    return megabitsBefore >= settings_.readerMegabits || hasFasterPeer(others);
+}
 
 bool ReplicaSync::hasFasterPeer(const std::vector<const Member*>& members) const
 {
--- a/Source/StoreSync/ReplicaSync.h
+++ b/Source/StoreSync/ReplicaSync.h
@@ -33,6 +33,9 @@
     // classes (see Member.h).
     std::chrono::milliseconds fasterPeerListingTimeout { 300 };
     int fasterPeerClasses = 3;
+    // When all balancers start together, those of a zone with the fastest links, as many as have this rate together
+    // (Mbit/s), read a long listing of the store, and the others fetch it from them.
+    std::uint32_t readerMegabits = 400;
     // In a zone with at least this many other balancers, each fetch is delayed at random by up to maxJitter, and a
     // balancer that has fetched announces its revision to announcementFanout others. This spreads the load of the
     // watchers.
@@ -125,8 +128,10 @@
     std::optional<TimePoint> behindSince() const { return behindSince_; }
     // When the store last sent this balancer or a watcher of its zone a fresh delta (StoreDelta::isFresh).
     TimePoint lastStoreContact() const { return lastStoreContact_; }
-    // Whether a balancer of the zone has a much faster link than this one (see fasterPeerClasses).
-    bool knowsFasterPeer() const;
+    // Whether others of the zone should read a listing that the store cannot send to all at once: one with a much
+    // faster link (see fasterPeerClasses), or several that precede this one by link and id and have readerMegabits
+    // together.
+    bool knowsBetterReaders() const;
     // The highest revision that another balancer is known to have; 0 when none is known.
     std::uint64_t newestPeerRevision() const;
 
--- a/Source/StoreSync/StoreFeed.cpp
+++ b/Source/StoreSync/StoreFeed.cpp
@@ -63,7 +63,10 @@
     for (const PlatformItem& item : page.value().items)
         listed_.push_back(updateOf(item));
     if (page.value().hasMore && !page.value().items.empty()) {
-        list(now, actions);
+        if (knowsBetterReaders_ && mayCancelListing())
+            leaveListingToPeers(now);
+        else
+            list(now, actions);
         return actions;
     }
     StoreDelta delta { 0, *listRevision_, true, hadRecentOutage(now), std::move(listed_) };
@@ -82,30 +85,42 @@
     return actions;
 }
 
-StoreFeedActions StoreFeed::handlePageProgress(
-    std::uint64_t received, std::uint64_t total, bool knowsFasterPeer, TimePoint now)
+StoreFeedActions StoreFeed::handlePageProgress(std::uint64_t received, std::uint64_t total, TimePoint now)
 {
     StoreFeedActions actions;
     const Duration elapsed = now - pageSentAt_;
-    const bool isFirst = state_ == State::Listing && completeTo_ == 0 && !hasCancelledListing_;
     const bool isSlow = received < linkBytes(elapsed / 2);
-    if (!isFirst || elapsed < settings_.listingCheckDelay || !isSlow || keepsListing(total, knowsFasterPeer))
+    if (!mayCancelListing() || elapsed < settings_.listingCheckDelay || !isSlow || keepsListing(total))
         return actions;
     const double remaining
         = static_cast<double>(total - received) / static_cast<double>(std::max<std::uint64_t>(received, 1));
     if (remaining * elapsed <= Duration(settings_.minRemainingToCancel))
         return actions;
-    hasCancelledListing_ = true;
-    listRevision_.reset();
-    pause(State::PausingBeforeList, settings_.peersTimeout, now);
+    leaveListingToPeers(now);
     actions.emplace_back(CancelListing {});
     return actions;
 }
 
-bool StoreFeed::keepsListing(std::uint64_t bytes, bool knowsFasterPeer) const
+// Only a first listing may be cancelled, since its content can come from others. Without better readers, the second one
+// is read to the end: nobody else may read it.
+bool StoreFeed::mayCancelListing() const
+{
+    const std::uint32_t limit = knowsBetterReaders_ ? settings_.maxCancelledListings : 1;
+    return state_ == State::Listing && completeTo_ == 0 && cancelledListings_ < limit;
+}
+
+void StoreFeed::leaveListingToPeers(TimePoint now)
+{
+    ++cancelledListings_;
+    listed_ = {};
+    listRevision_.reset();
+    pause(State::PausingBeforeList, settings_.peersTimeout, now);
+}
+
+bool StoreFeed::keepsListing(std::uint64_t bytes) const
 {
     const bool isFast = settings_.linkMegabits == 0 || bytes <= linkBytes(settings_.fastLinkListingTime);
-    return isFast || (keepsListingByChance_ && !knowsFasterPeer);
+    return !knowsBetterReaders_ && (isFast || keepsListingByChance_);
 }
 
 // How many bytes this balancer's own link carries in this time.
--- a/Source/StoreSync/StoreFeed.h
+++ b/Source/StoreSync/StoreFeed.h
@@ -40,15 +40,18 @@
     std::chrono::milliseconds maxListingAge { 15000 };
     // The progress of the first listing is checked this long after the request. If it arrives at less than half the
     // rate of this balancer's own link, because the store's link is the bottleneck, and would take longer than
-    // minRemainingToCancel to complete, it is cancelled and its content fetched from peers.
+    // minRemainingToCancel to complete, it is cancelled and its content fetched from peers. Where better readers are
+    // known, a listing of several pages is left to them after its first page.
     std::chrono::milliseconds listingCheckDelay { 150 };
     std::chrono::milliseconds minRemainingToCancel { 500 };
-    // A balancer whose own link carries the listing within this time completes it. Where no faster peer is known, one
-    // balancer in keepListingOneIn, chosen at random, completes it as well, so that others can fetch it from a peer.
+    // While no better readers are known, a balancer whose own link carries the page in progress within this time
+    // completes the listing, and so does one in keepListingOneIn, chosen at random, so that others can fetch it from a
+    // peer.
     std::chrono::milliseconds fastLinkListingTime { 250 };
     std::uint32_t keepListingOneIn = 8;
-    // How long peers are asked before the store is listed again, this time to the end.
+    // How long peers are asked before the store is listed again, and how many listings are cancelled at most.
     std::chrono::milliseconds peersTimeout { 2000 };
+    std::uint32_t maxCancelledListings = 3;
     // Bandwidth of this balancer's link in Mbit/s; 0 when unknown, which counts as fast.
     std::uint32_t linkMegabits = 0;
     // When at least this many entries are removed at once, the removals are in doubt: they may result from an outage
@@ -106,10 +109,11 @@
     StoreFeedActions start(TimePoint now);
     // The outcome of SendList.
     StoreFeedActions handlePage(const Result<PlatformPage>&, TimePoint now);
-    // Bytes of the page in progress, and whether a peer with a much faster link is known. Decides whether to cancel a
-    // slow first listing: when many balancers start together, they share the bandwidth of the store's link.
-    StoreFeedActions handlePageProgress(
-        std::uint64_t received, std::uint64_t total, bool knowsFasterPeer, TimePoint now);
+    // Bytes of the page in progress. Decides whether to cancel a slow first listing: when many balancers start
+    // together, they share the bandwidth of the store's link.
+    StoreFeedActions handlePageProgress(std::uint64_t received, std::uint64_t total, TimePoint now);
+    // Sets whether other balancers should read a long first listing for this one; see ReplicaSync.
+    void setKnowsBetterReaders(bool knowsBetterReaders) { knowsBetterReaders_ = knowsBetterReaders; }
     // The outcome of the SendWatch with this number.
     StoreFeedActions handleChanges(std::uint64_t number, const Result<PlatformChanges>&, TimePoint now);
     // Must be called regularly with the revision up to which the replica is complete, whether this balancer is to watch
@@ -127,7 +131,7 @@
     bool isUnreachable() const { return unreachableSince_.has_value(); }
     bool isWatching() const { return state_ == State::Watching; }
     // The first listing was cancelled and the replica is still empty, so peers are to be asked at once.
-    bool asksPeers() const { return hasCancelledListing_ && completeTo_ == 0; }
+    bool asksPeers() const { return cancelledListings_ > 0 && completeTo_ == 0; }
     // Whether the store is unreachable or was until recently, so removed entries may be registered again soon.
     bool hadRecentOutage(TimePoint now) const;
 
@@ -147,7 +151,9 @@
     };
 
     void list(TimePoint now, StoreFeedActions&);
-    bool keepsListing(std::uint64_t bytes, bool knowsFasterPeer) const;
+    bool mayCancelListing() const;
+    void leaveListingToPeers(TimePoint now);
+    bool keepsListing(std::uint64_t bytes) const;
     std::uint64_t linkBytes(Duration) const;
     void watch(TimePoint now, StoreFeedActions&);
     void watch(std::chrono::milliseconds wait, TimePoint now, StoreFeedActions&);
@@ -186,7 +192,8 @@
     TimePoint pageSentAt_;
     // Whether this balancer is one of those chosen at random to complete a slow listing.
     const bool keepsListingByChance_;
-    bool hasCancelledListing_ = false;
+    std::uint32_t cancelledListings_ = 0;
+    bool knowsBetterReaders_ = false;
     // When a listing that may be stale arrived; none after it was checked.
     std::optional<TimePoint> staleListingAt_;
     // The watch in progress checks that listing.
--- a/Tests/Forwarder/FetchProtocolTest.cpp
+++ b/Tests/Forwarder/FetchProtocolTest.cpp
@@ -30,8 +30,7 @@
 
         static HttpRequest requestAfter(std::uint64_t revision)
         {
-            return fetchRequest(
-                { BalancerId { 1 }, { 0x0A000001, 7000 }, revision, StoreReplica::Encoding::Patched });
+            return fetchRequest({ BalancerId { 1 }, { 0x0A000001, 7000 }, revision, StoreReplica::Encoding::Patched });
         }
     };
 
--- a/Tests/StoreSync/ServerSpreadTest.cpp
+++ b/Tests/StoreSync/ServerSpreadTest.cpp
@@ -69,6 +69,27 @@
         EXPECT_LT(fleet.takeMaxPeerBytes() / (servers / perSecond), maxPeerBytesPerSecond);
     }
 
+    // Guards against a start of all balancers that waits until the store has sent each of them a listing of many pages.
+    TEST(ServerSpreadTest, ThousandsOfServersAreKnownAgainSoonAfterAPowerFailure)
+    {
+        constexpr std::size_t servers = 5000;
+        // The zone's part of the store's link, where nine zones like it start as well.
+        constexpr double storeMegabits = 100;
+        constexpr auto knownAgainWithin = 18s;
+        SlowLinkSimulation fleet(1, { { 10, 200 }, { 187, 20 } });
+        fleet.writeConfiguration(1, configurationText(1, 250, 0));
+        registerServers(fleet, servers, servers);
+        fleet.advance(5s);
+        fleet.setStoreMegabits(storeMegabits);
+        fleet.restartAll();
+        Duration waited {};
+        while (fleet.balancersBehind() > 0 && waited < knownAgainWithin) {
+            fleet.advance(100ms);
+            waited += 100ms;
+        }
+        EXPECT_EQ(fleet.balancersBehind(), 0U);
+    }
+
 }
 
 }
--- a/Tests/StoreSync/SlowLinkSimulation.cpp
+++ b/Tests/StoreSync/SlowLinkSimulation.cpp
@@ -2,6 +2,7 @@
 
 #include "Peers/ConfigurationWatchers.h"
 #include "StoreSync/CompressedValue.h"
+#include "Wire/Compression.h"
 #include "Wire/PeerMessageCodec.h"
 
 #include <fmt/format.h>
@@ -20,7 +21,9 @@
     constexpr auto messageLatency = 2ms;
     constexpr double bytesPerMegabit = 1e6 / 8;
     // The store's link, which all balancers share.
-    constexpr double storeBytesPerSecond = 1000 * bytesPerMegabit;
+    constexpr double storeMegabits = 1000;
+    // Items in a page of a listing.
+    constexpr std::size_t maxPageItems = 500;
     // Overhead in bytes of a datagram, of an answer, and of each item in an answer of the store.
     constexpr double datagramOverhead = 80;
     constexpr double answerOverhead = 300;
@@ -58,6 +61,7 @@
 SlowLinkSimulation::SlowLinkSimulation(std::uint32_t seed, const std::vector<Link>& links)
     : random_(seed)
 {
+    setStoreMegabits(storeMegabits);
     for (const Link& link : links) {
         for (std::size_t i = 0; i < link.balancers; ++i) {
             Balancer balancer;
@@ -77,6 +81,11 @@
         start(i);
 }
 
+void SlowLinkSimulation::setStoreMegabits(double megabitsPerSecond)
+{
+    storeBytesPerSecond_ = megabitsPerSecond * bytesPerMegabit;
+}
+
 void SlowLinkSimulation::start(std::size_t index)
 {
     Balancer& balancer = balancers_[index];
@@ -194,7 +203,7 @@
         if (transfer.from)
             rate = std::min(rate, balancers_[*transfer.from].bytesPerSecond / sending[*transfer.from]);
         else
-            rate = std::min(rate, storeBytesPerSecond / fromStore);
+            rate = std::min(rate, storeBytesPerSecond_ / fromStore);
         const double moved = std::min(transfer.bytesLeft, rate * seconds);
         transfer.bytesLeft -= moved;
         transfer.hasMoved = true;
@@ -288,6 +297,7 @@
         if (transfer.to == index && transfer.isFetch && std::exchange(transfer.hasMoved, false))
             balancer.sync->noteFetchProgress(now);
     }
+    balancer.feed->setKnowsBetterReaders(balancer.sync->knowsBetterReaders());
     reportListingProgress(index);
     balancer.sync->setFetchesImmediately(balancer.feed->asksPeers());
     perform(index, balancer.sync->tick(now));
@@ -307,7 +317,7 @@
     const auto received = static_cast<std::uint64_t>(listing->bytes - listing->bytesLeft);
     const auto total = static_cast<std::uint64_t>(listing->bytes);
     Balancer& balancer = balancers_[index];
-    perform(index, balancer.feed->handlePageProgress(received, total, balancer.sync->knowsFasterPeer(), clock_.now()));
+    perform(index, balancer.feed->handlePageProgress(received, total, clock_.now()));
 }
 
 void SlowLinkSimulation::gossipRevisions()
@@ -332,6 +342,30 @@
     return view;
 }
 
+PlatformPage SlowLinkSimulation::pageAfter(const std::string& key) const
+{
+    PlatformPage page { {}, false, revision_ };
+    for (auto row = items_.upper_bound(key); row != items_.end(); ++row) {
+        if (page.items.size() == maxPageItems) {
+            page.hasMore = true;
+            break;
+        }
+        page.items.push_back(row->second);
+    }
+    return page;
+}
+
+double SlowLinkSimulation::answerSize(const FetchDelta& fetch, const StoreDelta& delta)
+{
+    const auto [row, isNew] = answerSizes_.try_emplace({ fetch.after, delta.to });
+    if (isNew) {
+        const std::vector<std::uint8_t> bytes = encodeMessage(delta);
+        row->second
+            = static_cast<double>(compressBytes({ reinterpret_cast<const char*>(bytes.data()), bytes.size() }).size());
+    }
+    return row->second;
+}
+
 std::size_t SlowLinkSimulation::indexOf(BalancerId id) const
 {
     const auto found = std::ranges::find(balancers_, id, [](const Balancer& balancer) { return balancer.member.id; });
@@ -344,13 +378,11 @@
     for (const StoreFeedAction& action : actions) {
         if (const auto* received = std::get_if<DeltaReceived>(&action)) {
             perform(index, balancer.sync->handleStoreDelta(received->delta, clock_.now()));
-        } else if (std::holds_alternative<SendList>(action)) {
+        } else if (const auto* list = std::get_if<SendList>(&action)) {
             Transfer transfer;
             transfer.to = index;
             transfer.incarnation = balancer.incarnation;
-            transfer.page = PlatformPage { {}, false, revision_ };
-            for (const auto& [key, item] : items_)
-                transfer.page->items.push_back(item);
+            transfer.page = pageAfter(list->call.after);
             transfer.bytes = sizeOf(transfer.page->items);
             transfer.bytesLeft = transfer.bytes;
             transfers_.push_back(std::move(transfer));
@@ -390,7 +422,7 @@
             transfer.isFetch = true;
             transfer.delta
                 = balancers_[*transfer.from].sync->replica().deltaSince(fetch.after, clock_.now(), fetch.encoding);
-            transfer.bytesLeft = answerOverhead + static_cast<double>(encodeMessage(*transfer.delta).size());
+            transfer.bytesLeft = answerOverhead + answerSize(fetch, *transfer.delta);
             transfers_.push_back(std::move(transfer));
         }
     }
--- a/Tests/StoreSync/SlowLinkSimulation.h
+++ b/Tests/StoreSync/SlowLinkSimulation.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace wisteriadock {
@@ -30,6 +31,8 @@
     void writeConfiguration(std::uint64_t version, const std::string& text);
     // Writes another key, such as the entry of a server.
     void write(const std::string& key, const std::string& value);
+    // The share of the store's link that the balancers of this zone have.
+    void setStoreMegabits(double megabitsPerSecond);
     // The store drops its history: watches of earlier revisions fail, and their balancers have to list it again.
     void dropHistory() { droppedTo_ = revision_; }
     // How old the revisions are that membership tells of other balancers; zero at the start.
@@ -111,6 +114,9 @@
     void apply(std::size_t, const ReplicaChanged&);
     std::size_t indexOf(BalancerId) const;
     void gossipRevisions();
+    PlatformPage pageAfter(const std::string& key) const;
+    // The bytes of the answer to a fetch, compressed as they travel.
+    double answerSize(const FetchDelta&, const StoreDelta&);
     std::shared_ptr<const MembersView> viewOf(std::size_t) const;
     void put(PlatformItem);
 
@@ -123,6 +129,9 @@
     std::map<std::string, PlatformItem> items_;
     std::map<std::uint64_t, std::string> texts_;
     std::map<std::uint64_t, TimePoint> writtenAt_;
+    double storeBytesPerSecond_ = 0;
+    // By the revisions that a fetch asks for and gets.
+    std::map<std::pair<std::uint64_t, std::uint64_t>, double> answerSizes_;
     std::uint64_t revision_ = 1;
     // Watches of this and earlier revisions fail; none do at 0.
     std::uint64_t droppedTo_ = 0;
--- a/Tests/StoreSync/StoreFeedTest.cpp
+++ b/Tests/StoreSync/StoreFeedTest.cpp
@@ -302,12 +302,13 @@
         }
 
         // Whether a listing is cancelled of which this many bytes have arrived when it is checked.
-        bool cancelsListing(std::uint64_t received, bool knowsFasterPeer = false)
+        bool cancelsListing(std::uint64_t received, bool knowsBetterReaders = false)
         {
             StoreFeed feed(1, settings);
+            feed.setKnowsBetterReaders(knowsBetterReaders);
             feed.start(clock.now());
             const TimePoint checkedAt = clock.now() + settings.listingCheckDelay;
-            const StoreFeedActions actions = feed.handlePageProgress(received, bytes, knowsFasterPeer, checkedAt);
+            const StoreFeedActions actions = feed.handlePageProgress(received, bytes, checkedAt);
             EXPECT_EQ(feed.asksPeers(), !actions.empty());
             return !actions.empty();
         }
@@ -347,14 +348,44 @@
         StoreFeed feed(1, settings);
         feed.start(clock.now());
         clock.advance(settings.listingCheckDelay);
-        ASSERT_FALSE(feed.handlePageProgress(bytes / 40, bytes, false, clock.now()).empty());
+        ASSERT_FALSE(feed.handlePageProgress(bytes / 40, bytes, clock.now()).empty());
         EXPECT_FALSE(feed.isUnreachable()) << "the store answered";
         clock.advance(settings.peersTimeout);
         const StoreFeedActions again = feed.tick(clock.now());
         ASSERT_EQ(again.size(), 1U);
         EXPECT_TRUE(std::holds_alternative<SendList>(again.front()));
         clock.advance(settings.listingCheckDelay);
-        EXPECT_TRUE(feed.handlePageProgress(bytes / 40, bytes, false, clock.now()).empty());
+        EXPECT_TRUE(feed.handlePageProgress(bytes / 40, bytes, clock.now()).empty());
+    }
+
+    // Guards against a start of thousands of balancers that all read a listing of many pages, each of which is short.
+    TEST_F(SlowLinkStoreFeedTest, ListingOfManyPagesIsLeftToBetterReaders)
+    {
+        PlatformPage first { { { "servers/1", "x", 5 } }, true, 9 };
+        for (const bool knowsBetterReaders : { false, true }) {
+            SCOPED_TRACE(knowsBetterReaders);
+            StoreFeed feed(1, settings);
+            feed.setKnowsBetterReaders(knowsBetterReaders);
+            feed.start(clock.now());
+            EXPECT_EQ(feed.handlePage(first, clock.now()).empty(), knowsBetterReaders);
+            EXPECT_EQ(feed.asksPeers(), knowsBetterReaders);
+        }
+        {
+            SCOPED_TRACE("it is read to the end when they send nothing");
+            StoreFeed feed(1, settings);
+            feed.setKnowsBetterReaders(true);
+            feed.start(clock.now());
+            for (std::uint32_t i = 0; i < settings.maxCancelledListings; ++i) {
+                EXPECT_TRUE(feed.handlePage(first, clock.now()).empty());
+                clock.advance(settings.peersTimeout);
+                EXPECT_EQ(feed.tick(clock.now()).size(), 1U);
+            }
+            EXPECT_EQ(feed.handlePage(first, clock.now()).size(), 1U);
+            PlatformPage last { { { "servers/2", "x", 6 } }, false, 9 };
+            const StoreFeedActions actions = feed.handlePage(last, clock.now());
+            ASSERT_EQ(actions.size(), 1U);
+            EXPECT_EQ(std::get<DeltaReceived>(actions.front()).delta.items.size(), 2U);
+        }
     }
 
     TEST_F(SlowLinkStoreFeedTest, StateReceivedFromPeersIsNotListed)
@@ -362,7 +393,7 @@
         StoreFeed feed(1, settings);
         feed.start(clock.now());
         clock.advance(settings.listingCheckDelay);
-        feed.handlePageProgress(bytes / 40, bytes, false, clock.now());
+        feed.handlePageProgress(bytes / 40, bytes, clock.now());
         feed.update(7, false, std::nullopt, clock.now());
         EXPECT_FALSE(feed.asksPeers());
         clock.advance(settings.peersTimeout);
