StoreReplica: Look for old removals every 10 s

Cause: each tick of 250 ms went through all rows of the replica for removals of more than 120 s ago. Change: a pass every 10 s. Behaviour is the same but for 10 s of 120.

--- a/Source/StoreSync/StoreReplica.cpp
+++ b/Source/StoreSync/StoreReplica.cpp
@@ -14,6 +14,8 @@
 
     // How long removals are kept. Balancers that were disconnected for longer get a snapshot.
     constexpr std::chrono::seconds removalLifetime { 120 };
+    // How often old removals are looked for.
+    constexpr std::chrono::seconds removalSweepInterval { 10 };
 
     // Ages are sent as 32 bits; longer ones count as this one.
     constexpr std::chrono::milliseconds maxAge { std::numeric_limits<std::uint32_t>::max() };
@@ -226,6 +228,10 @@
 
 void StoreReplica::tick(TimePoint now)
 {
+    // A pass over all rows, so it is made seldom.
+    if (now < nextRemovalSweep_)
+        return;
+    nextRemovalSweep_ = now + removalSweepInterval;
     absl::erase_if(rows_, [&](const auto& row) {
         const bool isOld = row.second.item.isRemoved && now - row.second.readAt > removalLifetime;
         if (isOld)
--- a/Source/StoreSync/StoreReplica.h
+++ b/Source/StoreSync/StoreReplica.h
@@ -80,6 +80,7 @@
     std::set<std::pair<std::uint64_t, std::uint64_t>> aheadRanges_;
     // The highest revision of a removal that was dropped.
     std::uint64_t droppedRemovalsTo_ = 0;
+    TimePoint nextRemovalSweep_ = TimePoint::min();
     bool lacksPatchBase_ = false;
 };
 
