StoreSync: Copy less of a listing that arrives

A fetched delta is moved instead of copied, the first listing reserves its rows, and no set of keys is built for an empty replica.

--- a/Benchmarks/ForwarderBenchmark.cpp
+++ b/Benchmarks/ForwarderBenchmark.cpp
@@ -1,7 +1,11 @@
 // Cost of a packet at the forwarder with and without logging: open flows, many openings and floods of invalid packets.
 // Lines beyond the budget of their kind are only counted, which bounds the cost of a flood.
 #include "Forward/ForwardFixture.h"
+#include "Forwarder/FetchProtocol.h"
 #include "Forwarder/ForwarderLog.h"
+#include "Forwarder/StoreUpdateApplier.h"
+#include "Wire/Compression.h"
+#include "Wire/PeerMessageCodec.h"
 #include "platform/Adapter.h"
 
 #include <benchmark/benchmark.h>
@@ -119,6 +123,37 @@
         }
     }
 
+    // A forwarder that has just started receives the entries of this many servers from a balancer and applies them.
+    void firstListing(benchmark::State& state)
+    {
+        const std::array<std::string, 5> zones { "walu", "laucala", "nabua", "samabula", "raiwai" };
+        StoreDelta listing { 0, 1, true, false, {} };
+        for (std::uint64_t i = 1; i <= static_cast<std::uint64_t>(state.range(0)); ++i) {
+            RegisteredServer server = ForwardFixture::server(i * 7919, "tryon", zones[i % zones.size()]);
+            server.startedAt = 1'770'000'000'000 + i;
+            server.softwareVersion = "1.7";
+            listing.items.push_back(
+                { platform::serverKeyOf(server.id), platform::encodeServer(server), ++listing.to, false });
+        }
+        const std::vector<std::uint8_t> bytes = encodeMessage(listing);
+        const std::string compressed
+            = compressBytes({ reinterpret_cast<const char*>(bytes.data()), bytes.size() });
+        for (auto _ : state) {
+            LoggingForwarder forwarder(LogLevel::Info, EventLog::defaultBudget, 0);
+            ForwarderMetrics metrics;
+            StoreUpdateApplier<platform::Adapter> applier(forwarder.router, forwarder.log, metrics);
+            ReplicaSync sync("walu", 1);
+            HttpResponse response { 200, { { "content-encoding", "zstd" } }, compressed };
+            auto delta = deltaOf(response);
+            for (const ReplicaSyncAction& action :
+                sync.handleAnswer("edge-2", std::move(delta).value(), forwarder.clock.now())) {
+                if (const auto* changed = std::get_if<ReplicaChanged>(&action))
+                    applier.apply(*changed, forwarder.clock.now());
+            }
+        }
+        state.counters["bytes"] = static_cast<double>(compressed.size());
+    }
+
     void packetsOfOpenFlows(benchmark::State& state)
     {
         LoggingForwarder forwarder(levelOf(state), EventLog::defaultBudget);
@@ -157,6 +192,7 @@
     BENCHMARK(openingsAmongManyServers)->Arg(200)->Arg(2000)->Arg(10000)->Arg(20000);
     BENCHMARK(ticksAmongManyServers)->Arg(200)->Arg(2000)->Arg(10000)->Arg(20000);
     BENCHMARK(changesAmongManyServers)->Arg(200)->Arg(2000)->Arg(10000)->Arg(20000);
+    BENCHMARK(firstListing)->Arg(300)->Arg(10000)->Unit(benchmark::kMillisecond);
     BENCHMARK(packetsOfOpenFlows)->Arg(0)->Arg(1);
     BENCHMARK(floodOfUnknownTokens)->Arg(0)->Arg(1);
     BENCHMARK(floodOfMalformedPackets)->Arg(0)->Arg(1);
--- a/Source/Forwarder/PeerSync.cpp
+++ b/Source/Forwarder/PeerSync.cpp
@@ -330,7 +330,7 @@
         perform(replicaSync_.handleFetchFailure(now), now);
         return;
     }
-    const auto delta = deltaOf(outcome.value());
+    auto delta = deltaOf(outcome.value());
     if (!delta) {
         metrics_.countFetch("unreadable");
         log_.write(LogLevel::Error, "news", "fetch_unreadable",
@@ -350,7 +350,7 @@
             .add("to", delta.value().to)
             .add("whole", boolName(delta.value().isSnapshot)),
         now);
-    perform(replicaSync_.handleAnswer(source, delta.value(), now), now);
+    perform(replicaSync_.handleAnswer(source, std::move(delta).value(), now), now);
 }
 
 }
--- a/Source/StoreSync/ReplicaSync.cpp
+++ b/Source/StoreSync/ReplicaSync.cpp
@@ -72,20 +72,19 @@
     return actions;
 }
 
-ReplicaSyncActions ReplicaSync::handleAnswer(const std::string& sender, const StoreDelta& delta, TimePoint now)
+ReplicaSyncActions ReplicaSync::handleAnswer(const std::string& sender, StoreDelta delta, TimePoint now)
 {
     fetchDeadline_.reset();
     // The ages in the answer are as of the request. Large answers take seconds to arrive.
-    StoreDelta aged = delta;
     const auto transferTime = std::chrono::duration_cast<std::chrono::milliseconds>(now - fetchStartedAt_);
-    for (StoreUpdate& item : aged.items)
+    for (StoreUpdate& item : delta.items)
         item.ageMilliseconds += static_cast<std::uint32_t>(transferTime.count());
-    for (ValuePatch& patch : aged.patches)
+    for (ValuePatch& patch : delta.patches)
         patch.ageMilliseconds += static_cast<std::uint32_t>(transferTime.count());
-    ReplicaSyncActions actions = reportChanges(sender, aged, replica_.merge(aged, now), now);
+    ReplicaSyncActions actions = reportChanges(sender, delta, replica_.merge(delta, now), now);
     fetchEncoding_ = replica_.lacksPatchBase() ? StoreReplica::Encoding::Full : StoreReplica::Encoding::Patched;
     if (!actions.empty())
-        isWatcher_ ? push(aged, actions) : announce(actions);
+        isWatcher_ ? push(delta, actions) : announce(actions);
     fetchIfBehind(now, actions);
     return actions;
 }
--- a/Source/StoreSync/ReplicaSync.h
+++ b/Source/StoreSync/ReplicaSync.h
@@ -110,7 +110,7 @@
     // A delta that another balancer relayed. It is passed on to the range of the relay.
     ReplicaSyncActions handleRelay(const Relay&, const std::shared_ptr<const DeltaPiece>&, TimePoint now);
     // The outcome of the fetch in progress; sender is the name of the balancer that answered.
-    ReplicaSyncActions handleAnswer(const std::string& sender, const StoreDelta&, TimePoint now);
+    ReplicaSyncActions handleAnswer(const std::string& sender, StoreDelta, TimePoint now);
     ReplicaSyncActions handleFetchFailure(TimePoint now);
     // Bytes of the answer to the fetch in progress arrived.
     void noteFetchProgress(TimePoint now);
--- a/Source/StoreSync/StoreReplica.cpp
+++ b/Source/StoreSync/StoreReplica.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <string_view>
 #include <utility>
 
 namespace wisteriadock {
@@ -67,6 +68,8 @@
         return changed;
     if (delta.isSnapshot)
         removeMissing(delta, now, changed);
+    rows_.reserve(rows_.size() + (rows_.empty() ? delta.items.size() : 0));
+    changed.reserve(changed.size() + delta.items.size());
     for (const StoreUpdate& item : delta.items) {
         if (mergeItem(item, now, creation))
             changed.push_back(rows_.at(item.key).item);
@@ -97,7 +100,9 @@
 
 void StoreReplica::removeMissing(const StoreDelta& delta, TimePoint now, Updates& changed)
 {
-    absl::flat_hash_set<std::string> present;
+    if (rows_.empty())
+        return;
+    absl::flat_hash_set<std::string_view> present(delta.items.size());
     for (const StoreUpdate& item : delta.items)
         present.insert(item.key);
     for (auto& [key, row] : rows_) {
