Membership: State once how often it must be ticked

Three places said three things: under 1 s, each 250 ms, each 100 ms. The bound is half a round (250 ms): a later tick delays the rounds, and one after 1 s counts as a pause of the process. MembershipSettings names it, both daemons are checked against it by the compiler, and a test shows the rate of rounds at and above it.

--- a/Source/Balancer/PeerControl.cpp
+++ b/Source/Balancer/PeerControl.cpp
@@ -14,8 +14,8 @@
     using namespace std::chrono_literals;
 
     constexpr auto tickPeriod = 50ms;
-    // Membership expects a tick every 100 ms.
     constexpr std::uint64_t ticksPerMembershipTick = 2;
+    static_assert(ticksPerMembershipTick * tickPeriod <= MembershipSettings().maxTickPeriod());
     // A starting balancer that gets no answer from the balancers it was told of proceeds alone after this time.
     constexpr auto firstContactTimeout = 4s;
 
--- a/Source/Forwarder/Forwarder.h
+++ b/Source/Forwarder/Forwarder.h
@@ -61,8 +61,8 @@
     }
 
 private:
-    // Membership needs a tick at least every 250 ms. Log lines are flushed at each tick.
-    static constexpr std::chrono::milliseconds tickInterval { 250 };
+    // As long as Membership allows, since each wakeup costs processor time. Log lines are flushed at each tick.
+    static constexpr std::chrono::milliseconds tickInterval = MembershipSettings().maxTickPeriod();
     // Peers are contacted once packets are forwarded, or after this time. The store usually answers first, and callers
     // wait for it after a power failure.
     static constexpr std::chrono::milliseconds firstTickDelay { 60 };
--- a/Source/Forwarder/PeerSync.h
+++ b/Source/Forwarder/PeerSync.h
@@ -41,7 +41,7 @@
     PeerSync& operator=(const PeerSync&) = delete;
 
     void start(TimePoint now);
-    // Call it every 100 to 250 ms.
+    // Must be called at least every MembershipSettings::maxTickPeriod().
     void tick(TimePoint now);
     // A delta that this balancer read from the store.
     void handleStoreDelta(const DeltaReceived&, TimePoint now);
--- a/Source/Membership/Membership.h
+++ b/Source/Membership/Membership.h
@@ -57,7 +57,7 @@
 // The membership protocol: tracks which balancers are alive, at a cost per balancer that does not grow with the size of
 // the fleet. As in SWIM, it probes random members directly and indirectly, and gossip is piggybacked on the heartbeats
 // (docs/design/membership.md). The control loops of balancer and forwarder call it, from one thread at a time: tick()
-// at a fixed period well below MembershipSettings::pauseThreshold, and handle() for each datagram. The caller performs
+// at least every MembershipSettings::maxTickPeriod(), and handle() for each datagram. The caller performs
 // the returned actions in order.
 class Membership {
 public:
--- a/Source/Membership/MembershipSettings.h
+++ b/Source/Membership/MembershipSettings.h
@@ -17,8 +17,10 @@
     // A suspected member has this long to refute the suspicion before it is declared dead. Large fleets, in which
     // gossip takes longer, multiply it by a third of the binary logarithm of their size.
     std::chrono::milliseconds suspicionTimeout { 1000 };
-    // A longer gap between two calls of tick() means that the process was paused. Must exceed the caller's tick period.
+    // A longer gap between two calls of tick() means that the process was paused.
     std::chrono::milliseconds pauseThreshold { 1000 };
+    // tick() must be called at least this often. With longer periods, rounds and timeouts come late.
+    constexpr std::chrono::milliseconds maxTickPeriod() const { return interval / 2; }
     // The view is isolated if no member has answered for this long.
     std::chrono::milliseconds isolatedAfter { 2000 };
     // How long a starting balancer waits for an answer before it counts as alone.
--- a/Tests/Membership/MembershipTest.cpp
+++ b/Tests/Membership/MembershipTest.cpp
@@ -72,6 +72,30 @@
         EXPECT_EQ(network_.view(0).revision, revision);
     }
 
+    // Guards against a caller whose ticks are too rare for the protocol, which would only look slow.
+    TEST(MembershipTickTest, RoundsKeepTheirRateUpToTheLongestTickPeriod)
+    {
+        const MembershipSettings settings;
+        const auto heartbeatsAt = [&](std::chrono::milliseconds tickPeriod) {
+            Member self;
+            self.id = balancerIdOf("walu-1");
+            ManualClock clock;
+            Membership membership(settings, self, 1, clock.now());
+            membership.handle(VmListReceived { { { { 0x0A000002, 7000 }, false } } }, clock.now());
+            std::size_t heartbeats = 0;
+            for (std::chrono::milliseconds elapsed { 0 }; elapsed < 10s; elapsed += tickPeriod) {
+                clock.advance(tickPeriod);
+                heartbeats += membership.tick(clock.now()).size();
+            }
+            return heartbeats;
+        };
+        const std::size_t expected = heartbeatsAt(50ms);
+        EXPECT_GE(expected, 19U);
+        EXPECT_EQ(heartbeatsAt(settings.maxTickPeriod()), expected);
+        EXPECT_LT(heartbeatsAt(settings.maxTickPeriod() * 3), expected);
+        EXPECT_LT(settings.maxTickPeriod() * 3, settings.pauseThreshold) << "a late tick is no pause";
+    }
+
     TEST_F(MembershipTest, LoneBalancerServesAfterStartupTimeout)
     {
         MembershipNetwork alone(2);
