Logs, metrics: Use the words of the glossary

left_out is ejected, back and regained are recovered, emptied is evacuated, taken_back is evacuation_revoked, desperate is last_resort, silent (a count) is unresponsive, log.left_out is log.suppressed; help texts of two metrics say what they count. Settings and times since an answer (silent_ms) keep their names.

--- a/Benchmarks/ForwarderBenchmark.cpp
+++ b/Benchmarks/ForwarderBenchmark.cpp
@@ -136,8 +136,7 @@
                 { platform::serverKeyOf(server.id), platform::encodeServer(server), ++listing.to, false });
         }
         const std::vector<std::uint8_t> bytes = encodeMessage(listing);
-        const std::string compressed
-            = compressBytes({ reinterpret_cast<const char*>(bytes.data()), bytes.size() });
+        const std::string compressed = compressBytes({ reinterpret_cast<const char*>(bytes.data()), bytes.size() });
         for (auto _ : state) {
             LoggingForwarder forwarder(LogLevel::Info, EventLog::defaultBudget, 0);
             ForwarderMetrics metrics;
--- a/Source/Core/EventLog.cpp
+++ b/Source/Core/EventLog.cpp
@@ -294,7 +294,7 @@
     const auto usages = std::exchange(usages_, {});
     for (const auto& [kind, usage] : usages) {
         if (usage.suppressed > 0)
-            writeAdmitted(LogLevel::Warning, "log", "left_out",
+            writeAdmitted(LogLevel::Warning, "log", "suppressed",
                 Event().add("kind", kind).add("count", usage.suppressed).add("budget_per_s", budget_), now);
     }
 }
--- a/Source/Core/EventLog.h
+++ b/Source/Core/EventLog.h
@@ -101,7 +101,7 @@
 // into a LineBuffer. (spdlog rather than log4cxx, because log4cxx takes longer to load and delays the start.)
 //
 // Each kind of event, identified by part and event, may write a limited number of lines per second. Further lines are
-// suppressed, and one "left_out" line per second reports their count, so that a burst of one kind neither costs much
+// suppressed, and one "suppressed" line per second reports their count, so that a burst of one kind neither costs much
 // processor time nor hides other events.
 class EventLog {
 public:
--- a/Source/FlowStory/main.cpp
+++ b/Source/FlowStory/main.cpp
@@ -48,7 +48,8 @@
         if (unreadable > 0)
             fmt::print(stderr, "{} lines could not be read and are left out\n", unreadable);
         if (const std::size_t unwritten = countUnwrittenLines(lines))
-            fmt::print(stderr, "{} lines were not written; log.left_out and log.lines_dropped name them\n", unwritten);
+            fmt::print(
+                stderr, "{} lines were not written; log.suppressed and log.lines_dropped name them\n", unwritten);
         const auto selected = selectFlowLines(std::move(lines),
             { absl::GetFlag(FLAGS_request), absl::GetFlag(FLAGS_flow), absl::GetFlag(FLAGS_server),
                 std::chrono::milliseconds(absl::GetFlag(FLAGS_around_milliseconds)) });
--- a/Source/Forward/TokenRouter.cpp
+++ b/Source/Forward/TokenRouter.cpp
@@ -23,7 +23,7 @@
         { PacketReason::Overloaded, "overloaded" },
         { PacketReason::NoServer, "no_server" },
         { PacketReason::ColdServersFull, "cold_servers_full" },
-        { PacketReason::ZonesEvacuated, "zones_emptied" },
+        { PacketReason::ZonesEvacuated, "zones_evacuated" },
         { PacketReason::NoRoute, "no_route" },
         { PacketReason::NoConfiguration, "no_configuration" },
         { PacketReason::TokenMissing, "token_missing" },
--- a/Source/Forwarder/ForwarderLog.cpp
+++ b/Source/Forwarder/ForwarderLog.cpp
@@ -56,12 +56,12 @@
     if (decision.admission.isRefused)
         event.add("answer_ms", decision.admission.answerTime);
     if (decision.choice.evacuated > 0)
-        event.add("emptied", decision.choice.evacuated);
+        event.add("evacuated", decision.choice.evacuated);
     if (decision.choice.server) {
         event.add("load", static_cast<double>(decision.choice.load)).add("eligible", decision.choice.eligible);
         event.add("failing", static_cast<double>(decision.choice.failingShare));
-        event.add("silent", decision.choice.unresponsive).add("trial", decision.choice.isTrial);
-        event.add("desperate", decision.choice.isLastResort);
+        event.add("unresponsive", decision.choice.unresponsive).add("trial", decision.choice.isTrial);
+        event.add("last_resort", decision.choice.isLastResort);
     }
     log_.writeAdmitted(level, "flow", reason, event, now);
 }
@@ -183,7 +183,7 @@
 
 void ForwarderLog::ejected(const KnownServer& server, TimePoint now)
 {
-    log_.write(LogLevel::Warning, "server", "left_out",
+    log_.write(LogLevel::Warning, "server", "ejected",
         Event()
             .add("server", server.entry.id)
             .add("service", server.entry.service)
@@ -195,7 +195,7 @@
 
 void ForwarderLog::recovered(const KnownServer& server, TimePoint now)
 {
-    log_.write(LogLevel::Info, "server", "back",
+    log_.write(LogLevel::Info, "server", "recovered",
         Event().add("server", server.entry.id).add("service", server.entry.service), now);
 }
 
@@ -213,18 +213,18 @@
 void ForwarderLog::zoneReachability(const ZoneReachabilityChange& change, TimePoint now)
 {
     log_.write(change.hasRecovered ? LogLevel::Info : LogLevel::Warning, "zone",
-        change.hasRecovered ? "regained" : "left_out",
+        change.hasRecovered ? "recovered" : "ejected",
         Event().add("zone", change.availabilityZone).add("failures", change.failures), now);
 }
 
 void ForwarderLog::groupLiveness(const GroupLivenessChange& change, TimePoint now)
 {
     log_.write(change.hasRecovered ? LogLevel::Info : LogLevel::Warning, "servers",
-        change.hasRecovered ? "back" : "left_out",
+        change.hasRecovered ? "recovered" : "ejected",
         Event()
             .add("service", change.service)
             .add("zone", change.availabilityZone)
-            .add("silent", change.unresponsive)
+            .add("unresponsive", change.unresponsive)
             .add("of", change.servers)
             .add("failures", change.failures),
         now);
@@ -240,7 +240,7 @@
         .add("age_ms", Duration(age));
     if (!change.isEvacuated)
         event.add("in_force_ms", change.inForceFor);
-    log_.write(LogLevel::Info, "zone", change.isEvacuated ? "emptied" : "taken_back", event, now);
+    log_.write(LogLevel::Info, "zone", change.isEvacuated ? "evacuated" : "evacuation_revoked", event, now);
 }
 
 }
--- a/Source/Forwarder/ForwarderMetrics.cpp
+++ b/Source/Forwarder/ForwarderMetrics.cpp
@@ -159,12 +159,12 @@
     for (const auto& [key, count] : storeCalls_)
         samples.count("wisteriadock_forwarder_store_calls_total", "Calls to the platform's store by kind and outcome",
             count, { { "call", key.first.c_str() }, { "outcome", key.second.c_str() } });
-    const char* updatesHelp = "Changed keys by who told of them";
+    const char* updatesHelp = "Changed keys of the store by the source of the update";
     samples.count("wisteriadock_forwarder_news_total", updatesHelp, storeUpdates_, { { "source", "store" } });
     samples.count("wisteriadock_forwarder_news_total", updatesHelp, peerUpdates_, { { "source", "balancer" } });
     for (const auto& [outcome, count] : fetches_)
-        samples.count("wisteriadock_forwarder_fetches_total",
-            "News asked of other balancers (asked), and what came of it", count, { { "outcome", outcome.c_str() } });
+        samples.count("wisteriadock_forwarder_fetches_total", "Fetches from other balancers (asked) and their outcomes",
+            count, { { "outcome", outcome.c_str() } });
     const auto addState = [&](const char* what, auto value) {
         samples.gauge("wisteriadock_forwarder_state", "Versions, ages and sizes, by what is measured",
             static_cast<double>(value), { { "of", what } });
@@ -179,7 +179,7 @@
     addState("watching_store", snapshot.isWatching);
     addState("log_lines", snapshot.logLines);
     addState("log_lines_dropped", snapshot.logDropped);
-    addState("log_lines_left_out", snapshot.logSuppressed);
+    addState("log_lines_suppressed", snapshot.logSuppressed);
     addState("peer_bytes", snapshot.peerBytes);
     addState("store_bytes", snapshot.storeBytes);
     addState("servers_failing", snapshot.directory->countFailing());
@@ -191,7 +191,7 @@
             { { "cause", row.cause.data() }, { "direction", "received" } });
     }
     for (const auto& [zone, since] : snapshot.evacuatedZones->all())
-        samples.gauge("wisteriadock_forwarder_emptied_zone", "1 for each zone that operators ordered to be emptied", 1,
+        samples.gauge("wisteriadock_forwarder_evacuated_zone", "1 for each zone that operators have evacuated", 1,
             { { "zone", zone.c_str() } });
     for (const ServerState serverState :
         { ServerState::Ready, ServerState::Draining, ServerState::Doubtful, ServerState::Gone, ServerState::Ended })
--- a/Source/Soak/SoakSchedule.cpp
+++ b/Source/Soak/SoakSchedule.cpp
@@ -42,7 +42,7 @@
         { SoakStepKind::StoreStale, "store_stale" },
         { SoakStepKind::ServerRestarts, "server_starts_again" },
         { SoakStepKind::ForeignEntries, "foreign_entries" },
-        { SoakStepKind::ZoneEvacuated, "zone_emptied" },
+        { SoakStepKind::ZoneEvacuated, "zone_evacuated" },
         { SoakStepKind::ZoneServersRestart, "zone_silent" },
     });
     static_assert(stepNames.rows().size() == soakStepKindCount);
--- a/Tests/Core/EventLogTest.cpp
+++ b/Tests/Core/EventLogTest.cpp
@@ -98,7 +98,7 @@
         clock.advance(1s);
         log.flush(clock.now());
         text = pipe.read();
-        EXPECT_NE(text.find("\"event\":\"left_out\""), std::string::npos);
+        EXPECT_NE(text.find("\"event\":\"suppressed\""), std::string::npos);
         EXPECT_NE(text.find("\"kind\":\"flow.malformed\",\"count\":490,\"budget_per_s\":10"), std::string::npos)
             << text;
     }
