--- a/Source/Forwarder/Forwarder.h
+++ b/Source/Forwarder/Forwarder.h
@@ -217,7 +217,8 @@
         peerSync_->tick(now);
         storeDriver_.update(peerSync_->replicaSync().replica().completeTo(),
             peerSync_->isWatcher(now) && !lifecycle_.isStopping(), peerSync_->replicaSync().behindSince(), now);
-        storeDriver_.tick(peerSync_->replicaSync().knowsBetterReaders(), now);
+        const bool hasSynced = lifecycle_.hasSynced();
+        storeDriver_.tick(!hasSynced && peerSync_->replicaSync().knowsBetterReaders(), now);
         router_.noteStoreContact(peerSync_->replicaSync().lastStoreContact());
         router_.setBalancers(
             balancerIdOf(settings_.vm).value, peerSync_->liveBalancersOfZone(), peerSync_->isSettled(now), now);
@@ -236,7 +237,7 @@
             return;
         }
         flushLog(now);
-        scheduleTick(lifecycle_.hasSynced() ? tickInterval : unsyncedTickInterval);
+        scheduleTick(hasSynced ? tickInterval : unsyncedTickInterval);
     }
 
     // Writes the rest of the lines in chunks, so that a burst does not exceed what the log's reader accepts at once.
--- a/Tests/Forwarder/PeerSyncTest.cpp
+++ b/Tests/Forwarder/PeerSyncTest.cpp
@@ -87,8 +87,9 @@
         Balancer client;
         Balancer server;
 
-        PeerSyncTest()
+        explicit PeerSyncTest(std::size_t maxDirectPushes = ReplicaSyncSettings().maxDirectPushes)
         {
+            settings.maxDirectPushes = maxDirectPushes;
             settings.pushTimeout = 0ms;
             settings.listingTimeout = 0ms;
             settings.answerTimeout = 40ms;
@@ -156,6 +157,51 @@
         }
     }
 
+    // Guards against relayed or compressed datagrams that the receiver cannot read.
+    TEST_F(PeerSyncTest, DeltasArriveInEachFormOfDatagram)
+    {
+        const auto pollBoth = [&] {
+            server.poll();
+            client.poll();
+        };
+        for (Balancer* balancer : { &client, &server })
+            balancer->peerSync->handleStoreDelta({ { 0, 5, true, false, {} } }, Clock::now());
+        std::uint64_t revision = 5;
+        // One small update, and many similar ones that take several compressed datagrams.
+        for (const std::size_t count : { 1U, 300U }) {
+            SCOPED_TRACE(count);
+            client.received.clear();
+            StoreDelta delta { revision, revision + count, false, false, {} };
+            for (std::size_t i = 0; i < count; ++i)
+                delta.items.push_back({ std::string("servers/") + std::to_string(i), std::string(150, 's'), ++revision });
+            server.peerSync->handleStoreDelta({ delta }, Clock::now());
+            waitUntil([&] { return client.peerSync->replicaSync().replica().completeTo() == revision; }, pollBoth);
+            EXPECT_EQ(client.received.size(), count);
+        }
+        EXPECT_EQ(client.fetches("asked"), 0U);
+    }
+
+    struct RelayingPeerSyncTest : PeerSyncTest {
+        RelayingPeerSyncTest()
+            : PeerSyncTest(0)
+        {
+        }
+    };
+
+    TEST_F(RelayingPeerSyncTest, RelayedDeltaArrives)
+    {
+        for (Balancer* balancer : { &client, &server })
+            balancer->peerSync->handleStoreDelta({ { 0, 5, true, false, {} } }, Clock::now());
+        server.peerSync->handleStoreDelta({ { 5, 6, false, false, { { "servers/1", "x", 6 } } } }, Clock::now());
+        waitUntil([&] { return client.peerSync->replicaSync().replica().completeTo() == 6; },
+            [&] {
+                server.poll();
+                client.poll();
+            });
+        EXPECT_EQ(client.received.size(), 1U);
+        EXPECT_EQ(client.fetches("asked"), 0U);
+    }
+
 }
 
 }
