--- a/Source/Forward/ServerSubset.cpp
+++ b/Source/Forward/ServerSubset.cpp
@@ -14,6 +14,8 @@
 
 bool ServerSubset::contains(const RegisteredServer& server) const
 {
+    if (balancers_ < minBalancers)
+        return false;
     // The upper half of a hash, scaled to the number of balancers.
     constexpr int halfBits = 32;
     const std::uint64_t hash = hashPair(server.number, server.startedAt) >> halfBits;
--- a/Tests/Forward/ServerSubsetTest.cpp
+++ b/Tests/Forward/ServerSubsetTest.cpp
@@ -23,9 +23,9 @@
         return ids;
     }
 
-    TEST(ServerSubsetTest, EachServerBelongsToOneBalancer)
+    TEST(ServerSubsetTest, EachServerBelongsToOneBalancerOfALargeZone)
     {
-        for (const std::uint32_t balancers : { 1U, 2U, 28U, 197U }) {
+        for (const std::uint32_t balancers : { 8U, 28U, 197U }) {
             SCOPED_TRACE(balancers);
             const auto ids = idsOf(balancers);
             std::map<std::uint32_t, std::size_t> sizes;
@@ -46,6 +46,16 @@
         }
     }
 
+    TEST(ServerSubsetTest, SmallZoneHasNoSubsets)
+    {
+        for (const std::uint32_t balancers : { 1U, 2U, 7U }) {
+            ServerSubset subset;
+            subset.setBalancers(1000, idsOf(balancers));
+            for (std::uint64_t number = 1; number <= 100; ++number)
+                EXPECT_FALSE(subset.contains(ForwardFixture::server(number)));
+        }
+    }
+
     // Guards against servers that get several times the mean because hundreds of balancers choose without knowing of
     // each other.
     TEST(ServerSubsetTest, BalancersThatSeeFewFlowsSpreadThemEvenly)
