Membership: Let seeds with fast links answer more newcomers at once

Cause: seeds answer 64 greetings and send 64 pages each half second, whatever their link, so of 985 that start together the middle one was in contact after 1.1 s and the last after 3.6 s (whole fleet, all lose power; the same in paused time).

Change: both limits hold for links of 20 Mbit/s and grow with the link; at 200 Mbit/s that is 5% of it.

--- a/Source/Membership/MembershipRounds.cpp
+++ b/Source/Membership/MembershipRounds.cpp
@@ -17,10 +17,12 @@
     ++round_;
     // Keeps a fixed rate unless the caller's ticks are late.
     nextInterval_ = std::max(nextInterval_ + settings_.interval, now + settings_.interval / 2);
-    answersLeft_ = settings_.answersPerInterval;
+    const std::size_t linkFactor
+        = std::max<std::size_t>(1, table_.self().member.linkMegabits / settings_.limitedLinkMegabits);
+    answersLeft_ = settings_.answersPerInterval * linkFactor;
     verificationsLeft_ = settings_.verificationsPerInterval;
     indirectProbesLeft_ = settings_.indirectProbesPerInterval;
-    pagesLeft_ = settings_.pagesPerInterval;
+    pagesLeft_ = settings_.pagesPerInterval * linkFactor;
     gossipBytesLeft_ = settings_.gossipBytesPerInterval;
     antiEntropyRowsLeft_ = settings_.antiEntropyRowsPerInterval;
     detailRequestsLeft_ = settings_.detailRequestsPerInterval;
--- a/Source/Membership/MembershipSettings.h
+++ b/Source/Membership/MembershipSettings.h
@@ -38,7 +38,9 @@
     // Limits per interval.
     std::size_t verificationsPerInterval = 3;
     // When a whole fleet starts at once, all balancers first contact the few addresses of their settings. The limits of
-    // answers and pages bound the bandwidth of those few.
+    // answers and pages bound the bandwidth of those few. They hold for a link of limitedLinkMegabits or less and grow
+    // with the link.
+    std::uint32_t limitedLinkMegabits = 20;
     std::size_t answersPerInterval = 64;
     std::size_t indirectProbesPerInterval = 6;
     std::size_t pagesPerInterval = 64;
--- a/Tests/Membership/MembershipJoinTest.cpp
+++ b/Tests/Membership/MembershipJoinTest.cpp
@@ -19,6 +19,8 @@
     constexpr auto largeFleetJoinTimeLimit = 7500ms;
     // A tenth of a link of 20 Mbit/s.
     constexpr std::uint64_t maxJoiningBytesPerSecond = 250'000;
+    // Callers give up opening a flow 1.4 s after a power failure; until then a balancer must know whom to fetch from.
+    constexpr auto contactTimeLimit = 1s;
 
     class MembershipJoinTest : public testing::Test {
     protected:
@@ -28,6 +30,23 @@
                 network_.addWithSeeds(fmt::format("zone{}", i % availabilityZoneCount), seedCount);
         }
 
+        // The first balancers, which are the seeds, have fast links.
+        void startTogetherWithFastSeeds(std::size_t count)
+        {
+            network_.linkMegabits = 200;
+            startTogether(seedCount);
+            network_.linkMegabits = 20;
+            startTogether(count - seedCount);
+        }
+
+        std::size_t countIsolated() const
+        {
+            std::size_t isolated = 0;
+            for (std::size_t i = 0; i < std::as_const(network_).nodes().size(); ++i)
+                isolated += network_.view(i).isolated;
+            return isolated;
+        }
+
         bool knowsAll(std::size_t observer) const
         {
             return network_.view(observer).members.size() == std::as_const(network_).nodes().size();
@@ -76,6 +95,15 @@
         EXPECT_LT(maxBytesInSecond(), maxJoiningBytesPerSecond);
     }
 
+    // Guards against a start of a large fleet in which most balancers wait for seconds until a seed answers them, and
+    // meanwhile read all of the store over its one link.
+    TEST_F(MembershipJoinTest, ThousandStartingTogetherAreInContactAtOnce)
+    {
+        startTogetherWithFastSeeds(985);
+        EXPECT_TRUE(network_.runUntil([&] { return countIsolated() == 0; }, contactTimeLimit));
+        EXPECT_TRUE(network_.runUntil([&] { return allKnowAll(); }, largeFleetJoinTimeLimit));
+    }
+
     TEST_F(MembershipJoinTest, NewBalancerJoinsLargeFleetInTime)
     {
         startTogether(195);
