Forward: Don't eject servers for openings that waited for the start

Cause: packets wait in the socket's buffer until the routes are known. After a start that takes longer than callers wait, these are openings that their callers have given up; the answers of the servers go nowhere, and 150 ms later each forwarder ejected them, groups and zones as well.

Change: until the first batch that isn't full, openings are forwarded as before, but their servers owe no answer. The test ejects five of five servers without the change.

--- a/Source/Forward/OpeningPolicy.h
+++ b/Source/Forward/OpeningPolicy.h
@@ -75,12 +75,15 @@
     }
     void tick(TimePoint now) { coldStartLimiter_.tick(now); }
 
-    // Records that an opening packet was sent to the server.
-    void noteAttempt(const KnownServer& server, const EvacuatedZones& evacuated, TimePoint now)
+    // Records that an opening packet was sent to the server. Without an answer within the opening timeouts, its group
+    // or zone is ejected if expectsAnswer is set.
+    void noteAttempt(const KnownServer& server, const EvacuatedZones& evacuated, bool expectsAnswer, TimePoint now)
     {
         if (const ColdStartLimit* coldStart = coldStartLimitOf(server.entry.service);
             coldStart && coldUntil(server, *coldStart, evacuated) > now)
             coldStartLimiter_.noteAttempt(server.entry, now);
+        if (!expectsAnswer)
+            return;
         reachability_.noteAttempt(server, now);
         GroupLiveness::noteAttempt(*server.group, now);
     }
--- a/Source/Forward/TokenRouter.cpp
+++ b/Source/Forward/TokenRouter.cpp
@@ -158,8 +158,9 @@
         return refuseChoice(packet, decision.choice, previous);
     decision.reason = previous ? PacketReason::OpenedElsewhere : PacketReason::Opened;
     decision.server = decision.choice.server;
-    policy_.noteAttempt(*decision.choice.server, evacuatedZones_, now);
-    flows_.noteAttempt(packet.ends, *decision.choice.server, packet.acknowledgement, now);
+    policy_.noteAttempt(*decision.choice.server, evacuatedZones_, !havePacketsWaited_, now);
+    if (!havePacketsWaited_)
+        flows_.noteAttempt(packet.ends, *decision.choice.server, packet.acknowledgement, now);
     return decision;
 }
 
--- a/Source/Forward/TokenRouter.h
+++ b/Source/Forward/TokenRouter.h
@@ -111,6 +111,9 @@
     ServerDirectory::Transitions tick(TimePoint now);
 
     PacketDecision route(const TokenPacket&, TimePoint now);
+    // While this is set, the packets have waited for the start of the process. Callers may have given up their
+    // openings, so an unanswered one says nothing about its server.
+    void setPacketsHaveWaited(bool havePacketsWaited) { havePacketsWaited_ = havePacketsWaited; }
 
     // Returns the changes of other zones' reachability since the last call.
     std::vector<ZoneReachabilityChange> takeZoneChanges() { return policy_.takeZoneChanges(); }
@@ -145,6 +148,7 @@
     std::vector<FailingChange> failingChanges_;
     RouteTable routes_;
     std::uint64_t version_ = 0;
+    bool havePacketsWaited_ = false;
 };
 
 }
--- a/Source/Forwarder/TokenPacketPath.h
+++ b/Source/Forwarder/TokenPacketPath.h
@@ -44,7 +44,12 @@
     TokenPacketPath(const TokenPacketPath&) = delete;
     TokenPacketPath& operator=(const TokenPacketPath&) = delete;
 
-    void start() { awaitReadable(); }
+    // Begins with the packets that have waited in the socket's buffer while the process started.
+    void start()
+    {
+        router_.setPacketsHaveWaited(true);
+        awaitReadable();
+    }
 
 private:
     // Limits how long one wakeup delays the other work of the process.
@@ -72,6 +77,8 @@
                 route(index, now);
             if (const unsigned failed = batch_.send(socket_.descriptor()))
                 metrics_.countSendFailures(failed);
+            if (!batch_.isFull())
+                router_.setPacketsHaveWaited(false);
         }
     }
 
--- a/Source/PacketIo/PacketBatch.h
+++ b/Source/PacketIo/PacketBatch.h
@@ -38,6 +38,8 @@
     // their number; 0 when there was none or the socket's receive timeout expired.
     unsigned receive(int descriptor);
     unsigned size() const { return received_; }
+    // Whether more datagrams may be waiting.
+    bool isFull() const { return received_ == capacity; }
     // index must be below size(). Empty for a datagram that was longer than the buffer.
     std::span<const std::uint8_t> datagram(unsigned index) const;
     // The same, for changes in place before the datagram is queued.
--- a/Tests/Forward/TokenRouterTest.cpp
+++ b/Tests/Forward/TokenRouterTest.cpp
@@ -193,6 +193,31 @@
         }
     }
 
+    // Guards against ejecting servers after a start for openings that their callers had given up meanwhile.
+    TEST_F(TokenRouterTest, OpeningsThatWaitedForTheStartEjectNoServer)
+    {
+        for (const bool haveWaited : { false, true }) {
+            SCOPED_TRACE(haveWaited);
+            TokenRouter started(settings());
+            started.applyConfiguration(configuration(3));
+            for (std::uint64_t number = 1; number <= 5; ++number)
+                started.putServer(server(number), number, clock.now());
+            started.setPacketsHaveWaited(haveWaited);
+            for (std::uint32_t caller = 0; caller < 50; ++caller)
+                EXPECT_EQ(started.route(opening(caller), clock.now()).verdict, PacketVerdict::Forward);
+            started.setPacketsHaveWaited(false);
+            clock.advance(200ms);
+            const OpeningChoice choice = started.route(opening(100), clock.now()).choice;
+            EXPECT_EQ(choice.ejected.empty(), haveWaited);
+            EXPECT_EQ(choice.isLastResort, !haveWaited);
+            {
+                SCOPED_TRACE("later ones do");
+                clock.advance(200ms);
+                EXPECT_FALSE(started.route(opening(101), clock.now()).choice.ejected.empty());
+            }
+        }
+    }
+
     TEST_F(TokenRouterTest, FlowsAreForwardedWhileAllServersAreUnresponsive)
     {
         for (std::uint32_t caller = 0; caller < 20; ++caller) {
