StoreSync: Serve fast links first after a start of all

Cause: after all lost power, the two readers of each zone told 40 balancers at once that they can be asked, mostly such with slow links, and these shared the two links: the middle machine of the whole fleet was ready 1.1 s after its readers, the last 1.5 s.

--- a/Source/StoreSync/ReplicaSync.cpp
+++ b/Source/StoreSync/ReplicaSync.cpp
@@ -29,7 +29,7 @@
     if (isForOthers && (!actions.empty() || isConfirmation))
         push(delta.isSnapshot ? changesInSnapshot(delta, formerRevision, now) : delta, actions);
     if (delta.isSnapshot)
-        announceToUninformed(actions);
+        announceToUninformed(SnapshotSource::Store, actions);
     fetchIfBehind(now, actions);
     return actions;
 }
@@ -83,7 +83,9 @@
         patch.ageMilliseconds += static_cast<std::uint32_t>(transferTime.count());
     ReplicaSyncActions actions = reportChanges(sender, delta, replica_.merge(delta, now), now);
     fetchEncoding_ = replica_.lacksPatchBase() ? StoreReplica::Encoding::Full : StoreReplica::Encoding::Patched;
-    if (!actions.empty())
+    if (delta.isSnapshot)
+        announceToUninformed(SnapshotSource::Peer, actions);
+    else if (!actions.empty())
         isWatcher_ ? push(delta, actions) : announce(actions);
     fetchIfBehind(now, actions);
     return actions;
@@ -191,8 +193,10 @@
         actions.emplace_back(PushDelta { others[random_() % others.size()]->peerAddress, announcement });
 }
 
-// Tells balancers with empty replicas that they can fetch from this one. Gossip would tell them later.
-void ReplicaSync::announceToUninformed(ReplicaSyncActions& actions)
+// Tells balancers with empty replicas that they can fetch from this one. Gossip would tell them later. A balancer that
+// has read the store tells those with links as fast as its own, which then serve the slower ones: the whole zone would
+// share the links of the few readers.
+void ReplicaSync::announceToUninformed(SnapshotSource source, ReplicaSyncActions& actions)
 {
     const Member* self = view_ ? view_->findSelf() : nullptr;
     if (!self || replica_.completeTo() == 0)
@@ -200,9 +204,17 @@
     std::vector<const Member*> uninformed = othersInZone();
     std::erase_if(uninformed, [&](const Member* member) { return revisionOf(*member) > 0; });
     std::ranges::shuffle(uninformed, random_);
-    const std::size_t maxAnnouncements
+    const auto isPreferred = [&](const Member* member) {
+        const bool isFast = bandwidthClassOf(member->linkMegabits) >= bandwidthClassOf(self->linkMegabits);
+        return isFast == (source == SnapshotSource::Store);
+    };
+    const auto others = std::ranges::stable_partition(uninformed, isPreferred);
+    const auto preferred = static_cast<std::size_t>(others.begin() - uninformed.begin());
+    std::size_t limit
         = std::max<std::size_t>(settings_.announcementFanout, self->linkMegabits / settings_.megabitsPerUninformedPeer);
-    uninformed.resize(std::min(uninformed.size(), maxAnnouncements));
+    if (preferred > 0)
+        limit = std::min(limit, preferred + settings_.announcementFanout);
+    uninformed.resize(std::min(uninformed.size(), limit));
     const auto announcement = pieceOf({ replica_.completeTo(), replica_.completeTo(), false, false, {} });
     for (const Member* member : uninformed)
         actions.emplace_back(PushDelta { member->peerAddress, announcement });
--- a/Source/StoreSync/ReplicaSync.h
+++ b/Source/StoreSync/ReplicaSync.h
@@ -42,8 +42,8 @@
     std::size_t largeZoneSize = 12;
     std::chrono::milliseconds maxJitter { 500 };
     std::size_t announcementFanout = 4;
-    // A balancer that has read a snapshot announces it to as many balancers with empty replicas as its link has
-    // multiples of this rate (Mbit/s), but at least to announcementFanout. More would compete for its link.
+    // A balancer that has received a snapshot announces it to at most as many balancers with empty replicas as its link
+    // has multiples of this rate (Mbit/s), but at least to announcementFanout. More would compete for its link.
     std::uint32_t megabitsPerUninformedPeer = 5;
     // How long a fetch may go without receiving any bytes before another balancer is asked. Counted from the last
     // bytes, since large answers over slow links take long and starting over delays them further.
@@ -144,7 +144,8 @@
     void push(const StoreDelta&, ReplicaSyncActions&);
     void relay(const std::vector<const Member*>& receivers, BalancerId origin, const DeltaPieces&, ReplicaSyncActions&);
     void announce(ReplicaSyncActions&);
-    void announceToUninformed(ReplicaSyncActions&);
+    enum class SnapshotSource { Store, Peer };
+    void announceToUninformed(SnapshotSource, ReplicaSyncActions&);
     Duration fetchDelay(bool hasSourceInZone) const;
     bool hasFasterPeer(const std::vector<const Member*>&) const;
     std::vector<const Member*> othersInZone() const;
