Membership: Introduce newcomers to the fast members of their zone

Cause: a balancer leaves the first listing of the store to others once it knows faster ones in its zone, but of 985 that start together most learn of one only page by page.

Change: the answer to a newcomer names three members of its zone with the fastest links.

--- a/Source/Membership/MemberTable.cpp
+++ b/Source/Membership/MemberTable.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace wisteriadock {
 
@@ -340,6 +341,27 @@
     return rows;
 }
 
+std::vector<MemberRow> MemberTable::fastestOf(
+    const std::string& availabilityZone, std::size_t count, std::size_t& bytes) const
+{
+    std::vector<const MemberRecord*> members;
+    for (const auto& [id, record] : records_) {
+        if (record.isAlive() && record.member.availabilityZone == availabilityZone)
+            members.push_back(&record);
+    }
+    const std::size_t rows = std::min(count, members.size());
+    const auto isFaster = [](const MemberRecord* a, const MemberRecord* b) {
+        return std::pair(a->member.linkMegabits, b->member.id) > std::pair(b->member.linkMegabits, a->member.id);
+    };
+    std::ranges::partial_sort(members, members.begin() + static_cast<std::ptrdiff_t>(rows), isFaster);
+    std::vector<MemberRow> found;
+    for (std::size_t i = 0; i < rows; ++i) {
+        bytes += bytesOf(members[i]->member, true);
+        found.push_back(rowOf(*members[i], true));
+    }
+    return found;
+}
+
 std::shared_ptr<const MembersView> MemberTable::publish(std::uint64_t revision, bool isolated)
 {
     auto view = std::make_shared<MembersView>();
--- a/Source/Membership/Membership.cpp
+++ b/Source/Membership/Membership.cpp
@@ -158,7 +158,10 @@
     // A sender that is marked dead here has to be told, so that it can refute it.
     if (message.wantsAnswer || !sender->isAlive()) {
         answer(sender->member.peerAddress, sender,
-            { .wantsAnswer = !sender->isAlive(), .withDetails = message.wantsDetails }, now);
+            { .wantsAnswer = !sender->isAlive(),
+                .withDetails = message.wantsDetails,
+                .withZoneRows = message.wantsDetails },
+            now);
     }
     requestPage(now);
 }
--- a/Source/Membership/Membership.h
+++ b/Source/Membership/Membership.h
@@ -91,6 +91,8 @@
         bool wantsDetails = false;
         bool withDetails = false;
         bool withPeerRow = false;
+        // With rows of the members of the receiver's availability zone that have the fastest links.
+        bool withZoneRows = false;
     };
 
     // An indirect probe that this balancer sends for another one.
@@ -134,7 +136,8 @@
     void answer(const Endpoint& to, const MemberRecord* peer, HeartbeatOptions, TimePoint now);
     void sendHeartbeat(const Endpoint& to, const MemberRecord* peer, HeartbeatOptions, TimePoint now);
     void send(const Endpoint& to, PeerMessageKind, std::vector<std::uint8_t> payload);
-    void appendGossip(std::vector<MemberRow>&);
+    // Leaves out this many bytes of the gossip.
+    void appendGossip(std::vector<MemberRow>&, std::size_t bytesUsed);
     void addToProbeOrders(TimePoint now);
     // Publishes a new view if one is due and returns the collected actions.
     MembershipActions finish(TimePoint now, bool endsInterval);
--- a/Source/Membership/MembershipRounds.cpp
+++ b/Source/Membership/MembershipRounds.cpp
@@ -204,13 +204,20 @@
     // The receiver's own row comes first if it has to refute it.
     if (peer && (options.withPeerRow || peer->suspected || !peer->isAlive()))
         message.rows.push_back(rowOf(*peer, false));
-    appendGossip(message.rows);
+    std::size_t zoneBytes = 0;
+    if (peer && options.withZoneRows) {
+        for (MemberRow& row :
+            table_.fastestOf(peer->member.availabilityZone, settings_.zoneRowsForNewcomers, zoneBytes))
+            message.rows.push_back(std::move(row));
+    }
+    appendGossip(message.rows, zoneBytes);
     send(to, PeerMessageKind::Heartbeat, encodeMessage(message));
 }
 
-void Membership::appendGossip(std::vector<MemberRow>& rows)
+void Membership::appendGossip(std::vector<MemberRow>& rows, std::size_t bytesUsed)
 {
-    const std::size_t allowance = std::min(settings_.gossipBytes, gossipBytesLeft_);
+    const std::size_t allowance
+        = std::min(settings_.gossipBytes - std::min(settings_.gossipBytes, bytesUsed), gossipBytesLeft_);
     std::size_t unused = allowance;
     const std::vector<MemberRow> gossip = table_.takeGossip(unused);
     gossipBytesLeft_ -= allowance - unused;
--- a/Source/Membership/MembershipSettings.h
+++ b/Source/Membership/MembershipSettings.h
@@ -57,6 +57,9 @@
     std::chrono::milliseconds minTimeBetweenJoiningCatchUps { 500 };
     // A view is settled if no member was added for this long.
     std::chrono::milliseconds settledAfter { 500 };
+    // A newcomer that contacts this balancer is told this many members of its availability zone, those with the fastest
+    // links. They read the platform's store for the zone when all start at once.
+    std::size_t zoneRowsForNewcomers = 3;
     // Additional members that a joining balancer probes in each interval.
     std::size_t joiningProbesPerInterval = 3;
     // A page that has not arrived within this time is requested again, from another member.
--- a/Tests/Membership/MembershipJoinTest.cpp
+++ b/Tests/Membership/MembershipJoinTest.cpp
@@ -15,6 +15,7 @@
     // A new configuration version must be in force everywhere within 6 s. Half of that is reserved for its
     // distribution, which relies on the members that are known.
     constexpr auto joinTimeLimit = 3s;
+    constexpr std::uint32_t fastLink = 200;
     // Half of the 15 s that larger fleets have for the same.
     constexpr auto largeFleetJoinTimeLimit = 7500ms;
     // A tenth of a link of 20 Mbit/s.
@@ -30,13 +31,28 @@
                 network_.addWithSeeds(fmt::format("zone{}", i % availabilityZoneCount), seedCount);
         }
 
-        // The first balancers, which are the seeds, have fast links.
-        void startTogetherWithFastSeeds(std::size_t count)
+        // Ten balancers of each zone, among them the seeds, have fast links.
+        void startTogetherWithFastLinks(std::size_t count)
         {
-            network_.linkMegabits = 200;
-            startTogether(seedCount);
+            constexpr std::size_t fastBalancers = 10 * availabilityZoneCount;
+            network_.linkMegabits = fastLink;
+            startTogether(fastBalancers);
             network_.linkMegabits = 20;
-            startTogether(count - seedCount);
+            startTogether(count - fastBalancers);
+        }
+
+        // How many balancers know no member of their availability zone with a fast link.
+        std::size_t countWithoutFastPeer() const
+        {
+            std::size_t without = 0;
+            for (std::size_t i = 0; i < std::as_const(network_).nodes().size(); ++i) {
+                const MembersView& view = network_.view(i);
+                const Member& self = *view.findSelf();
+                without += std::ranges::none_of(view.members, [&](const Member& member) {
+                    return member.linkMegabits == fastLink && member.availabilityZone == self.availabilityZone;
+                });
+            }
+            return without;
         }
 
         std::size_t countIsolated() const
@@ -95,12 +111,14 @@
         EXPECT_LT(maxBytesInSecond(), maxJoiningBytesPerSecond);
     }
 
-    // Guards against a start of a large fleet in which most balancers wait for seconds until a seed answers them, and
-    // meanwhile read all of the store over its one link.
+    // Guards against a start of a large fleet in which most balancers wait for seconds until a seed answers them or
+    // until they know a fast one of their zone, and meanwhile read all of the store over its one link.
     TEST_F(MembershipJoinTest, ThousandStartingTogetherAreInContactAtOnce)
     {
-        startTogetherWithFastSeeds(985);
-        EXPECT_TRUE(network_.runUntil([&] { return countIsolated() == 0; }, contactTimeLimit));
+        startTogetherWithFastLinks(985);
+        network_.run(contactTimeLimit);
+        EXPECT_EQ(countIsolated(), 0U);
+        EXPECT_LT(countWithoutFastPeer(), 10U);
         EXPECT_TRUE(network_.runUntil([&] { return allKnowAll(); }, largeFleetJoinTimeLimit));
     }
 
