StoreFeed: Log how listings of the store end

A start of the whole fleet waits for listings, and no line told when one was left to peers or how many pages it took. Behaviour is unchanged.

--- a/Source/Forwarder/Forwarder.h
+++ b/Source/Forwarder/Forwarder.h
@@ -190,6 +190,13 @@
         const TimePoint now = Clock::now();
         if (const auto* received = std::get_if<DeltaReceived>(&action)) {
             peerSync_->handleStoreDelta(*received, now);
+        } else if (const auto* listing = std::get_if<ListingEnded>(&action)) {
+            log_.write(LogLevel::Info, "store", listing->isComplete ? "listed" : "listing_left",
+                Event()
+                    .add("pages", std::uint64_t(listing->pages))
+                    .add("entries", std::uint64_t(listing->entries))
+                    .add("after_ms", listing->took),
+                now);
         } else if (const auto* lost = std::get_if<StoreUnreachable>(&action)) {
             peerSync_->noteStoreReachability(true, now);
             log_.write(LogLevel::Warning, "store", "lost", Event().add("error", lost->error.toString()), now);
--- a/Source/Forwarder/StoreFeedDriver.h
+++ b/Source/Forwarder/StoreFeedDriver.h
@@ -17,8 +17,8 @@
 // hands it the answers and counts the calls in ForwarderMetrics. Forwarder owns it and calls tick() regularly.
 template <typename Adapter> class StoreFeedDriver {
 public:
-    // Called with the actions that StoreFeedDriver does not perform itself: DeltaReceived, StoreUnreachable and
-    // StoreReachable.
+    // Called with the actions that StoreFeedDriver does not perform itself: DeltaReceived, ListingEnded,
+    // StoreUnreachable and StoreReachable.
     using Handler = std::function<void(const StoreFeedAction&)>;
 
     StoreFeedDriver(boost::asio::io_context& context, Endpoint store, std::uint64_t seed, StoreFeedSettings settings,
--- a/Source/StoreSync/StoreFeed.cpp
+++ b/Source/StoreSync/StoreFeed.cpp
@@ -38,8 +38,11 @@
     state_ = State::Listing;
     pageSentAt_ = now;
     pauseUntil_.reset();
-    if (!listRevision_)
+    if (!listRevision_) {
         listed_.clear();
+        listingStartedAt_ = now;
+        pagesReceived_ = 0;
+    }
     const std::string after = listed_.empty() ? std::string() : listed_.back().key;
     actions.emplace_back(SendList { { "", after, mayListStale_ }, settings_.listTimeout });
 }
@@ -60,15 +63,17 @@
     // the watch that starts there returns them.
     if (!listRevision_)
         listRevision_ = page.value().revision;
+    ++pagesReceived_;
     for (const PlatformItem& item : page.value().items)
         listed_.push_back(updateOf(item));
     if (page.value().hasMore && !page.value().items.empty()) {
         if (knowsBetterReaders_ && mayCancelListing())
-            leaveListingToPeers(now);
+            leaveListingToPeers(now, actions);
         else
             list(now, actions);
         return actions;
     }
+    const ListingEnded ended = listingEnded(true, now);
     StoreDelta delta { 0, *listRevision_, true, hadRecentOutage(now), std::move(listed_) };
     delta.isFresh = !mayListStale_ && now >= freshFrom_;
     if (delta.isInDoubt)
@@ -79,6 +84,7 @@
     staleListingAt_ = mayListStale_ ? std::optional(now) : std::nullopt;
     mayListStale_ = false;
     actions.emplace_back(DeltaReceived { std::move(delta) });
+    actions.emplace_back(ended);
     state_ = State::Idle;
     if (isWatcher_)
         watch(now, actions);
@@ -96,7 +102,7 @@
         = static_cast<double>(total - received) / static_cast<double>(std::max<std::uint64_t>(received, 1));
     if (remaining * elapsed <= Duration(settings_.minRemainingToCancel))
         return actions;
-    leaveListingToPeers(now);
+    leaveListingToPeers(now, actions);
     actions.emplace_back(CancelListing {});
     return actions;
 }
@@ -109,8 +115,14 @@
     return state_ == State::Listing && completeTo_ == 0 && cancelledListings_ < limit;
 }
 
-void StoreFeed::leaveListingToPeers(TimePoint now)
+ListingEnded StoreFeed::listingEnded(bool isComplete, TimePoint now) const
+{
+    return { pagesReceived_, listed_.size(), now - listingStartedAt_, isComplete };
+}
+
+void StoreFeed::leaveListingToPeers(TimePoint now, StoreFeedActions& actions)
 {
+    actions.emplace_back(listingEnded(false, now));
     ++cancelledListings_;
     listed_ = {};
     listRevision_.reset();
--- a/Source/StoreSync/StoreFeed.h
+++ b/Source/StoreSync/StoreFeed.h
@@ -84,6 +84,16 @@
     bool isForOthers = true;
 };
 
+// A listing has ended, for the log.
+struct ListingEnded {
+    // Pages and entries that arrived, and the time since the request for the first page.
+    std::uint32_t pages = 0;
+    std::size_t entries = 0;
+    Duration took {};
+    // False if the rest is left to peers.
+    bool isComplete = true;
+};
+
 // The store stopped answering this balancer.
 struct StoreUnreachable {
     Error error;
@@ -94,8 +104,8 @@
     Duration outage { 0 };
 };
 
-using StoreFeedAction
-    = std::variant<SendList, SendWatch, CancelListing, DeltaReceived, StoreUnreachable, StoreReachable>;
+using StoreFeedAction = std::variant<SendList, SendWatch, CancelListing, DeltaReceived, ListingEnded, StoreUnreachable,
+    StoreReachable>;
 using StoreFeedActions = std::vector<StoreFeedAction>;
 
 // Reads the platform's key-value store: lists it once at the start and then, on balancers that are watchers of their
@@ -152,7 +162,8 @@
 
     void list(TimePoint now, StoreFeedActions&);
     bool mayCancelListing() const;
-    void leaveListingToPeers(TimePoint now);
+    void leaveListingToPeers(TimePoint now, StoreFeedActions&);
+    ListingEnded listingEnded(bool isComplete, TimePoint now) const;
     bool keepsListing(std::uint64_t bytes) const;
     std::uint64_t linkBytes(Duration) const;
     void watch(TimePoint now, StoreFeedActions&);
@@ -190,6 +201,8 @@
     // Only the first listing may be stale: it can't replace anything newer.
     bool mayListStale_ = true;
     TimePoint pageSentAt_;
+    TimePoint listingStartedAt_;
+    std::uint32_t pagesReceived_ = 0;
     // Whether this balancer is one of those chosen at random to complete a slow listing.
     const bool keepsListingByChance_;
     std::uint32_t cancelledListings_ = 0;
--- a/Tests/StoreSync/StoreFeedTest.cpp
+++ b/Tests/StoreSync/StoreFeedTest.cpp
@@ -367,8 +367,12 @@
             StoreFeed feed(1, settings);
             feed.setKnowsBetterReaders(knowsBetterReaders);
             feed.start(clock.now());
-            EXPECT_EQ(feed.handlePage(first, clock.now()).empty(), knowsBetterReaders);
+            const StoreFeedActions actions = feed.handlePage(first, clock.now());
+            EXPECT_EQ(only<SendList>(actions) == nullptr, knowsBetterReaders);
+            EXPECT_EQ(actions.size(), 1U);
             EXPECT_EQ(feed.asksPeers(), knowsBetterReaders);
+            if (knowsBetterReaders)
+                EXPECT_FALSE(only<ListingEnded>(actions)->isComplete);
         }
         {
             SCOPED_TRACE("it is read to the end when they send nothing");
@@ -376,15 +380,18 @@
             feed.setKnowsBetterReaders(true);
             feed.start(clock.now());
             for (std::uint32_t i = 0; i < settings.maxCancelledListings; ++i) {
-                EXPECT_TRUE(feed.handlePage(first, clock.now()).empty());
+                EXPECT_EQ(only<SendList>(feed.handlePage(first, clock.now())), nullptr);
                 clock.advance(settings.peersTimeout);
                 EXPECT_EQ(feed.tick(clock.now()).size(), 1U);
             }
             EXPECT_EQ(feed.handlePage(first, clock.now()).size(), 1U);
             PlatformPage last { { { "servers/2", "x", 6 } }, false, 9 };
             const StoreFeedActions actions = feed.handlePage(last, clock.now());
-            ASSERT_EQ(actions.size(), 1U);
-            EXPECT_EQ(std::get<DeltaReceived>(actions.front()).delta.items.size(), 2U);
+            ASSERT_EQ(actions.size(), 2U);
+            EXPECT_EQ(only<DeltaReceived>(actions)->delta.items.size(), 2U);
+            EXPECT_TRUE(only<ListingEnded>(actions)->isComplete);
+            EXPECT_EQ(only<ListingEnded>(actions)->pages, 2U);
+            EXPECT_EQ(only<ListingEnded>(actions)->entries, 2U);
         }
     }
 
