StoreFeed: Stop a listing once peers have told everything

Cause: a balancer that left its first listing lists again after 2 s, and goes on to the end even if a peer tells it everything meanwhile. Change: such a listing, which may be old, ends with the page in progress. The test asks for another page without the change.

--- a/Source/StoreSync/StoreFeed.cpp
+++ b/Source/StoreSync/StoreFeed.cpp
@@ -67,7 +67,9 @@
     for (const PlatformItem& item : page.value().items)
         listed_.push_back(updateOf(item));
     if (page.value().hasMore && !page.value().items.empty()) {
-        if (knowsBetterReaders_ && mayCancelListing())
+        if (!needsListing())
+            abandonListing(now, actions);
+        else if (knowsBetterReaders_ && mayCancelListing())
             leaveListingToPeers(now, actions);
         else
             list(now, actions);
@@ -91,6 +93,19 @@
     return actions;
 }
 
+// Other balancers may have sent everything while the store was slow or did not answer.
+bool StoreFeed::needsListing() const { return completeTo_ == 0 || !mayListStale_; }
+
+void StoreFeed::abandonListing(TimePoint now, StoreFeedActions& actions)
+{
+    actions.emplace_back(listingEnded(false, now));
+    listed_ = {};
+    listRevision_.reset();
+    state_ = State::Idle;
+    if (isWatcher_)
+        watch(now, actions);
+}
+
 StoreFeedActions StoreFeed::handlePageProgress(std::uint64_t received, std::uint64_t total, TimePoint now)
 {
     StoreFeedActions actions;
@@ -286,9 +301,7 @@
     if (!pauseUntil_ || now < *pauseUntil_)
         return actions;
     pauseUntil_.reset();
-    // Other balancers may have sent everything while the store did not answer, which makes the listing unnecessary.
-    const bool needsList = state_ == State::PausingBeforeList && (completeTo_ == 0 || !mayListStale_);
-    if (needsList)
+    if (state_ == State::PausingBeforeList && needsListing())
         list(now, actions);
     else if (isWatcher_)
         watch(now, actions);
--- a/Source/StoreSync/StoreFeed.h
+++ b/Source/StoreSync/StoreFeed.h
@@ -104,8 +104,8 @@
     Duration outage { 0 };
 };
 
-using StoreFeedAction = std::variant<SendList, SendWatch, CancelListing, DeltaReceived, ListingEnded, StoreUnreachable,
-    StoreReachable>;
+using StoreFeedAction
+    = std::variant<SendList, SendWatch, CancelListing, DeltaReceived, ListingEnded, StoreUnreachable, StoreReachable>;
 using StoreFeedActions = std::vector<StoreFeedAction>;
 
 // Reads the platform's key-value store: lists it once at the start and then, on balancers that are watchers of their
@@ -161,6 +161,8 @@
     };
 
     void list(TimePoint now, StoreFeedActions&);
+    bool needsListing() const;
+    void abandonListing(TimePoint now, StoreFeedActions&);
     bool mayCancelListing() const;
     void leaveListingToPeers(TimePoint now, StoreFeedActions&);
     ListingEnded listingEnded(bool isComplete, TimePoint now) const;
--- a/Tests/StoreSync/StoreFeedTest.cpp
+++ b/Tests/StoreSync/StoreFeedTest.cpp
@@ -8,22 +8,23 @@
 
     using namespace std::chrono_literals;
 
+    // The only action of its kind; null if there is none.
+    template <typename Action> const Action* only(const StoreFeedActions& actions)
+    {
+        const Action* found = nullptr;
+        for (const StoreFeedAction& action : actions) {
+            if (const auto* match = std::get_if<Action>(&action)) {
+                EXPECT_EQ(found, nullptr) << "more than one";
+                found = match;
+            }
+        }
+        return found;
+    }
+
     struct StoreFeedTest : testing::Test {
         ManualClock clock;
         StoreFeed feed { 1 };
 
-        template <typename Action> static const Action* only(const StoreFeedActions& actions)
-        {
-            const Action* found = nullptr;
-            for (const StoreFeedAction& action : actions) {
-                if (const auto* match = std::get_if<Action>(&action)) {
-                    EXPECT_EQ(found, nullptr) << "more than one";
-                    found = match;
-                }
-            }
-            return found;
-        }
-
         static PlatformPage page(std::uint64_t revision, bool hasMore = false)
         {
             return { { { "key" + std::to_string(revision), "value", revision, false } }, hasMore, revision };
@@ -371,8 +372,7 @@
             EXPECT_EQ(only<SendList>(actions) == nullptr, knowsBetterReaders);
             EXPECT_EQ(actions.size(), 1U);
             EXPECT_EQ(feed.asksPeers(), knowsBetterReaders);
-            if (knowsBetterReaders)
-                EXPECT_FALSE(only<ListingEnded>(actions)->isComplete);
+            EXPECT_EQ(only<ListingEnded>(actions) != nullptr, knowsBetterReaders);
         }
         {
             SCOPED_TRACE("it is read to the end when they send nothing");
@@ -407,6 +407,24 @@
         EXPECT_TRUE(feed.tick(clock.now()).empty());
     }
 
+    // Guards against hundreds of balancers that read a long listing to the end although peers have told them
+    // everything.
+    TEST_F(SlowLinkStoreFeedTest, ListingStopsOnceTheStateHasArrivedFromPeers)
+    {
+        const PlatformPage page { { { "servers/1", "x", 5 } }, true, 9 };
+        for (const bool isWatcher : { false, true }) {
+            SCOPED_TRACE(isWatcher);
+            StoreFeed feed(1, settings);
+            feed.start(clock.now());
+            EXPECT_NE(only<SendList>(feed.handlePage(page, clock.now())), nullptr);
+            feed.update(7, isWatcher, std::nullopt, clock.now());
+            const StoreFeedActions actions = feed.handlePage(page, clock.now());
+            EXPECT_EQ(only<SendList>(actions), nullptr);
+            EXPECT_FALSE(only<ListingEnded>(actions)->isComplete);
+            EXPECT_EQ(feed.isWatching(), isWatcher);
+        }
+    }
+
 }
 
 }
