ReplicaSync: Fetch the servers of the own zone first after a start

Cause: a forwarder with an empty replica served nobody until it had fetched and taken in the entries of all zones.

Change: such a forwarder asks a peer of its zone for the configuration and the servers of that zone, serves with them, and fetches everything next. The excerpt completes nothing, so revisions and removals count as before; earlier versions answer with everything. Replicas of under 1,000 entries are sent whole.

--- a/Source/Forwarder/FetchProtocol.cpp
+++ b/Source/Forwarder/FetchProtocol.cpp
@@ -17,9 +17,10 @@
 
     // A fetch requests this path followed by the revision after which changes are wanted.
     constexpr std::string_view deltaPath = "/news/";
-    // Sent by balancers that accept patches of large values. Earlier versions neither send nor read it, nor the
-    // encodings.
+    // Sent by balancers that accept patches of large values, and by those that want the updates of their zone only.
+    // Earlier versions neither send nor read them, nor the encodings, and answer with everything.
     constexpr const char* acceptsPatchesHeader = "wisteriadock-takes-patches";
+    constexpr const char* ownZoneHeader = "wisteriadock-own-zone";
     constexpr const char* acceptEncodingHeader = "accept-encoding";
     constexpr const char* contentEncodingHeader = "content-encoding";
     constexpr const char* zstdEncoding = "zstd";
@@ -52,6 +53,8 @@
     request.headers.push_back({ acceptEncodingHeader, zstdEncoding });
     if (fetch.encoding == StoreReplica::Encoding::Patched)
         request.headers.push_back({ acceptsPatchesHeader, "1" });
+    if (fetch.scope == FetchScope::OwnZone)
+        request.headers.push_back({ ownZoneHeader, "1" });
     return request;
 }
 
@@ -77,16 +80,24 @@
         response.status = 404;
         return response;
     }
-    const bool acceptsPatches = !request.header(acceptsPatchesHeader).empty();
-    const Kind kind { *after, replica_.completeTo(),
-        acceptsPatches ? StoreReplica::Encoding::Patched : StoreReplica::Encoding::Full,
-        request.header(acceptEncodingHeader) == zstdEncoding };
+    const Kind kind = kindOf(request, *after);
     response.body = bodyOf(kind, now);
     if (kind.isCompressed)
         response.headers.push_back({ contentEncodingHeader, zstdEncoding });
     return response;
 }
 
+FetchAnswers::Kind FetchAnswers::kindOf(const HttpRequest& request, std::uint64_t after) const
+{
+    Kind kind { after, replica_.completeTo() };
+    if (!request.header(acceptsPatchesHeader).empty())
+        kind.encoding = StoreReplica::Encoding::Patched;
+    if (!request.header(ownZoneHeader).empty() && after == 0 && replica_.size() >= minEntriesForScopes)
+        kind.scope = FetchScope::OwnZone;
+    kind.isCompressed = request.header(acceptEncodingHeader) == zstdEncoding;
+    return kind;
+}
+
 const std::string& FetchAnswers::bodyOf(const Kind& kind, TimePoint now)
 {
     tick(now);
@@ -95,8 +106,9 @@
         return found->body;
     if (answers_.size() == maxAnswers)
         answers_.erase(answers_.begin());
-    answers_.push_back(
-        { kind, encodedBody(replica_.deltaSince(kind.after, now, kind.encoding), kind.isCompressed), now });
+    const StoreDelta delta = kind.scope == FetchScope::OwnZone ? replica_.excerpt(isOfOwnZone_, now)
+                                                               : replica_.deltaSince(kind.after, now, kind.encoding);
+    answers_.push_back({ kind, encodedBody(delta, kind.isCompressed), now });
     return answers_.back().body;
 }
 
--- a/Source/Forwarder/FetchProtocol.h
+++ b/Source/Forwarder/FetchProtocol.h
@@ -9,7 +9,9 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace wisteriadock {
@@ -25,9 +27,14 @@
 // may ask for the same delta at once, so the last answers are kept for a moment. Used by PeerSync.
 class FetchAnswers {
 public:
+    // Whether a balancer of this zone needs the update to serve its callers, which answers of FetchScope::OwnZone are
+    // limited to.
+    using OwnZoneFilter = std::function<bool(const StoreUpdate&)>;
+
     // The replica must outlive this object.
-    explicit FetchAnswers(const StoreReplica& replica)
+    FetchAnswers(const StoreReplica& replica, OwnZoneFilter isOfOwnZone)
         : replica_(replica)
+        , isOfOwnZone_(std::move(isOfOwnZone))
     {
     }
 
@@ -42,6 +49,7 @@
         // The revision up to which the replica was complete.
         std::uint64_t to = 0;
         StoreReplica::Encoding encoding = StoreReplica::Encoding::Full;
+        FetchScope scope = FetchScope::Everything;
         bool isCompressed = false;
 
         bool operator==(const Kind&) const = default;
@@ -55,10 +63,14 @@
     // Ages of updates in an answer are wrong by as long as it is kept. Only logs and metrics show them.
     static constexpr std::chrono::milliseconds lifetime { 1000 };
     static constexpr std::size_t maxAnswers = 4;
+    // A replica with fewer entries is sent whole, since a second fetch would take longer.
+    static constexpr std::size_t minEntriesForScopes = 1000;
 
+    Kind kindOf(const HttpRequest&, std::uint64_t after) const;
     const std::string& bodyOf(const Kind&, TimePoint now);
 
     const StoreReplica& replica_;
+    const OwnZoneFilter isOfOwnZone_;
     // Oldest first.
     std::vector<Answer> answers_;
 };
--- a/Source/Forwarder/Forwarder.h
+++ b/Source/Forwarder/Forwarder.h
@@ -118,7 +118,8 @@
         BOOST_OUTCOME_TRY(socket, PacketSocket::open(settings_.flow));
         BOOST_OUTCOME_TRY(peers,
             PeerSync::open(context_, self(), settings_.seeds, seed_, log_, metrics_,
-                [this](const ReplicaChanged& changed) { handleReplicaChange(changed); }));
+                [this](const ReplicaChanged& changed) { handleReplicaChange(changed); },
+                [this](const StoreUpdate& update) { return applier_.isOfZone(settings_.availabilityZone, update); }));
         peerSync_ = std::move(peers);
         packetPath_
             = std::make_unique<TokenPacketPath<Adapter>>(context_, std::move(socket), router_, peerSync_->replicaSync(),
@@ -160,8 +161,7 @@
     {
         const TimePoint now = Clock::now();
         applier_.apply(changed, now);
-        const bool hasSynced
-            = router_.configurationVersion() > 0 && peerSync_->replicaSync().replica().completeTo() > 0;
+        const bool hasSynced = router_.configurationVersion() > 0 && peerSync_->replicaSync().hasOwnZone();
         if (hasSynced && lifecycle_.noteSynced()) {
             // Earlier packets have waited in the socket's buffer. Dropping them would delay callers until they
             // retransmit.
--- a/Source/Forwarder/PeerSync.cpp
+++ b/Source/Forwarder/PeerSync.cpp
@@ -37,10 +37,10 @@
 
 Result<std::unique_ptr<PeerSync>> PeerSync::open(boost::asio::io_context& context, const Member& self,
     std::vector<Endpoint> seeds, std::uint64_t seed, EventLog& log, ForwarderMetrics& metrics, Handler handler,
-    ReplicaSyncSettings settings)
+    FetchAnswers::OwnZoneFilter isOfOwnZone, ReplicaSyncSettings settings)
 {
-    std::unique_ptr<PeerSync> peerSync(
-        new PeerSync(context, self, std::move(seeds), seed, log, metrics, std::move(handler), settings));
+    std::unique_ptr<PeerSync> peerSync(new PeerSync(
+        context, self, std::move(seeds), seed, log, metrics, std::move(handler), std::move(isOfOwnZone), settings));
     PeerSync* target = peerSync.get();
     BOOST_OUTCOME_TRY(link,
         PeerSocket::open(context, self.peerAddress,
@@ -55,7 +55,8 @@
 }
 
 PeerSync::PeerSync(boost::asio::io_context& context, const Member& self, std::vector<Endpoint> seeds,
-    std::uint64_t seed, EventLog& log, ForwarderMetrics& metrics, Handler handler, ReplicaSyncSettings settings)
+    std::uint64_t seed, EventLog& log, ForwarderMetrics& metrics, Handler handler,
+    FetchAnswers::OwnZoneFilter isOfOwnZone, ReplicaSyncSettings settings)
     : context_(context)
     , address_(self.peerAddress)
     , seeds_(std::move(seeds))
@@ -66,7 +67,7 @@
     , membership_({}, self, seed, Clock::now())
     , watcherRole_({ .counts = watcherCounts })
     , replicaSync_(self.availabilityZone, seed, settings)
-    , fetchAnswers_(replicaSync_.replica())
+    , fetchAnswers_(replicaSync_.replica(), std::move(isOfOwnZone))
 {
 }
 
--- a/Source/Forwarder/PeerSync.h
+++ b/Source/Forwarder/PeerSync.h
@@ -35,7 +35,7 @@
     // each change of the replica, whether it came from the store or from a balancer.
     static Result<std::unique_ptr<PeerSync>> open(boost::asio::io_context&, const Member& self,
         std::vector<Endpoint> seeds, std::uint64_t seed, EventLog&, ForwarderMetrics&, Handler,
-        ReplicaSyncSettings = {});
+        FetchAnswers::OwnZoneFilter, ReplicaSyncSettings = {});
     ~PeerSync();
     PeerSync(const PeerSync&) = delete;
     PeerSync& operator=(const PeerSync&) = delete;
@@ -69,7 +69,7 @@
 
 private:
     PeerSync(boost::asio::io_context&, const Member& self, std::vector<Endpoint> seeds, std::uint64_t seed, EventLog&,
-        ForwarderMetrics&, Handler, ReplicaSyncSettings);
+        ForwarderMetrics&, Handler, FetchAnswers::OwnZoneFilter, ReplicaSyncSettings);
 
     void receive(const PeerEnvelope&, const Endpoint& sender);
     void receiveRelay(const PeerEnvelope&, TimePoint now);
--- a/Source/Forwarder/StoreUpdateApplier.h
+++ b/Source/Forwarder/StoreUpdateApplier.h
@@ -41,6 +41,15 @@
         log_.transitions(transitions, changed.revision, changed.source, now);
     }
 
+    // Whether the balancers of the zone need the update to serve their callers: all but the entries of servers of other
+    // zones.
+    bool isOfZone(const std::string& availabilityZone, const StoreUpdate& update)
+    {
+        const auto id = Adapter::serverIdOf(update.key);
+        const KnownServer* server = id ? router_.directory().find(*id) : nullptr;
+        return !server || server->entry.availabilityZone == availabilityZone;
+    }
+
 private:
     void applyConfiguration(const StoreUpdate& item, const ReplicaChanged& changed, TimePoint now)
     {
--- a/Source/StoreSync/ReplicaSync.cpp
+++ b/Source/StoreSync/ReplicaSync.cpp
@@ -83,9 +83,10 @@
         patch.ageMilliseconds += static_cast<std::uint32_t>(transferTime.count());
     ReplicaSyncActions actions = reportChanges(sender, delta, replica_.merge(delta, now), now);
     fetchEncoding_ = replica_.lacksPatchBase() ? StoreReplica::Encoding::Full : StoreReplica::Encoding::Patched;
+    hasOwnZone_ = true;
     if (delta.isSnapshot)
         announceToUninformed(SnapshotSource::Peer, actions);
-    else if (!actions.empty())
+    else if (!actions.empty() && fetchScope_ == FetchScope::Everything)
         isWatcher_ ? push(delta, actions) : announce(actions);
     fetchIfBehind(now, actions);
     return actions;
@@ -253,7 +254,11 @@
     fetchDeadline_ = now + settings_.answerTimeout;
     fetchStartedAt_ = now;
     lastSource_ = source->id;
-    actions.emplace_back(FetchDelta { source->id, source->requestAddress, replica_.completeTo(), fetchEncoding_ });
+    // A balancer that has just started can serve as soon as it knows its own zone. The whole store takes several times
+    // as long on a slow link or processor.
+    fetchScope_ = hasOwnZone() || !hasSourceInZone ? FetchScope::Everything : FetchScope::OwnZone;
+    actions.emplace_back(
+        FetchDelta { source->id, source->requestAddress, replica_.completeTo(), fetchEncoding_, fetchScope_ });
 }
 
 Duration ReplicaSync::fetchDelay(bool hasSourceInZone) const
--- a/Source/StoreSync/ReplicaSync.h
+++ b/Source/StoreSync/ReplicaSync.h
@@ -68,14 +68,23 @@
     std::optional<Relay> relay {};
 };
 
-// Request all changes after the revision from this balancer. Pass the answer to handleAnswer(), or call
-// handleFetchFailure().
+// What a fetch requests.
+enum class FetchScope {
+    Everything, // All changes after a revision.
+    // The configuration and the servers of the availability zone, as far as the replica has them. Sent to a balancer of
+    // the same zone by one with an empty replica.
+    OwnZone,
+};
+
+// Request all changes after the revision, or those of the scope, from this balancer. Pass the answer to handleAnswer(),
+// or call handleFetchFailure().
 struct FetchDelta {
     BalancerId from;
     Endpoint address;
     std::uint64_t after = 0;
     // Which encoding of large values to request.
     StoreReplica::Encoding encoding = StoreReplica::Encoding::Full;
+    FetchScope scope = FetchScope::Everything;
 };
 
 // The replica changed. The caller applies the updates.
@@ -122,6 +131,9 @@
     ReplicaSyncActions tick(TimePoint now);
 
     const StoreReplica& replica() const { return replica_; }
+    // Whether the replica holds what this balancer needs to serve callers of its zone: the whole store, or the answer to
+    // a fetch of FetchScope::OwnZone.
+    bool hasOwnZone() const { return hasOwnZone_ || replica_.completeTo() > 0; }
     // When tick() should be called next if nothing happens before; none when there is nothing to wait for.
     std::optional<TimePoint> nextTick() const;
     // Since when others are known to be ahead of this balancer; none when nobody is.
@@ -168,6 +180,9 @@
     std::optional<TimePoint> fetchDeadline_;
     TimePoint fetchStartedAt_;
     std::optional<BalancerId> lastSource_;
+    // Of the fetch in progress, or the last one.
+    FetchScope fetchScope_ = FetchScope::Everything;
+    bool hasOwnZone_ = false;
     // Full after an answer with patches whose base values this balancer does not hold.
     StoreReplica::Encoding fetchEncoding_ = StoreReplica::Encoding::Patched;
     bool isWatcher_ = false;
--- a/Source/StoreSync/StoreReplica.cpp
+++ b/Source/StoreSync/StoreReplica.cpp
@@ -231,6 +231,21 @@
     return delta;
 }
 
+StoreDelta StoreReplica::excerpt(const std::function<bool(const StoreUpdate&)>& filter, TimePoint now) const
+{
+    StoreDelta delta;
+    delta.from = completeTo_;
+    delta.to = completeTo_;
+    delta.patchedFrom = delta.from;
+    for (const auto& [key, row] : rows_) {
+        if (row.item.isRemoved || !filter(row.item))
+            continue;
+        delta.items.push_back(updateToSend(row));
+        delta.items.back().ageMilliseconds = millisecondsBetween(row.readAt, now);
+    }
+    return delta;
+}
+
 void StoreReplica::tick(TimePoint now)
 {
     // A pass over all rows, so it is made seldom.
--- a/Source/StoreSync/StoreReplica.h
+++ b/Source/StoreSync/StoreReplica.h
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <set>
 #include <string>
 #include <utility>
@@ -43,10 +44,15 @@
     // All changes after the revision. A snapshot when the revision is 0, or so old that removals after it have been
     // dropped.
     StoreDelta deltaSince(std::uint64_t revision, TimePoint now, Encoding = Encoding::Full) const;
+    // The present updates that the filter accepts. The receiver merges them, but its replica stays as incomplete as it
+    // is.
+    StoreDelta excerpt(const std::function<bool(const StoreUpdate&)>& filter, TimePoint now) const;
     // The patch that results in the key's value at this revision; null when there is none.
     const ValuePatch* patchTo(const std::string& key, std::uint64_t revision) const;
     // The replica has all changes up to this revision; 0 before the first snapshot.
     std::uint64_t completeTo() const { return completeTo_; }
+    // Number of keys, removed ones included.
+    std::size_t size() const { return rows_.size(); }
 
     // Drops old removals.
     void tick(TimePoint now);
--- a/Tests/Forwarder/FetchProtocolTest.cpp
+++ b/Tests/Forwarder/FetchProtocolTest.cpp
@@ -15,22 +15,26 @@
     struct FetchProtocolTest : testing::Test {
         ManualClock clock;
         StoreReplica replica;
-        FetchAnswers answers { replica };
+        // Every fifth entry is of this zone.
+        FetchAnswers answers { replica,
+            [](const StoreUpdate& update) { return update.value.find("walu") != std::string::npos; } };
 
         FetchProtocolTest()
         {
             StoreDelta listing { 0, 1001, true, false, {} };
             for (std::uint64_t revision = 2; revision <= 1001; ++revision) {
-                const std::string text = fmt::format(
-                    R"({{"service":"tryon","address":"10.1.{}.7:8080","zone":"walu","state":"ready"}})", revision);
+                const std::string text
+                    = fmt::format(R"({{"service":"tryon","address":"10.1.{}.7:8080","zone":"{}","state":"ready"}})",
+                        revision, revision % 5 == 0 ? "walu" : "nabua");
                 listing.items.push_back({ fmt::format("servers/i-{:010x}", revision * 7919), text, revision, false });
             }
             replica.merge(listing, clock.now());
         }
 
-        static HttpRequest requestAfter(std::uint64_t revision)
+        static HttpRequest requestAfter(std::uint64_t revision, FetchScope scope = FetchScope::Everything)
         {
-            return fetchRequest({ BalancerId { 1 }, { 0x0A000001, 7000 }, revision, StoreReplica::Encoding::Patched });
+            return fetchRequest(
+                { BalancerId { 1 }, { 0x0A000001, 7000 }, revision, StoreReplica::Encoding::Patched, scope });
         }
     };
 
@@ -50,6 +54,36 @@
         }
     }
 
+    // Guards against a start that waits until a slow link and a slow processor have taken in the servers of all zones.
+    TEST_F(FetchProtocolTest, AnswerIsLimitedToTheOwnZoneOnRequest)
+    {
+        const HttpRequest request = requestAfter(0, FetchScope::OwnZone);
+        {
+            SCOPED_TRACE("the servers of the zone, which complete nothing");
+            const StoreDelta delta = deltaOf(answers.answer(request, clock.now())).value();
+            EXPECT_FALSE(delta.isSnapshot);
+            EXPECT_EQ(delta.items.size(), 200U);
+            StoreReplica receiver;
+            EXPECT_EQ(receiver.merge(delta, clock.now()).size(), 200U);
+            EXPECT_EQ(receiver.completeTo(), 0U);
+            receiver.merge(deltaOf(answers.answer(requestAfter(0), clock.now())).value(), clock.now());
+            EXPECT_EQ(receiver.completeTo(), 1001U);
+            EXPECT_EQ(receiver.size(), 1000U);
+        }
+        {
+            SCOPED_TRACE("everything from a small replica, which a second fetch would only delay");
+            StoreReplica small;
+            small.merge({ 0, 9, true, false, { { "servers/i-1", "nabua", 9 } } }, clock.now());
+            FetchAnswers ofSmall(small, [](const StoreUpdate&) { return false; });
+            EXPECT_TRUE(deltaOf(ofSmall.answer(request, clock.now())).value().isSnapshot);
+        }
+        {
+            SCOPED_TRACE("everything after a revision");
+            const HttpRequest later = requestAfter(999, FetchScope::OwnZone);
+            EXPECT_EQ(deltaOf(answers.answer(later, clock.now())).value().items.size(), 2U);
+        }
+    }
+
     TEST_F(FetchProtocolTest, KeptAnswersAreNotUsedAfterAChange)
     {
         const auto itemsAfter = [&](std::uint64_t revision) {
--- a/Tests/StoreSync/ReplicaSyncTest.cpp
+++ b/Tests/StoreSync/ReplicaSyncTest.cpp
@@ -374,6 +374,35 @@
         }
     }
 
+    // Guards against a start that serves nobody until the servers of all zones are known.
+    TEST_F(ReplicaSyncTest, EmptyReplicaFetchesItsOwnZoneFirst)
+    {
+        sync.setFetchesImmediately(true);
+        const auto first = all<FetchDelta>(setRevision("walu-1", 9));
+        ASSERT_EQ(first.size(), 1U);
+        EXPECT_EQ(first.front().scope, FetchScope::OwnZone);
+        EXPECT_FALSE(sync.hasOwnZone());
+        const StoreDelta excerpt { 9, 9, false, false, { { "servers/1", "walu", 7 } } };
+        const ReplicaSyncActions actions = sync.handleAnswer("walu-1", excerpt, clock.now());
+        EXPECT_TRUE(sync.hasOwnZone());
+        EXPECT_EQ(all<ReplicaChanged>(actions).size(), 1U);
+        {
+            SCOPED_TRACE("then everything, since the excerpt completes nothing");
+            EXPECT_EQ(sync.replica().completeTo(), 0U);
+            ASSERT_EQ(all<FetchDelta>(actions).size(), 1U);
+            EXPECT_EQ(all<FetchDelta>(actions).front().scope, FetchScope::Everything);
+            EXPECT_EQ(all<FetchDelta>(actions).front().after, 0U);
+        }
+        {
+            SCOPED_TRACE("another zone is asked for everything at once");
+            ReplicaSync other("laucala", 2);
+            other.setFetchesImmediately(true);
+            const auto fetches = all<FetchDelta>(other.handleView(view, clock.now()));
+            ASSERT_EQ(fetches.size(), 1U);
+            EXPECT_EQ(fetches.front().scope, FetchScope::Everything);
+        }
+    }
+
     TEST_F(ReplicaSyncTest, LargeZoneSpreadsFetchesAndAnnouncesAnswers)
     {
         for (int i = 0; i < 20; ++i) {
--- a/Tests/StoreSync/ServerSpreadTest.cpp
+++ b/Tests/StoreSync/ServerSpreadTest.cpp
@@ -4,6 +4,7 @@
 
 #include <fmt/format.h>
 
+#include <array>
 #include <random>
 
 namespace wisteriadock {
@@ -20,10 +21,11 @@
     // An entry as servers write it, about 200 bytes with random parts.
     std::string entryText(std::size_t number, std::mt19937_64& random)
     {
-        return fmt::format(R"({{"service":"tryon","address":"10.{}.{}.{}:8080","zone":"walu","version":"1.{}",)"
+        constexpr std::array zones { "walu", "laucala", "nabua", "samabula", "raiwai" };
+        return fmt::format(R"({{"service":"tryon","address":"10.{}.{}.{}:8080","zone":"{}","version":"1.{}",)"
                            R"("maxConcurrency":2,"state":"ready","warmupLeftMs":{},"sequence":1,"born":{}}})",
-            number >> 16, (number >> 8) & 255, number & 255, random() % 3, random() % 2000,
-            1'770'000'000'000 + random() % 20'000);
+            number >> 16, (number >> 8) & 255, number & 255, zones[number % zones.size()], random() % 3,
+            random() % 2000, 1'770'000'000'000 + random() % 20'000);
     }
 
     void registerServers(SlowLinkSimulation& fleet, std::size_t count, std::size_t perSecond)
--- a/Tests/StoreSync/SlowLinkSimulation.cpp
+++ b/Tests/StoreSync/SlowLinkSimulation.cpp
@@ -32,6 +32,12 @@
 
     const std::string configurationKey = "configuration";
 
+    // Entries name their zone. All other keys concern every zone.
+    bool isOfOwnZone(const StoreUpdate& update)
+    {
+        return !update.key.starts_with("servers/") || update.value.find(R"("zone":"walu")") != std::string::npos;
+    }
+
     // The store encodes values as base64.
     double sizeOf(const std::vector<PlatformItem>& items)
     {
@@ -153,6 +159,12 @@
         balancers_, [this](const Balancer& balancer) { return balancer.sync->replica().completeTo() < revision_; }));
 }
 
+std::size_t SlowLinkSimulation::balancersWithoutOwnZone() const
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(balancers_, [](const Balancer& balancer) { return !balancer.sync->hasOwnZone(); }));
+}
+
 std::uint64_t SlowLinkSimulation::takeMaxPeerBytes()
 {
     std::uint64_t most = 0;
@@ -357,7 +369,7 @@
 
 double SlowLinkSimulation::answerSize(const FetchDelta& fetch, const StoreDelta& delta)
 {
-    const auto [row, isNew] = answerSizes_.try_emplace({ fetch.after, delta.to });
+    const auto [row, isNew] = answerSizes_.try_emplace({ fetch.after, delta.to, fetch.scope });
     if (isNew) {
         const std::vector<std::uint8_t> bytes = encodeMessage(delta);
         row->second
@@ -420,8 +432,10 @@
             transfer.to = index;
             transfer.incarnation = balancer.incarnation;
             transfer.isFetch = true;
-            transfer.delta
-                = balancers_[*transfer.from].sync->replica().deltaSince(fetch.after, clock_.now(), fetch.encoding);
+            const StoreReplica& replica = balancers_[*transfer.from].sync->replica();
+            transfer.delta = fetch.scope == FetchScope::OwnZone
+                ? replica.excerpt(isOfOwnZone, clock_.now())
+                : replica.deltaSince(fetch.after, clock_.now(), fetch.encoding);
             transfer.bytesLeft = answerOverhead + answerSize(fetch, *transfer.delta);
             transfers_.push_back(std::move(transfer));
         }
--- a/Tests/StoreSync/SlowLinkSimulation.h
+++ b/Tests/StoreSync/SlowLinkSimulation.h
@@ -10,7 +10,7 @@
 #include <optional>
 #include <random>
 #include <string>
-#include <utility>
+#include <tuple>
 #include <vector>
 
 namespace wisteriadock {
@@ -48,6 +48,8 @@
     std::size_t configuredBalancers() const;
     // How many balancers lack a change of the store.
     std::size_t balancersBehind() const;
+    // How many balancers do not know the servers of their own zone, which is "walu" in the entries of servers.
+    std::size_t balancersWithoutOwnZone() const;
     // The largest number of bytes that a balancer exchanged with others since the last call.
     std::uint64_t takeMaxPeerBytes();
     // How often a balancer received a configuration that differs from the one written with that version.
@@ -130,8 +132,8 @@
     std::map<std::uint64_t, std::string> texts_;
     std::map<std::uint64_t, TimePoint> writtenAt_;
     double storeBytesPerSecond_ = 0;
-    // By the revisions that a fetch asks for and gets.
-    std::map<std::pair<std::uint64_t, std::uint64_t>, double> answerSizes_;
+    // By the revisions that a fetch asks for and gets, and its scope.
+    std::map<std::tuple<std::uint64_t, std::uint64_t, FetchScope>, double> answerSizes_;
     std::uint64_t revision_ = 1;
     // Watches of this and earlier revisions fail; none do at 0.
     std::uint64_t droppedTo_ = 0;
