Membership: Contact seeds again soon, and probe twice a round while joining

Cause: balancers that are restarted together begin within some tens of milliseconds. Those that greet the seeds before these listen wait for the next round, 0.5 s, and so does whom a seed's limit of answers left out. And a joining balancer learned only once a round that others know more members.

Change: for its first second a balancer that knows nobody contacts one address of the list each 100 ms. While joining (10 s) it probes three more members twice a round.

The test of the rate of rounds counts after the newcomer's first second, as strictly as before.

--- a/Source/Membership/Membership.cpp
+++ b/Source/Membership/Membership.cpp
@@ -97,6 +97,10 @@
     const bool isIntervalDue = now >= nextInterval_;
     if (isIntervalDue)
         beginInterval(now);
+    else if (isNewcomer(now) && table_.othersAlive() == 0 && now >= nextNewcomerContact_)
+        contactUnknown(1, now);
+    else if (isJoining(now) && !isMesh() && now >= nextJoiningProbes_)
+        probeToJoin(now);
     return finish(now, isIntervalDue);
 }
 
--- a/Source/Membership/Membership.h
+++ b/Source/Membership/Membership.h
@@ -121,6 +121,7 @@
     void probeIndirectly(MemberRecord&, TimePoint now);
     void retryDead(TimePoint now);
     void contactUnknown(TimePoint now);
+    void contactUnknown(std::size_t maxCount, TimePoint now);
     void scheduleCatchUp(TimePoint now);
     // Starts to read the whole view; the first page is requested from `source` if given.
     void startCatchUp(std::optional<BalancerId> source, TimePoint now);
@@ -129,9 +130,11 @@
     // The member to request a page from: the one asked last, or else the one of a random sample that knows the most
     // members. The sample spreads the load, and members that have just started know only a few.
     const MemberRecord* pageSource();
+    bool isNewcomer(TimePoint now) const { return now - startedAt_ < settings_.newcomerContactPeriod; }
     bool isJoining(TimePoint now) const { return now - startedAt_ < settings_.joiningPeriod; }
     void handleDetectorEvent(const DetectorEvent&, TimePoint now);
 
+    void probeToJoin(TimePoint now);
     void probe(MemberRecord&, TimePoint now);
     void answer(const Endpoint& to, const MemberRecord* peer, HeartbeatOptions, TimePoint now);
     void sendHeartbeat(const Endpoint& to, const MemberRecord* peer, HeartbeatOptions, TimePoint now);
@@ -163,6 +166,8 @@
     std::uint64_t round_ = 0;
     const TimePoint startedAt_;
     TimePoint nextInterval_;
+    TimePoint nextNewcomerContact_;
+    TimePoint nextJoiningProbes_;
     TimePoint lastCatchUp_;
     // The member that pages are requested from.
     std::optional<BalancerId> pageSource_;
--- a/Source/Membership/MembershipRounds.cpp
+++ b/Source/Membership/MembershipRounds.cpp
@@ -60,11 +60,8 @@
         target = probeOrder_.next(aliveFilter(), random_);
     if (target)
         probe(*table_.find(*target), now);
-    // A joining balancer asks more members, to learn how many there are.
-    if (isJoining(now)) {
-        for (const BalancerId id : sampleAlive(settings_.joiningProbesPerInterval))
-            probe(*table_.find(id), now);
-    }
+    if (isJoining(now))
+        probeToJoin(now);
     if (!isolationDetector_.isSearching(now))
         return;
     for (const BalancerId id : zoneProbeOrder_.sample(settings_.searchFanOut / 2, aliveFilter(), random_))
@@ -73,6 +70,14 @@
         probe(*table_.find(id), now);
 }
 
+// A joining balancer asks more members, to learn how many there are.
+void Membership::probeToJoin(TimePoint now)
+{
+    nextJoiningProbes_ = now + settings_.interval / 2;
+    for (const BalancerId id : sampleAlive(settings_.joiningProbes))
+        probe(*table_.find(id), now);
+}
+
 void Membership::probe(MemberRecord& peer, TimePoint now)
 {
     failureDetector_.probeSent(peer, now);
@@ -125,9 +130,14 @@
 void Membership::contactUnknown(TimePoint now)
 {
     const bool isAlone = table_.othersAlive() == 0;
-    if (unknownAddresses_.empty() || (!isAlone && round_ % settings_.intervalsPerRetry != 0))
-        return;
-    const std::size_t count = std::min(isAlone ? settings_.searchFanOut : 1, unknownAddresses_.size());
+    if (isAlone || round_ % settings_.intervalsPerRetry == 0)
+        contactUnknown(isAlone ? settings_.searchFanOut : 1, now);
+}
+
+void Membership::contactUnknown(std::size_t maxCount, TimePoint now)
+{
+    nextNewcomerContact_ = now + settings_.newcomerContactInterval;
+    const std::size_t count = std::min(maxCount, unknownAddresses_.size());
     // A partial shuffle that selects `count` addresses.
     for (std::size_t i = 0; i < count; ++i) {
         std::swap(unknownAddresses_[i], unknownAddresses_[i + random_() % (unknownAddresses_.size() - i)]);
--- a/Source/Membership/MembershipSettings.h
+++ b/Source/Membership/MembershipSettings.h
@@ -26,6 +26,11 @@
     // How long a starting balancer waits for an answer before it counts as alone.
     std::chrono::milliseconds startupTimeout { 4000 };
 
+    // A balancer that knows no other one contacts one address of the VM list this often for some time after its start,
+    // since those VMs may have started at the same moment. Takes effect only if tick() is called as often.
+    std::chrono::milliseconds newcomerContactInterval { 100 };
+    std::chrono::milliseconds newcomerContactPeriod { 1000 };
+
     // Up to this many other live members are all probed in each interval; in larger fleets one random member is.
     std::size_t meshLimit = 8;
     // Members that are asked to probe an unresponsive member.
@@ -60,8 +65,8 @@
     // A newcomer that contacts this balancer is told this many members of its availability zone, those with the fastest
     // links. They read the platform's store for the zone when all start at once.
     std::size_t zoneRowsForNewcomers = 3;
-    // Additional members that a joining balancer probes in each interval.
-    std::size_t joiningProbesPerInterval = 3;
+    // Additional members that a joining balancer probes twice in each interval.
+    std::size_t joiningProbes = 3;
     // A page that has not arrived within this time is requested again, from another member.
     std::chrono::milliseconds pageTimeout { 200 };
     // One dead member and one unknown address of the VM list are contacted every so many intervals.
--- a/Tests/Membership/MembershipJoinTest.cpp
+++ b/Tests/Membership/MembershipJoinTest.cpp
@@ -122,6 +122,22 @@
         EXPECT_TRUE(network_.runUntil([&] { return allKnowAll(); }, largeFleetJoinTimeLimit));
     }
 
+    // Guards against balancers that wait for a whole round because the seeds started a moment after them.
+    TEST_F(MembershipJoinTest, ThousandStartingJustBeforeTheSeedsAreInContactSoon)
+    {
+        constexpr auto seedsStartLater = 100ms;
+        // Part of the time for which a balancer with a slow link looks for others before it reads the store.
+        constexpr auto contactWithin = 200ms;
+        // What the rest reads instead takes a tenth of a second of the store's link.
+        constexpr std::size_t maxIsolated = 98;
+        startTogetherWithFastLinks(985);
+        network_.loss = 1;
+        network_.run(seedsStartLater);
+        network_.loss = 0;
+        network_.run(contactWithin);
+        EXPECT_LT(countIsolated(), maxIsolated);
+    }
+
     TEST_F(MembershipJoinTest, NewBalancerJoinsLargeFleetInTime)
     {
         startTogether(195);
--- a/Tests/Membership/MembershipTest.cpp
+++ b/Tests/Membership/MembershipTest.cpp
@@ -82,12 +82,17 @@
             ManualClock clock;
             Membership membership(settings, self, 1, clock.now());
             membership.handle(VmListReceived { { { { 0x0A000002, 7000 }, false } } }, clock.now());
-            std::size_t heartbeats = 0;
-            for (std::chrono::milliseconds elapsed { 0 }; elapsed < 10s; elapsed += tickPeriod) {
-                clock.advance(tickPeriod);
-                heartbeats += membership.tick(clock.now()).size();
-            }
-            return heartbeats;
+            const auto heartbeatsIn = [&](std::chrono::milliseconds time) {
+                std::size_t heartbeats = 0;
+                for (std::chrono::milliseconds elapsed { 0 }; elapsed < time; elapsed += tickPeriod) {
+                    clock.advance(tickPeriod);
+                    heartbeats += membership.tick(clock.now()).size();
+                }
+                return heartbeats;
+            };
+            // A newcomer sends more than one a round.
+            heartbeatsIn(settings.newcomerContactPeriod);
+            return heartbeatsIn(10s);
         };
         const std::size_t expected = heartbeatsAt(50ms);
         EXPECT_GE(expected, 19U);
