StoreFeed: Let balancers with slow links look for readers before they list

Cause: at a start of all, each of 985 balancers asks the store for a first page of 157 KB. All but ten give it up soon, but what the store has sent takes its link all the same: 155 MB, 1.3 s, in which the readers of the zones wait for their second page (times of pages, trial).

Change: a balancer with a link below 100 Mbit/s contacts others at once and lists the store only if it meets nobody within 0.3 s, if it meets none that should read the store, or if those have not read it within 1 s. It asks whoever has everything meanwhile. Slow links in the simulation no longer get back what a cancelled listing takes of the store's link.

--- a/Source/Forwarder/Forwarder.h
+++ b/Source/Forwarder/Forwarder.h
@@ -56,7 +56,7 @@
                 .add("seeds", std::uint64_t(settings_.seeds.size())),
             now);
         awaitSignal();
-        scheduleTick(firstTickDelay);
+        scheduleTick(storeDriver_.feed().isAwaitingReaders() ? std::chrono::milliseconds(0) : firstTickDelay);
         context_.run();
     }
 
@@ -72,6 +72,7 @@
     Forwarder(const ForwarderSettings& settings, std::string settingsPath)
         : settings_(settings)
         , startedAt_(Clock::now())
+    static constexpr std::chrono::milliseconds awaitingReadersTickInterval { 20 };
         , incarnation_(static_cast<std::uint64_t>(
               std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch())
                   .count()))
@@ -224,8 +225,7 @@
         peerSync_->tick(now);
         storeDriver_.update(peerSync_->replicaSync().replica().completeTo(),
             peerSync_->isWatcher(now) && !lifecycle_.isStopping(), peerSync_->replicaSync().behindSince(), now);
-        const bool hasSynced = lifecycle_.hasSynced();
-        storeDriver_.tick(!hasSynced && peerSync_->replicaSync().knowsBetterReaders(), now);
+        storeDriver_.tick(betterReaders(), now);
         router_.noteStoreContact(peerSync_->replicaSync().lastStoreContact());
         router_.setBalancers(
             balancerIdOf(settings_.vm).value, peerSync_->liveBalancersOfZone(), peerSync_->isSettled(now), now);
@@ -244,7 +244,23 @@
             return;
         }
         flushLog(now);
-        scheduleTick(hasSynced ? tickInterval : unsyncedTickInterval);
+        scheduleTick(nextTickInterval());
+    }
+
+    std::chrono::milliseconds nextTickInterval() const
+    {
+        if (lifecycle_.hasSynced())
+            return tickInterval;
+        return storeDriver_.feed().isAwaitingReaders() ? awaitingReadersTickInterval : unsyncedTickInterval;
+    }
+
+    BetterReaders betterReaders() const
+    {
+        if (lifecycle_.hasSynced())
+            return BetterReaders::None;
+        if (peerSync_->members() == 1)
+            return BetterReaders::Unknown;
+        return peerSync_->replicaSync().knowsBetterReaders() ? BetterReaders::Known : BetterReaders::None;
     }
 
     // Writes the rest of the lines in chunks, so that a burst does not exceed what the log's reader accepts at once.
--- a/Source/Forwarder/StoreFeedDriver.h
+++ b/Source/Forwarder/StoreFeedDriver.h
@@ -36,9 +36,9 @@
         perform(feed_.update(completeTo, shallWatch, behindSince, now));
     }
     void noteContradiction(TimePoint now) { perform(feed_.noteContradiction(now)); }
-    void tick(bool knowsBetterReaders, TimePoint now)
+    void tick(BetterReaders betterReaders, TimePoint now)
     {
-        feed_.setKnowsBetterReaders(knowsBetterReaders);
+        feed_.setBetterReaders(betterReaders);
         if (const auto progress = client_.http().progress())
             perform(feed_.handlePageProgress(progress->received, progress->total, now));
         perform(feed_.tick(now));
--- a/Source/StoreSync/ReplicaSync.h
+++ b/Source/StoreSync/ReplicaSync.h
@@ -131,8 +131,8 @@
     ReplicaSyncActions tick(TimePoint now);
 
     const StoreReplica& replica() const { return replica_; }
-    // Whether the replica holds what this balancer needs to serve callers of its zone: the whole store, or the answer to
-    // a fetch of FetchScope::OwnZone.
+    // Whether the replica holds what this balancer needs to serve callers of its zone: the whole store, or the answer
+    // to a fetch of FetchScope::OwnZone.
     bool hasOwnZone() const { return hasOwnZone_ || replica_.completeTo() > 0; }
     // When tick() should be called next if nothing happens before; none when there is nothing to wait for.
     std::optional<TimePoint> nextTick() const;
--- a/Source/StoreSync/StoreFeed.cpp
+++ b/Source/StoreSync/StoreFeed.cpp
@@ -29,10 +29,35 @@
 StoreFeedActions StoreFeed::start(TimePoint now)
 {
     StoreFeedActions actions;
-    list(now, actions);
+    startedAt_ = now;
+    isAwaitingReaders_ = hasSlowLink();
+    if (isAwaitingReaders_)
+        pause(State::PausingBeforeList, settings_.readerSearchTime, now);
+    else
+        list(now, actions);
     return actions;
 }
 
+bool StoreFeed::hasSlowLink() const
+{
+    return settings_.linkMegabits > 0 && settings_.linkMegabits < settings_.fastLinkMegabits;
+}
+
+void StoreFeed::awaitReaders(TimePoint now, StoreFeedActions& actions)
+{
+    const Duration limit = knowsBetterReaders() ? settings_.readerWaitTime : settings_.readerSearchTime;
+    const bool isOver = betterReaders_ == BetterReaders::None || now - startedAt_ >= limit;
+    if (completeTo_ == 0 && !knowsPeersAhead_ && !isOver)
+        return;
+    isAwaitingReaders_ = false;
+    if (completeTo_ > 0)
+        abandonListing(now, actions);
+    else if (knowsPeersAhead_)
+        leaveListingToPeers(now, actions);
+    else
+        list(now, actions);
+}
+
 void StoreFeed::list(TimePoint now, StoreFeedActions& actions)
 {
     state_ = State::Listing;
@@ -69,7 +94,7 @@
     if (page.value().hasMore && !page.value().items.empty()) {
         if (!needsListing())
             abandonListing(now, actions);
-        else if (knowsBetterReaders_ && mayCancelListing())
+        else if (knowsBetterReaders() && mayCancelListing())
             leaveListingToPeers(now, actions);
         else
             list(now, actions);
@@ -126,7 +151,7 @@
 // is read to the end: nobody else may read it.
 bool StoreFeed::mayCancelListing() const
 {
-    const std::uint32_t limit = knowsBetterReaders_ ? settings_.maxCancelledListings : 1;
+    const std::uint32_t limit = knowsBetterReaders() ? settings_.maxCancelledListings : 1;
     return state_ == State::Listing && completeTo_ == 0 && cancelledListings_ < limit;
 }
 
@@ -147,7 +172,7 @@
 bool StoreFeed::keepsListing(std::uint64_t bytes) const
 {
     const bool isFast = settings_.linkMegabits == 0 || bytes <= linkBytes(settings_.fastLinkListingTime);
-    return !knowsBetterReaders_ && (isFast || keepsListingByChance_);
+    return !knowsBetterReaders() && (isFast || keepsListingByChance_);
 }
 
 // How many bytes this balancer's own link carries in this time.
@@ -271,6 +296,7 @@
     StoreFeedActions actions;
     completeTo_ = std::max(completeTo_, completeTo);
     isWatcher_ = isWatcher;
+    knowsPeersAhead_ = behindSince.has_value();
     if (state_ == State::Idle && isWatcher_ && completeTo_ > 0)
         watch(now, actions);
     if (completeTo_ > watchedRevision_ && !supersededSince_)
@@ -298,6 +324,10 @@
 StoreFeedActions StoreFeed::tick(TimePoint now)
 {
     StoreFeedActions actions;
+    if (isAwaitingReaders_) {
+        awaitReaders(now, actions);
+        return actions;
+    }
     if (!pauseUntil_ || now < *pauseUntil_)
         return actions;
     pauseUntil_.reset();
--- a/Source/StoreSync/StoreFeed.h
+++ b/Source/StoreSync/StoreFeed.h
@@ -15,6 +15,14 @@
 
 namespace wisteriadock {
 
+// Whether other balancers should read a long first listing of the store for this one; see
+// ReplicaSync::knowsBetterReaders().
+enum class BetterReaders {
+    Unknown, // No other balancer is known yet.
+    None,
+    Known,
+};
+
 struct StoreFeedSettings {
     // How long the store holds a watch open. A shorter time finds a dead connection sooner and costs more calls.
     std::chrono::milliseconds watchDuration { 2500 };
@@ -38,6 +46,12 @@
     std::chrono::milliseconds minWatchDuration { 50 };
     // How old a stale listing can be at most.
     std::chrono::milliseconds maxListingAge { 15000 };
+    // A balancer whose link is slower than this (Mbit/s) asks others first and lists the store only if it meets nobody
+    // within readerSearchTime, if it meets none that should read it (see BetterReaders), or if those have not read it
+    // within readerWaitTime. The answers to hundreds of them would delay those to the readers, even if cancelled.
+    std::uint32_t fastLinkMegabits = 100;
+    std::chrono::milliseconds readerSearchTime { 300 };
+    std::chrono::milliseconds readerWaitTime { 1000 };
     // The progress of the first listing is checked this long after the request. If it arrives at less than half the
     // rate of this balancer's own link, because the store's link is the bottleneck, and would take longer than
     // minRemainingToCancel to complete, it is cancelled and its content fetched from peers. Where better readers are
@@ -122,8 +136,9 @@
     // Bytes of the page in progress. Decides whether to cancel a slow first listing: when many balancers start
     // together, they share the bandwidth of the store's link.
     StoreFeedActions handlePageProgress(std::uint64_t received, std::uint64_t total, TimePoint now);
-    // Sets whether other balancers should read a long first listing for this one; see ReplicaSync.
-    void setKnowsBetterReaders(bool knowsBetterReaders) { knowsBetterReaders_ = knowsBetterReaders; }
+    void setBetterReaders(BetterReaders betterReaders) { betterReaders_ = betterReaders; }
+    // Whether this balancer has just started and waits for others before it lists the store.
+    bool isAwaitingReaders() const { return isAwaitingReaders_; }
     // The outcome of the SendWatch with this number.
     StoreFeedActions handleChanges(std::uint64_t number, const Result<PlatformChanges>&, TimePoint now);
     // Must be called regularly with the revision up to which the replica is complete, whether this balancer is to watch
@@ -140,8 +155,8 @@
 
     bool isUnreachable() const { return unreachableSince_.has_value(); }
     bool isWatching() const { return state_ == State::Watching; }
-    // The first listing was cancelled and the replica is still empty, so peers are to be asked at once.
-    bool asksPeers() const { return cancelledListings_ > 0 && completeTo_ == 0; }
+    // The first listing is left to others and the replica is still empty, so peers are to be asked at once.
+    bool asksPeers() const { return (isAwaitingReaders_ || cancelledListings_ > 0) && completeTo_ == 0; }
     // Whether the store is unreachable or was until recently, so removed entries may be registered again soon.
     bool hadRecentOutage(TimePoint now) const;
 
@@ -160,6 +175,9 @@
         std::uint64_t revision = 0;
     };
 
+    bool hasSlowLink() const;
+    void awaitReaders(TimePoint now, StoreFeedActions&);
+    bool knowsBetterReaders() const { return betterReaders_ == BetterReaders::Known; }
     void list(TimePoint now, StoreFeedActions&);
     bool needsListing() const;
     void abandonListing(TimePoint now, StoreFeedActions&);
@@ -208,7 +226,10 @@
     // Whether this balancer is one of those chosen at random to complete a slow listing.
     const bool keepsListingByChance_;
     std::uint32_t cancelledListings_ = 0;
-    bool knowsBetterReaders_ = false;
+    BetterReaders betterReaders_ = BetterReaders::Unknown;
+    bool knowsPeersAhead_ = false;
+    bool isAwaitingReaders_ = false;
+    TimePoint startedAt_;
     // When a listing that may be stale arrived; none after it was checked.
     std::optional<TimePoint> staleListingAt_;
     // The watch in progress checks that listing.
--- a/Tests/StoreSync/ServerSpreadTest.cpp
+++ b/Tests/StoreSync/ServerSpreadTest.cpp
@@ -92,6 +92,23 @@
         EXPECT_EQ(fleet.balancersBehind(), 0U);
     }
 
+    // Guards against hundreds of balancers whose first pages fill the store's link before a reader has its second one.
+    TEST(ServerSpreadTest, BalancersServeTheirZoneBeforeCallersGiveUpAfterAPowerFailure)
+    {
+        constexpr std::size_t servers = 5000;
+        // The zone's part of the store's link, where nine zones like it start as well.
+        constexpr double storeMegabits = 100;
+        constexpr auto callersGiveUpAfter = 1500ms;
+        SlowLinkSimulation fleet(1, { { 10, 200 }, { 187, 20 } });
+        fleet.writeConfiguration(1, configurationText(1, 250, 0));
+        registerServers(fleet, servers, servers);
+        fleet.advance(2s);
+        fleet.setStoreMegabits(storeMegabits);
+        fleet.restartAll();
+        fleet.advance(callersGiveUpAfter);
+        EXPECT_EQ(fleet.balancersWithoutOwnZone(), 0U);
+    }
+
 }
 
 }
--- a/Tests/StoreSync/SlowLinkSimulation.cpp
+++ b/Tests/StoreSync/SlowLinkSimulation.cpp
@@ -18,6 +18,10 @@
 
     constexpr auto stepTime = 5ms;
     constexpr auto tickPeriod = 250ms;
+    constexpr auto unsyncedTickPeriod = 100ms;
+    constexpr auto awaitingReadersTickPeriod = 20ms;
+    // Processes that are restarted together begin within this time.
+    constexpr auto startSpread = 60ms;
     constexpr auto messageLatency = 2ms;
     constexpr double bytesPerMegabit = 1e6 / 8;
     // The store's link, which all balancers share.
@@ -104,7 +108,7 @@
     balancer.receivedAt.clear();
     balancer.gossipedRevision = 0;
     balancer.queuedDatagramBytes = 0;
-    balancer.nextTick = clock_.now() + random_() % 250 * 1ms;
+    balancer.nextTick = clock_.now() + random_() % startSpread.count() * 1ms;
     perform(index, balancer.feed->start(clock_.now()));
 }
 
@@ -190,11 +194,18 @@
     for (std::size_t i = 0; i < balancers_.size(); ++i) {
         if (clock_.now() < balancers_[i].nextTick)
             continue;
-        balancers_[i].nextTick += tickPeriod;
         tickBalancer(i);
+        balancers_[i].nextTick += tickPeriodOf(balancers_[i]);
     }
 }
 
+Duration SlowLinkSimulation::tickPeriodOf(const Balancer& balancer)
+{
+    if (balancer.sync->hasOwnZone())
+        return tickPeriod;
+    return balancer.feed->isAwaitingReaders() ? awaitingReadersTickPeriod : unsyncedTickPeriod;
+}
+
 // Each transfer gets the lesser of an equal share of its sender's link and one of its receiver's.
 void SlowLinkSimulation::moveBytes()
 {
@@ -204,14 +215,14 @@
     double fromStore = 0;
     for (const Transfer& transfer : transfers_) {
         ++(transfer.from ? sending[*transfer.from] : fromStore);
-        ++receiving[transfer.to];
+        receiving[transfer.to] += !transfer.isCancelled;
     }
     for (Balancer& balancer : balancers_)
         balancer.queuedDatagramBytes = std::max(0.0, balancer.queuedDatagramBytes - balancer.bytesPerSecond * seconds);
     std::vector<Transfer> arrived;
     for (Transfer& transfer : transfers_) {
         Balancer& receiver = balancers_[transfer.to];
-        double rate = receiver.bytesPerSecond / receiving[transfer.to];
+        double rate = transfer.isCancelled ? storeBytesPerSecond_ : receiver.bytesPerSecond / receiving[transfer.to];
         if (transfer.from)
             rate = std::min(rate, balancers_[*transfer.from].bytesPerSecond / sending[*transfer.from]);
         else
@@ -237,7 +248,7 @@
 void SlowLinkSimulation::deliver(Transfer transfer)
 {
     Balancer& balancer = balancers_[transfer.to];
-    if (transfer.incarnation != balancer.incarnation)
+    if (transfer.incarnation != balancer.incarnation || transfer.isCancelled)
         return;
     if (transfer.page)
         perform(transfer.to, balancer.feed->handlePage(*transfer.page, clock_.now()));
@@ -309,7 +320,7 @@
         if (transfer.to == index && transfer.isFetch && std::exchange(transfer.hasMoved, false))
             balancer.sync->noteFetchProgress(now);
     }
-    balancer.feed->setKnowsBetterReaders(balancer.sync->knowsBetterReaders());
+    balancer.feed->setBetterReaders(balancer.sync->knowsBetterReaders() ? BetterReaders::Known : BetterReaders::None);
     reportListingProgress(index);
     balancer.sync->setFetchesImmediately(balancer.feed->asksPeers());
     perform(index, balancer.sync->tick(now));
@@ -322,8 +333,8 @@
 
 void SlowLinkSimulation::reportListingProgress(std::size_t index)
 {
-    const auto listing = std::ranges::find_if(
-        transfers_, [&](const Transfer& transfer) { return transfer.to == index && transfer.page; });
+    const auto listing = std::ranges::find_if(transfers_,
+        [&](const Transfer& transfer) { return transfer.to == index && transfer.page && !transfer.isCancelled; });
     if (listing == transfers_.end())
         return;
     const auto received = static_cast<std::uint64_t>(listing->bytes - listing->bytesLeft);
@@ -399,7 +410,9 @@
             transfer.bytesLeft = transfer.bytes;
             transfers_.push_back(std::move(transfer));
         } else if (std::holds_alternative<CancelListing>(action)) {
-            std::erase_if(transfers_, [&](const Transfer& transfer) { return transfer.to == index && transfer.page; });
+            // The store has sent the whole answer, which still takes its link.
+            for (Transfer& transfer : transfers_)
+                transfer.isCancelled = transfer.isCancelled || (transfer.to == index && transfer.page);
         } else if (const auto* watch = std::get_if<SendWatch>(&action)) {
             watches_.push_back({ index, balancer.incarnation, *watch, clock_.now() + watch->call.wait });
         }
--- a/Tests/StoreSync/SlowLinkSimulation.h
+++ b/Tests/StoreSync/SlowLinkSimulation.h
@@ -82,6 +82,7 @@
         double bytes = 0;
         bool isFetch = false;
         bool hasMoved = false;
+        bool isCancelled = false;
         std::uint64_t watchNumber = 0;
         std::optional<StoreDelta> delta;
         std::optional<PlatformPage> page;
@@ -104,6 +105,7 @@
 
     void start(std::size_t);
     void step();
+    static Duration tickPeriodOf(const Balancer&);
     void moveBytes();
     void deliver(Transfer);
     void deliverDatagrams();
--- a/Tests/StoreSync/StoreFeedTest.cpp
+++ b/Tests/StoreSync/StoreFeedTest.cpp
@@ -300,13 +300,15 @@
         {
             settings.linkMegabits = 20;
             settings.keepListingOneIn = 1'000'000;
+            // Listings begin at once.
+            settings.fastLinkMegabits = 0;
         }
 
         // Whether a listing is cancelled of which this many bytes have arrived when it is checked.
         bool cancelsListing(std::uint64_t received, bool knowsBetterReaders = false)
         {
             StoreFeed feed(1, settings);
-            feed.setKnowsBetterReaders(knowsBetterReaders);
+            feed.setBetterReaders(knowsBetterReaders ? BetterReaders::Known : BetterReaders::None);
             feed.start(clock.now());
             const TimePoint checkedAt = clock.now() + settings.listingCheckDelay;
             const StoreFeedActions actions = feed.handlePageProgress(received, bytes, checkedAt);
@@ -366,7 +368,7 @@
         for (const bool knowsBetterReaders : { false, true }) {
             SCOPED_TRACE(knowsBetterReaders);
             StoreFeed feed(1, settings);
-            feed.setKnowsBetterReaders(knowsBetterReaders);
+            feed.setBetterReaders(knowsBetterReaders ? BetterReaders::Known : BetterReaders::None);
             feed.start(clock.now());
             const StoreFeedActions actions = feed.handlePage(first, clock.now());
             EXPECT_EQ(only<SendList>(actions) == nullptr, knowsBetterReaders);
@@ -377,7 +379,7 @@
         {
             SCOPED_TRACE("it is read to the end when they send nothing");
             StoreFeed feed(1, settings);
-            feed.setKnowsBetterReaders(true);
+            feed.setBetterReaders(BetterReaders::Known);
             feed.start(clock.now());
             for (std::uint32_t i = 0; i < settings.maxCancelledListings; ++i) {
                 EXPECT_EQ(only<SendList>(feed.handlePage(first, clock.now())), nullptr);
@@ -425,6 +427,80 @@
         }
     }
 
+    struct AwaitingReadersTest : SlowLinkStoreFeedTest {
+        AwaitingReadersTest() { settings.fastLinkMegabits = 100; }
+
+        // Whether the feed lists the store when it is ticked this long after its start.
+        bool listsAfter(StoreFeed& feed, Duration time)
+        {
+            return only<SendList>(feed.tick(clock.now() + time)) != nullptr;
+        }
+    };
+
+    // Guards against hundreds of balancers whose pages fill the store's link before one of them has read everything.
+    TEST_F(AwaitingReadersTest, BalancerWithASlowLinkLooksForReadersFirst)
+    {
+        StoreFeed feed(1, settings);
+        EXPECT_TRUE(feed.start(clock.now()).empty());
+        EXPECT_TRUE(feed.isAwaitingReaders());
+        EXPECT_TRUE(feed.asksPeers());
+        EXPECT_FALSE(listsAfter(feed, settings.readerSearchTime - 1ms));
+        {
+            SCOPED_TRACE("it waits longer for readers that it knows");
+            feed.setBetterReaders(BetterReaders::Known);
+            EXPECT_FALSE(listsAfter(feed, settings.readerWaitTime - 1ms));
+            EXPECT_TRUE(listsAfter(feed, settings.readerWaitTime));
+            EXPECT_FALSE(feed.isAwaitingReaders());
+        }
+    }
+
+    TEST_F(AwaitingReadersTest, StoreIsListedWhenNobodyElseShouldReadIt)
+    {
+        {
+            SCOPED_TRACE("no other balancer answers");
+            StoreFeed feed(1, settings);
+            feed.start(clock.now());
+            EXPECT_TRUE(listsAfter(feed, settings.readerSearchTime));
+            EXPECT_FALSE(feed.asksPeers());
+        }
+        {
+            SCOPED_TRACE("others are as slow");
+            StoreFeed feed(1, settings);
+            feed.start(clock.now());
+            feed.setBetterReaders(BetterReaders::None);
+            EXPECT_TRUE(listsAfter(feed, 20ms));
+        }
+        for (const std::uint32_t linkMegabits : { 0U, 100U }) {
+            SCOPED_TRACE(linkMegabits);
+            settings.linkMegabits = linkMegabits;
+            StoreFeed feed(1, settings);
+            EXPECT_NE(only<SendList>(feed.start(clock.now())), nullptr);
+        }
+    }
+
+    TEST_F(AwaitingReadersTest, StoreIsNotListedWhileAPeerHasEverything)
+    {
+        StoreFeed feed(1, settings);
+        feed.start(clock.now());
+        feed.setBetterReaders(BetterReaders::Known);
+        feed.update(0, false, clock.now(), clock.now());
+        EXPECT_FALSE(listsAfter(feed, settings.readerWaitTime));
+        EXPECT_TRUE(feed.asksPeers());
+        {
+            SCOPED_TRACE("it is listed if the peer does not send it");
+            EXPECT_TRUE(listsAfter(feed, settings.readerWaitTime + settings.peersTimeout));
+        }
+        {
+            SCOPED_TRACE("it is not listed once the peer has sent it");
+            StoreFeed other(1, settings);
+            other.start(clock.now());
+            other.update(7, false, std::nullopt, clock.now());
+            EXPECT_FALSE(listsAfter(other, settings.readerWaitTime));
+            EXPECT_FALSE(other.isAwaitingReaders());
+            EXPECT_FALSE(listsAfter(other, settings.readerWaitTime + settings.peersTimeout));
+        }
+    }
+
 }
 
 }
