Tests: Fuzz updates of any key beside a server that holds, and answers to fetches

The targets cover what was missing of bad input: entries of other writers and orders to evacuate a zone, applied beside a valid server, and the compressed answers that balancers read from each other.

--- a/Tests/Fuzz/FuzzTargets.cpp
+++ b/Tests/Fuzz/FuzzTargets.cpp
@@ -1,18 +1,25 @@
 #include "Fuzz/FuzzTargets.h"
 
+#include "Forwarder/FetchProtocol.h"
 #include "Forwarder/ForwarderSettings.h"
+#include "Forwarder/StoreUpdateApplier.h"
 #include "Membership/MembersPages.h"
 #include "StoreSync/CompressedValue.h"
 #include "StoreSync/StoreReplica.h"
+#include "Wire/Compression.h"
 #include "Wire/PeerMessageCodec.h"
+#include "platform/Adapter.h"
 #include "platform/ConfigurationText.h"
 #include "platform/PacketLayout.h"
 #include "platform/StoreCodec.h"
 #include "platform/StoredValues.h"
 
+#include <algorithm>
 #include <array>
 #include <cstdlib>
+#include <fcntl.h>
 #include <string>
+#include <utility>
 
 namespace wisteriadock {
 
@@ -77,6 +84,50 @@
         require(replica.merge(delta.value(), now).empty());
     }
 
+    // An update of any key with any value, such as an entry of another writer or an order to evacuate a zone, beside a
+    // server and a configuration that hold. The first line of the input is the key.
+    void runStoreUpdate(std::span<const std::uint8_t> input)
+    {
+        static EventLog log({ "vm", "walu", 1 }, ::open("/dev/null", O_WRONLY | O_CLOEXEC));
+        const auto lineEnd = std::ranges::find(input, std::uint8_t('\n'));
+        StoreUpdate update { std::string(input.begin(), lineEnd), {}, 9 };
+        if (lineEnd != input.end())
+            update.value.assign(lineEnd + 1, input.end());
+
+        RegisteredServer server;
+        server.id = "i-7f3a91c2";
+        server.number = 0x7f3a91c2;
+        server.service = "tryon";
+        server.address = { 0x0A010101, 8080 };
+        server.availabilityZone = "walu";
+        const TimePoint now = TimePoint(std::chrono::hours(1));
+        ForwarderLog lines(log);
+        ForwarderMetrics metrics;
+        RouterSettings settings;
+        settings.availabilityZone = "walu";
+        TokenRouter router(std::move(settings));
+        StoreUpdateApplier<platform::Adapter> applier(router, lines, metrics);
+        const std::string key = platform::serverKeyOf(server.id);
+        applier.apply({ { { key, platform::encodeServer(server), 8 } }, false, "store", {}, 8 }, now);
+        require(router.directory().size() == 1);
+        applier.apply({ { update }, false, "store", {}, 9 }, now);
+        // Only its own entry, or a later process at its address, can change what is known of the server.
+        const KnownServer* known = router.directory().find(server.id);
+        require(known && (known->entry == server || update.key == key));
+        require(router.directory().size() <= 2);
+    }
+
+    void runFetchAnswer(std::span<const std::uint8_t> input)
+    {
+        HttpResponse response;
+        response.body = textOf(input);
+        (void)deltaOf(response);
+        response.headers.push_back({ "content-encoding", "zstd" });
+        (void)deltaOf(response);
+        response.body = compressBytes(textOf(input));
+        (void)deltaOf(response);
+    }
+
     void runMembersPage(std::span<const std::uint8_t> input)
     {
         const auto page = decodeMessage<MembersPageMessage>(input);
@@ -94,7 +145,9 @@
         FuzzTarget { "server_entry", runServerEntry },
         FuzzTarget { "configuration", runConfiguration },
         FuzzTarget { "store_answer", runStoreAnswer },
+        FuzzTarget { "store_update", runStoreUpdate },
         FuzzTarget { "peer_news", runStoreDelta },
+        FuzzTarget { "fetch_answer", runFetchAnswer },
         FuzzTarget { "members_page", runMembersPage },
         FuzzTarget { "settings", runSettings },
     };
