--- a/Source/Forwarder/Forwarder.h
+++ b/Source/Forwarder/Forwarder.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Core/EventLog.h"
+#include "Core/ResourceUsage.h"
 #include "Forward/TokenRouter.h"
 #include "Forwarder/ForwarderHttpHandler.h"
 #include "Forwarder/ForwarderLifecycle.h"
@@ -238,7 +239,7 @@
             forwarderLog_.groupLiveness(change, now);
         settingsReloader_.tick(now);
         if (trafficReport_.isDue(now))
-            trafficReport_.write(httpHandler_->traffic(), now);
+            trafficReport_.write(httpHandler_->traffic(), resourceUsage(), now);
         if (lifecycle_.isStopped(now)) {
             finish(now);
             return;
@@ -277,7 +278,7 @@
 
     void finish(TimePoint now)
     {
-        trafficReport_.write(httpHandler_->traffic(), now);
+        trafficReport_.write(httpHandler_->traffic(), resourceUsage(), now);
         log_.write(LogLevel::Info, "process", "stopped", Event().add("ran_ms", now - startedAt_), now);
         log_.buffer().flushAll();
         context_.stop();
--- a/Source/Forwarder/TrafficReport.cpp
+++ b/Source/Forwarder/TrafficReport.cpp
@@ -4,11 +4,13 @@
 
 namespace wisteriadock {
 
-void TrafficReport::write(const std::vector<TrafficRow>& rows, TimePoint now)
+void TrafficReport::write(const std::vector<TrafficRow>& rows, const ResourceUsage& usage, TimePoint now)
 {
     nextAt_ = now + period;
     Event event;
-    event.add("seconds", std::chrono::duration<double>(now - startedAt_).count());
+    event.add("seconds", std::chrono::duration<double>(now - startedAt_).count())
+        .add("cpu_ms", Duration(usage.processorTime))
+        .add("peak_memory_kb", usage.peakMemoryKilobytes);
     for (const TrafficRow& row : rows) {
         const std::string cause(row.cause);
         event.add(cause + "_messages", row.messages)
--- a/Source/Forwarder/TrafficReport.h
+++ b/Source/Forwarder/TrafficReport.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Core/EventLog.h"
+#include "Core/ResourceUsage.h"
 
 #include <chrono>
 #include <cstdint>
@@ -18,8 +19,8 @@
     std::uint64_t receivedBytes = 0;
 };
 
-// Logs what the forwarder sends and receives, by cause, so that operators see why one forwarder of a fleet sends more
-// than others. Forwarder calls it once per period and at the end of a planned stop.
+// Logs what the forwarder sends and receives, by cause, and what it uses, so that operators see why one forwarder of a
+// fleet costs more than others. Forwarder calls it once per period and at the end of a planned stop.
 class TrafficReport {
 public:
     static constexpr std::chrono::seconds period { 10 };
@@ -32,7 +33,7 @@
     }
 
     bool isDue(TimePoint now) const { return now >= nextAt_; }
-    void write(const std::vector<TrafficRow>&, TimePoint now);
+    void write(const std::vector<TrafficRow>&, const ResourceUsage&, TimePoint now);
 
 private:
     EventLog& log_;
--- a/Tests/Forwarder/TrafficReportTest.cpp
+++ b/Tests/Forwarder/TrafficReportTest.cpp
@@ -22,7 +22,7 @@
         EXPECT_FALSE(report.isDue(clock.now()));
         clock.advance(10s);
         EXPECT_TRUE(report.isDue(clock.now()));
-        report.write({ { "pushes", 3, 1000, 200 }, { "packets", 5, 70, 70 } }, clock.now());
+        report.write({ { "pushes", 3, 1000, 200 }, { "packets", 5, 70, 70 } }, { 2500us, 4096 }, clock.now());
         EXPECT_FALSE(report.isDue(clock.now()));
         log.buffer().flushAll();
         close(ends[1]);
@@ -33,6 +33,14 @@
         EXPECT_NE(
             text.find(R"("pushes_messages":3,"pushes_sent_bytes":1000,"pushes_received_bytes":200)"), std::string::npos)
             << text;
+        EXPECT_NE(text.find(R"("cpu_ms":2.500,"peak_memory_kb":4096)"), std::string::npos) << text;
+    }
+
+    TEST(TrafficReportTest, UsageOfThisProcessIsRead)
+    {
+        const ResourceUsage usage = resourceUsage();
+        EXPECT_GT(usage.processorTime.count(), 0);
+        EXPECT_GT(usage.peakMemoryKilobytes, 1000U);
     }
 
 }
