Forwarder: Apply thousands of updates in slices

Cause: on 0.12 of a core the entries of 10,000 servers take 0.2 s to apply (whole fleet, from the fetch to the log line), in which packets waited. Change: updates are applied 500 at a time, in order, and packets are handled in between.

--- a/Source/Forwarder/Forwarder.h
+++ b/Source/Forwarder/Forwarder.h
@@ -13,9 +13,11 @@
 #include "Forwarder/StoreFeedDriver.h"
 #include "Forwarder/StoreUpdateApplier.h"
 #include "Forwarder/TokenPacketPath.h"
+#include "Forwarder/UpdateQueue.h"
 #include "Net/Http1Server.h"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 
@@ -67,13 +69,14 @@
     // Peers are contacted once packets are forwarded, or after this time. The store usually answers first, and callers
     // wait for it after a power failure.
     static constexpr std::chrono::milliseconds firstTickDelay { 60 };
-    // Interval of the ticks until the routes and the servers have been loaded, while callers wait.
+    // Interval of the ticks until the routes and the servers have been loaded, while callers wait, and while the first
+    // listing of the store waits for other balancers.
     static constexpr std::chrono::milliseconds unsyncedTickInterval { 100 };
+    static constexpr std::chrono::milliseconds awaitingReadersTickInterval { 20 };
 
     Forwarder(const ForwarderSettings& settings, std::string settingsPath)
         : settings_(settings)
         , startedAt_(Clock::now())
-    static constexpr std::chrono::milliseconds awaitingReadersTickInterval { 20 };
         , incarnation_(static_cast<std::uint64_t>(
               std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch())
                   .count()))
@@ -119,8 +122,9 @@
         storeDriver_.start(startedAt_);
         BOOST_OUTCOME_TRY(socket, PacketSocket::open(settings_.flow));
         BOOST_OUTCOME_TRY(peers,
-            PeerSync::open(context_, self(), settings_.seeds, seed_, log_, metrics_,
-                [this](const ReplicaChanged& changed) { handleReplicaChange(changed); },
+            PeerSync::open(
+                context_, self(), settings_.seeds, seed_, log_, metrics_,
+                [this](ReplicaChanged changed) { handleReplicaChange(std::move(changed)); },
                 [this](const StoreUpdate& update) { return applier_.isOfZone(settings_.availabilityZone, update); }));
         peerSync_ = std::move(peers);
         packetPath_
@@ -159,26 +163,42 @@
         return member;
     }
 
-    void handleReplicaChange(const ReplicaChanged& changed)
+    void handleReplicaChange(ReplicaChanged changed)
+    {
+        const bool isIdle = updates_.isEmpty();
+        updates_.push(std::move(changed));
+        if (isIdle)
+            applyUpdates();
+    }
+
+    void applyUpdates()
     {
         const TimePoint now = Clock::now();
-        applier_.apply(changed, now);
-        const bool hasSynced = router_.configurationVersion() > 0 && peerSync_->replicaSync().hasOwnZone();
-        if (hasSynced && lifecycle_.noteSynced()) {
-            // Earlier packets have waited in the socket's buffer. Dropping them would delay callers until they
-            // retransmit.
-            packetPath_->start();
-            log_.write(LogLevel::Info, "process", "ready",
-                Event()
-                    .add("after_ms", now - startedAt_)
-                    .add("configuration_version", router_.configurationVersion())
-                    .add("revision", changed.revision)
-                    .add("servers", std::uint64_t(router_.directory().size()))
-                    .add("source", changed.source),
-                now);
-            flushLog(now);
-            startPeerSync(now);
+        const ReplicaChanged slice = updates_.pop();
+        applier_.apply(slice, now);
+        if (!updates_.isEmpty()) {
+            boost::asio::post(context_, [this] { applyUpdates(); });
+            return;
         }
+        const bool hasSynced = router_.configurationVersion() > 0 && peerSync_->replicaSync().hasOwnZone();
+        if (hasSynced && lifecycle_.noteSynced())
+            becomeReady(slice, now);
+    }
+
+    void becomeReady(const ReplicaChanged& last, TimePoint now)
+    {
+        // Earlier packets have waited in the socket's buffer. Dropping them would delay callers until they retransmit.
+        packetPath_->start();
+        log_.write(LogLevel::Info, "process", "ready",
+            Event()
+                .add("after_ms", now - startedAt_)
+                .add("configuration_version", router_.configurationVersion())
+                .add("revision", last.revision)
+                .add("servers", std::uint64_t(router_.directory().size()))
+                .add("source", last.source),
+            now);
+        flushLog(now);
+        startPeerSync(now);
     }
 
     void startPeerSync(TimePoint now)
@@ -319,6 +339,7 @@
     TokenRouter router_;
     ForwarderLifecycle lifecycle_;
     StoreUpdateApplier<Adapter> applier_;
+    UpdateQueue updates_;
     boost::asio::signal_set signals_;
     boost::asio::steady_timer tickTimer_;
     boost::asio::steady_timer logTimer_;
--- a/Source/Forwarder/PeerSync.cpp
+++ b/Source/Forwarder/PeerSync.cpp
@@ -258,18 +258,18 @@
     }
 }
 
-void PeerSync::perform(const ReplicaSyncActions& actions, TimePoint now)
+void PeerSync::perform(ReplicaSyncActions actions, TimePoint now)
 {
-    for (const ReplicaSyncAction& action : actions) {
+    for (ReplicaSyncAction& action : actions) {
         if (const auto* push = std::get_if<PushDelta>(&action)) {
             this->push(*push);
         } else if (const auto* fetch = std::get_if<FetchDelta>(&action)) {
             this->fetch(*fetch);
         } else {
-            const auto& changed = std::get<ReplicaChanged>(action);
+            auto& changed = std::get<ReplicaChanged>(action);
             if (changed.source != "store" && replicaSync_.behindSince())
                 metrics_.observeReplicaLag(now - *replicaSync_.behindSince());
-            handler_(changed);
+            handler_(std::move(changed));
         }
     }
 }
--- a/Source/Forwarder/PeerSync.h
+++ b/Source/Forwarder/PeerSync.h
@@ -29,7 +29,7 @@
 // of the io_context.
 class PeerSync {
 public:
-    using Handler = std::function<void(const ReplicaChanged&)>;
+    using Handler = std::function<void(ReplicaChanged)>;
 
     // Fails with Unavailable when the address can't be bound for datagrams or connections. The handler is called for
     // each change of the replica, whether it came from the store or from a balancer.
@@ -75,7 +75,7 @@
     void receiveRelay(const PeerEnvelope&, TimePoint now);
     void answerFetch(const std::shared_ptr<Http2Exchange>&);
     void perform(const MembershipActions&, TimePoint now);
-    void perform(const ReplicaSyncActions&, TimePoint now);
+    void perform(ReplicaSyncActions, TimePoint now);
     void push(const PushDelta&);
     void fetch(const FetchDelta&);
     void handleFetchOutcome(const std::string& source, const HttpOutcome&);
--- a/Tests/Forwarder/PeerSyncTest.cpp
+++ b/Tests/Forwarder/PeerSyncTest.cpp
@@ -55,7 +55,8 @@
             const auto handler = [this](const ReplicaChanged& changed) {
                 received.insert(received.end(), changed.items.begin(), changed.items.end());
             };
-            auto opened = PeerSync::open(context, self, { { other, port } }, address, log, metrics, handler,
+            auto opened = PeerSync::open(
+                context, self, { { other, port } }, address, log, metrics, handler,
                 [](const StoreUpdate&) { return true; }, settings);
             if (!opened)
                 return false;
