ReplicaSync: Tell those that ask from whom they can fetch, once it is applied

Cause: after a start of all, readers announced their revision to the part of the zone that they knew, and before they had applied what they read; the others waited for gossip: 196 listed the store after 1 s for want of a peer, and many were sent nearly everything by balancers with slow links, which knew the zones of few servers yet.

Change: a balancer with an empty replica asks three of the fastest ones of its zone each 0.2 s for their revision (RevisionRequest); they answer once others can fetch from them, and membership tells a revision no sooner either. This replaces announcements to balancers with empty replicas. Behind slow links only, the own zone is fetched first; the other zones follow 0.2 to 0.7 s later, so that all have their own first.

--- a/Source/Forwarder/Forwarder.h
+++ b/Source/Forwarder/Forwarder.h
@@ -143,6 +143,7 @@
         auto metrics = Http1Server::listen(context_, settings_.metrics, onRequest);
         if (metrics)
             metricsServer_ = std::move(metrics).value();
+        peerSync_->handleApplied(now);
         else
             log_.write(LogLevel::Warning, "process", "without_metrics",
                 Event().add("error", metrics.error().toString()), startedAt_);
--- a/Source/Forwarder/PeerSync.cpp
+++ b/Source/Forwarder/PeerSync.cpp
@@ -119,8 +119,8 @@
 
 void PeerSync::tick(TimePoint now)
 {
-    if (replicaSync_.replica().completeTo() > announcedRevision_) {
-        announcedRevision_ = replicaSync_.replica().completeTo();
+    if (replicaSync_.servedRevision() > announcedRevision_) {
+        announcedRevision_ = replicaSync_.servedRevision();
         perform(membership_.setConfigurationVersion(announcedRevision_, now), now);
     }
     perform(membership_.tick(now), now);
@@ -199,8 +199,8 @@
             "membership", { PeerMessageKind::Heartbeat, PeerMessageKind::ProbeRequest, PeerMessageKind::ProbeResult }),
         rowOf("member_pages", { PeerMessageKind::MembersRequest, PeerMessageKind::MembersPage }),
         rowOf("pushes",
-            { PeerMessageKind::ReplicaSync, PeerMessageKind::CompressedReplicaSync,
-                PeerMessageKind::RelayedReplicaSync }),
+            { PeerMessageKind::ReplicaSync, PeerMessageKind::CompressedReplicaSync, PeerMessageKind::RelayedReplicaSync,
+                PeerMessageKind::RevisionRequest }),
         { "fetches_asked", fetchNumber_, 0, fetchBytes },
         { "fetches_served", fetchesServed_, server_->bytesTransferred(), 0 },
     };
@@ -218,6 +218,9 @@
     case PeerMessageKind::RelayedReplicaSync:
         receiveRelay(envelope, now);
         break;
+    case PeerMessageKind::RevisionRequest:
+        perform(replicaSync_.handleRevisionRequest(envelope.sender, sender), now);
+        break;
     default:
         perform(membership_.handle(PeerMessageReceived { sender, envelope }, now), now);
         break;
@@ -265,6 +268,9 @@
             this->push(*push);
         } else if (const auto* fetch = std::get_if<FetchDelta>(&action)) {
             this->fetch(*fetch);
+        } else if (const auto* request = std::get_if<RequestRevision>(&action)) {
+            link_->send(request->to,
+                { membership_.view()->self, membership_.selfIncarnation(), PeerMessageKind::RevisionRequest, {} });
         } else {
             auto& changed = std::get<ReplicaChanged>(action);
             if (changed.source != "store" && replicaSync_.behindSince())
--- a/Source/Forwarder/PeerSync.h
+++ b/Source/Forwarder/PeerSync.h
@@ -51,6 +51,8 @@
 
     // While this balancer is a watcher and the store is unreachable, the others see it as Detached.
     void noteStoreReachability(bool isUnreachable, TimePoint now);
+    // See ReplicaSync::handleApplied().
+    void handleApplied(TimePoint now) { perform(replicaSync_.handleApplied(), now); }
     // See ReplicaSync::setFetchesImmediately().
     void setFetchesImmediately(bool fetchesImmediately) { replicaSync_.setFetchesImmediately(fetchesImmediately); }
     // Whether this balancer is one of those that watch the store for the others.
--- a/Source/Forwarder/StoreUpdateApplier.h
+++ b/Source/Forwarder/StoreUpdateApplier.h
@@ -41,13 +41,13 @@
         log_.transitions(transitions, changed.revision, changed.source, now);
     }
 
-    // Whether the balancers of the zone need the update to serve their callers: all but the entries of servers of other
-    // zones.
+    // Whether the balancers of the zone need the update to serve their callers: all but the entries of servers that are
+    // of other zones or unusable.
     bool isOfZone(const std::string& availabilityZone, const StoreUpdate& update)
     {
         const auto id = Adapter::serverIdOf(update.key);
         const KnownServer* server = id ? router_.directory().find(*id) : nullptr;
-        return !server || server->entry.availabilityZone == availabilityZone;
+        return !id || (server && server->entry.availabilityZone == availabilityZone);
     }
 
 private:
--- a/Source/Membership/MembershipSettings.h
+++ b/Source/Membership/MembershipSettings.h
@@ -28,7 +28,7 @@
 
     // A balancer that knows no other one contacts one address of the VM list this often for some time after its start,
     // since those VMs may have started at the same moment. Takes effect only if tick() is called as often.
-    std::chrono::milliseconds newcomerContactInterval { 100 };
+    std::chrono::milliseconds newcomerContactInterval { 50 };
     std::chrono::milliseconds newcomerContactPeriod { 1000 };
 
     // Up to this many other live members are all probed in each interval; in larger fleets one random member is.
--- a/Source/StoreSync/ReplicaSync.cpp
+++ b/Source/StoreSync/ReplicaSync.cpp
@@ -1,6 +1,7 @@
 #include "StoreSync/ReplicaSync.h"
 
 #include <algorithm>
+#include <functional>
 #include <iterator>
 #include <utility>
 
@@ -28,8 +29,6 @@
     const bool isConfirmation = delta.isFresh && delta.items.empty() && delta.from == delta.to;
     if (isForOthers && (!actions.empty() || isConfirmation))
         push(delta.isSnapshot ? changesInSnapshot(delta, formerRevision, now) : delta, actions);
-    if (delta.isSnapshot)
-        announceToUninformed(SnapshotSource::Store, actions);
     fetchIfBehind(now, actions);
     return actions;
 }
@@ -84,9 +83,9 @@
     ReplicaSyncActions actions = reportChanges(sender, delta, replica_.merge(delta, now), now);
     fetchEncoding_ = replica_.lacksPatchBase() ? StoreReplica::Encoding::Full : StoreReplica::Encoding::Patched;
     hasOwnZone_ = true;
-    if (delta.isSnapshot)
-        announceToUninformed(SnapshotSource::Peer, actions);
-    else if (!actions.empty() && fetchScope_ == FetchScope::Everything)
+    if (fetchScope_ == FetchScope::OwnZone)
+        otherZonesFrom_ = now + settings_.otherZonesDelay + jitter_;
+    else if (!delta.isSnapshot && !actions.empty())
         isWatcher_ ? push(delta, actions) : announce(actions);
     fetchIfBehind(now, actions);
     return actions;
@@ -106,6 +105,24 @@
     return actions;
 }
 
+ReplicaSyncActions ReplicaSync::handleRevisionRequest(BalancerId sender, const Endpoint& address)
+{
+    if (revisionRequests_.size() < settings_.maxRevisionRequests)
+        revisionRequests_[sender] = address;
+    ReplicaSyncActions actions;
+    answerRevisionRequests(actions);
+    return actions;
+}
+
+ReplicaSyncActions ReplicaSync::handleApplied()
+{
+    hasUnappliedUpdates_ = false;
+    appliedRevision_ = replica_.completeTo();
+    ReplicaSyncActions actions;
+    answerRevisionRequests(actions);
+    return actions;
+}
+
 void ReplicaSync::noteFetchProgress(TimePoint now)
 {
     if (fetchDeadline_)
@@ -127,7 +144,9 @@
     if (fetchDeadline_ && now >= *fetchDeadline_)
         fetchDeadline_.reset();
     ReplicaSyncActions actions;
+    answerRevisionRequests(actions);
     fetchIfBehind(now, actions);
+    requestRevisions(now, actions);
     return actions;
 }
 
@@ -136,17 +155,19 @@
     if (fetchDeadline_)
         return fetchDeadline_;
     if (behindSince_)
-        return *behindSince_ + fetchDelay(true);
+        return std::max(*behindSince_ + fetchDelay(true), otherZonesFrom_);
     return std::nullopt;
 }
 
 ReplicaSyncActions ReplicaSync::reportChanges(
-    const std::string& source, const StoreDelta& delta, StoreReplica::Updates changed, TimePoint now) const
+    const std::string& source, const StoreDelta& delta, StoreReplica::Updates changed, TimePoint now)
 {
     ReplicaSyncActions actions;
-    if (!changed.empty())
-        actions.emplace_back(ReplicaChanged { std::move(changed), delta.isInDoubt, source,
-            behindSince_ ? now - *behindSince_ : Duration::zero(), replica_.completeTo() });
+    if (changed.empty())
+        return actions;
+    hasUnappliedUpdates_ = true;
+    actions.emplace_back(ReplicaChanged { std::move(changed), delta.isInDoubt, source,
+        behindSince_ ? now - *behindSince_ : Duration::zero(), replica_.completeTo() });
     return actions;
 }
 
@@ -189,36 +210,37 @@
     std::vector<const Member*> others = view_ ? othersInZone() : std::vector<const Member*>();
     if (others.size() < settings_.largeZoneSize)
         return;
-    const auto announcement = pieceOf({ replica_.completeTo(), replica_.completeTo(), false, false, {} });
     for (std::size_t i = 0; i < settings_.announcementFanout; ++i)
-        actions.emplace_back(PushDelta { others[random_() % others.size()]->peerAddress, announcement });
+        actions.emplace_back(PushDelta { others[random_() % others.size()]->peerAddress, announcement() });
 }
 
-// Tells balancers with empty replicas that they can fetch from this one. Gossip would tell them later. A balancer that
-// has read the store tells those with links as fast as its own, which then serve the slower ones: the whole zone would
-// share the links of the few readers.
-void ReplicaSync::announceToUninformed(SnapshotSource source, ReplicaSyncActions& actions)
+std::shared_ptr<const DeltaPiece> ReplicaSync::announcement() const
 {
-    const Member* self = view_ ? view_->findSelf() : nullptr;
-    if (!self || replica_.completeTo() == 0)
+    return pieceOf({ replica_.completeTo(), replica_.completeTo(), false, false, {} });
+}
+
+void ReplicaSync::answerRevisionRequests(ReplicaSyncActions& actions)
+{
+    if (servedRevision() == 0)
         return;
-    std::vector<const Member*> uninformed = othersInZone();
-    std::erase_if(uninformed, [&](const Member* member) { return revisionOf(*member) > 0; });
-    std::ranges::shuffle(uninformed, random_);
-    const auto isPreferred = [&](const Member* member) {
-        const bool isFast = bandwidthClassOf(member->linkMegabits) >= bandwidthClassOf(self->linkMegabits);
-        return isFast == (source == SnapshotSource::Store);
-    };
-    const auto others = std::ranges::stable_partition(uninformed, isPreferred);
-    const auto preferred = static_cast<std::size_t>(others.begin() - uninformed.begin());
-    std::size_t limit
-        = std::max<std::size_t>(settings_.announcementFanout, self->linkMegabits / settings_.megabitsPerUninformedPeer);
-    if (preferred > 0)
-        limit = std::min(limit, preferred + settings_.announcementFanout);
-    uninformed.resize(std::min(uninformed.size(), limit));
-    const auto announcement = pieceOf({ replica_.completeTo(), replica_.completeTo(), false, false, {} });
-    for (const Member* member : uninformed)
-        actions.emplace_back(PushDelta { member->peerAddress, announcement });
+    for (const auto& [id, address] : std::exchange(revisionRequests_, {}))
+        actions.emplace_back(PushDelta { address, announcement() });
+}
+
+// When all balancers start together, gossip tells too late which of them has read the store.
+void ReplicaSync::requestRevisions(TimePoint now, ReplicaSyncActions& actions)
+{
+    const bool asksPeers = view_ && replica_.completeTo() == 0 && fetchesImmediately_;
+    if (!asksPeers || now < nextRevisionRequest_)
+        return;
+    nextRevisionRequest_ = now + settings_.revisionRequestInterval;
+    std::vector<const Member*> members = othersInZone();
+    std::ranges::shuffle(members, random_);
+    std::ranges::stable_sort(
+        members, std::greater {}, [](const Member* member) { return bandwidthClassOf(member->linkMegabits); });
+    members.resize(std::min(members.size(), settings_.revisionRequestFanout));
+    for (const Member* member : members)
+        actions.emplace_back(RequestRevision { member->peerAddress });
 }
 
 std::vector<const Member*> ReplicaSync::othersInZone() const
@@ -248,19 +270,27 @@
     const bool hasSourceInZone = !candidates.empty();
     if (!hasSourceInZone)
         candidates = sources(false);
-    if (fetchDeadline_ || candidates.empty() || now - *behindSince_ < fetchDelay(hasSourceInZone))
+    const bool isTooEarly = now - *behindSince_ < fetchDelay(hasSourceInZone) || now < otherZonesFrom_;
+    if (fetchDeadline_ || candidates.empty() || isTooEarly)
         return;
     const Member* source = chooseSource(std::move(candidates));
     fetchDeadline_ = now + settings_.answerTimeout;
     fetchStartedAt_ = now;
     lastSource_ = source->id;
-    // A balancer that has just started can serve as soon as it knows its own zone. The whole store takes several times
-    // as long on a slow link or processor.
-    fetchScope_ = hasOwnZone() || !hasSourceInZone ? FetchScope::Everything : FetchScope::OwnZone;
+    fetchScope_ = nextFetchScope(hasSourceInZone);
     actions.emplace_back(
         FetchDelta { source->id, source->requestAddress, replica_.completeTo(), fetchEncoding_, fetchScope_ });
 }
 
+// A balancer that has just started can serve as soon as it knows its own zone. The whole store takes several times as
+// long on a slow link.
+FetchScope ReplicaSync::nextFetchScope(bool hasSourceInZone) const
+{
+    const Member* self = view_->findSelf();
+    const bool isSlow = self && isSlowLink(self->linkMegabits, settings_.fastLinkMegabits);
+    return isSlow && hasSourceInZone && !hasOwnZone() ? FetchScope::OwnZone : FetchScope::Everything;
+}
+
 Duration ReplicaSync::fetchDelay(bool hasSourceInZone) const
 {
     // A snapshot is large, and the store usually serves it faster than a balancer with a slow link.
--- a/Source/StoreSync/ReplicaSync.h
+++ b/Source/StoreSync/ReplicaSync.h
@@ -5,6 +5,7 @@
 #include "Core/Identifiers.h"
 #include "Membership/Member.h"
 #include "StoreSync/DeltaPieces.h"
+#include "StoreSync/LinkSpeed.h"
 #include "StoreSync/RelayTree.h"
 #include "StoreSync/StoreDelta.h"
 #include "StoreSync/StoreReplica.h"
@@ -42,9 +43,17 @@
     std::size_t largeZoneSize = 12;
     std::chrono::milliseconds maxJitter { 500 };
     std::size_t announcementFanout = 4;
-    // A balancer that has received a snapshot announces it to at most as many balancers with empty replicas as its link
-    // has multiples of this rate (Mbit/s), but at least to announcementFanout. More would compete for its link.
-    std::uint32_t megabitsPerUninformedPeer = 5;
+    // A balancer with an empty replica that asks peers requests the revisions of this many members of its zone, of
+    // those with the fastest links, this often.
+    std::size_t revisionRequestFanout = 3;
+    std::chrono::milliseconds revisionRequestInterval { 200 };
+    // Most requests that wait until this balancer has anything.
+    std::size_t maxRevisionRequests = 1024;
+    // A balancer that knows the servers of its zone fetches the others this much later, and up to maxJitter after that,
+    // so that all others get those of their zone first.
+    std::chrono::milliseconds otherZonesDelay { 200 };
+    // Balancers with a slower link (Mbit/s) fetch their own zone first.
+    std::uint32_t fastLinkMegabits = minFastLinkMegabits;
     // How long a fetch may go without receiving any bytes before another balancer is asked. Counted from the last
     // bytes, since large answers over slow links take long and starting over delays them further.
     std::chrono::milliseconds answerTimeout { 800 };
@@ -87,7 +96,13 @@
     FetchScope scope = FetchScope::Everything;
 };
 
-// The replica changed. The caller applies the updates.
+// Ask this balancer to announce its revision, at once or as soon as others can fetch from it. The receiver passes the
+// message to handleRevisionRequest().
+struct RequestRevision {
+    Endpoint to;
+};
+
+// The replica changed. The caller applies the updates and calls handleApplied() once none are left.
 struct ReplicaChanged {
     std::vector<StoreUpdate> items;
     // See StoreDelta::isInDoubt.
@@ -100,7 +115,7 @@
     std::uint64_t revision = 0;
 };
 
-using ReplicaSyncAction = std::variant<PushDelta, FetchDelta, ReplicaChanged>;
+using ReplicaSyncAction = std::variant<PushDelta, FetchDelta, RequestRevision, ReplicaChanged>;
 using ReplicaSyncActions = std::vector<ReplicaSyncAction>;
 
 // Keeps a balancer's replica of the store in sync with those of the other balancers. Balancers that watch the store
@@ -121,6 +136,10 @@
     // The outcome of the fetch in progress; sender is the name of the balancer that answered.
     ReplicaSyncActions handleAnswer(const std::string& sender, StoreDelta, TimePoint now);
     ReplicaSyncActions handleFetchFailure(TimePoint now);
+    // Another balancer, at this address, has an empty replica and wants to know from whom it can fetch.
+    ReplicaSyncActions handleRevisionRequest(BalancerId sender, const Endpoint&);
+    // The updates of all ReplicaChanged actions so far have been applied.
+    ReplicaSyncActions handleApplied();
     // Bytes of the answer to the fetch in progress arrived.
     void noteFetchProgress(TimePoint now);
     // Sets whether this balancer watches the store, and whether it cannot reach the store.
@@ -134,6 +153,8 @@
     // Whether the replica holds what this balancer needs to serve callers of its zone: the whole store, or the answer
     // to a fetch of FetchScope::OwnZone.
     bool hasOwnZone() const { return hasOwnZone_ || replica_.completeTo() > 0; }
+    // The revision up to which others can fetch from this balancer: what it has received and applied.
+    std::uint64_t servedRevision() const { return hasUnappliedUpdates_ ? appliedRevision_ : replica_.completeTo(); }
     // When tick() should be called next if nothing happens before; none when there is nothing to wait for.
     std::optional<TimePoint> nextTick() const;
     // Since when others are known to be ahead of this balancer; none when nobody is.
@@ -149,15 +170,17 @@
 
 private:
     ReplicaSyncActions reportChanges(
-        const std::string& source, const StoreDelta&, StoreReplica::Updates, TimePoint now) const;
+        const std::string& source, const StoreDelta&, StoreReplica::Updates, TimePoint now);
     // The changes since the former revision that a snapshot, merged just now, has brought; the snapshot itself if this
     // replica was empty before.
     StoreDelta changesInSnapshot(const StoreDelta& snapshot, std::uint64_t formerRevision, TimePoint now) const;
     void push(const StoreDelta&, ReplicaSyncActions&);
     void relay(const std::vector<const Member*>& receivers, BalancerId origin, const DeltaPieces&, ReplicaSyncActions&);
     void announce(ReplicaSyncActions&);
-    enum class SnapshotSource { Store, Peer };
-    void announceToUninformed(SnapshotSource, ReplicaSyncActions&);
+    std::shared_ptr<const DeltaPiece> announcement() const;
+    void answerRevisionRequests(ReplicaSyncActions&);
+    void requestRevisions(TimePoint now, ReplicaSyncActions&);
+    FetchScope nextFetchScope(bool hasSourceInZone) const;
     Duration fetchDelay(bool hasSourceInZone) const;
     bool hasFasterPeer(const std::vector<const Member*>&) const;
     std::vector<const Member*> othersInZone() const;
@@ -183,6 +206,14 @@
     // Of the fetch in progress, or the last one.
     FetchScope fetchScope_ = FetchScope::Everything;
     bool hasOwnZone_ = false;
+    // Until then, the servers of other zones are not fetched.
+    TimePoint otherZonesFrom_ = TimePoint::min();
+    // Whether the caller still applies updates, and the revision up to which it had applied all before.
+    bool hasUnappliedUpdates_ = false;
+    std::uint64_t appliedRevision_ = 0;
+    // Addresses of those that wait until others can fetch from this balancer.
+    std::map<BalancerId, Endpoint> revisionRequests_;
+    TimePoint nextRevisionRequest_ = TimePoint::min();
     // Full after an answer with patches whose base values this balancer does not hold.
     StoreReplica::Encoding fetchEncoding_ = StoreReplica::Encoding::Patched;
     bool isWatcher_ = false;
--- a/Source/StoreSync/StoreFeed.cpp
+++ b/Source/StoreSync/StoreFeed.cpp
@@ -30,7 +30,7 @@
 {
     StoreFeedActions actions;
     startedAt_ = now;
-    isAwaitingReaders_ = hasSlowLink();
+    isAwaitingReaders_ = isSlowLink(settings_.linkMegabits, settings_.fastLinkMegabits);
     if (isAwaitingReaders_)
         pause(State::PausingBeforeList, settings_.readerSearchTime, now);
     else
@@ -38,11 +38,6 @@
     return actions;
 }
 
-bool StoreFeed::hasSlowLink() const
-{
-    return settings_.linkMegabits > 0 && settings_.linkMegabits < settings_.fastLinkMegabits;
-}
-
 void StoreFeed::awaitReaders(TimePoint now, StoreFeedActions& actions)
 {
     const Duration limit = knowsBetterReaders() ? settings_.readerWaitTime : settings_.readerSearchTime;
--- a/Source/StoreSync/StoreFeed.h
+++ b/Source/StoreSync/StoreFeed.h
@@ -4,6 +4,7 @@
 #include "Core/Error.h"
 #include "KeyValue/PlatformCalls.h"
 #include "Peers/Backoff.h"
+#include "StoreSync/LinkSpeed.h"
 #include "StoreSync/StoreDelta.h"
 
 #include <chrono>
@@ -46,11 +47,11 @@
     std::chrono::milliseconds minWatchDuration { 50 };
     // How old a stale listing can be at most.
     std::chrono::milliseconds maxListingAge { 15000 };
-    // A balancer whose link is slower than this (Mbit/s) asks others first and lists the store only if it meets nobody
+    // A balancer with a slow link (see LinkSpeed.h) asks others first and lists the store only if it meets nobody
     // within readerSearchTime, if it meets none that should read it (see BetterReaders), or if those have not read it
     // within readerWaitTime. The answers to hundreds of them would delay those to the readers, even if cancelled.
-    std::uint32_t fastLinkMegabits = 100;
-    std::chrono::milliseconds readerSearchTime { 300 };
+    std::uint32_t fastLinkMegabits = minFastLinkMegabits;
+    std::chrono::milliseconds readerSearchTime { 100 };
     std::chrono::milliseconds readerWaitTime { 1000 };
     // The progress of the first listing is checked this long after the request. If it arrives at less than half the
     // rate of this balancer's own link, because the store's link is the bottleneck, and would take longer than
@@ -175,7 +176,6 @@
         std::uint64_t revision = 0;
     };
 
-    bool hasSlowLink() const;
     void awaitReaders(TimePoint now, StoreFeedActions&);
     bool knowsBetterReaders() const { return betterReaders_ == BetterReaders::Known; }
     void list(TimePoint now, StoreFeedActions&);
--- a/Source/Wire/PeerMessage.cpp
+++ b/Source/Wire/PeerMessage.cpp
@@ -19,6 +19,7 @@
         { PeerMessageKind::ReplicaSync, "news" },
         { PeerMessageKind::CompressedReplicaSync, "compressed_news" },
         { PeerMessageKind::RelayedReplicaSync, "relayed_news" },
+        { PeerMessageKind::RevisionRequest, "revision_request" },
     });
 
     bool isKnown(PeerMessageKind kind)
--- a/Source/Wire/PeerMessage.h
+++ b/Source/Wire/PeerMessage.h
@@ -36,10 +36,11 @@
     ReplicaSync = 9, // Contents of the platform's store, which balancers pass on to each other.
     CompressedReplicaSync = 10, // The same, compressed. Balancers of earlier versions drop it and fetch the contents.
     RelayedReplicaSync = 11, // The same, to be passed on by the receiver. Earlier versions drop it, too.
+    RevisionRequest = 12, // Asks the receiver to tell its revision of those contents once it has any. No payload.
 };
 
 // One more than the highest kind; the size of arrays indexed by kind.
-inline constexpr std::size_t peerMessageKinds = 12;
+inline constexpr std::size_t peerMessageKinds = 13;
 
 std::string_view nameOf(PeerMessageKind);
 
--- a/Tests/Membership/MembershipJoinTest.cpp
+++ b/Tests/Membership/MembershipJoinTest.cpp
@@ -126,7 +126,7 @@
     TEST_F(MembershipJoinTest, ThousandStartingJustBeforeTheSeedsAreInContactSoon)
     {
         constexpr auto seedsStartLater = 100ms;
-        // Part of the time for which a balancer with a slow link looks for others before it reads the store.
+        // Two ticks of the network; a round takes five.
         constexpr auto contactWithin = 200ms;
         // What the rest reads instead takes a tenth of a second of the store's link.
         constexpr std::size_t maxIsolated = 98;
--- a/Tests/StoreSync/FleetSimulation.cpp
+++ b/Tests/StoreSync/FleetSimulation.cpp
@@ -212,6 +212,16 @@
         const BalancerId self = balancers_[index].id;
         if (const auto* changed = std::get_if<ReplicaChanged>(&action)) {
             apply(balancers_[index], *changed);
+            perform(index, balancers_[index].sync->handleApplied());
+        } else if (const auto* request = std::get_if<RequestRevision>(&action)) {
+            if (isLost())
+                continue;
+            schedule(messageLatency, [this, self, to = request->to] {
+                for (std::size_t other = 0; other < balancers_.size(); ++other) {
+                    if (balancers_[other].id.value == to.address && !balancers_[other].isFrozen)
+                        perform(other, balancers_[other].sync->handleRevisionRequest(self, { self.value, 0 }));
+                }
+            });
         } else if (const auto* push = std::get_if<PushDelta>(&action)) {
             if (isLost())
                 continue;
--- a/Tests/StoreSync/SlowLinkSimulation.cpp
+++ b/Tests/StoreSync/SlowLinkSimulation.cpp
@@ -269,9 +269,14 @@
         return isDue;
     });
     for (const Datagram& datagram : due) {
-        const BalancerId sender = balancers_[datagram.from].member.id;
+        const Member& from = balancers_[datagram.from].member;
+        const BalancerId sender = from.id;
         ReplicaSync& sync = *balancers_[datagram.to].sync;
-        const PushDelta& push = datagram.push;
+        if (!datagram.push) {
+            perform(datagram.to, sync.handleRevisionRequest(sender, from.peerAddress));
+            continue;
+        }
+        const PushDelta& push = *datagram.push;
         perform(datagram.to,
             push.relay ? sync.handleRelay(*push.relay, push.piece, clock_.now())
                        : sync.handlePush(sender, push.piece->delta, clock_.now()));
@@ -425,6 +430,9 @@
     for (const ReplicaSyncAction& action : actions) {
         if (const auto* changed = std::get_if<ReplicaChanged>(&action)) {
             apply(index, *changed);
+            perform(index, balancer.sync->handleApplied());
+        } else if (const auto* request = std::get_if<RequestRevision>(&action)) {
+            datagrams_.push_back({ clock_.now() + messageLatency, index, request->to.address - 1, std::nullopt });
         } else if (const auto* push = std::get_if<PushDelta>(&action)) {
             const double bytes = datagramOverhead + static_cast<double>(push->piece->bytes.size());
             const std::size_t to = push->to.address - 1;
--- a/Tests/StoreSync/SlowLinkSimulation.h
+++ b/Tests/StoreSync/SlowLinkSimulation.h
@@ -93,7 +93,8 @@
         TimePoint at;
         std::size_t from = 0;
         std::size_t to = 0;
-        PushDelta push;
+        // None for a request of the revision.
+        std::optional<PushDelta> push;
     };
 
     struct Watch {
