--- a/Source/Forwarder/Forwarder.h
+++ b/Source/Forwarder/Forwarder.h
@@ -8,7 +8,10 @@
 #include "Forwarder/ForwarderLog.h"
 #include "Forwarder/ForwarderMetrics.h"
 #include "Forwarder/ForwarderSettings.h"
+#include "Forwarder/LogFlusher.h"
+#include "Forwarder/PartSettings.h"
 #include "Forwarder/PeerSync.h"
+#include "Forwarder/ProcessLog.h"
 #include "Forwarder/SettingsReloader.h"
 #include "Forwarder/StoreFeedDriver.h"
 #include "Forwarder/StoreUpdateApplier.h"
@@ -49,15 +52,7 @@
     // Serves until a planned stop is over.
     void run()
     {
-        const TimePoint now = Clock::now();
-        log_.write(LogLevel::Info, "process", "started",
-            Event()
-                .add("version", WISTERIADOCK_VERSION)
-                .add("flow", settings_.flow.toString())
-                .add("peer", settings_.peer.toString())
-                .add("store", settings_.store.toString())
-                .add("seeds", std::uint64_t(settings_.seeds.size())),
-            now);
+        processLog_.started(settings_, Clock::now());
         awaitSignal();
         scheduleTick(storeDriver_.feed().isAwaitingReaders() ? std::chrono::milliseconds(0) : firstTickDelay);
         context_.run();
@@ -82,40 +77,23 @@
                   .count()))
         , seed_(balancerIdOf(settings.vm).value ^ incarnation_)
         , log_({ settings.vm, settings.availabilityZone, incarnation_ }, STDOUT_FILENO, settings.logBudget)
+        , logFlusher_(context_, log_)
+        , processLog_(log_, startedAt_)
         , forwarderLog_(log_)
         , trafficReport_(log_, startedAt_)
         , settingsReloader_(settings_, std::move(settingsPath), log_,
               [this](const std::vector<Endpoint>& seeds, TimePoint now) { peerSync_->setSeeds(seeds, now); })
-        , router_(routerSettings(settings))
+        , router_(routerSettingsOf(settings))
         , lifecycle_({ .grace = settings.grace })
         , applier_(router_, forwarderLog_, metrics_)
         , signals_(context_, SIGTERM, SIGINT, SIGHUP)
         , tickTimer_(context_)
-        , logTimer_(context_)
-        , storeDriver_(context_, settings.store, seed_, feedSettings(settings), metrics_,
+        , storeDriver_(context_, settings.store, seed_, storeFeedSettingsOf(settings), metrics_,
               [this](const StoreFeedAction& action) { perform(action); })
     {
         log_.setLevel(settings.logLevel);
     }
 
-    static RouterSettings routerSettings(const ForwarderSettings& settings)
-    {
-        RouterSettings router;
-        router.availabilityZone = settings.availabilityZone;
-        router.opening = settings.opening;
-        router.coldStart = settings.coldStart;
-        // Longer than a flow lasts, for packets that are still in flight.
-        router.directory.retention = settings.longestFlow * 5 / 4;
-        return router;
-    }
-
-    static StoreFeedSettings feedSettings(const ForwarderSettings& settings)
-    {
-        StoreFeedSettings feed;
-        feed.linkMegabits = settings.linkMegabits;
-        return feed;
-    }
-
     Result<void> open()
     {
         // Sent first, so that the store answers while the rest is set up.
@@ -123,7 +101,7 @@
         BOOST_OUTCOME_TRY(socket, PacketSocket::open(settings_.flow));
         BOOST_OUTCOME_TRY(peers,
             PeerSync::open(
-                context_, self(), settings_.seeds, seed_, log_, metrics_,
+                context_, memberOf(settings_, incarnation_), settings_.seeds, seed_, log_, metrics_,
                 [this](ReplicaChanged changed) { handleReplicaChange(std::move(changed)); },
                 [this](const StoreUpdate& update) { return applier_.isOfZone(settings_.availabilityZone, update); }));
         peerSync_ = std::move(peers);
@@ -143,27 +121,11 @@
         auto metrics = Http1Server::listen(context_, settings_.metrics, onRequest);
         if (metrics)
             metricsServer_ = std::move(metrics).value();
-        peerSync_->handleApplied(now);
         else
-            log_.write(LogLevel::Warning, "process", "without_metrics",
-                Event().add("error", metrics.error().toString()), startedAt_);
+            processLog_.withoutMetrics(metrics.error(), startedAt_);
         return boost::outcome_v2::success();
     }
 
-    Member self() const
-    {
-        Member member;
-        member.id = balancerIdOf(settings_.vm);
-        member.name = settings_.vm;
-        member.availabilityZone = settings_.availabilityZone;
-        member.peerAddress = settings_.peer;
-        member.flowAddress = settings_.flow;
-        member.requestAddress = settings_.peer;
-        member.incarnation = incarnation_;
-        member.linkMegabits = settings_.linkMegabits;
-        return member;
-    }
-
     void handleReplicaChange(ReplicaChanged changed)
     {
         const bool isIdle = updates_.isEmpty();
@@ -181,6 +143,7 @@
             boost::asio::post(context_, [this] { applyUpdates(); });
             return;
         }
+        peerSync_->handleApplied(now);
         const bool hasSynced = router_.configurationVersion() > 0 && peerSync_->replicaSync().hasOwnZone();
         if (hasSynced && lifecycle_.noteSynced())
             becomeReady(slice, now);
@@ -190,15 +153,8 @@
     {
         // Earlier packets have waited in the socket's buffer. Dropping them would delay callers until they retransmit.
         packetPath_->start();
-        log_.write(LogLevel::Info, "process", "ready",
-            Event()
-                .add("after_ms", now - startedAt_)
-                .add("configuration_version", router_.configurationVersion())
-                .add("revision", last.revision)
-                .add("servers", std::uint64_t(router_.directory().size()))
-                .add("source", last.source),
-            now);
-        flushLog(now);
+        processLog_.ready(last, router_.configurationVersion(), router_.directory().size(), now);
+        logFlusher_.flush(now);
         startPeerSync(now);
     }
 
@@ -214,18 +170,13 @@
         if (const auto* received = std::get_if<DeltaReceived>(&action)) {
             peerSync_->handleStoreDelta(*received, now);
         } else if (const auto* listing = std::get_if<ListingEnded>(&action)) {
-            log_.write(LogLevel::Info, "store", listing->isComplete ? "listed" : "listing_left",
-                Event()
-                    .add("pages", std::uint64_t(listing->pages))
-                    .add("entries", std::uint64_t(listing->entries))
-                    .add("after_ms", listing->took),
-                now);
+            processLog_.listingEnded(*listing, now);
         } else if (const auto* lost = std::get_if<StoreUnreachable>(&action)) {
             peerSync_->noteStoreReachability(true, now);
-            log_.write(LogLevel::Warning, "store", "lost", Event().add("error", lost->error.toString()), now);
+            processLog_.storeUnreachable(*lost, now);
         } else if (const auto* regained = std::get_if<StoreReachable>(&action)) {
             peerSync_->noteStoreReachability(false, now);
-            log_.write(LogLevel::Info, "store", "regained", Event().add("away_ms", regained->outage), now);
+            processLog_.storeReachable(*regained, now);
         }
     }
 
@@ -242,22 +193,8 @@
     void onTick(TimePoint now)
     {
         startPeerSync(now);
-        peerSync_->noteStoreReachability(storeDriver_.feed().isUnreachable(), now);
-        peerSync_->setFetchesImmediately(storeDriver_.feed().asksPeers());
-        peerSync_->tick(now);
-        storeDriver_.update(peerSync_->replicaSync().replica().completeTo(),
-            peerSync_->isWatcher(now) && !lifecycle_.isStopping(), peerSync_->replicaSync().behindSince(), now);
-        storeDriver_.tick(betterReaders(), now);
-        router_.noteStoreContact(peerSync_->replicaSync().lastStoreContact());
-        router_.setBalancers(
-            balancerIdOf(settings_.vm).value, peerSync_->liveBalancersOfZone(), peerSync_->isSettled(now), now);
-        forwarderLog_.transitions(router_.tick(now), peerSync_->replicaSync().replica().completeTo(), "time", now);
-        for (const FailingChange& change : router_.takeFailingChanges())
-            forwarderLog_.failingChange(change, now);
-        for (const ZoneReachabilityChange& change : router_.takeZoneChanges())
-            forwarderLog_.zoneReachability(change, now);
-        for (const GroupLivenessChange& change : router_.takeGroupChanges())
-            forwarderLog_.groupLiveness(change, now);
+        tickSync(now);
+        tickRouter(now);
         settingsReloader_.tick(now);
         if (trafficReport_.isDue(now))
             trafficReport_.write(httpHandler_->traffic(), resourceUsage(), now);
@@ -265,10 +202,31 @@
             finish(now);
             return;
         }
-        flushLog(now);
+        logFlusher_.flush(now);
         scheduleTick(nextTickInterval());
     }
 
+    void tickSync(TimePoint now)
+    {
+        const ReplicaSync& replicaSync = peerSync_->replicaSync();
+        peerSync_->noteStoreReachability(storeDriver_.feed().isUnreachable(), now);
+        peerSync_->setFetchesImmediately(storeDriver_.feed().asksPeers());
+        peerSync_->tick(now);
+        const bool watches = peerSync_->isWatcher(now) && !lifecycle_.isStopping();
+        storeDriver_.update(replicaSync.replica().completeTo(), watches, replicaSync.behindSince(), now);
+        storeDriver_.tick(betterReaders(), now);
+    }
+
+    void tickRouter(TimePoint now)
+    {
+        const ReplicaSync& replicaSync = peerSync_->replicaSync();
+        router_.noteStoreContact(replicaSync.lastStoreContact());
+        router_.setBalancers(
+            balancerIdOf(settings_.vm).value, peerSync_->liveBalancersOfZone(), peerSync_->isSettled(now), now);
+        forwarderLog_.transitions(router_.tick(now), replicaSync.replica().completeTo(), "time", now);
+        forwarderLog_.changes(router_, now);
+    }
+
     std::chrono::milliseconds nextTickInterval() const
     {
         if (lifecycle_.hasSynced())
@@ -285,22 +243,10 @@
         return peerSync_->replicaSync().knowsBetterReaders() ? BetterReaders::Known : BetterReaders::None;
     }
 
-    // Writes the rest of the lines in chunks, so that a burst does not exceed what the log's reader accepts at once.
-    void flushLog(TimePoint now)
-    {
-        if (!log_.flush(now))
-            return;
-        logTimer_.expires_after(LineBuffer::chunkInterval);
-        logTimer_.async_wait([this](const boost::system::error_code& error) {
-            if (!error)
-                flushLog(Clock::now());
-        });
-    }
-
     void finish(TimePoint now)
     {
         trafficReport_.write(httpHandler_->traffic(), resourceUsage(), now);
-        log_.write(LogLevel::Info, "process", "stopped", Event().add("ran_ms", now - startedAt_), now);
+        processLog_.stopped(now);
         log_.buffer().flushAll();
         context_.stop();
     }
@@ -323,7 +269,7 @@
     {
         if (!lifecycle_.stop(now))
             return;
-        log_.write(LogLevel::Info, "process", "stopping", Event().add("grace_ms", Duration(settings_.grace)), now);
+        processLog_.stopping(settings_, now);
         peerSync_->leave(now);
     }
 
@@ -333,6 +279,8 @@
     const std::uint64_t seed_;
     boost::asio::io_context context_ { 1 };
     EventLog log_;
+    LogFlusher logFlusher_;
+    ProcessLog processLog_;
     ForwarderLog forwarderLog_;
     TrafficReport trafficReport_;
     SettingsReloader settingsReloader_;
@@ -343,7 +291,6 @@
     UpdateQueue updates_;
     boost::asio::signal_set signals_;
     boost::asio::steady_timer tickTimer_;
-    boost::asio::steady_timer logTimer_;
     std::unique_ptr<PeerSync> peerSync_;
     StoreFeedDriver<Adapter> storeDriver_;
     std::unique_ptr<TokenPacketPath<Adapter>> packetPath_;
--- a/Source/Forwarder/ForwarderLog.cpp
+++ b/Source/Forwarder/ForwarderLog.cpp
@@ -199,6 +199,16 @@
         Event().add("server", server.entry.id).add("service", server.entry.service), now);
 }
 
+void ForwarderLog::changes(TokenRouter& router, TimePoint now)
+{
+    for (const FailingChange& change : router.takeFailingChanges())
+        failingChange(change, now);
+    for (const ZoneReachabilityChange& change : router.takeZoneChanges())
+        zoneReachability(change, now);
+    for (const GroupLivenessChange& change : router.takeGroupChanges())
+        groupLiveness(change, now);
+}
+
 void ForwarderLog::failingChange(const FailingChange& change, TimePoint now)
 {
     log_.write(change.isFailing ? LogLevel::Warning : LogLevel::Info, "server",
--- a/Source/Forwarder/ForwarderLog.h
+++ b/Source/Forwarder/ForwarderLog.h
@@ -56,9 +56,8 @@
     void updates(const ReplicaChanged&, TimePoint now);
     void ejected(const KnownServer&, TimePoint now);
     void recovered(const KnownServer&, TimePoint now);
-    void failingChange(const FailingChange&, TimePoint now);
-    void zoneReachability(const ZoneReachabilityChange&, TimePoint now);
-    void groupLiveness(const GroupLivenessChange&, TimePoint now);
+    // What the router has concluded of servers, groups and zones since the last call.
+    void changes(TokenRouter&, TimePoint now);
     // age: time since a balancer read the order, or its removal, from the store.
     void zoneEvacuation(
         const ZoneEvacuationChange&, std::chrono::milliseconds age, const std::string& source, TimePoint now);
@@ -66,6 +65,9 @@
     EventLog& events() { return log_; }
 
 private:
+    void failingChange(const FailingChange&, TimePoint now);
+    void zoneReachability(const ZoneReachabilityChange&, TimePoint now);
+    void groupLiveness(const GroupLivenessChange&, TimePoint now);
     void transition(const ServerTransition&, std::uint64_t revision, const std::string& source, TimePoint now);
     void transitionSummary(
         const std::vector<const ServerTransition*>&, std::uint64_t revision, const std::string& source, TimePoint now);
--- /dev/null
+++ b/Source/Forwarder/PartSettings.cpp
@@ -0,0 +1,37 @@
+#include "Forwarder/PartSettings.h"
+
+namespace wisteriadock {
+
+RouterSettings routerSettingsOf(const ForwarderSettings& settings)
+{
+    RouterSettings router;
+    router.availabilityZone = settings.availabilityZone;
+    router.opening = settings.opening;
+    router.coldStart = settings.coldStart;
+    // Longer than a flow lasts, for packets that are still in flight.
+    router.directory.retention = settings.longestFlow * 5 / 4;
+    return router;
+}
+
+StoreFeedSettings storeFeedSettingsOf(const ForwarderSettings& settings)
+{
+    StoreFeedSettings feed;
+    feed.linkMegabits = settings.linkMegabits;
+    return feed;
+}
+
+Member memberOf(const ForwarderSettings& settings, std::uint64_t incarnation)
+{
+    Member member;
+    member.id = balancerIdOf(settings.vm);
+    member.name = settings.vm;
+    member.availabilityZone = settings.availabilityZone;
+    member.peerAddress = settings.peer;
+    member.flowAddress = settings.flow;
+    member.requestAddress = settings.peer;
+    member.incarnation = incarnation;
+    member.linkMegabits = settings.linkMegabits;
+    return member;
+}
+
+}
--- /dev/null
+++ b/Source/Forwarder/PartSettings.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "Forward/TokenRouter.h"
+#include "Forwarder/ForwarderSettings.h"
+#include "Membership/Member.h"
+#include "StoreSync/StoreFeed.h"
+
+#include <cstdint>
+
+namespace wisteriadock {
+
+// The settings of the forwarder's parts, as its own settings determine them.
+RouterSettings routerSettingsOf(const ForwarderSettings&);
+StoreFeedSettings storeFeedSettingsOf(const ForwarderSettings&);
+
+// This balancer as the others see it. The incarnation identifies the start of its process.
+Member memberOf(const ForwarderSettings&, std::uint64_t incarnation);
+
+}
