Net: Let responses share their body, and answers to fetches use that

Cause: after a start of all, one or two forwarders of a zone answer some 200 fetches of 45 KB and 200 of 220 KB within a second, and each response held its own copy until its slow link had taken it. On the whole fleet the busiest held 66.7 MB, and that grows with the machines of a zone times the servers. Change: responses hold the kept answer itself.

--- a/Source/Forwarder/FetchProtocol.cpp
+++ b/Source/Forwarder/FetchProtocol.cpp
@@ -67,8 +67,8 @@
             std::span(reinterpret_cast<const std::uint8_t*>(body.data()), body.size()), maxDeltaBytes);
     };
     if (response.header(contentEncodingHeader) != zstdEncoding)
-        return decode(response.body);
-    BOOST_OUTCOME_TRY(plain, decompressBytes(response.body, maxDeltaBytes));
+        return decode(response.content());
+    BOOST_OUTCOME_TRY(plain, decompressBytes(response.content(), maxDeltaBytes));
     return decode(plain);
 }
 
@@ -81,7 +81,7 @@
         return response;
     }
     const Kind kind = kindOf(request, *after);
-    response.body = bodyOf(kind, now);
+    response.sharedBody = bodyOf(kind, now);
     if (kind.isCompressed)
         response.headers.push_back({ contentEncodingHeader, zstdEncoding });
     return response;
@@ -98,7 +98,7 @@
     return kind;
 }
 
-const std::string& FetchAnswers::bodyOf(const Kind& kind, TimePoint now)
+std::shared_ptr<const std::string> FetchAnswers::bodyOf(const Kind& kind, TimePoint now)
 {
     tick(now);
     const auto found = std::ranges::find(answers_, kind, &Answer::kind);
@@ -108,7 +108,7 @@
         answers_.erase(answers_.begin());
     const StoreDelta delta = kind.scope == FetchScope::OwnZone ? replica_.excerpt(isOfOwnZone_, now)
                                                                : replica_.deltaSince(kind.after, now, kind.encoding);
-    answers_.push_back({ kind, encodedBody(delta, kind.isCompressed), now });
+    answers_.push_back({ kind, std::make_shared<const std::string>(encodedBody(delta, kind.isCompressed)), now });
     return answers_.back().body;
 }
 
--- a/Source/Forwarder/FetchProtocol.h
+++ b/Source/Forwarder/FetchProtocol.h
@@ -10,6 +10,7 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <string>
 #include <utility>
 #include <vector>
@@ -24,7 +25,8 @@
 Result<StoreDelta> deltaOf(const HttpResponse&);
 
 // Answers the fetches of other balancers with deltas of the replica, compressed (zstd) if they accept that. Hundreds
-// may ask for the same delta at once, so the last answers are kept for a moment. Used by PeerSync.
+// may ask for the same delta at once, so the last answers are kept for a moment and shared by their responses. Used by
+// PeerSync.
 class FetchAnswers {
 public:
     // Whether a balancer of this zone needs the update to serve its callers, which answers of FetchScope::OwnZone are
@@ -56,7 +58,7 @@
     };
     struct Answer {
         Kind kind;
-        std::string body;
+        std::shared_ptr<const std::string> body;
         TimePoint madeAt;
     };
 
@@ -67,7 +69,7 @@
     static constexpr std::size_t minEntriesForScopes = 1000;
 
     Kind kindOf(const HttpRequest&, std::uint64_t after) const;
-    const std::string& bodyOf(const Kind&, TimePoint now);
+    std::shared_ptr<const std::string> bodyOf(const Kind&, TimePoint now);
 
     const StoreReplica& replica_;
     const OwnZoneFilter isOfOwnZone_;
--- a/Source/Net/Http2Engine.cpp
+++ b/Source/Net/Http2Engine.cpp
@@ -190,10 +190,10 @@
         if (found == bodies.end())
             return NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE;
         Http2Engine::Body& body = found->second;
-        const std::size_t taken = std::min(size, body.bytes.size() - body.offset);
-        std::copy_n(body.bytes.data() + body.offset, taken, buffer);
+        const std::size_t taken = std::min(size, body.bytes->size() - body.offset);
+        std::copy_n(body.bytes->data() + body.offset, taken, buffer);
         body.offset += taken;
-        if (body.offset == body.bytes.size())
+        if (body.offset == body.bytes->size())
             *flags |= NGHTTP2_DATA_FLAG_EOF;
         return static_cast<ssize_t>(taken);
     }
@@ -292,7 +292,7 @@
     if (stream < 0)
         return false;
     if (hasBody)
-        bodies_[stream].bytes = std::move(request.body);
+        bodies_[stream].bytes = std::make_shared<const std::string>(std::move(request.body));
     return true;
 }
 
@@ -302,11 +302,13 @@
     std::vector<nghttp2_nv> fields { field(":status", status) };
     appendHeaders(fields, response.headers);
     const nghttp2_data_provider provider = Http2EngineCallbacks::bodyProvider(*this);
-    const bool hasBody = !response.body.empty();
+    const bool hasBody = !response.content().empty();
     if (nghttp2_submit_response(session_, stream, fields.data(), fields.size(), hasBody ? &provider : nullptr) != 0)
         return;
-    if (hasBody)
-        bodies_[stream].bytes = std::move(response.body);
+    if (!hasBody)
+        return;
+    bodies_[stream].bytes = response.sharedBody ? std::move(response.sharedBody)
+                                                : std::make_shared<const std::string>(std::move(response.body));
 }
 
 void Http2Engine::reset(StreamId stream, ResetReason reason)
--- a/Source/Net/Http2Engine.h
+++ b/Source/Net/Http2Engine.h
@@ -71,7 +71,7 @@
     friend struct Http2EngineCallbacks;
 
     struct Body {
-        std::string bytes;
+        std::shared_ptr<const std::string> bytes;
         std::size_t offset = 0;
     };
 
--- a/Source/Net/Http2ServerExchange.cpp
+++ b/Source/Net/Http2ServerExchange.cpp
@@ -35,8 +35,10 @@
     const auto session = finish();
     if (!session)
         return;
-    if (mustOmitBody(request_, response))
+    if (mustOmitBody(request_, response)) {
         response.body.clear();
+        response.sharedBody.reset();
+    }
     session->respond(stream_, std::move(response));
 }
 
--- a/Source/Net/HttpMessage.h
+++ b/Source/Net/HttpMessage.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -31,8 +32,12 @@
     int status = 200;
     std::vector<HttpHeader> headers;
     std::string body;
+    // Set by servers whose HTTP/2 responses have the same body, to be sent instead of `body` without a copy for each.
+    std::shared_ptr<const std::string> sharedBody {};
 
     std::string_view header(std::string_view name) const;
+    // The body that is sent or was received.
+    const std::string& content() const { return sharedBody ? *sharedBody : body; }
 };
 
 }
--- a/Tests/Forwarder/FetchProtocolTest.cpp
+++ b/Tests/Forwarder/FetchProtocolTest.cpp
@@ -45,7 +45,7 @@
         HttpRequest old = requestAfter(0);
         std::erase_if(old.headers, [](const HttpHeader& header) { return header.name == "accept-encoding"; });
         const HttpResponse plain = answers.answer(old, clock.now());
-        EXPECT_LT(compressed.body.size() * 4, plain.body.size());
+        EXPECT_LT(compressed.content().size() * 4, plain.content().size());
         for (const HttpResponse& response : { compressed, plain }) {
             const auto delta = deltaOf(response);
             ASSERT_TRUE(delta);
@@ -84,6 +84,16 @@
         }
     }
 
+    // Guards against a copy of the same large answer for each of the hundreds of balancers that ask at once.
+    TEST_F(FetchProtocolTest, AnswersToTheSameRequestShareTheirBody)
+    {
+        const HttpResponse first = answers.answer(requestAfter(0), clock.now());
+        const HttpResponse second = answers.answer(requestAfter(0), clock.now());
+        ASSERT_NE(first.sharedBody, nullptr);
+        EXPECT_EQ(first.sharedBody, second.sharedBody);
+        EXPECT_TRUE(first.body.empty());
+    }
+
     TEST_F(FetchProtocolTest, KeptAnswersAreNotUsedAfterAChange)
     {
         const auto itemsAfter = [&](std::uint64_t revision) {
@@ -107,7 +117,9 @@
             EXPECT_EQ(answers.answer(request, clock.now()).status, 404) << path;
         }
         EXPECT_FALSE(deltaOf({ 503, {}, {} }));
-        const HttpResponse good = answers.answer(requestAfter(0), clock.now());
+        HttpResponse good = answers.answer(requestAfter(0), clock.now());
+        good.body = good.content();
+        good.sharedBody.reset();
         std::mt19937 random(1);
         for (int i = 0; i < 2000; ++i) {
             HttpResponse corrupt = good;
--- a/Tests/Net/Http2ExchangeTest.cpp
+++ b/Tests/Net/Http2ExchangeTest.cpp
@@ -76,6 +76,22 @@
         EXPECT_TRUE(call->response().body == picture);
     }
 
+    TEST_F(Http2ExchangeTest, CarriesABodyThatResponsesShare)
+    {
+        HttpResponse response;
+        response.sharedBody = std::make_shared<const std::string>(std::size_t(100) * 1024, 's');
+        listen();
+        const std::vector calls { send(makePost("/", "1")), send(makePost("/", "2")) };
+        runUntilExchanges(calls.size());
+        for (const auto& exchange : exchanges_)
+            exchange->respond(response);
+        runUntilEnded(calls);
+        for (const auto& call : calls) {
+            ASSERT_TRUE(call->hasResponse());
+            EXPECT_TRUE(call->response().body == *response.sharedBody);
+        }
+    }
+
     TEST_F(Http2ExchangeTest, OmitsBodyOfHeadResponse)
     {
         listen();
@@ -86,6 +102,7 @@
         EXPECT_EQ(exchanges_[0]->request().authority, server_->address().toString());
         HttpResponse response = makeResponse("fitted");
         response.headers = { { "content-length", "6" } };
+        response.sharedBody = std::make_shared<const std::string>(response.body);
         exchanges_[0]->respond(response);
         runUntilEnded({ call });
         ASSERT_TRUE(call->hasResponse());
