StoreSync: Let a whole answer to a fetch of the own zone delay nothing

The log gave a listing that never began the age of the machine. The test fails with a delay of 1 s without the change.

--- a/Source/StoreSync/ReplicaSync.cpp
+++ b/Source/StoreSync/ReplicaSync.cpp
@@ -83,7 +83,7 @@
     ReplicaSyncActions actions = reportChanges(sender, delta, replica_.merge(delta, now), now);
     fetchEncoding_ = replica_.lacksPatchBase() ? StoreReplica::Encoding::Full : StoreReplica::Encoding::Patched;
     hasOwnZone_ = true;
-    if (fetchScope_ == FetchScope::OwnZone)
+    if (fetchScope_ == FetchScope::OwnZone && !delta.isSnapshot)
         otherZonesFrom_ = now + settings_.otherZonesDelay + jitter_;
     else if (!delta.isSnapshot && !actions.empty())
         isWatcher_ ? push(delta, actions) : announce(actions);
@@ -270,8 +270,9 @@
     const bool hasSourceInZone = !candidates.empty();
     if (!hasSourceInZone)
         candidates = sources(false);
-    const bool isTooEarly = now - *behindSince_ < fetchDelay(hasSourceInZone) || now < otherZonesFrom_;
-    if (fetchDeadline_ || candidates.empty() || isTooEarly)
+    const bool mustWait
+        = now - *behindSince_ < fetchDelay(hasSourceInZone) || (replica_.completeTo() == 0 && now < otherZonesFrom_);
+    if (fetchDeadline_ || candidates.empty() || mustWait)
         return;
     const Member* source = chooseSource(std::move(candidates));
     fetchDeadline_ = now + settings_.answerTimeout;
--- a/Source/StoreSync/StoreFeed.cpp
+++ b/Source/StoreSync/StoreFeed.cpp
@@ -30,6 +30,7 @@
 {
     StoreFeedActions actions;
     startedAt_ = now;
+    listingStartedAt_ = now;
     isAwaitingReaders_ = isSlowLink(settings_.linkMegabits, settings_.fastLinkMegabits);
     if (isAwaitingReaders_)
         pause(State::PausingBeforeList, settings_.readerSearchTime, now);
--- a/Tests/StoreSync/ReplicaSyncTest.cpp
+++ b/Tests/StoreSync/ReplicaSyncTest.cpp
@@ -401,6 +401,18 @@
             EXPECT_EQ(next.front().scope, FetchScope::Everything);
             EXPECT_EQ(next.front().after, 0U);
         }
+        {
+            SCOPED_TRACE("a whole answer, as earlier versions send it, delays nothing");
+            ReplicaSyncSettings settings;
+            settings.otherZonesDelay = 1s;
+            ReplicaSync other("walu", 2, settings);
+            other.setFetchesImmediately(true);
+            EXPECT_EQ(all<FetchDelta>(other.handleView(view, clock.now())).front().scope, FetchScope::OwnZone);
+            other.handleAnswer("walu-1", { 0, 9, true, false, {} }, clock.now());
+            other.handlePush(balancerIdOf("walu-1"), { 12, 12, false, false, {} }, clock.now());
+            clock.advance(300ms);
+            EXPECT_EQ(all<FetchDelta>(other.tick(clock.now())).size(), 1U);
+        }
         {
             SCOPED_TRACE("another zone is asked for everything at once");
             ReplicaSync other("laucala", 2);
--- a/Tests/StoreSync/StoreFeedTest.cpp
+++ b/Tests/StoreSync/StoreFeedTest.cpp
@@ -484,11 +484,14 @@
         feed.start(clock.now());
         feed.setBetterReaders(BetterReaders::Known);
         feed.update(0, false, clock.now(), clock.now());
-        EXPECT_FALSE(listsAfter(feed, settings.readerWaitTime));
+        const StoreFeedActions actions = feed.tick(clock.now() + 20ms);
+        EXPECT_EQ(only<SendList>(actions), nullptr);
+        EXPECT_EQ(only<ListingEnded>(actions)->took, 20ms);
         EXPECT_TRUE(feed.asksPeers());
         {
             SCOPED_TRACE("it is listed if the peer does not send it");
-            EXPECT_TRUE(listsAfter(feed, settings.readerWaitTime + settings.peersTimeout));
+            EXPECT_FALSE(listsAfter(feed, settings.peersTimeout));
+            EXPECT_TRUE(listsAfter(feed, 20ms + settings.peersTimeout));
         }
         {
             SCOPED_TRACE("it is not listed once the peer has sent it");
