--- a/Source/StoreSync/DeltaPieces.cpp
+++ b/Source/StoreSync/DeltaPieces.cpp
@@ -17,7 +17,7 @@
     constexpr std::size_t itemOverhead = 24;
 
     // Bounds the memory that a malformed datagram can take.
-    constexpr std::size_t maxPlainPieceBytes = 64 * 1024;
+    constexpr std::size_t maxPlainPieceBytes = std::size_t(64) * 1024;
 
     // Entries of servers compress to about a quarter. Pieces are filled beyond this only if they compress better.
     constexpr std::size_t expectedRatio = 4;
