--- a/Source/Core/ResourceUsage.cpp
+++ b/Source/Core/ResourceUsage.cpp
@@ -1,5 +1,6 @@
 #include "Core/ResourceUsage.h"
 
+#include <malloc.h>
 #include <sys/resource.h>
 
 namespace wisteriadock {
@@ -15,10 +16,13 @@
 
 ResourceUsage resourceUsage()
 {
+    ResourceUsage result;
     rusage usage {};
-    if (getrusage(RUSAGE_SELF, &usage) != 0)
-        return {};
-    return { durationOf(usage.ru_utime) + durationOf(usage.ru_stime), static_cast<std::uint64_t>(usage.ru_maxrss) };
+    if (getrusage(RUSAGE_SELF, &usage) == 0)
+        result.processorTime = durationOf(usage.ru_utime) + durationOf(usage.ru_stime);
+    const struct mallinfo2 heap = mallinfo2();
+    result.heapKilobytes = (heap.uordblks + heap.hblkhd) / 1024;
+    return result;
 }
 
 }
--- a/Source/Core/ResourceUsage.h
+++ b/Source/Core/ResourceUsage.h
@@ -5,14 +5,14 @@
 
 namespace wisteriadock {
 
-// What this process has used since it started.
+// What this process uses.
 struct ResourceUsage {
+    // Since the process started; zero if the operating system does not say.
     std::chrono::microseconds processorTime { 0 };
-    // The most physical memory that it held at once, in KiB.
-    std::uint64_t peakMemoryKilobytes = 0;
+    // What it has allocated at the moment, in KiB.
+    std::uint64_t heapKilobytes = 0;
 };
 
-// As the operating system counts it; zeros if it does not say.
 ResourceUsage resourceUsage();
 
 }
--- a/Source/Forwarder/TrafficReport.cpp
+++ b/Source/Forwarder/TrafficReport.cpp
@@ -10,7 +10,7 @@
     Event event;
     event.add("seconds", std::chrono::duration<double>(now - startedAt_).count())
         .add("cpu_ms", Duration(usage.processorTime))
-        .add("peak_memory_kb", usage.peakMemoryKilobytes);
+        .add("heap_kb", usage.heapKilobytes);
     for (const TrafficRow& row : rows) {
         const std::string cause(row.cause);
         event.add(cause + "_messages", row.messages)
--- a/Tests/Forwarder/TrafficReportTest.cpp
+++ b/Tests/Forwarder/TrafficReportTest.cpp
@@ -33,14 +33,15 @@
         EXPECT_NE(
             text.find(R"("pushes_messages":3,"pushes_sent_bytes":1000,"pushes_received_bytes":200)"), std::string::npos)
             << text;
-        EXPECT_NE(text.find(R"("cpu_ms":2.500,"peak_memory_kb":4096)"), std::string::npos) << text;
+        EXPECT_NE(text.find(R"("cpu_ms":2.500,"heap_kb":4096)"), std::string::npos) << text;
     }
 
     TEST(TrafficReportTest, UsageOfThisProcessIsRead)
     {
         const ResourceUsage usage = resourceUsage();
         EXPECT_GT(usage.processorTime.count(), 0);
-        EXPECT_GT(usage.peakMemoryKilobytes, 1000U);
+        const std::string held(std::size_t(8) * 1024 * 1024, 'h');
+        EXPECT_GE(resourceUsage().heapKilobytes, usage.heapKilobytes + held.size() / 1024);
     }
 
 }
