Tests: Keep the NUL of a foreign value, and widen before a multiplication

The linter found both: the value of bytes that aren't text ended before its NUL, so the test played two bytes in place of three; and a product of 32 bits was widened afterwards. EntryOfAnotherWriterNamesNoServerAndTheOthersHold and BalancersThatSeeFewFlowsSpreadThemEvenly pass as before; clang-tidy finds nothing in either file.

--- a/Tests/Forward/ServerSubsetTest.cpp
+++ b/Tests/Forward/ServerSubsetTest.cpp
@@ -61,7 +61,7 @@
     TEST(ServerSubsetTest, BalancersThatSeeFewFlowsSpreadThemEvenly)
     {
         constexpr std::uint32_t balancers = 40;
-        constexpr std::uint64_t servers = 8 * balancers;
+        constexpr std::uint64_t servers = std::uint64_t { 8 } * balancers;
         constexpr std::uint32_t openingsPerServer = 6;
         const auto ids = idsOf(balancers);
         ManualClock clock;
--- a/Tests/Forwarder/StoreUpdateApplierTest.cpp
+++ b/Tests/Forwarder/StoreUpdateApplierTest.cpp
@@ -18,6 +18,7 @@
 namespace {
 
     using namespace std::chrono_literals;
+    using namespace std::string_literals;
 
     // Applies updates of the store to a router and reads the log lines that result.
     struct StoreUpdateApplierTest : testing::Test, ForwardFixture {
@@ -83,7 +84,7 @@
     TEST_F(StoreUpdateApplierTest, EntryOfAnotherWriterNamesNoServerAndTheOthersHold)
     {
         const std::vector<std::string> foreign {
-            "", "\xff\xfe\x00", R"({"service":"tryon"})",
+            "", "\xff\xfe\x00"s, R"({"service":"tryon"})",
             R"({"service":7,"address":"10.1.1.1:80","zone":"walu","version":"1","maxConcurrency":2,"state":"ready","warmupLeftMs":0,"sequence":1})",
             R"({"service":"tryon","address":"10.1.1.1:80","zone":"walu","version":"1","maxConcurrency":2,"state":"resting","warmupLeftMs":0,"sequence":1})"
         };
