ReplicaSync: Ask another balancer soon when a start gets no answer

Cause: a restarted balancer that fetches at once may have been told of one that lost power a moment before. Change: until the first bytes a balancer that can't serve waits 0.2 s, then asks another one. Chosen: 0.2 s is when callers repeat an opening; in starts of the whole fleet most answers are complete after 0.11 s.

EmptyReplicaSoonAsksAnotherThanOneThatDoesNotAnswer fails on the former code. The comment of the next test said twice what it guards against.

--- a/Source/StoreSync/ReplicaSync.cpp
+++ b/Source/StoreSync/ReplicaSync.cpp
@@ -275,7 +275,7 @@
     if (fetchDeadline_ || candidates.empty() || mustWait)
         return;
     const Member* source = chooseSource(std::move(candidates));
-    fetchDeadline_ = now + settings_.answerTimeout;
+    fetchDeadline_ = now + (hasOwnZone() ? settings_.answerTimeout : settings_.startAnswerTimeout);
     fetchStartedAt_ = now;
     lastSource_ = source->id;
     fetchScope_ = nextFetchScope(hasSourceInZone);
--- a/Source/StoreSync/ReplicaSync.h
+++ b/Source/StoreSync/ReplicaSync.h
@@ -57,6 +57,9 @@
     // How long a fetch may go without receiving any bytes before another balancer is asked. Counted from the last
     // bytes, since large answers over slow links take long and starting over delays them further.
     std::chrono::milliseconds answerTimeout { 800 };
+    // Replaces answerTimeout until the first bytes while a balancer that has just started can't serve. The one that it
+    // asks may have ended unnoticed.
+    std::chrono::milliseconds startAnswerTimeout { 200 };
     // Largest datagram that is pushed, in bytes of payload. A larger delta is split and compressed, and an update
     // larger than this is fetched by the receiver.
     std::size_t maxPushBytes = 1100;
--- a/Tests/StoreSync/ReplicaSyncTest.cpp
+++ b/Tests/StoreSync/ReplicaSyncTest.cpp
@@ -464,7 +464,27 @@
         EXPECT_TRUE(all<FetchDelta>(setRevision("walu-2", 9)).empty());
     }
 
-    // Guards against balancers that cancelled their listing and learn only by gossip whom to fetch from.
+    // Guards against a restarted balancer that waits, while callers do, for one that ended before others noticed.
+    TEST_F(ReplicaSyncTest, EmptyReplicaSoonAsksAnotherThanOneThatDoesNotAnswer)
+    {
+        // Callers repeat an opening that is lost after this time.
+        constexpr auto callersRepeatAfter = 200ms;
+        sync.setFetchesImmediately(true);
+        const auto asked = all<FetchDelta>(setRevision("walu-1", 9));
+        ASSERT_EQ(asked.size(), 1U);
+        EXPECT_TRUE(all<FetchDelta>(setRevision("walu-2", 9)).empty());
+        clock.advance(callersRepeatAfter);
+        const auto again = all<FetchDelta>(sync.tick(clock.now()));
+        ASSERT_EQ(again.size(), 1U);
+        EXPECT_EQ(again.front().from, balancerIdOf("walu-2"));
+        {
+            SCOPED_TRACE("an answer that has begun is awaited for longer");
+            sync.noteFetchProgress(clock.now());
+            clock.advance(799ms);
+            EXPECT_TRUE(all<FetchDelta>(sync.tick(clock.now())).empty());
+        }
+    }
+
     // Guards against balancers that wait for gossip, after a start of all, although others have read the store.
     TEST_F(ReplicaSyncTest, EmptyReplicaIsToldFromWhomItCanFetch)
     {
