StoreFeed: Sample the store when a slow link meets nobody

Cause: balancers with slow links look for readers for 0.1 s before they list the store. Change: who has met nobody after 10 ms asks for the last thousandth of the servers by key; at most one entry means that the store can send a page to all, more that others are looked for until 0.5 s.

Chosen: 10 ms, as seeds that run answer within 5.

SmallStoreIsListedAtOnceWhenNobodyIsMet and LargeStoreIsLeftToReadersThatAreMetLater fail without the sample.

--- a/Source/Forwarder/Forwarder.h
+++ b/Source/Forwarder/Forwarder.h
@@ -67,7 +67,7 @@
     // Interval of the ticks until the routes and the servers have been loaded, while callers wait, and while the first
     // listing of the store waits for other balancers.
     static constexpr std::chrono::milliseconds unsyncedTickInterval { 100 };
-    static constexpr std::chrono::milliseconds awaitingReadersTickInterval { 20 };
+    static constexpr std::chrono::milliseconds awaitingReadersTickInterval { 10 };
 
     Forwarder(const ForwarderSettings& settings, std::string settingsPath)
         : settings_(settings)
@@ -88,7 +88,7 @@
         , applier_(router_, forwarderLog_, metrics_)
         , signals_(context_, SIGTERM, SIGINT, SIGHUP)
         , tickTimer_(context_)
-        , storeDriver_(context_, settings.store, seed_, storeFeedSettingsOf(settings), metrics_,
+        , storeDriver_(context_, settings.store, seed_, storeFeedSettingsOf(settings, Adapter::sampleStart), metrics_,
               [this](const StoreFeedAction& action) { perform(action); })
     {
         log_.setLevel(settings.logLevel);
--- a/Source/Forwarder/PartSettings.cpp
+++ b/Source/Forwarder/PartSettings.cpp
@@ -13,10 +13,11 @@
     return router;
 }
 
-StoreFeedSettings storeFeedSettingsOf(const ForwarderSettings& settings)
+StoreFeedSettings storeFeedSettingsOf(const ForwarderSettings& settings, std::string_view sampleStart)
 {
     StoreFeedSettings feed;
     feed.linkMegabits = settings.linkMegabits;
+    feed.sampleStart = sampleStart;
     return feed;
 }
 
--- a/Source/Forwarder/StoreFeedDriver.h
+++ b/Source/Forwarder/StoreFeedDriver.h
@@ -55,6 +55,8 @@
                 send(*list);
             else if (const auto* watch = std::get_if<SendWatch>(&action))
                 send(*watch);
+            else if (const auto* sample = std::get_if<SendSample>(&action))
+                send(*sample);
             else if (std::holds_alternative<CancelListing>(action))
                 client_.http().cancelAll();
             else
@@ -72,6 +74,16 @@
         });
     }
 
+    void send(const SendSample& request)
+    {
+        const TimePoint sent = Clock::now();
+        client_.send(request.call, sent + request.timeout, [this, sent](const Result<PlatformPage>& sample) {
+            const TimePoint now = Clock::now();
+            count("sample", sample, now - sent);
+            perform(feed_.handleSample(sample, now));
+        });
+    }
+
     void send(const SendWatch& watch)
     {
         const TimePoint sent = Clock::now();
--- a/Source/StoreSync/StoreFeed.cpp
+++ b/Source/StoreSync/StoreFeed.cpp
@@ -41,11 +41,16 @@
 
 void StoreFeed::awaitReaders(TimePoint now, StoreFeedActions& actions)
 {
-    const Duration limit = knowsBetterReaders() ? settings_.readerWaitTime : settings_.readerSearchTime;
-    const bool isOver = betterReaders_ == BetterReaders::None || now - startedAt_ >= limit;
-    if (completeTo_ == 0 && !knowsPeersAhead_ && !isOver)
+    const bool shallList = betterReaders_ == BetterReaders::None || sample_ == Sample::SmallStore;
+    const bool isOver = shallList || now - startedAt_ >= searchLimit();
+    if (completeTo_ == 0 && !knowsPeersAhead_ && !isOver) {
+        if (needsSample(now))
+            requestSample(actions);
         return;
+    }
     isAwaitingReaders_ = false;
+    if (sample_ == Sample::Requested)
+        actions.emplace_back(CancelListing {});
     if (completeTo_ > 0)
         abandonListing(now, actions);
     else if (knowsPeersAhead_)
@@ -54,6 +59,37 @@
         list(now, actions);
 }
 
+bool StoreFeed::needsSample(TimePoint now) const
+{
+    const bool isMissing = sample_ == Sample::NotRequested && !settings_.sampleStart.empty();
+    return isMissing && betterReaders_ == BetterReaders::Unknown && now - startedAt_ >= settings_.sampleDelay;
+}
+
+void StoreFeed::requestSample(StoreFeedActions& actions)
+{
+    sample_ = Sample::Requested;
+    actions.emplace_back(SendSample { { "", settings_.sampleStart, true }, settings_.listTimeout });
+}
+
+std::chrono::milliseconds StoreFeed::searchLimit() const
+{
+    if (knowsBetterReaders())
+        return settings_.readerWaitTime;
+    return sample_ == Sample::LargeStore ? settings_.largeStoreSearchTime : settings_.readerSearchTime;
+}
+
+StoreFeedActions StoreFeed::handleSample(const Result<PlatformPage>& sample, TimePoint now)
+{
+    StoreFeedActions actions;
+    if (!isAwaitingReaders_)
+        return actions;
+    const bool isSmall = sample && !sample.value().hasMore && sample.value().items.size() <= settings_.maxSmallSample;
+    const Sample size = isSmall ? Sample::SmallStore : Sample::LargeStore;
+    sample_ = sample ? size : Sample::Failed;
+    awaitReaders(now, actions);
+    return actions;
+}
+
 void StoreFeed::list(TimePoint now, StoreFeedActions& actions)
 {
     state_ = State::Listing;
--- a/Source/StoreSync/StoreFeed.h
+++ b/Source/StoreSync/StoreFeed.h
@@ -53,6 +53,14 @@
     std::uint32_t fastLinkMegabits = minFastLinkMegabits;
     std::chrono::milliseconds readerSearchTime { 100 };
     std::chrono::milliseconds readerWaitTime { 1000 };
+    // The balancers that it contacts first may start later than the others. If it has met nobody after sampleDelay, it
+    // requests the entries after this key, about one in a thousand. If these are at most maxSmallSample, the store has
+    // a page or two, which it can send to all, and is listed at once. If there are more, others are looked for until
+    // largeStoreSearchTime. Without a key no sample is requested.
+    std::string sampleStart;
+    std::chrono::milliseconds sampleDelay { 10 };
+    std::size_t maxSmallSample = 1;
+    std::chrono::milliseconds largeStoreSearchTime { 500 };
     // The progress of the first listing is checked this long after the request. If it arrives at less than half the
     // rate of this balancer's own link, because the store's link is the bottleneck, and would take longer than
     // minRemainingToCancel to complete, it is cancelled and its content fetched from peers. Where better readers are
@@ -88,7 +96,13 @@
     std::uint64_t number = 0;
 };
 
-// Cancel the listing in progress. Its outcome is ignored.
+// Request the entries after a key. Pass the outcome to handleSample().
+struct SendSample {
+    ListCall call;
+    std::chrono::milliseconds timeout { 0 };
+};
+
+// Cancel the listing or the sample in progress. Its outcome is ignored.
 struct CancelListing { };
 
 // The store sent a delta. Pass it to ReplicaSync::handleStoreDelta().
@@ -119,8 +133,8 @@
     Duration outage { 0 };
 };
 
-using StoreFeedAction
-    = std::variant<SendList, SendWatch, CancelListing, DeltaReceived, ListingEnded, StoreUnreachable, StoreReachable>;
+using StoreFeedAction = std::variant<SendList, SendWatch, SendSample, CancelListing, DeltaReceived, ListingEnded,
+    StoreUnreachable, StoreReachable>;
 using StoreFeedActions = std::vector<StoreFeedAction>;
 
 // Reads the platform's key-value store: lists it once at the start and then, on balancers that are watchers of their
@@ -134,6 +148,8 @@
     StoreFeedActions start(TimePoint now);
     // The outcome of SendList.
     StoreFeedActions handlePage(const Result<PlatformPage>&, TimePoint now);
+    // The outcome of SendSample.
+    StoreFeedActions handleSample(const Result<PlatformPage>&, TimePoint now);
     // Bytes of the page in progress. Decides whether to cancel a slow first listing: when many balancers start
     // together, they share the bandwidth of the store's link.
     StoreFeedActions handlePageProgress(std::uint64_t received, std::uint64_t total, TimePoint now);
@@ -170,6 +186,15 @@
         PausingBeforeWatch,
     };
 
+    // What a sample says about the size of the store.
+    enum class Sample {
+        NotRequested,
+        Requested,
+        Failed,
+        SmallStore,
+        LargeStore,
+    };
+
     // A watch that was replaced before it was answered.
     struct ReplacedWatch {
         std::uint64_t number = 0;
@@ -177,6 +202,9 @@
     };
 
     void awaitReaders(TimePoint now, StoreFeedActions&);
+    void requestSample(StoreFeedActions&);
+    bool needsSample(TimePoint now) const;
+    std::chrono::milliseconds searchLimit() const;
     bool knowsBetterReaders() const { return betterReaders_ == BetterReaders::Known; }
     void list(TimePoint now, StoreFeedActions&);
     bool needsListing() const;
@@ -230,6 +258,7 @@
     bool knowsPeersAhead_ = false;
     bool isAwaitingReaders_ = false;
     TimePoint startedAt_;
+    Sample sample_ = Sample::NotRequested;
     // When a listing that may be stale arrived; none after it was checked.
     std::optional<TimePoint> staleListingAt_;
     // The watch in progress checks that listing.
--- a/Tests/StoreSync/StoreFeedTest.cpp
+++ b/Tests/StoreSync/StoreFeedTest.cpp
@@ -478,6 +478,71 @@
         }
     }
 
+    struct StoreSampleTest : AwaitingReadersTest {
+        StoreFeed feed { 1, sampleSettings() };
+
+        StoreSampleTest() { feed.start(clock.now()); }
+
+        StoreFeedSettings sampleSettings()
+        {
+            settings.sampleStart = "servers/sample";
+            return settings;
+        }
+
+        static PlatformPage sampleOf(std::size_t entries)
+        {
+            return { std::vector<PlatformItem>(entries, { "servers/sample-1", "walu", 5 }), false, 9 };
+        }
+    };
+
+    // Guards against balancers of a small deployment that wait for others that start later, although the store can send
+    // its one page to all of them in a moment.
+    TEST_F(StoreSampleTest, SmallStoreIsListedAtOnceWhenNobodyIsMet)
+    {
+        EXPECT_EQ(only<SendSample>(feed.tick(clock.now())), nullptr) << "others have not had time to answer yet";
+        const StoreFeedActions actions = feed.tick(clock.now() + settings.sampleDelay);
+        ASSERT_NE(only<SendSample>(actions), nullptr);
+        EXPECT_EQ(only<SendSample>(actions)->call.after, settings.sampleStart);
+        EXPECT_EQ(only<SendSample>(feed.tick(clock.now() + 2 * settings.sampleDelay)), nullptr) << "requested once";
+        const StoreFeedActions answered = feed.handleSample(sampleOf(1), clock.now() + 15ms);
+        ASSERT_NE(only<SendList>(answered), nullptr);
+        EXPECT_TRUE(only<SendList>(answered)->call.after.empty());
+        EXPECT_FALSE(feed.isAwaitingReaders());
+        EXPECT_TRUE(feed.handleSample(sampleOf(1), clock.now() + 16ms).empty());
+    }
+
+    // Guards against hundreds of balancers whose pages fill the store's link because those that they contact first
+    // start after them.
+    TEST_F(StoreSampleTest, LargeStoreIsLeftToReadersThatAreMetLater)
+    {
+        feed.tick(clock.now() + settings.sampleDelay);
+        EXPECT_TRUE(feed.handleSample(sampleOf(2), clock.now() + 15ms).empty());
+        EXPECT_FALSE(listsAfter(feed, settings.readerSearchTime));
+        EXPECT_TRUE(listsAfter(feed, settings.largeStoreSearchTime)) << "nobody is met at all";
+    }
+
+    TEST_F(StoreSampleTest, SampleThatIsNotAnsweredDelaysNothing)
+    {
+        feed.tick(clock.now() + settings.sampleDelay);
+        const StoreFeedActions actions = feed.tick(clock.now() + settings.readerSearchTime);
+        EXPECT_NE(only<CancelListing>(actions), nullptr);
+        EXPECT_NE(only<SendList>(actions), nullptr);
+        {
+            SCOPED_TRACE("the store refuses it");
+            StoreFeed other(1, settings);
+            other.start(clock.now());
+            other.tick(clock.now() + settings.sampleDelay);
+            EXPECT_TRUE(other.handleSample(Error { ErrorCode::Unavailable, "" }, clock.now() + 15ms).empty());
+            EXPECT_TRUE(listsAfter(other, settings.readerSearchTime));
+        }
+    }
+
+    TEST_F(StoreSampleTest, NoSampleIsRequestedOnceAnotherBalancerIsKnown)
+    {
+        feed.setBetterReaders(BetterReaders::Known);
+        EXPECT_EQ(only<SendSample>(feed.tick(clock.now() + settings.sampleDelay)), nullptr);
+    }
+
     TEST_F(AwaitingReadersTest, StoreIsNotListedWhileAPeerHasEverything)
     {
         StoreFeed feed(1, settings);
