--- a/Source/Forwarder/StoreFeedDriver.h
+++ b/Source/Forwarder/StoreFeedDriver.h
@@ -21,8 +21,8 @@
     // StoreUnreachable and StoreReachable.
     using Handler = std::function<void(const StoreFeedAction&)>;
 
-    StoreFeedDriver(boost::asio::io_context& context, Endpoint store, std::uint64_t seed, StoreFeedSettings settings,
-        ForwarderMetrics& metrics, Handler handler)
+    StoreFeedDriver(boost::asio::io_context& context, Endpoint store, std::uint64_t seed,
+        const StoreFeedSettings& settings, ForwarderMetrics& metrics, Handler handler)
         : client_(context, store, Http1Limits {})
         , feed_(seed, settings)
         , metrics_(metrics)
--- a/Source/Membership/MemberTable.h
+++ b/Source/Membership/MemberTable.h
@@ -78,8 +78,8 @@
     std::vector<MemberRow> page(std::uint32_t afterId, bool& isLast) const;
     // The same, limited by the number of rows instead of their size.
     std::vector<MemberRow> rowsAfter(std::uint32_t afterId, std::size_t maxRows, bool& isLast) const;
-    // Rows with details of the live members of an availability zone with the fastest links. `bytes` is set to their
-    // approximate size.
+    // Rows with details of the live members of an availability zone with the fastest links. Adds their approximate size
+    // to `bytes`.
     std::vector<MemberRow> fastestOf(const std::string& availabilityZone, std::size_t count, std::size_t& bytes) const;
     // Rows with details of these members, as many as fit into one datagram.
     std::vector<MemberRow> rowsOf(const std::vector<std::uint32_t>& ids) const;
--- a/Source/StoreSync/StoreFeed.cpp
+++ b/Source/StoreSync/StoreFeed.cpp
@@ -19,7 +19,7 @@
 
 }
 
-StoreFeed::StoreFeed(std::uint64_t seed, StoreFeedSettings settings)
+StoreFeed::StoreFeed(std::uint64_t seed, const StoreFeedSettings& settings)
     : settings_(settings)
     , backoff_(settings.minBackoff, settings.maxBackoff, seed)
     , keepsListingByChance_(std::mt19937_64(seed)() % settings.keepListingOneIn == 0)
--- a/Source/StoreSync/StoreFeed.h
+++ b/Source/StoreSync/StoreFeed.h
@@ -143,7 +143,7 @@
 // timeout and is repeated after a pause.
 class StoreFeed {
 public:
-    StoreFeed(std::uint64_t seed, StoreFeedSettings settings = {});
+    StoreFeed(std::uint64_t seed, const StoreFeedSettings& settings = {});
 
     StoreFeedActions start(TimePoint now);
     // The outcome of SendList.
