StoreFeed, PeerSync: Log and count the store's era, listed revisions and refused deltas

The logs could not tell whether the store's revision had gone back or its history had been dropped: store.listed named no revision, and nothing told that a delta was passed over. Now store.listed names the store's revision and era and the revision held, store.era_changed and news.delta_refused are lines of their own, and metrics count refused deltas by reason and show the era. The HTTP/1.1 client hands on the headers of responses for that. No decision changes.

--- a/Source/Forwarder/Forwarder.h
+++ b/Source/Forwarder/Forwarder.h
@@ -171,6 +171,8 @@
             peerSync_->handleStoreDelta(*received, now);
         } else if (const auto* listing = std::get_if<ListingEnded>(&action)) {
             processLog_.listingEnded(*listing, now);
+        } else if (const auto* restored = std::get_if<StoreEraChanged>(&action)) {
+            processLog_.storeEraChanged(*restored, now);
         } else if (const auto* lost = std::get_if<StoreUnreachable>(&action)) {
             peerSync_->noteStoreReachability(true, now);
             processLog_.storeUnreachable(*lost, now);
--- a/Source/Forwarder/ForwarderHttpHandler.h
+++ b/Source/Forwarder/ForwarderHttpHandler.h
@@ -65,6 +65,7 @@
         ForwarderMetrics::Snapshot snapshot;
         snapshot.configurationVersion = router_.configurationVersion();
         snapshot.replicaRevision = peerSync_.replicaSync().replica().completeTo();
+        snapshot.storeEra = store_.feed().era();
         if (const auto since = peerSync_.replicaSync().behindSince())
             snapshot.replicaLag = now - *since;
         snapshot.flows = router_.flows().size();
--- a/Source/Forwarder/ForwarderMetrics.cpp
+++ b/Source/Forwarder/ForwarderMetrics.cpp
@@ -165,12 +165,16 @@
     for (const auto& [outcome, count] : fetches_)
         samples.count("wisteriadock_forwarder_fetches_total", "Fetches from other balancers (asked) and their outcomes",
             count, { { "outcome", outcome.c_str() } });
+    for (const auto& [reason, count] : refusedDeltas_)
+        samples.count("wisteriadock_forwarder_refused_deltas_total",
+            "Deltas of the store that were not merged, by reason", count, { { "reason", reason.c_str() } });
     const auto addState = [&](const char* what, auto value) {
         samples.gauge("wisteriadock_forwarder_state", "Versions, ages and sizes, by what is measured",
             static_cast<double>(value), { { "of", what } });
     };
     addState("configuration_version", snapshot.configurationVersion);
     addState("news_revision", snapshot.replicaRevision);
+    addState("store_era", snapshot.storeEra);
     addState("news_behind_seconds", secondsOf(snapshot.replicaLag));
     addState("flows", snapshot.flows);
     addState("members", snapshot.members);
--- a/Source/Forwarder/ForwarderMetrics.h
+++ b/Source/Forwarder/ForwarderMetrics.h
@@ -62,6 +62,8 @@
     }
     void countRejectedUpdate() { ++rejectedUpdates_; }
     void countFetch(const std::string& outcome) { ++fetches_[outcome]; }
+    // A delta of the store or of another balancer was not merged.
+    void countRefusedDelta(std::string_view reason) { ++refusedDeltas_[std::string(reason)]; }
     void observe(const FlowProgress&);
     // lag: how long this balancer knew that others had a newer revision before it received that revision.
     void observeReplicaLag(Duration lag);
@@ -73,6 +75,8 @@
     struct Snapshot {
         std::uint64_t configurationVersion = 0;
         std::uint64_t replicaRevision = 0;
+        // The era of the store's last answer to this balancer.
+        std::uint64_t storeEra = 0;
         // How long others have been known to have a newer revision; zero when none has.
         Duration replicaLag {};
         std::size_t flows = 0;
@@ -105,6 +109,8 @@
     std::map<std::pair<std::string, std::string>, std::uint64_t> storeCalls_;
     // By outcome.
     std::map<std::string, std::uint64_t> fetches_;
+    // By reason.
+    std::map<std::string, std::uint64_t> refusedDeltas_;
     Histogram openingTime_;
     Histogram answerTime_;
     Histogram storeTime_;
--- a/Source/Forwarder/PeerSync.cpp
+++ b/Source/Forwarder/PeerSync.cpp
@@ -271,6 +271,8 @@
         } else if (const auto* request = std::get_if<RequestRevision>(&action)) {
             link_->send(request->to,
                 { membership_.view()->self, membership_.selfIncarnation(), PeerMessageKind::RevisionRequest, {} });
+        } else if (const auto* refused = std::get_if<DeltaRefused>(&action)) {
+            logRefusal(*refused, now);
         } else {
             auto& changed = std::get<ReplicaChanged>(action);
             if (changed.source != "store" && replicaSync_.behindSince())
@@ -280,6 +282,18 @@
     }
 }
 
+void PeerSync::logRefusal(const DeltaRefused& refused, TimePoint now)
+{
+    metrics_.countRefusedDelta(nameOf(refused.reason));
+    log_.write(LogLevel::Warning, "news", "delta_refused",
+        Event()
+            .add("reason", nameOf(refused.reason))
+            .add("source", refused.source)
+            .add("revision", refused.revision)
+            .add("held_revision", refused.heldRevision),
+        now);
+}
+
 void PeerSync::push(const PushDelta& push)
 {
     const DeltaPiece& piece = *push.piece;
--- a/Source/Forwarder/ProcessLog.cpp
+++ b/Source/Forwarder/ProcessLog.cpp
@@ -48,7 +48,21 @@
         Event()
             .add("pages", std::uint64_t(listing.pages))
             .add("entries", std::uint64_t(listing.entries))
-            .add("after_ms", listing.took),
+            .add("after_ms", listing.took)
+            .add("revision", listing.revision)
+            .add("era", listing.era)
+            .add("held_revision", listing.heldRevision),
+        now);
+}
+
+void ProcessLog::storeEraChanged(const StoreEraChanged& change, TimePoint now)
+{
+    log_.write(LogLevel::Warning, "store", "era_changed",
+        Event()
+            .add("former_era", change.formerEra)
+            .add("era", change.era)
+            .add("revision", change.revision)
+            .add("held_revision", change.heldRevision),
         now);
 }
 
--- a/Source/Forwarder/ProcessLog.h
+++ b/Source/Forwarder/ProcessLog.h
@@ -30,6 +30,7 @@
     void withoutMetrics(const Error&, TimePoint now);
 
     void listingEnded(const ListingEnded&, TimePoint now);
+    void storeEraChanged(const StoreEraChanged&, TimePoint now);
     void storeUnreachable(const StoreUnreachable&, TimePoint now);
     void storeReachable(const StoreReachable&, TimePoint now);
 
--- a/Source/Forwarder/StoreFeedDriver.h
+++ b/Source/Forwarder/StoreFeedDriver.h
@@ -18,7 +18,7 @@
 template <typename Adapter> class StoreFeedDriver {
 public:
     // Called with the actions that StoreFeedDriver does not perform itself: DeltaReceived, ListingEnded,
-    // StoreUnreachable and StoreReachable.
+    // StoreEraChanged, StoreUnreachable and StoreReachable.
     using Handler = std::function<void(const StoreFeedAction&)>;
 
     StoreFeedDriver(boost::asio::io_context& context, Endpoint store, std::uint64_t seed,
--- a/Source/KeyValue/PlatformCalls.h
+++ b/Source/KeyValue/PlatformCalls.h
@@ -62,6 +62,8 @@
     bool hasMore = false;
     // The revision of the store when the page was read.
     std::uint64_t revision = 0;
+    // Rises by one whenever the store is restored from an older copy. The store then gives out revisions again.
+    std::uint64_t era = 0;
 };
 
 // Lists the keys under a prefix, starting with the first key after `after`.
@@ -77,6 +79,8 @@
 struct PlatformChanges {
     std::vector<PlatformItem> items;
     std::uint64_t revision = 0;
+    // As in PlatformPage.
+    std::uint64_t era = 0;
 };
 
 // Waits up to `wait` for a change under the prefix with a revision above the given one. Fails with NotFound if the
--- a/Source/Net/Http1Client.cpp
+++ b/Source/Net/Http1Client.cpp
@@ -2,6 +2,7 @@
 
 #include "Net/AsioEndpoint.h"
 
+#include <absl/strings/ascii.h>
 #include <boost/asio/bind_executor.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -159,6 +160,9 @@
         auto message = parser_.release();
         HttpResponse response;
         response.status = static_cast<int>(message.result_int());
+        for (const auto& field : message)
+            response.headers.push_back(
+                { absl::AsciiStrToLower(std::string(field.name_string())), std::string(field.value()) });
         response.body = std::move(message.body());
         const bool isReusable = message.keep_alive() && buffer_.size() == 0 && !shared_->isClosed
             && shared_->idle.size() < shared_->limits.idleConnections;
--- a/Source/StoreSync/ReplicaSync.cpp
+++ b/Source/StoreSync/ReplicaSync.cpp
@@ -163,6 +163,8 @@
     const std::string& source, const StoreDelta& delta, StoreReplica::Updates changed, TimePoint now)
 {
     ReplicaSyncActions actions;
+    if (replica_.refusal())
+        actions.emplace_back(DeltaRefused { *replica_.refusal(), source, delta.to, replica_.completeTo() });
     if (changed.empty())
         return actions;
     hasUnappliedUpdates_ = true;
--- a/Source/StoreSync/ReplicaSync.h
+++ b/Source/StoreSync/ReplicaSync.h
@@ -118,7 +118,17 @@
     std::uint64_t revision = 0;
 };
 
-using ReplicaSyncAction = std::variant<PushDelta, FetchDelta, RequestRevision, ReplicaChanged>;
+// A delta was not merged; for the log.
+struct DeltaRefused {
+    StoreReplica::Refusal reason = StoreReplica::Refusal::OlderSnapshot;
+    // As in ReplicaChanged.
+    std::string source;
+    // The revision that the delta leads to, and the one up to which the replica is complete.
+    std::uint64_t revision = 0;
+    std::uint64_t heldRevision = 0;
+};
+
+using ReplicaSyncAction = std::variant<PushDelta, FetchDelta, RequestRevision, ReplicaChanged, DeltaRefused>;
 using ReplicaSyncActions = std::vector<ReplicaSyncAction>;
 
 // Keeps a balancer's replica of the store in sync with those of the other balancers. Balancers that watch the store
--- a/Source/StoreSync/StoreFeed.cpp
+++ b/Source/StoreSync/StoreFeed.cpp
@@ -116,6 +116,7 @@
         return actions;
     }
     noteSuccess(now, actions);
+    noteEra(page.value().era, page.value().revision, actions);
     // The pages are read one after the other. Changes made meanwhile have a higher revision than the first page, and
     // the watch that starts there returns them.
     if (!listRevision_)
@@ -189,7 +190,8 @@
 
 ListingEnded StoreFeed::listingEnded(bool isComplete, TimePoint now) const
 {
-    return { pagesReceived_, listed_.size(), now - listingStartedAt_, isComplete };
+    return { pagesReceived_, listed_.size(), now - listingStartedAt_, isComplete, listRevision_.value_or(0),
+        era_.value_or(0), completeTo_ };
 }
 
 void StoreFeed::leaveListingToPeers(TimePoint now, StoreFeedActions& actions)
@@ -258,6 +260,7 @@
         return actions;
     }
     noteSuccess(now, actions);
+    noteEra(changes.value().era, changes.value().revision, actions);
     const bool isConfirmation = confirmAt_ && now >= *confirmAt_;
     if (isConfirmation)
         confirmAt_.reset();
@@ -380,6 +383,13 @@
     pauseUntil_ = now + time;
 }
 
+void StoreFeed::noteEra(std::uint64_t era, std::uint64_t revision, StoreFeedActions& actions)
+{
+    if (era_ && *era_ != era)
+        actions.emplace_back(StoreEraChanged { *era_, era, revision, completeTo_ });
+    era_ = era;
+}
+
 void StoreFeed::noteFailure(const Error& error, TimePoint now, StoreFeedActions& actions)
 {
     if (unreachableSince_)
--- a/Source/StoreSync/StoreFeed.h
+++ b/Source/StoreSync/StoreFeed.h
@@ -121,6 +121,19 @@
     Duration took {};
     // False if the rest is left to peers.
     bool isComplete = true;
+    // The revision and the era of the store at the first page, and the revision that this balancer has.
+    std::uint64_t revision = 0;
+    std::uint64_t era = 0;
+    std::uint64_t heldRevision = 0;
+};
+
+// An answer shows that the store was restored from an older copy.
+struct StoreEraChanged {
+    std::uint64_t formerEra = 0;
+    std::uint64_t era = 0;
+    // The revision of the store, and the one that this balancer has.
+    std::uint64_t revision = 0;
+    std::uint64_t heldRevision = 0;
 };
 
 // The store stopped answering this balancer.
@@ -134,7 +147,7 @@
 };
 
 using StoreFeedAction = std::variant<SendList, SendWatch, SendSample, CancelListing, DeltaReceived, ListingEnded,
-    StoreUnreachable, StoreReachable>;
+    StoreEraChanged, StoreUnreachable, StoreReachable>;
 using StoreFeedActions = std::vector<StoreFeedAction>;
 
 // Reads the platform's key-value store: lists it once at the start and then, on balancers that are watchers of their
@@ -172,6 +185,8 @@
 
     bool isUnreachable() const { return unreachableSince_.has_value(); }
     bool isWatching() const { return state_ == State::Watching; }
+    // The era of the store's last answer.
+    std::uint64_t era() const { return era_.value_or(0); }
     // The first listing is left to others and the replica is still empty, so peers are to be asked at once.
     bool asksPeers() const { return (isAwaitingReaders_ || cancelledListings_ > 0) && completeTo_ == 0; }
     // Whether the store is unreachable or was until recently, so removed entries may be registered again soon.
@@ -221,6 +236,7 @@
     StoreFeedActions handleLateAnswer(std::uint64_t number, const Result<PlatformChanges>&, TimePoint now);
     std::chrono::milliseconds nextWatchDuration(TimePoint now) const;
     void pause(State, std::chrono::milliseconds, TimePoint now);
+    void noteEra(std::uint64_t era, std::uint64_t revision, StoreFeedActions&);
     void noteFailure(const Error&, TimePoint now, StoreFeedActions&);
     void noteSuccess(TimePoint now, StoreFeedActions&);
 
@@ -229,6 +245,8 @@
     State state_ = State::Idle;
     bool isWatcher_ = false;
     std::uint64_t completeTo_ = 0;
+    // The era of the store's last answer; none before the first.
+    std::optional<std::uint64_t> era_;
     std::uint64_t watchNumber_ = 0;
     TimePoint watchedSince_;
     // The revision after which the watch waits for changes, and since when the replica is ahead of it by deltas of
--- a/Source/StoreSync/StoreReplica.cpp
+++ b/Source/StoreSync/StoreReplica.cpp
@@ -1,5 +1,6 @@
 #include "StoreSync/StoreReplica.h"
 
+#include "Core/NameTable.h"
 #include "StoreSync/CompressedValue.h"
 
 #include <absl/container/flat_hash_set.h>
@@ -13,6 +14,10 @@
 
 namespace {
 
+    constexpr auto refusalNames = makeNameTable<StoreReplica::Refusal>({
+        { StoreReplica::Refusal::OlderSnapshot, "older_snapshot" },
+    });
+
     // How long removals are kept. Balancers that were disconnected for longer get a snapshot.
     constexpr std::chrono::seconds removalLifetime { 120 };
     // How often old removals are looked for.
@@ -49,6 +54,8 @@
 
 }
 
+std::string_view nameOf(StoreReplica::Refusal refusal) { return refusalNames.name(refusal); }
+
 StoreReplica::Updates StoreReplica::merge(const StoreDelta& delta, TimePoint now)
 {
     return mergeAll(delta, now, PatchCreation::No);
@@ -63,9 +70,12 @@
 {
     Updates changed;
     lacksPatchBase_ = false;
+    refusal_.reset();
     // An older snapshot lacks keys that were written since, which would look removed.
-    if (delta.isSnapshot && delta.to < completeTo_)
+    if (delta.isSnapshot && delta.to < completeTo_) {
+        refusal_ = Refusal::OlderSnapshot;
         return changed;
+    }
     if (delta.isSnapshot)
         removeMissing(delta, now, changed);
     rows_.reserve(rows_.size() + (rows_.empty() ? delta.items.size() : 0));
--- a/Source/StoreSync/StoreReplica.h
+++ b/Source/StoreSync/StoreReplica.h
@@ -9,8 +9,10 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -33,11 +35,18 @@
         Patched, // Patches to the value that the receiver holds, where the replica still has them.
     };
 
+    // Why a delta was not merged.
+    enum class Refusal {
+        OlderSnapshot, // The replica is complete to a later revision.
+    };
+
     // Merges a delta of another balancer. After a gap its updates are merged as well, but completeTo() stays until the
     // gap is closed.
     Updates merge(const StoreDelta&, TimePoint now);
     // Merges a delta of the store, which holds whole values, and makes patches of large values for other balancers.
     Updates mergeFromStore(const StoreDelta&, TimePoint now);
+    // Why the last delta was not merged; none if it was.
+    const std::optional<Refusal>& refusal() const { return refusal_; }
     // Whether the last merge had a patch whose base value this replica does not hold.
     bool lacksPatchBase() const { return lacksPatchBase_; }
 
@@ -88,6 +97,9 @@
     std::uint64_t droppedRemovalsTo_ = 0;
     TimePoint nextRemovalSweep_ = TimePoint::min();
     bool lacksPatchBase_ = false;
+    std::optional<Refusal> refusal_;
 };
 
+std::string_view nameOf(StoreReplica::Refusal);
+
 }
--- a/Tests/PlatformAdapter/StoreCodecTest.cpp
+++ b/Tests/PlatformAdapter/StoreCodecTest.cpp
@@ -54,6 +54,20 @@
         EXPECT_EQ(readChanges.value().items[1].value, "w");
     }
 
+    TEST(StoreCodecTest, EraIsReadFromTheHeader)
+    {
+        HttpResponse response = answer(200, encodePage({ {}, false, 9 })).value();
+        EXPECT_EQ(StoreCodec::decode(ListCall {}, response).value().era, 0U);
+        response.headers.push_back({ eraHeader, "3" });
+        EXPECT_EQ(StoreCodec::decode(ListCall {}, response).value().era, 3U);
+        response.body = encodeChanges({ {}, 9 });
+        EXPECT_EQ(StoreCodec::decode(ChangesCall {}, response).value().era, 3U);
+        for (const char* malformed : { "x", "3x", "-1", "99999999999999999999" }) {
+            response.headers.back().value = malformed;
+            EXPECT_EQ(StoreCodec::decode(ChangesCall {}, response).error().code, ErrorCode::InvalidArgument);
+        }
+    }
+
     TEST(StoreCodecTest, ErrorCodesOfFailures)
     {
         const auto codeOf
