--- a/Tests/StoreSync/FleetSimulation.cpp
+++ b/Tests/StoreSync/FleetSimulation.cpp
@@ -72,8 +72,18 @@
 
 void FleetSimulation::writeServer(const RegisteredServer& server)
 {
-    servers_[fmt::format("{}@{}", server.id, revision_ + 1)] = server;
-    put("server " + server.id, fmt::format("{}@{}", server.id, revision_ + 1), false);
+    const std::string value = fmt::format("{}@{}", server.id, ++serverWrites_);
+    servers_[value] = server;
+    put("server " + server.id, value, false);
+}
+
+void FleetSimulation::restoreStore(const StoreCopy& copy)
+{
+    items_ = copy.items;
+    revision_ = copy.revision;
+    std::erase_if(history_, [&](const PlatformItem& item) { return item.revision > revision_; });
+    compactedRevision_ = std::min(compactedRevision_, revision_);
+    ++era_;
 }
 
 void FleetSimulation::removeServer(const RegisteredServer& server) { put("server " + server.id, {}, true); }
@@ -169,6 +179,7 @@
 {
     PlatformPage page;
     page.revision = revision_;
+    page.era = era_;
     for (const auto& [key, item] : items_)
         page.items.push_back(item);
     return page;
@@ -177,6 +188,7 @@
 void FleetSimulation::answerList(std::size_t index, bool mayBeStale)
 {
     Balancer& balancer = balancers_[index];
+    ++storeCalls_;
     if (isStoreDown || balancer.isRejectedByStore)
         return perform(index, balancer.feed->handlePage(Error { ErrorCode::Unavailable, "status 503" }, now()));
     perform(index, balancer.feed->handlePage(mayBeStale && stalePage_ ? *stalePage_ : page(), now()));
@@ -186,13 +198,14 @@
 {
     Balancer& balancer = balancers_[index];
     const auto answer = [&](const Result<PlatformChanges>& changes) {
+        ++storeCalls_;
         perform(index, balancer.feed->handleChanges(watch.number, changes, now()));
     };
     if (isStoreDown || balancer.isRejectedByStore)
         return answer(Error { ErrorCode::Unavailable, "status 503" });
-    if (watch.call.revision < compactedRevision_)
+    if (watch.call.revision < compactedRevision_ || watch.call.revision > revision_)
         return answer(Error { ErrorCode::NotFound, "history" });
-    PlatformChanges changes { {}, revision_ };
+    PlatformChanges changes { {}, revision_, era_ };
     for (const PlatformItem& item : history_) {
         if (item.revision > watch.call.revision)
             changes.items.push_back(item);
--- a/Tests/StoreSync/FleetSimulation.h
+++ b/Tests/StoreSync/FleetSimulation.h
@@ -46,6 +46,15 @@
     void evacuateZone(const std::string& zone) { put("empty " + zone, {}, false); }
     void revokeEvacuation(const std::string& zone) { put("empty " + zone, {}, true); }
     void compactHistory() { compactedRevision_ = revision_; }
+    // A copy of the store, and the return to it. Revisions given out since are given out again, and the era rises.
+    struct StoreCopy {
+        std::map<std::string, PlatformItem> items;
+        std::uint64_t revision = 0;
+    };
+    StoreCopy copyStore() const { return { items_, revision_ }; }
+    void restoreStore(const StoreCopy&);
+    // Number of calls that the store has answered or refused.
+    std::uint64_t storeCalls() const { return storeCalls_; }
     // Freezes the content of listings that may be stale at the present state of the store, or ends that.
     void serveStaleListings(bool isStale);
 
@@ -89,6 +98,9 @@
     std::map<std::string, RegisteredServer> servers_;
     std::map<std::uint64_t, ForwardingConfiguration> configurations_;
     std::uint64_t revision_ = 1;
+    std::uint64_t era_ = 0;
+    std::uint64_t storeCalls_ = 0;
+    std::uint64_t serverWrites_ = 0;
     // The answer to listings that may be stale; none when they show the current content.
     std::optional<PlatformPage> stalePage_;
     std::uint64_t compactedRevision_ = 0;
