StoreFeed, StoreReplica: Order changes by the store's era before its revision

What callers saw: for three to seven seconds after the store came back from an older copy, requests were handled by a configuration that had been replaced, and new flows reached servers that had said that they leave.

Cause: everything was ordered by the revision alone. A restored store gives revisions out again, so listings were refused as older, changes were passed over, and the watch from a revision that the store had not reached again was refused with 410, upon which the store was listed again, without a pause. What was written until the revision of before was reached was lost for good at a balancer that watches on from there.

Fix: a revision in replicas, deltas and messages holds the era in its upper bits, so every comparison orders eras first, also between balancers, and a patch, a kept answer or a late datagram of another era fits nothing. An answer of another era than the watch leads to a listing. A replica enters an era with a listing, a whole answer, or a delta that holds what differs from the content of before and a digest of the result; who had another content fetches everything. Entries that are the same before and after are carried over and cost nothing. What is missing after a restore is in doubt, as after an outage. A listing that shows less than others have told is followed by a pause of a second.

--- a/Source/Forwarder/ForwarderLog.cpp
+++ b/Source/Forwarder/ForwarderLog.cpp
@@ -1,5 +1,7 @@
 #include "Forwarder/ForwarderLog.h"
 
+#include "KeyValue/StoreRevision.h"
+
 #include <algorithm>
 #include <map>
 
@@ -44,12 +46,12 @@
         event.add("token", packet.token);
     if (!requestId.empty())
         event.add("request", requestId);
-    event.add("configuration_version", configurationVersion).add("revision", revision);
+    event.add("configuration_version", configurationVersion).add("revision", storeRevisionOf(revision));
     if (decision.service)
         event.add("service", *decision.service);
     if (const KnownServer* server = decision.server) {
         event.add("server", server->entry.id).add("server_zone", server->entry.availabilityZone);
-        event.add("server_state", nameOf(server->state)).add("server_revision", server->revision);
+        event.add("server_state", nameOf(server->state)).add("server_revision", storeRevisionOf(server->revision));
         event.add("silent_ms", millisecondsSince(server->seen.lastProgress, now));
         event.add("flows", server->seen.flows).add("busy", server->seen.busy);
     }
@@ -129,7 +131,7 @@
             .add("servers", std::uint64_t(group.size()))
             .add("unknown_before", std::uint64_t(newServers))
             .add("among", names)
-            .add("revision", revision)
+            .add("revision", storeRevisionOf(revision))
             .add("source", source),
         now);
 }
@@ -143,7 +145,7 @@
             .add("service", transition.service)
             .add("server_zone", transition.availabilityZone)
             .add("before", transition.isNew ? "unknown" : nameOf(transition.before))
-            .add("revision", revision)
+            .add("revision", storeRevisionOf(revision))
             .add("source", source),
         now);
 }
@@ -155,7 +157,7 @@
             .add("version", received.version)
             .add("routes", std::uint64_t(received.routes))
             .add("changed", std::uint64_t(received.changedRoutes))
-            .add("revision", received.revision)
+            .add("revision", storeRevisionOf(received.revision))
             .add("source", changed.source)
             .add("age_ms", Duration(received.age))
             .add("behind_ms", changed.lag)
@@ -176,7 +178,7 @@
         Event()
             .add("source", changed.source)
             .add("items", std::uint64_t(changed.items.size()))
-            .add("revision", changed.revision)
+            .add("revision", storeRevisionOf(changed.revision))
             .add("in_doubt", changed.isInDoubt),
         now);
 }
@@ -245,7 +247,7 @@
 {
     Event event;
     event.add("zone", change.availabilityZone)
-        .add("revision", change.revision)
+        .add("revision", storeRevisionOf(change.revision))
         .add("source", source)
         .add("age_ms", Duration(age));
     if (!change.isEvacuated)
--- a/Source/Forwarder/ForwarderMetrics.cpp
+++ b/Source/Forwarder/ForwarderMetrics.cpp
@@ -1,5 +1,6 @@
 #include "Forwarder/ForwarderMetrics.h"
 
+#include "KeyValue/StoreRevision.h"
 #include "MetricsText/MetricsText.h"
 
 #include <fmt/format.h>
@@ -173,7 +174,8 @@
             static_cast<double>(value), { { "of", what } });
     };
     addState("configuration_version", snapshot.configurationVersion);
-    addState("news_revision", snapshot.replicaRevision);
+    addState("news_revision", storeRevisionOf(snapshot.replicaRevision));
+    addState("news_era", eraOf(snapshot.replicaRevision));
     addState("store_era", snapshot.storeEra);
     addState("news_behind_seconds", secondsOf(snapshot.replicaLag));
     addState("flows", snapshot.flows);
--- a/Source/Forwarder/PeerSync.cpp
+++ b/Source/Forwarder/PeerSync.cpp
@@ -142,8 +142,9 @@
         return;
     log_.write(LogLevel::Warning, "news", "behind",
         Event()
-            .add("revision", replicaSync_.replica().completeTo())
-            .add("newest", replicaSync_.newestPeerRevision())
+            .add("revision", storeRevisionOf(replicaSync_.replica().completeTo()))
+            .add("newest", storeRevisionOf(replicaSync_.newestPeerRevision()))
+            .add("newest_era", eraOf(replicaSync_.newestPeerRevision()))
             .add("behind_ms", now - *since)
             .add("asking", fetchSource_)
             .add("answer_bytes", fetchReceivedBytes_),
@@ -271,6 +272,8 @@
         } else if (const auto* request = std::get_if<RequestRevision>(&action)) {
             link_->send(request->to,
                 { membership_.view()->self, membership_.selfIncarnation(), PeerMessageKind::RevisionRequest, {} });
+        } else if (const auto* entered = std::get_if<EraEntered>(&action)) {
+            logEra(*entered, now);
         } else if (const auto* refused = std::get_if<DeltaRefused>(&action)) {
             logRefusal(*refused, now);
         } else {
@@ -289,8 +292,23 @@
         Event()
             .add("reason", nameOf(refused.reason))
             .add("source", refused.source)
-            .add("revision", refused.revision)
-            .add("held_revision", refused.heldRevision),
+            .add("revision", storeRevisionOf(refused.revision))
+            .add("era", eraOf(refused.revision))
+            .add("held_revision", storeRevisionOf(refused.heldRevision))
+            .add("held_era", eraOf(refused.heldRevision)),
+        now);
+}
+
+void PeerSync::logEra(const EraEntered& entered, TimePoint now)
+{
+    log_.write(LogLevel::Warning, "news", "era_entered",
+        Event()
+            .add("source", entered.source)
+            .add("former_era", eraOf(entered.formerRevision))
+            .add("era", eraOf(entered.revision))
+            .add("former_revision", storeRevisionOf(entered.formerRevision))
+            .add("revision", storeRevisionOf(entered.revision))
+            .add("changed", std::uint64_t(entered.changes)),
         now);
 }
 
@@ -367,8 +385,9 @@
             .add("bytes", std::uint64_t(outcome.value().body.size()))
             .add("items", std::uint64_t(delta.value().items.size()))
             .add("patches", std::uint64_t(delta.value().patches.size()))
-            .add("from", delta.value().completeFrom())
-            .add("to", delta.value().to)
+            .add("from", storeRevisionOf(delta.value().completeFrom()))
+            .add("to", storeRevisionOf(delta.value().to))
+            .add("era", eraOf(delta.value().to))
             .add("whole", boolName(delta.value().isSnapshot)),
         now);
     perform(replicaSync_.handleAnswer(source, std::move(delta).value(), now), now);
--- a/Source/Forwarder/PeerSync.h
+++ b/Source/Forwarder/PeerSync.h
@@ -83,6 +83,7 @@
     void handleFetchOutcome(const std::string& source, const HttpOutcome&);
     void noteFetchProgress(TimePoint now);
     void logLag(TimePoint now);
+    void logEra(const EraEntered&, TimePoint now);
     void logRefusal(const DeltaRefused&, TimePoint now);
     void passSeedsToMembership(TimePoint now);
 
--- a/Source/Forwarder/ProcessLog.cpp
+++ b/Source/Forwarder/ProcessLog.cpp
@@ -1,5 +1,7 @@
 #include "Forwarder/ProcessLog.h"
 
+#include "KeyValue/StoreRevision.h"
+
 namespace wisteriadock {
 
 void ProcessLog::started(const ForwarderSettings& settings, TimePoint now)
@@ -21,7 +23,8 @@
         Event()
             .add("after_ms", now - startedAt_)
             .add("configuration_version", configurationVersion)
-            .add("revision", last.revision)
+            .add("revision", storeRevisionOf(last.revision))
+            .add("era", eraOf(last.revision))
             .add("servers", std::uint64_t(servers))
             .add("source", last.source),
         now);
--- a/Source/Forwarder/UpdateQueue.cpp
+++ b/Source/Forwarder/UpdateQueue.cpp
@@ -12,7 +12,7 @@
 {
     ReplicaChanged& first = waiting_.front();
     const std::size_t end = std::min(popped_ + sliceSize, first.items.size());
-    ReplicaChanged slice { {}, first.isInDoubt, first.source, first.lag, first.revision };
+    ReplicaChanged slice { {}, first.isInDoubt, first.source, first.lag, first.revision, first.entersEra };
     const auto begin = first.items.begin();
     std::move(begin + static_cast<std::ptrdiff_t>(popped_), begin + static_cast<std::ptrdiff_t>(end),
         std::back_inserter(slice.items));
--- a/Source/StoreSync/DeltaPieces.cpp
+++ b/Source/StoreSync/DeltaPieces.cpp
@@ -33,6 +33,7 @@
         piece.patchedFrom = from;
         piece.isInDoubt = delta.isInDoubt;
         piece.isFresh = delta.isFresh;
+        piece.digest = delta.digest;
         return piece;
     }
 
--- a/Source/StoreSync/ReplicaSync.cpp
+++ b/Source/StoreSync/ReplicaSync.cpp
@@ -23,12 +23,13 @@
 ReplicaSyncActions ReplicaSync::handleStoreDelta(const StoreDelta& delta, TimePoint now, bool isForOthers)
 {
     const std::uint64_t formerRevision = replica_.completeTo();
-    ReplicaSyncActions actions = reportChanges("store", delta, replica_.mergeFromStore(delta, now), now);
+    ReplicaSyncActions actions = merge("store", delta, Origin::Store, now);
     if (delta.isFresh)
         lastStoreContact_ = now;
     const bool isConfirmation = delta.isFresh && delta.items.empty() && delta.from == delta.to;
-    if (isForOthers && (!actions.empty() || isConfirmation))
-        push(delta.isSnapshot ? changesInSnapshot(delta, formerRevision, now) : delta, actions);
+    const bool hasAdvanced = !delta.items.empty() && replica_.completeTo() > formerRevision;
+    if (isForOthers && !replica_.refusal() && (!actions.empty() || hasAdvanced || isConfirmation))
+        push(delta.isSnapshot ? changesInSnapshot(delta, formerRevision, now) : withoutCarriedOver(delta), actions);
     fetchIfBehind(now, actions);
     return actions;
 }
@@ -40,19 +41,29 @@
     if (formerRevision == 0)
         return snapshot;
     StoreDelta changes = replica_.deltaSince(formerRevision, now, StoreReplica::Encoding::Patched);
+    // More than half of the store has changed with the era. Receivers fetch it.
+    if (changes.isSnapshot && replica_.hasEnteredEra())
+        changes = { changes.to, changes.to, false, false, {} };
     changes.isInDoubt = snapshot.isInDoubt;
     changes.isFresh = snapshot.isFresh;
     return changes;
 }
 
+// Receivers that hold everything up to the start of the delta hold these values as well.
+StoreDelta ReplicaSync::withoutCarriedOver(const StoreDelta& delta) const
+{
+    StoreDelta rest = delta;
+    std::erase_if(rest.items, [&](const StoreUpdate& item) { return replica_.isCarriedOver(item); });
+    return rest;
+}
+
 ReplicaSyncActions ReplicaSync::handlePush(BalancerId sender, const StoreDelta& delta, TimePoint now)
 {
     pushedRevisions_[sender] = std::max(pushedRevisions_[sender], delta.to);
     if (delta.isFresh)
         lastStoreContact_ = now;
     const Member* member = view_ ? view_->find(sender) : nullptr;
-    ReplicaSyncActions actions
-        = reportChanges(member ? member->name : "unknown", delta, replica_.merge(delta, now), now);
+    ReplicaSyncActions actions = merge(member ? member->name : "unknown", delta, Origin::Balancer, now);
     fetchIfBehind(now, actions);
     return actions;
 }
@@ -80,13 +91,13 @@
         item.ageMilliseconds += static_cast<std::uint32_t>(transferTime.count());
     for (ValuePatch& patch : delta.patches)
         patch.ageMilliseconds += static_cast<std::uint32_t>(transferTime.count());
-    ReplicaSyncActions actions = reportChanges(sender, delta, replica_.merge(delta, now), now);
+    ReplicaSyncActions actions = merge(sender, delta, Origin::Balancer, now);
     fetchEncoding_ = replica_.lacksPatchBase() ? StoreReplica::Encoding::Full : StoreReplica::Encoding::Patched;
     hasOwnZone_ = true;
     if (fetchScope_ == FetchScope::OwnZone && !delta.isSnapshot)
         otherZonesFrom_ = now + settings_.otherZonesDelay + jitter_;
-    else if (!delta.isSnapshot && !actions.empty())
-        isWatcher_ ? push(delta, actions) : announce(actions);
+    else if ((!delta.isSnapshot || replica_.hasEnteredEra()) && !actions.empty() && !replica_.refusal())
+        isWatcher_ && !delta.isSnapshot ? push(delta, actions) : announce(actions);
     fetchIfBehind(now, actions);
     return actions;
 }
@@ -159,17 +170,31 @@
     return std::nullopt;
 }
 
+ReplicaSyncActions ReplicaSync::merge(const std::string& source, const StoreDelta& delta, Origin origin, TimePoint now)
+{
+    const std::uint64_t formerRevision = replica_.completeTo();
+    StoreReplica::Updates changed
+        = origin == Origin::Store ? replica_.mergeFromStore(delta, now) : replica_.merge(delta, now);
+    ReplicaSyncActions actions;
+    if (replica_.refusal())
+        actions.emplace_back(DeltaRefused { *replica_.refusal(), source, delta.to, formerRevision });
+    if (replica_.hasEnteredEra())
+        actions.emplace_back(EraEntered { source, formerRevision, replica_.completeTo(), changed.size() });
+    std::ranges::move(reportChanges(source, delta, std::move(changed), now), std::back_inserter(actions));
+    return actions;
+}
+
+// What a restored store lacks is in doubt: those who wrote it may write it again.
 ReplicaSyncActions ReplicaSync::reportChanges(
     const std::string& source, const StoreDelta& delta, StoreReplica::Updates changed, TimePoint now)
 {
     ReplicaSyncActions actions;
-    if (replica_.refusal())
-        actions.emplace_back(DeltaRefused { *replica_.refusal(), source, delta.to, replica_.completeTo() });
-    if (changed.empty())
+    const bool entersEra = replica_.hasEnteredEra();
+    if (changed.empty() && !entersEra)
         return actions;
     hasUnappliedUpdates_ = true;
-    actions.emplace_back(ReplicaChanged { std::move(changed), delta.isInDoubt, source,
-        behindSince_ ? now - *behindSince_ : Duration::zero(), replica_.completeTo() });
+    actions.emplace_back(ReplicaChanged { std::move(changed), delta.isInDoubt || entersEra, source,
+        behindSince_ ? now - *behindSince_ : Duration::zero(), replica_.completeTo(), entersEra });
     return actions;
 }
 
@@ -183,8 +208,7 @@
     const std::vector<const Member*> others = othersInZone();
     if (others.empty())
         return;
-    const std::size_t targets = std::min(others.size(), settings_.relayFanout + 1);
-    auto pieces = splitDelta(delta, replica_, settings_.maxPushBytes, settings_.maxPushes / targets);
+    auto pieces = piecesToPush(delta, others.size());
     // Only announces the revision of a delta that needs too many datagrams.
     if (!pieces)
         pieces = DeltaPieces { pieceOf({ delta.to, delta.to, false, delta.isInDoubt, {}, delta.isFresh }) };
@@ -196,6 +220,17 @@
     }
 }
 
+// A delta that leads into an era is of use only as a whole.
+std::optional<DeltaPieces> ReplicaSync::piecesToPush(const StoreDelta& delta, std::size_t receivers) const
+{
+    const auto isLarge = [this](const StoreUpdate& item) { return item.value.size() > settings_.maxPushBytes / 2; };
+    if (delta.leadsIntoEra() && std::ranges::any_of(delta.items, isLarge))
+        return std::nullopt;
+    const std::size_t targets = std::min(receivers, settings_.relayFanout + 1);
+    return splitDelta(
+        delta, replica_, settings_.maxPushBytes, delta.leadsIntoEra() ? 1 : settings_.maxPushes / targets);
+}
+
 void ReplicaSync::relay(const std::vector<const Member*>& receivers, BalancerId origin, const DeltaPieces& pieces,
     ReplicaSyncActions& actions)
 {
@@ -281,8 +316,8 @@
     fetchStartedAt_ = now;
     lastSource_ = source->id;
     fetchScope_ = nextFetchScope(hasSourceInZone);
-    actions.emplace_back(
-        FetchDelta { source->id, source->requestAddress, replica_.completeTo(), fetchEncoding_, fetchScope_ });
+    const std::uint64_t after = replica_.needsSnapshot() ? 0 : replica_.completeTo();
+    actions.emplace_back(FetchDelta { source->id, source->requestAddress, after, fetchEncoding_, fetchScope_ });
 }
 
 // A balancer that has just started can serve as soon as it knows its own zone. The whole store takes several times as
--- a/Source/StoreSync/ReplicaSync.h
+++ b/Source/StoreSync/ReplicaSync.h
@@ -116,6 +116,17 @@
     Duration lag {};
     // The replica is complete up to this revision.
     std::uint64_t revision = 0;
+    // The updates have led into an era: the store was restored from an older copy and shows its content of then.
+    bool entersEra = false;
+};
+
+// The replica has entered an era; for the log.
+struct EraEntered {
+    std::string source;
+    std::uint64_t formerRevision = 0;
+    std::uint64_t revision = 0;
+    // Number of keys whose values have changed.
+    std::size_t changes = 0;
 };
 
 // A delta was not merged; for the log.
@@ -128,7 +139,8 @@
     std::uint64_t heldRevision = 0;
 };
 
-using ReplicaSyncAction = std::variant<PushDelta, FetchDelta, RequestRevision, ReplicaChanged, DeltaRefused>;
+using ReplicaSyncAction
+    = std::variant<PushDelta, FetchDelta, RequestRevision, ReplicaChanged, EraEntered, DeltaRefused>;
 using ReplicaSyncActions = std::vector<ReplicaSyncAction>;
 
 // Keeps a balancer's replica of the store in sync with those of the other balancers. Balancers that watch the store
@@ -182,11 +194,19 @@
     std::uint64_t newestPeerRevision() const;
 
 private:
+    enum class Origin {
+        Store,
+        Balancer,
+    };
+
+    ReplicaSyncActions merge(const std::string& source, const StoreDelta&, Origin, TimePoint now);
     ReplicaSyncActions reportChanges(
         const std::string& source, const StoreDelta&, StoreReplica::Updates, TimePoint now);
     // The changes since the former revision that a snapshot, merged just now, has brought; the snapshot itself if this
     // replica was empty before.
     StoreDelta changesInSnapshot(const StoreDelta& snapshot, std::uint64_t formerRevision, TimePoint now) const;
+    StoreDelta withoutCarriedOver(const StoreDelta&) const;
+    std::optional<DeltaPieces> piecesToPush(const StoreDelta&, std::size_t receivers) const;
     void push(const StoreDelta&, ReplicaSyncActions&);
     void relay(const std::vector<const Member*>& receivers, BalancerId origin, const DeltaPieces&, ReplicaSyncActions&);
     void announce(ReplicaSyncActions&);
--- a/Source/StoreSync/StoreDelta.h
+++ b/Source/StoreSync/StoreDelta.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "KeyValue/StoreRevision.h"
 #include "StoreSync/ValuePatch.h"
 
 #include <msgpack.hpp>
@@ -15,7 +16,7 @@
 struct StoreUpdate {
     std::string key;
     std::string value;
-    // Revision of the store that wrote or removed the key.
+    // Revision that wrote or removed the key, as in StoreRevision.h.
     std::uint64_t revision = 0;
     bool isRemoved = false;
     // The value is compressed; plainValue() in CompressedValue.h decompresses it.
@@ -27,8 +28,11 @@
     bool operator==(const StoreUpdate&) const = default;
 };
 
-// The changes of the store after one revision and up to another. Between balancers a small delta travels as a datagram,
-// and any other as the answer to a request.
+// The changes of the store after one revision and up to another, as in StoreRevision.h. Between balancers a small delta
+// travels as a datagram, and any other as the answer to a request.
+//
+// If the revisions belong to different eras, the delta holds what differs from the sender's content of before the era,
+// so only a receiver that had the same content can use it. The digest tells.
 struct StoreDelta {
     // The delta is complete for a receiver that has all changes up to `from`, and brings it to `to`.
     std::uint64_t from = 0;
@@ -44,10 +48,13 @@
     // all changes up to patchedFrom and can apply every patch. Receivers that do not support patches go by `from`.
     std::vector<ValuePatch> patches {};
     std::uint64_t patchedFrom = 0;
+    // StoreReplica::digest() of the sender at `to`; 0 unless the delta leads into another era.
+    std::uint64_t digest = 0;
 
     std::uint64_t completeFrom() const { return patches.empty() ? from : patchedFrom; }
+    bool leadsIntoEra() const { return !isSnapshot && eraOf(completeFrom()) < eraOf(to); }
 
-    MSGPACK_DEFINE_ARRAY(from, to, isSnapshot, isInDoubt, items, isFresh, patches, patchedFrom);
+    MSGPACK_DEFINE_ARRAY(from, to, isSnapshot, isInDoubt, items, isFresh, patches, patchedFrom, digest);
 };
 
 // Largest answer to a request for a delta, in bytes. Also limits the size of a decompressed value.
--- a/Source/StoreSync/StoreFeed.cpp
+++ b/Source/StoreSync/StoreFeed.cpp
@@ -3,6 +3,7 @@
 #include "StoreSync/CompressedValue.h"
 
 #include <algorithm>
+#include <iterator>
 #include <random>
 #include <utility>
 
@@ -10,9 +11,9 @@
 
 namespace {
 
-    StoreUpdate updateOf(const PlatformItem& item)
+    StoreUpdate updateOf(const PlatformItem& item, std::uint64_t era)
     {
-        StoreUpdate update { item.key, item.value, item.revision, item.isRemoved };
+        StoreUpdate update { item.key, item.value, revisionInEra(era, item.revision), item.isRemoved };
         compressValue(update);
         return update;
     }
@@ -116,14 +117,18 @@
         return actions;
     }
     noteSuccess(now, actions);
-    noteEra(page.value().era, page.value().revision, actions);
+    noteEra(page.value().era, page.value().revision, now, actions);
+    if (listRevision_ && eraOf(*listRevision_) != page.value().era) {
+        restartListing(now, actions);
+        return actions;
+    }
     // The pages are read one after the other. Changes made meanwhile have a higher revision than the first page, and
     // the watch that starts there returns them.
     if (!listRevision_)
-        listRevision_ = page.value().revision;
+        listRevision_ = revisionInEra(page.value().era, page.value().revision);
     ++pagesReceived_;
     for (const PlatformItem& item : page.value().items)
-        listed_.push_back(updateOf(item));
+        listed_.push_back(updateOf(item, page.value().era));
     if (page.value().hasMore && !page.value().items.empty()) {
         if (!needsListing())
             abandonListing(now, actions);
@@ -136,6 +141,7 @@
     const ListingEnded ended = listingEnded(true, now);
     StoreDelta delta { 0, *listRevision_, true, hadRecentOutage(now), std::move(listed_) };
     delta.isFresh = !mayListStale_ && now >= freshFrom_;
+    const bool hasListedLess = !mayListStale_ && delta.to < completeTo_;
     if (delta.isInDoubt)
         confirmAt_ = now + settings_.reregistrationTime;
     completeTo_ = std::max(completeTo_, delta.to);
@@ -145,10 +151,29 @@
     mayListStale_ = false;
     actions.emplace_back(DeltaReceived { std::move(delta) });
     actions.emplace_back(ended);
+    watchAfterListing(hasListedLess, now, actions);
+    return actions;
+}
+
+// Pages of a listing that were read before and after the store was restored belong to different copies.
+void StoreFeed::restartListing(TimePoint now, StoreFeedActions& actions)
+{
+    listRevision_.reset();
+    mayListStale_ = false;
+    list(now, actions);
+}
+
+// The store may not have reached the revision yet that this balancer has, and refuse to watch from there. Listing it
+// again at once would go on in a loop.
+void StoreFeed::watchAfterListing(bool hasListedLess, TimePoint now, StoreFeedActions& actions)
+{
     state_ = State::Idle;
-    if (isWatcher_)
+    if (!isWatcher_)
+        return;
+    if (hasListedLess)
+        pause(State::PausingBeforeWatch, settings_.listedLessDelay, now);
+    else
         watch(now, actions);
-    return actions;
 }
 
 // Other balancers may have sent everything while the store was slow or did not answer.
@@ -190,8 +215,8 @@
 
 ListingEnded StoreFeed::listingEnded(bool isComplete, TimePoint now) const
 {
-    return { pagesReceived_, listed_.size(), now - listingStartedAt_, isComplete, listRevision_.value_or(0),
-        era_.value_or(0), completeTo_ };
+    return { pagesReceived_, listed_.size(), now - listingStartedAt_, isComplete,
+        storeRevisionOf(listRevision_.value_or(0)), era(), storeRevisionOf(completeTo_) };
 }
 
 void StoreFeed::leaveListingToPeers(TimePoint now, StoreFeedActions& actions)
@@ -231,7 +256,8 @@
     watchedRevision_ = completeTo_;
     supersededSince_.reset();
     ++watchNumber_;
-    actions.emplace_back(SendWatch { { "", completeTo_, wait }, wait + settings_.answerTimeout, watchNumber_ });
+    actions.emplace_back(
+        SendWatch { { "", storeRevisionOf(completeTo_), wait }, wait + settings_.answerTimeout, watchNumber_ });
 }
 
 std::chrono::milliseconds StoreFeed::nextWatchDuration(TimePoint now) const
@@ -260,7 +286,11 @@
         return actions;
     }
     noteSuccess(now, actions);
-    noteEra(changes.value().era, changes.value().revision, actions);
+    noteEra(changes.value().era, changes.value().revision, now, actions);
+    if (!isOfWatchedEra(changes.value())) {
+        std::ranges::move(handleRestoredStore(changes.value(), now), std::back_inserter(actions));
+        return actions;
+    }
     const bool isConfirmation = confirmAt_ && now >= *confirmAt_;
     if (isConfirmation)
         confirmAt_.reset();
@@ -280,6 +310,23 @@
     return actions;
 }
 
+bool StoreFeed::isOfWatchedEra(const PlatformChanges& changes) const { return changes.era == eraOf(watchedRevision_); }
+
+// The revision after which the watch waited counts changes of another copy, so the answer may lack some. A balancer
+// that only checks its first listing leaves the new one to the watchers.
+StoreFeedActions StoreFeed::handleRestoredStore(const PlatformChanges& changes, TimePoint now)
+{
+    StoreFeedActions actions;
+    isCheckingListing_ = false;
+    if (!isWatcher_)
+        state_ = State::Idle;
+    else if (changes.era < eraOf(completeTo_))
+        pause(State::PausingBeforeWatch, backoff_.next(), now);
+    else
+        restartListing(now, actions);
+    return actions;
+}
+
 // Makes a delta of the changes. If it holds removals in doubt, has the store asked once more later.
 StoreDelta StoreFeed::deltaOf(const PlatformChanges& changes, std::uint64_t from, TimePoint now)
 {
@@ -287,12 +334,12 @@
         std::ranges::count_if(changes.items, [](const PlatformItem& item) { return item.isRemoved; }));
     StoreDelta delta;
     delta.from = from;
-    delta.to = std::max(changes.revision, from);
+    delta.to = std::max(revisionInEra(changes.era, changes.revision), from);
     delta.isInDoubt = hadRecentOutage(now) || removals >= settings_.massRemovalThreshold;
     if (delta.isInDoubt && removals > 0)
         confirmAt_ = now + settings_.reregistrationTime;
     for (const PlatformItem& item : changes.items)
-        delta.items.push_back(updateOf(item));
+        delta.items.push_back(updateOf(item, changes.era));
     return delta;
 }
 
@@ -303,7 +350,8 @@
 {
     StoreFeedActions actions;
     const bool isReplaced = replacedWatch_ && replacedWatch_->number == number;
-    if (!isReplaced || !changes || changes.value().revision <= completeTo_)
+    const bool isUsable = isReplaced && changes && changes.value().era == eraOf(replacedWatch_->revision);
+    if (!isUsable || revisionInEra(changes.value().era, changes.value().revision) <= completeTo_)
         return actions;
     StoreDelta delta = deltaOf(changes.value(), replacedWatch_->revision, now);
     replacedWatch_.reset();
@@ -334,6 +382,9 @@
     knowsPeersAhead_ = behindSince.has_value();
     if (state_ == State::Idle && isWatcher_ && completeTo_ > 0)
         watch(now, actions);
+    // The watch waits for changes after a revision of an earlier era.
+    if (state_ == State::Watching && eraOf(completeTo_) > eraOf(watchedRevision_))
+        watch(now, actions);
     if (completeTo_ > watchedRevision_ && !supersededSince_)
         supersededSince_ = now;
     if (isUnresponsive(behindSince, now)) {
@@ -383,11 +434,17 @@
     pauseUntil_ = now + time;
 }
 
-void StoreFeed::noteEra(std::uint64_t era, std::uint64_t revision, StoreFeedActions& actions)
+// A restored store lacks what was written since its copy was made, until it is written again. As after an outage, what
+// is missing now may be back soon.
+void StoreFeed::noteEra(std::uint64_t era, std::uint64_t revision, TimePoint now, StoreFeedActions& actions)
 {
-    if (era_ && *era_ != era)
-        actions.emplace_back(StoreEraChanged { *era_, era, revision, completeTo_ });
-    era_ = era;
+    const std::uint64_t former = era_.value_or(completeTo_ > 0 ? eraOf(completeTo_) : era);
+    era_ = std::max(era, former);
+    if (era <= former)
+        return;
+    actions.emplace_back(StoreEraChanged { former, era, revision, storeRevisionOf(completeTo_) });
+    doubtUntil_ = now + settings_.doubtAfterOutage;
+    freshFrom_ = now + settings_.reregistrationTime;
 }
 
 void StoreFeed::noteFailure(const Error& error, TimePoint now, StoreFeedActions& actions)
--- a/Source/StoreSync/StoreFeed.h
+++ b/Source/StoreSync/StoreFeed.h
@@ -43,6 +43,8 @@
     // How long entries that lapsed in an outage take to be registered again. After this time the store is asked once
     // more, and entries that are still missing then are removed for certain.
     std::chrono::milliseconds reregistrationTime { 2000 };
+    // Pause after a listing that lacks what others have told, since watches from there fail as well.
+    std::chrono::milliseconds listedLessDelay { 1000 };
     // Shortest duration of a watch, also of the one that asks whether entries are registered again.
     std::chrono::milliseconds minWatchDuration { 50 };
     // How old a stale listing can be at most.
@@ -236,7 +238,11 @@
     StoreFeedActions handleLateAnswer(std::uint64_t number, const Result<PlatformChanges>&, TimePoint now);
     std::chrono::milliseconds nextWatchDuration(TimePoint now) const;
     void pause(State, std::chrono::milliseconds, TimePoint now);
-    void noteEra(std::uint64_t era, std::uint64_t revision, StoreFeedActions&);
+    void noteEra(std::uint64_t era, std::uint64_t revision, TimePoint now, StoreFeedActions&);
+    bool isOfWatchedEra(const PlatformChanges&) const;
+    StoreFeedActions handleRestoredStore(const PlatformChanges&, TimePoint now);
+    void restartListing(TimePoint now, StoreFeedActions&);
+    void watchAfterListing(bool hasListedLess, TimePoint now, StoreFeedActions&);
     void noteFailure(const Error&, TimePoint now, StoreFeedActions&);
     void noteSuccess(TimePoint now, StoreFeedActions&);
 
--- a/Source/StoreSync/StoreReplica.cpp
+++ b/Source/StoreSync/StoreReplica.cpp
@@ -1,5 +1,6 @@
 #include "StoreSync/StoreReplica.h"
 
+#include "Core/Hash.h"
 #include "Core/NameTable.h"
 #include "StoreSync/CompressedValue.h"
 
@@ -16,6 +17,8 @@
 
     constexpr auto refusalNames = makeNameTable<StoreReplica::Refusal>({
         { StoreReplica::Refusal::OlderSnapshot, "older_snapshot" },
+        { StoreReplica::Refusal::EarlierEra, "earlier_era" },
+        { StoreReplica::Refusal::OtherContent, "other_content" },
     });
 
     // How long removals are kept. Balancers that were disconnected for longer get a snapshot.
@@ -52,6 +55,18 @@
         return result;
     }
 
+    std::uint64_t digestOf(const StoreUpdate& item)
+    {
+        if (item.isRemoved)
+            return 0;
+        return hashString(item.value, hashString(item.key));
+    }
+
+    bool hasSameValue(const StoreUpdate& a, const StoreUpdate& b)
+    {
+        return a.isRemoved == b.isRemoved && a.isCompressed == b.isCompressed && a.value == b.value;
+    }
+
 }
 
 std::string_view nameOf(StoreReplica::Refusal refusal) { return refusalNames.name(refusal); }
@@ -70,12 +85,13 @@
 {
     Updates changed;
     lacksPatchBase_ = false;
-    refusal_.reset();
-    // An older snapshot lacks keys that were written since, which would look removed.
-    if (delta.isSnapshot && delta.to < completeTo_) {
-        refusal_ = Refusal::OlderSnapshot;
+    hasEnteredEra_ = false;
+    refusal_ = refusalOf(delta);
+    if (refusal_) {
+        needsSnapshot_ |= *refusal_ == Refusal::OtherContent;
         return changed;
     }
+    const bool entersEra = eraOf(delta.to) > eraOf(completeTo_) && (delta.isSnapshot || delta.leadsIntoEra());
     if (delta.isSnapshot)
         removeMissing(delta, now, changed);
     rows_.reserve(rows_.size() + (rows_.empty() ? delta.items.size() : 0));
@@ -86,13 +102,46 @@
     }
     for (const ValuePatch& patch : delta.patches)
         lacksPatchBase_ |= !mergePatch(patch, now, changed);
+    if (entersEra) {
+        hasEnteredEra_ = completeTo_ > 0;
+        needsSnapshot_ = false;
+        eraEntry_ = delta.to;
+    }
     if (!lacksPatchBase_)
-        extendCompleteness(delta.isSnapshot ? 0 : delta.completeFrom(), delta.to);
+        extendCompleteness(delta.isSnapshot || entersEra ? 0 : delta.completeFrom(), delta.to);
     // Receivers apply changes in the order in which the store made them.
     std::ranges::stable_sort(changed, {}, &StoreUpdate::revision);
     return changed;
 }
 
+std::optional<StoreReplica::Refusal> StoreReplica::refusalOf(const StoreDelta& delta) const
+{
+    if (eraOf(delta.to) < eraOf(completeTo_))
+        return Refusal::EarlierEra;
+    // An older snapshot lacks keys that were written since, which would look removed.
+    if (delta.isSnapshot && delta.to < completeTo_)
+        return Refusal::OlderSnapshot;
+    const bool isInEra = eraOf(completeTo_) == eraOf(delta.to);
+    if (delta.leadsIntoEra() && !isInEra && digestAfter(delta) != delta.digest)
+        return Refusal::OtherContent;
+    return std::nullopt;
+}
+
+std::uint64_t StoreReplica::digestAfter(const StoreDelta& delta) const
+{
+    std::uint64_t digest = digest_;
+    for (const StoreUpdate& item : delta.items) {
+        const auto found = rows_.find(item.key);
+        const bool isKnown = found != rows_.end();
+        if (isKnown && found->second.item.revision >= item.revision)
+            continue;
+        if (isKnown)
+            digest -= digestOf(found->second.item);
+        digest += digestOf(decompressed(item));
+    }
+    return digest;
+}
+
 // Datagrams overtake each other, so a delta may arrive before the one that it follows.
 void StoreReplica::extendCompleteness(std::uint64_t from, std::uint64_t to)
 {
@@ -119,6 +168,7 @@
         const bool isMissing = !row.item.isRemoved && row.item.revision <= delta.to && !present.contains(key);
         if (!isMissing)
             continue;
+        digest_ -= digestOf(row.item);
         row = { { key, {}, delta.to, true }, now };
         changed.push_back(row.item);
     }
@@ -130,8 +180,15 @@
     Row& row = entry->second;
     if (!isNew && item.revision <= row.item.revision)
         return false;
+    StoreUpdate update = decompressed(item);
+    const bool isSame = !isNew && hasSameValue(row.item, update);
+    if (isSame && eraOf(row.item.revision) < eraOf(update.revision))
+        return false;
     const bool wasKnown = !isNew && !row.item.isRemoved;
-    Row former = std::exchange(row, { decompressed(item), now - std::chrono::milliseconds(item.ageMilliseconds) });
+    if (!isNew)
+        digest_ -= digestOf(row.item);
+    digest_ += digestOf(update);
+    Row former = std::exchange(row, { std::move(update), now - std::chrono::milliseconds(item.ageMilliseconds) });
     row.isSentCompressed = item.isCompressed && !row.item.isCompressed;
     if (row.isSentCompressed)
         row.compressed = item;
@@ -142,7 +199,13 @@
         else
             row.patches.clear();
     }
-    return wasKnown || !item.isRemoved;
+    return !isSame && (wasKnown || !item.isRemoved);
+}
+
+bool StoreReplica::isCarriedOver(const StoreUpdate& item) const
+{
+    const auto found = rows_.find(item.key);
+    return found != rows_.end() && eraOf(found->second.item.revision) < eraOf(item.revision);
 }
 
 // Returns false when the patch can't be applied, so that the replica still lacks its revision.
@@ -159,7 +222,9 @@
     Result<std::string> value = applyPatch(row.item.value, patch);
     if (!value)
         return false;
+    digest_ -= digestOf(row.item);
     row.item.value = std::move(value).value();
+    digest_ += digestOf(row.item);
     row.item.revision = patch.revision;
     row.item.ageMilliseconds = patch.ageMilliseconds;
     row.readAt = now - std::chrono::milliseconds(patch.ageMilliseconds);
@@ -224,18 +289,21 @@
 StoreDelta StoreReplica::deltaSince(std::uint64_t revision, TimePoint now, Encoding encoding) const
 {
     StoreDelta delta;
-    delta.isSnapshot = revision == 0 || revision < droppedRemovalsTo_;
+    const bool leadsIntoEra = revision > 0 && eraOf(revision) < eraOf(completeTo_);
+    delta.isSnapshot = revision == 0 || (leadsIntoEra ? isMostlyOfThisEra() : revision < droppedRemovalsTo_);
     delta.from = delta.isSnapshot ? 0 : revision;
     delta.to = completeTo_;
     delta.patchedFrom = delta.from;
+    delta.digest = leadsIntoEra && !delta.isSnapshot ? digest_ : 0;
     for (const auto& [key, row] : rows_) {
-        const bool isWanted = delta.isSnapshot ? !row.item.isRemoved : row.item.revision > revision;
+        const bool isChanged = leadsIntoEra ? isOfThisEra(row) : deltaRevisionOf(row) > revision;
+        const bool isWanted = delta.isSnapshot ? !row.item.isRemoved : isChanged;
         if (!isWanted)
             continue;
-        if (encoding == Encoding::Patched && !delta.isSnapshot && addPatches(row, revision, now, delta))
+        const bool mayBePatched = encoding == Encoding::Patched && !delta.isSnapshot && !leadsIntoEra;
+        if (mayBePatched && isOfThisEra(row) && addPatches(row, revision, now, delta))
             continue;
-        delta.items.push_back(updateToSend(row));
-        delta.items.back().ageMilliseconds = millisecondsBetween(row.readAt, now);
+        addToDelta(row, now, delta);
     }
     std::ranges::sort(delta.patches, {}, &ValuePatch::revision);
     return delta;
@@ -248,14 +316,31 @@
     delta.to = completeTo_;
     delta.patchedFrom = delta.from;
     for (const auto& [key, row] : rows_) {
-        if (row.item.isRemoved || !filter(row.item))
-            continue;
-        delta.items.push_back(updateToSend(row));
-        delta.items.back().ageMilliseconds = millisecondsBetween(row.readAt, now);
+        if (!row.item.isRemoved && filter(row.item))
+            addToDelta(row, now, delta);
     }
     return delta;
 }
 
+// A value that was carried over may have been written again since, but not after the replica entered the era.
+std::uint64_t StoreReplica::deltaRevisionOf(const Row& row) const
+{
+    return isOfThisEra(row) ? row.item.revision : eraEntry_;
+}
+
+bool StoreReplica::isMostlyOfThisEra() const
+{
+    const auto count = std::ranges::count_if(rows_, [&](const auto& row) { return isOfThisEra(row.second); });
+    return static_cast<std::size_t>(count) * 2 > rows_.size();
+}
+
+void StoreReplica::addToDelta(const Row& row, TimePoint now, StoreDelta& delta) const
+{
+    delta.items.push_back(updateToSend(row));
+    delta.items.back().revision = deltaRevisionOf(row);
+    delta.items.back().ageMilliseconds = millisecondsBetween(row.readAt, now);
+}
+
 void StoreReplica::tick(TimePoint now)
 {
     // A pass over all rows, so it is made seldom.
--- a/Tests/StoreSync/FleetSimulation.h
+++ b/Tests/StoreSync/FleetSimulation.h
@@ -63,7 +63,7 @@
     void advance(Duration);
     std::vector<Balancer>& balancers() { return balancers_; }
     TimePoint now() const { return clock_.now(); }
-    std::uint64_t revision() const { return revision_; }
+    std::uint64_t revision() const { return revisionInEra(era_, revision_); }
     std::mt19937& random() { return random_; }
     static Endpoint routeOf(std::size_t number) { return { 0xC6120000 + static_cast<std::uint32_t>(number), 443 }; }
     std::uint64_t regressions() const { return regressions_; }
