ServerDirectory: Keep a server that leaves out of use when its entry is that of before

What callers would see: new flows to a server that has said that it leaves, from the moment a restored store shows it as ready until it says so again, or for good when it ends before. A late write of the server does the same. Cause: a ready entry of the same process ended the drain. A process that has announced that it leaves doesn't return, so only an entry with another start time does now.

--- a/Source/Forward/ServerDirectory.cpp
+++ b/Source/Forward/ServerDirectory.cpp
@@ -64,7 +64,8 @@
         claimToken(record);
         transitions.push_back({ entry.id, entry.service, entry.availabilityZone, record.state, record.state, true });
     }
-    enter(record, stateOf(entry), now, transitions);
+    record.isLeaving = record.isLeaving || entry.readiness == ServerReadiness::Draining;
+    enter(record, record.isLeaving ? ServerState::Draining : ServerState::Ready, now, transitions);
     endFormerServersAt(entry.address, now, transitions);
     return transitions;
 }
@@ -120,6 +121,7 @@
 {
     const ServerState before = record.state;
     record.seen = {};
+    record.isLeaving = false;
     setState(record, stateOf(entry), now);
     record.knownSince = now;
     record.knownSinceRevision = revision;
--- a/Source/Forward/ServerDirectory.h
+++ b/Source/Forward/ServerDirectory.h
@@ -92,6 +92,8 @@
     std::uint64_t knownSinceRevision = 0;
     // When this balancer received the latest write of the entry.
     TimePoint writtenAt;
+    // The process has announced that it leaves, and does not become ready again whatever its entry says.
+    bool isLeaving = false;
     // An earlier process with the id belonged to another service; its flows must not reach this one.
     bool hasChangedService = false;
     TimePoint warmUntil;
@@ -119,7 +121,8 @@
     // How long servers that are gone or ended can be found by their token. Longer than flows last.
     std::chrono::milliseconds retention { 75000 };
     // An entry with an earlier start time is ignored as a delayed write if it arrives within this time after the latest
-    // write of the current entry. Later, the server's clock is assumed to have been set back between two starts.
+    // write of the current entry, or after the store was restored from an older copy. Later, the server's clock is
+    // assumed to have been set back between two starts.
     std::chrono::milliseconds earlierStartTimeout { 10000 };
     // The platform reuses an address at the earliest this long after its server has ended. A server that answered
     // within this time therefore still has its address.
--- a/Tests/Forward/ServerDirectoryTest.cpp
+++ b/Tests/Forward/ServerDirectoryTest.cpp
@@ -311,6 +311,28 @@
         }
     }
 
+    // Guards against new flows to a server that leaves and whose entry is that of before: written late, or read from a
+    // store that was restored from an older copy.
+    TEST_F(ServerDirectoryTest, ServerThatLeavesIsReadyAgainOnlyAsAnotherProcess)
+    {
+        RegisteredServer entry = server(1);
+        entry.startedAt = 1000;
+        RegisteredServer leaving = entry;
+        leaving.readiness = ServerReadiness::Draining;
+        directory.put(leaving, 5, clock.now());
+        directory.put(entry, 6, clock.now());
+        EXPECT_EQ(stateOf(entry), ServerState::Draining);
+        {
+            SCOPED_TRACE("its entry vanishes and reappears");
+            directory.remove(entry.id, true, clock.now());
+            directory.put(entry, 8, clock.now());
+            EXPECT_EQ(stateOf(entry), ServerState::Draining);
+        }
+        entry.startedAt = 2000;
+        directory.put(entry, 9, clock.now());
+        EXPECT_EQ(stateOf(entry), ServerState::Ready);
+    }
+
     // Guards against new flows to a server whose entry was overwritten with an unreadable value.
     TEST_F(ServerDirectoryTest, ServerWithAnUnreadableEntryKeepsOnlyItsOpenFlows)
     {
