TokenRouter: Hold orders for zones and starts of servers through a restore of the store

What callers would see: new flows into a zone that is being evacuated, while the restored store lacks the order, or none into a zone whose evacuation has ended, while the order is back; and resets of flows whose server was taken for its former process, if it had restarted more than 10 s before. Cause: what a restored store shows of the past was applied at once. Changes of orders that come with an era now wait 2 s, in which operators write again, and entries with an earlier start are ignored for 10 s after it. One class: the past taken for a change, so both are in one commit. StoreRestoreTest.ZoneOrdersHoldUntilTheyAreWrittenAgain and RestartedServer- IsNotReplacedByItsFormerProcess failed before. The other new cases of StoreRestoreTest hold with the order of eras alone: configuration, missing servers, unchanged entries, two restores in a row, a balancer cut off.

--- a/Source/Forward/EvacuatedZones.h
+++ b/Source/Forward/EvacuatedZones.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace wisteriadock {
 
@@ -29,6 +30,7 @@
     std::optional<ZoneEvacuationChange> set(
         const std::string& availabilityZone, bool isEvacuated, std::uint64_t revision, TimePoint now)
     {
+        inDoubt_.erase(availabilityZone);
         if (isEvacuated) {
             if (!since_.try_emplace(availabilityZone, now).second)
                 return std::nullopt;
@@ -43,6 +45,25 @@
         return change;
     }
 
+    // Has the order or its revocation take effect at a later time, unless set() is called for the zone until then.
+    void setLater(const std::string& availabilityZone, bool isEvacuated, std::uint64_t revision, TimePoint at)
+    {
+        inDoubt_[availabilityZone] = { isEvacuated, revision, at };
+    }
+    // Returns the changes that take effect now.
+    std::vector<ZoneEvacuationChange> tick(TimePoint now)
+    {
+        std::vector<ZoneEvacuationChange> changes;
+        // A copy, since set() removes the row.
+        for (const auto& [zone, change] : absl::flat_hash_map<std::string, ChangeInDoubt>(inDoubt_)) {
+            if (now < change.at)
+                continue;
+            if (auto made = set(zone, change.isEvacuated, change.revision, now))
+                changes.push_back(std::move(*made));
+        }
+        return changes;
+    }
+
     bool contains(const std::string& availabilityZone) const
     {
         return !since_.empty() && since_.contains(availabilityZone);
@@ -57,7 +78,15 @@
     const absl::flat_hash_map<std::string, TimePoint>& all() const { return since_; }
 
 private:
+    struct ChangeInDoubt {
+        bool isEvacuated = false;
+        std::uint64_t revision = 0;
+        TimePoint at;
+    };
+
     absl::flat_hash_map<std::string, TimePoint> since_;
+    // By zone: changes that take effect later.
+    absl::flat_hash_map<std::string, ChangeInDoubt> inDoubt_;
     absl::flat_hash_map<std::string, TimePoint> revokedAt_;
 };
 
--- a/Source/Forward/ServerDirectory.cpp
+++ b/Source/Forward/ServerDirectory.cpp
@@ -109,10 +109,11 @@
 }
 
 // Guards against a delayed write of a killed process: it can take effect after the server has restarted under its id
-// and registered, and then has the higher revision.
+// and registered, and then has the higher revision. A restored store may show the former process as well.
 bool ServerDirectory::isOfEarlierStart(const KnownServer& record, const RegisteredServer& entry, TimePoint now) const
 {
-    return entry.startedAt < record.entry.startedAt && now - record.writtenAt < settings_.earlierStartTimeout;
+    const TimePoint since = std::max(record.writtenAt, storeRestoredAt_);
+    return entry.startedAt < record.entry.startedAt && now - since < settings_.earlierStartTimeout;
 }
 
 // Resets the observation, which belongs to the former process.
--- a/Source/Forward/ServerDirectory.h
+++ b/Source/Forward/ServerDirectory.h
@@ -159,6 +159,8 @@
     // Handles a vanished entry. If it is uncertain that the server has left, it becomes doubtful and keeps getting new
     // flows for a while, unless it is draining.
     Transitions remove(const std::string& id, bool isUncertain, TimePoint now);
+    // The store was restored from an older copy and may show entries of processes that have been replaced.
+    void noteStoreRestored(TimePoint now) { storeRestoredAt_ = now; }
     // Records that the balancer's view of the store was up to date at this time.
     void noteStoreContact(TimePoint at) { lastStoreContact_ = std::max(lastStoreContact_, at); }
     // Ends doubtful states and drops servers after DirectorySettings::retention.
@@ -211,6 +213,7 @@
     // All known incarnations with the address, including ended ones.
     absl::flat_hash_map<Endpoint, std::vector<KnownServer*>> byAddress_;
     TimePoint lastStoreContact_ = TimePoint::min();
+    TimePoint storeRestoredAt_ = TimePoint::min();
 };
 
 }
--- a/Source/Forward/TokenRouter.cpp
+++ b/Source/Forward/TokenRouter.cpp
@@ -101,6 +101,8 @@
 {
     for (FailingChange& change : flows_.tick(now))
         failingChanges_.push_back(std::move(change));
+    for (ZoneEvacuationChange& change : evacuatedZones_.tick(now))
+        evacuationChanges_.push_back(std::move(change));
     policy_.tick(now);
     return directory_.tick(now);
 }
--- a/Source/Forward/TokenRouter.h
+++ b/Source/Forward/TokenRouter.h
@@ -100,6 +100,15 @@
     {
         return evacuatedZones_.set(availabilityZone, isEvacuated, revision, now);
     }
+    // The store was restored from an older copy, and what the following updates show may be of the past.
+    void noteStoreRestored(TimePoint now) { directory_.noteStoreRestored(now); }
+    // As setZoneEvacuation(), for an update that shows the content of a restored store: takes effect later, unless
+    // another one arrives until then. See takeEvacuationChanges().
+    void setZoneEvacuationInDoubt(
+        const std::string& availabilityZone, bool isEvacuated, std::uint64_t revision, TimePoint now)
+    {
+        evacuatedZones_.setLater(availabilityZone, isEvacuated, revision, now + settings_.directory.minDoubtfulTime);
+    }
     // See ServerDirectory::noteStoreContact().
     void noteStoreContact(TimePoint at) { directory_.noteStoreContact(at); }
     // See ColdStartLimiter::setBalancers().
@@ -119,6 +128,8 @@
     std::vector<ZoneReachabilityChange> takeZoneChanges() { return policy_.takeZoneChanges(); }
     // Returns the groups of servers that were ejected or have recovered since the last call.
     std::vector<GroupLivenessChange> takeGroupChanges() { return policy_.takeGroupChanges(); }
+    // Returns the evacuations and revocations that took effect with the time since the last call.
+    std::vector<ZoneEvacuationChange> takeEvacuationChanges() { return std::exchange(evacuationChanges_, {}); }
     // Returns the servers that started or stopped failing since the last call.
     std::vector<FailingChange> takeFailingChanges() { return std::exchange(failingChanges_, {}); }
     // 0 before the first configuration.
@@ -146,6 +157,7 @@
     EvacuatedZones evacuatedZones_;
     OpenFlowTable flows_;
     std::vector<FailingChange> failingChanges_;
+    std::vector<ZoneEvacuationChange> evacuationChanges_;
     RouteTable routes_;
     std::uint64_t version_ = 0;
     bool havePacketsWaited_ = false;
--- a/Source/Forwarder/ForwarderLog.cpp
+++ b/Source/Forwarder/ForwarderLog.cpp
@@ -209,6 +209,8 @@
         zoneReachability(change, now);
     for (const GroupLivenessChange& change : router.takeGroupChanges())
         groupLiveness(change, now);
+    for (const ZoneEvacuationChange& change : router.takeEvacuationChanges())
+        zoneEvacuation(change, std::chrono::milliseconds(0), "time", now);
 }
 
 void ForwarderLog::failingChange(const FailingChange& change, TimePoint now)
--- a/Source/Forwarder/StoreUpdateApplier.h
+++ b/Source/Forwarder/StoreUpdateApplier.h
@@ -29,6 +29,8 @@
     {
         metrics_.countUpdates(changed.source, changed.items.size());
         log_.updates(changed, now);
+        if (changed.entersEra)
+            router_.noteStoreRestored(now);
         ServerDirectory::Transitions transitions;
         for (const StoreUpdate& item : changed.items) {
             if (item.key == Adapter::configurationKey)
@@ -81,6 +83,8 @@
     void applyZoneEvacuation(
         const std::string& zone, const StoreUpdate& item, const ReplicaChanged& changed, TimePoint now)
     {
+        if (changed.entersEra)
+            return router_.setZoneEvacuationInDoubt(zone, !item.isRemoved, item.revision, now);
         const auto change = router_.setZoneEvacuation(zone, !item.isRemoved, item.revision, now);
         if (change)
             log_.zoneEvacuation(*change, std::chrono::milliseconds(item.ageMilliseconds), changed.source, now);
--- a/Tests/StoreSync/FleetSimulation.cpp
+++ b/Tests/StoreSync/FleetSimulation.cpp
@@ -161,7 +161,7 @@
             };
         };
         if (const auto* received = std::get_if<DeltaReceived>(&action)) {
-            perform(index, balancers_[index].sync->handleStoreDelta(received->delta, now()));
+            perform(index, balancers_[index].sync->handleStoreDelta(received->delta, now(), received->isForOthers));
         } else if (const auto* list = std::get_if<SendList>(&action)) {
             const bool mayBeStale = list->call.mayBeStale;
             schedule(storeLatency, ifAlive([this, index, mayBeStale] { answerList(index, mayBeStale); }));
@@ -250,6 +250,7 @@
             });
         } else if (const auto* fetch = std::get_if<FetchDelta>(&action)) {
             const bool isAnswered = !isLost();
+            ++fetches_;
             const std::uint64_t incarnation = incarnations_[index];
             schedule(2 * messageLatency, [this, index, incarnation, fetch = *fetch, isAnswered] {
                 Balancer& asking = balancers_[index];
@@ -269,13 +270,20 @@
 
 void FleetSimulation::apply(Balancer& balancer, const ReplicaChanged& change)
 {
+    if (change.entersEra)
+        balancer.router->noteStoreRestored(now());
     for (const StoreUpdate& item : change.items) {
+        ++appliedUpdates_;
         if (item.key == "configuration") {
             balancer.router->applyConfiguration(configurations_.at(std::stoull(item.value)));
             regressions_ += balancer.router->configurationVersion() < balancer.newestVersion;
             balancer.newestVersion = balancer.router->configurationVersion();
         } else if (item.key.starts_with("empty ")) {
-            balancer.router->setZoneEvacuation(item.key.substr(6), !item.isRemoved, item.revision, now());
+            const std::string zone = item.key.substr(6);
+            if (change.entersEra)
+                balancer.router->setZoneEvacuationInDoubt(zone, !item.isRemoved, item.revision, now());
+            else
+                balancer.router->setZoneEvacuation(zone, !item.isRemoved, item.revision, now());
         } else if (item.isRemoved) {
             balancer.router->removeServer(item.key.substr(7), change.isInDoubt, now());
         } else {
--- a/Tests/StoreSync/FleetSimulation.h
+++ b/Tests/StoreSync/FleetSimulation.h
@@ -42,6 +42,8 @@
     void writeConfiguration(std::uint64_t version, const std::vector<std::string>& servicesByRoute);
     void writeServer(const RegisteredServer&);
     void removeServer(const RegisteredServer&);
+    // Writes the key with the same value again.
+    void rewrite(const PlatformItem& item) { put(item.key, item.value, false); }
     // Writes or removes the order to evacuate a zone.
     void evacuateZone(const std::string& zone) { put("empty " + zone, {}, false); }
     void revokeEvacuation(const std::string& zone) { put("empty " + zone, {}, true); }
@@ -67,6 +69,9 @@
     std::mt19937& random() { return random_; }
     static Endpoint routeOf(std::size_t number) { return { 0xC6120000 + static_cast<std::uint32_t>(number), 443 }; }
     std::uint64_t regressions() const { return regressions_; }
+    // Updates that balancers have applied, and fetches between them.
+    std::uint64_t appliedUpdates() const { return appliedUpdates_; }
+    std::uint64_t fetches() const { return fetches_; }
 
     bool isStoreDown = false;
     double lossRate = 0;
@@ -105,6 +110,8 @@
     std::optional<PlatformPage> stalePage_;
     std::uint64_t compactedRevision_ = 0;
     std::uint64_t regressions_ = 0;
+    std::uint64_t appliedUpdates_ = 0;
+    std::uint64_t fetches_ = 0;
     std::uint64_t nextSequence_ = 0;
     std::vector<Event> events_;
     TimePoint nextTick_;
