ServerDirectory: Don't end a server because of an entry that a restored store shows

What callers would see: resets on open flows of a live server. Cause: its address had belonged to another server before; a balancer that did not know that one took its entry, back from the copy, for a later process at the address. Only where entries name no start time; with start times these decide. Such an entry now counts as older than any other.

--- a/Source/Forward/ServerDirectory.cpp
+++ b/Source/Forward/ServerDirectory.cpp
@@ -29,7 +29,8 @@
 
 std::string_view nameOf(ServerState state) { return stateNames.name(state); }
 
-ServerDirectory::Transitions ServerDirectory::put(const RegisteredServer& entry, std::uint64_t revision, TimePoint now)
+ServerDirectory::Transitions ServerDirectory::put(
+    const RegisteredServer& entry, std::uint64_t revision, TimePoint now, EntryAge age)
 {
     Transitions transitions;
     auto& slot = records_[entry.id];
@@ -53,7 +54,7 @@
     }
     if (isNew || record.entry.address != entry.address) {
         record.knownSince = now;
-        record.knownSinceRevision = revision;
+        record.knownSinceRevision = age == EntryAge::Newest ? revision : 0;
     }
     record.entry = entry;
     setGroup(record, groupOf(entry));
--- a/Source/Forward/ServerDirectory.h
+++ b/Source/Forward/ServerDirectory.h
@@ -87,7 +87,8 @@
     ServerState state = ServerState::Ready;
     // When the state was entered.
     TimePoint stateSince;
-    // When this balancer first saw this process at this address, and the store revision of that entry.
+    // When this balancer first saw this process at this address, and the store revision of that entry; 0 if the entry
+    // was of the past.
     TimePoint knownSince;
     std::uint64_t knownSinceRevision = 0;
     // When this balancer received the latest write of the entry.
@@ -129,6 +130,12 @@
     std::chrono::milliseconds addressReuseTime { 2000 };
 };
 
+// Whether an entry is known to be the newest one of its server.
+enum class EntryAge {
+    Newest,
+    Past, // Shown by a store that was restored from an older copy.
+};
+
 // A change of a server's state; for the log.
 struct ServerTransition {
     std::string id;
@@ -153,7 +160,7 @@
     }
 
     // Adds or updates a server after a write of its entry at this store revision.
-    Transitions put(const RegisteredServer&, std::uint64_t revision, TimePoint now);
+    Transitions put(const RegisteredServer&, std::uint64_t revision, TimePoint now, EntryAge = EntryAge::Newest);
     // Handles an entry that became unreadable: the server gets no new flows and keeps its open ones.
     Transitions invalidate(const std::string& id, std::uint64_t revision, TimePoint now);
     // Handles a vanished entry. If it is uncertain that the server has left, it becomes doubtful and keeps getting new
--- a/Source/Forward/TokenRouter.cpp
+++ b/Source/Forward/TokenRouter.cpp
@@ -77,9 +77,9 @@
 }
 
 ServerDirectory::Transitions TokenRouter::putServer(
-    const RegisteredServer& entry, std::uint64_t revision, TimePoint now)
+    const RegisteredServer& entry, std::uint64_t revision, TimePoint now, EntryAge age)
 {
-    ServerDirectory::Transitions transitions = directory_.put(entry, revision, now);
+    ServerDirectory::Transitions transitions = directory_.put(entry, revision, now, age);
     for (const ServerTransition& transition : transitions) {
         if (transition.isRestart)
             flows_.forgetFlowsOf(tokenOf(entry.number));
--- a/Source/Forward/TokenRouter.h
+++ b/Source/Forward/TokenRouter.h
@@ -91,7 +91,8 @@
     // Applies a difference to the current version or a complete configuration. Returns as above.
     bool applyConfiguration(ConfigurationChange&&);
     // See put(), invalidate() and remove() of ServerDirectory.
-    ServerDirectory::Transitions putServer(const RegisteredServer&, std::uint64_t revision, TimePoint now);
+    ServerDirectory::Transitions putServer(
+        const RegisteredServer&, std::uint64_t revision, TimePoint now, EntryAge = EntryAge::Newest);
     ServerDirectory::Transitions invalidateServer(const std::string& id, std::uint64_t revision, TimePoint now);
     ServerDirectory::Transitions removeServer(const std::string& id, bool isUncertain, TimePoint now);
     // Evacuates a zone or revokes its evacuation. Returns nothing if the zone was in that state already.
--- a/Source/Forwarder/StoreUpdateApplier.h
+++ b/Source/Forwarder/StoreUpdateApplier.h
@@ -100,7 +100,8 @@
             reject(item, server.error(), now);
             return router_.invalidateServer(id, item.revision, now);
         }
-        return router_.putServer(server.value(), item.revision, now);
+        const EntryAge age = changed.entersEra ? EntryAge::Past : EntryAge::Newest;
+        return router_.putServer(server.value(), item.revision, now, age);
     }
 
     Result<RegisteredServer> readServer(const std::string& id, const StoreUpdate& item)
--- a/Tests/StoreSync/FleetSimulation.cpp
+++ b/Tests/StoreSync/FleetSimulation.cpp
@@ -287,7 +287,8 @@
         } else if (item.isRemoved) {
             balancer.router->removeServer(item.key.substr(7), change.isInDoubt, now());
         } else {
-            balancer.router->putServer(servers_.at(item.value), item.revision, now());
+            const EntryAge age = change.entersEra ? EntryAge::Past : EntryAge::Newest;
+            balancer.router->putServer(servers_.at(item.value), item.revision, now(), age);
         }
     }
 }
