StoreFeed: Ask the store once more after every outage

What callers would see: new flows to servers that had ended, for up to 10 s instead of 2 s after the store's return, in a zone whose watchers were cut off from the store while the others told them that entries had vanished. Cause: the store was asked again only by a watcher that had read a removal itself, and in a store where nothing changes no other answer shows a zone that the store was in contact. Now each outage, and each era, is followed by one more short watch. The check without a restart waits 5 s, as the doubt of an outage that ends then is allowed.

--- a/Source/StoreSync/StoreFeed.cpp
+++ b/Source/StoreSync/StoreFeed.cpp
@@ -443,8 +443,7 @@
     if (era <= former)
         return;
     actions.emplace_back(StoreEraChanged { former, era, revision, storeRevisionOf(completeTo_) });
-    doubtUntil_ = now + settings_.doubtAfterOutage;
-    freshFrom_ = now + settings_.reregistrationTime;
+    confirmLater(now);
 }
 
 void StoreFeed::noteFailure(const Error& error, TimePoint now, StoreFeedActions& actions)
@@ -462,10 +461,15 @@
         return;
     actions.emplace_back(StoreReachable { now - *unreachableSince_ });
     unreachableSince_.reset();
+    confirmLater(now);
+}
+
+// Others may have told of removed entries meanwhile, so the store is asked once more even if this balancer saw none.
+void StoreFeed::confirmLater(TimePoint now)
+{
     doubtUntil_ = now + settings_.doubtAfterOutage;
     freshFrom_ = now + settings_.reregistrationTime;
-    if (confirmAt_)
-        confirmAt_ = freshFrom_;
+    confirmAt_ = freshFrom_;
 }
 
 }
--- a/Source/StoreSync/StoreFeed.h
+++ b/Source/StoreSync/StoreFeed.h
@@ -245,6 +245,7 @@
     void watchAfterListing(bool hasListedLess, TimePoint now, StoreFeedActions&);
     void noteFailure(const Error&, TimePoint now, StoreFeedActions&);
     void noteSuccess(TimePoint now, StoreFeedActions&);
+    void confirmLater(TimePoint now);
 
     const StoreFeedSettings settings_;
     Backoff backoff_;
--- a/Tests/StoreSync/RandomFaultsTest.cpp
+++ b/Tests/StoreSync/RandomFaultsTest.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <optional>
 #include <set>
 
 namespace wisteriadock {
@@ -28,8 +29,11 @@
     // Runs a simulation with a seeded schedule of faults and checks the routing decisions.
     class RandomFaultRun {
     public:
-        explicit RandomFaultRun(std::uint32_t seed)
+        enum class Restores { No, Yes };
+
+        explicit RandomFaultRun(std::uint32_t seed, Restores restores = Restores::No)
             : fleet_(seed)
+            , hasRestores_(restores == Restores::Yes)
         {
             for (std::size_t i = 0; i < 8; ++i)
                 addServer(i % 2 == 0 ? "tryon" : "scanintake", i % 4 < 2 ? "walu" : "nabua", 0);
@@ -41,6 +45,8 @@
         void run()
         {
             for (int step = 0; step < 60; ++step) {
+                if (hasRestores_)
+                    restoreOrRewrite(step);
                 injectFault();
                 for (int i = 0; i < 5; ++i) {
                     openFlow();
@@ -68,6 +74,34 @@
                 allowedServices_.insert({ FleetSimulation::routeOf(i), services_[i] });
         }
 
+        // The store comes back from a copy that is up to 3 s old. What was lost is written again 0.25 s later.
+        void restoreOrRewrite(int step)
+        {
+            constexpr std::size_t maxCopies = 12;
+            copies_.push_back(fleet_.copyStore());
+            if (copies_.size() > maxCopies)
+                copies_.erase(copies_.begin());
+            if (rewriteAtStep_ == step)
+                rewrite();
+            if (draw(10) != 0)
+                return;
+            const std::size_t chosen = draw(static_cast<std::uint32_t>(copies_.size()));
+            fleet_.restoreStore(copies_[chosen]);
+            copies_.resize(chosen + 1);
+            rewriteAtStep_ = step + 1;
+        }
+
+        void rewrite()
+        {
+            fleet_.writeConfiguration(version_, services_);
+            for (const TestServer& server : servers_) {
+                if (server.isAlive)
+                    fleet_.writeServer(server.entry);
+                else
+                    fleet_.removeServer(server.entry);
+            }
+        }
+
         void injectFault()
         {
             auto& balancer = fleet_.balancers()[draw(6)];
@@ -78,7 +112,8 @@
             case 0:
                 return fleet_.start(index);
             case 1:
-                balancer.isFrozen = !balancer.isFrozen;
+                // A frozen balancer loses its pending calls, and is started again at the end only.
+                balancer.isFrozen = !hasRestores_ && !balancer.isFrozen;
                 return;
             case 2:
                 balancer.isRejectedByStore = !balancer.isRejectedByStore;
@@ -184,15 +219,26 @@
                 balancer.isRejectedByStore = false;
                 balancer.isFrozen = false;
             }
+            // Entries that vanished in the outage that ends here are in doubt for two seconds after the watchers have
+            // noticed its end, which takes up to a second, and until the store has been asked once more.
+            if (hasRestores_)
+                expectNewestStateAfter(5s);
             for (std::size_t i = 0; i < fleet_.balancers().size(); ++i) {
                 // The pending calls of a frozen balancer are lost; in the daemon they would time out.
                 fleet_.start(i);
             }
+            expectNewestStateAfter(3s);
+        }
+
+        void expectNewestStateAfter(Duration time)
+        {
             for (const TestServer& server : servers_) {
                 if (server.isAlive)
                     fleet_.writeServer(server.entry);
             }
-            fleet_.advance(3s);
+            if (hasRestores_)
+                rewrite();
+            fleet_.advance(time);
             for (auto& balancer : fleet_.balancers()) {
                 EXPECT_EQ(balancer.sync->replica().completeTo(), fleet_.revision()) << balancer.name;
                 EXPECT_EQ(balancer.router->configurationVersion(), version_) << balancer.name;
@@ -215,7 +261,7 @@
                     EXPECT_EQ(decision.server->entry.service, services_[route]);
                     const auto server = std::ranges::find_if(
                         servers_, [&](const TestServer& other) { return other.entry.id == decision.server->entry.id; });
-                    EXPECT_TRUE(server->isAlive) << server->entry.id;
+                    EXPECT_TRUE(server->isAlive) << server->entry.id << " " << nameOf(decision.server->state);
                     EXPECT_EQ(server->entry.readiness, ServerReadiness::Ready) << server->entry.id;
                 }
             }
@@ -229,6 +275,9 @@
         std::uint64_t version_ = 0;
         std::uint64_t nextNumber_ = 0;
         std::uint32_t nextCaller_ = 0;
+        const bool hasRestores_ = false;
+        std::vector<FleetSimulation::StoreCopy> copies_;
+        std::optional<int> rewriteAtStep_;
     };
 
     TEST(RandomFaultsTest, FlowsAndConfigurationsSurviveSeededFaults)
@@ -241,6 +290,18 @@
         }
     }
 
+    // Guards against balancers that keep what a restore of the store has undone, or miss what is written after it, in
+    // any order with other faults.
+    TEST(RandomFaultsTest, NewestStateIsReachedAfterSeededRestoresOfTheStore)
+    {
+        for (std::uint32_t seed = 1; seed <= 300; ++seed) {
+            SCOPED_TRACE(seed);
+            RandomFaultRun(seed, RandomFaultRun::Restores::Yes).run();
+            if (HasFailure())
+                break;
+        }
+    }
+
     // Guards against new flows without a server when all entries lapse in an outage, and the store is lost again before
     // the servers have registered again.
     TEST(RandomFaultsTest, LapsedServersStayInUseWhileTheStoreIsUnreachable)
