Soak: Restore the store from an older copy

Step store_restored: the copy is made, six versions are written and lost, the store is busy for 0.3 s and comes back with a higher era; waiting watches are cut or wait on. 0.4 s later operators and servers write what the store doesn't hold; entries of ended servers expire.

--- a/Source/Soak/SoakRun.h
+++ b/Source/Soak/SoakRun.h
@@ -105,9 +105,13 @@
     void kill(Balancer&, TimePoint restartAt);
     void performOnBalancer(const SoakStep&, Balancer&, TimePoint now);
     void performOnStore(const SoakStep&, TimePoint now);
+    void restoreStore(const SoakStep&, TimePoint now);
+    void rewriteStore();
+    void removeEndedServers();
     void performOnServer(const SoakStep&, TimePoint now);
     void writeForeignEntries(const SoakStep&, TimePoint now);
     void performOnConfiguration(const SoakStep&, TimePoint now);
+    void writeNextVersion();
     static std::string zoneName(std::size_t zone);
     std::string zoneOf(const SoakStep&) const;
     void evacuateZone(const SoakStep&, TimePoint now);
@@ -137,6 +141,7 @@
     std::vector<std::unique_ptr<SoakCallers>> callers_;
     ForwardingConfiguration configuration_;
     std::set<Endpoint> allRoutes_;
+    std::set<std::string> evacuatedZones_;
     std::vector<DelayedAction> delayedActions_;
     std::uint64_t nextServerNumber_ = 0x1000;
     // The startedAt of the latest server entry: a counter, since only the order matters.
--- a/Source/Soak/SoakSchedule.cpp
+++ b/Source/Soak/SoakSchedule.cpp
@@ -44,6 +44,7 @@
         { SoakStepKind::ForeignEntries, "foreign_entries" },
         { SoakStepKind::ZoneEvacuated, "zone_evacuated" },
         { SoakStepKind::ZoneServersRestart, "zone_silent" },
+        { SoakStepKind::StoreRestored, "store_restored" },
     });
     static_assert(stepNames.rows().size() == soakStepKindCount);
 
@@ -106,7 +107,8 @@
     };
     addKinds(0xADDED, firstAddedStepKind, firstIdentityStepKind);
     addKinds(0x1DE17, firstIdentityStepKind, firstZoneStepKind);
-    addKinds(0x20E5, firstZoneStepKind, soakStepKindCount);
+    addKinds(0x20E5, firstZoneStepKind, firstRestoreStepKind);
+    addKinds(0xE2A, firstRestoreStepKind, soakStepKindCount);
     plan.steps.push_back({ std::chrono::milliseconds(static_cast<int>(total * faultPart)), SoakStepKind::KillAll, 0,
         std::chrono::milliseconds(static_cast<int>(random.nextBetween(300, 1200))) });
     // Planned operations while nothing is disturbed, so that the bounds apply to every forwarder.
@@ -116,6 +118,11 @@
         plan.steps.push_back({ timeAt(undisturbedPart), kind, static_cast<std::uint32_t>(random.next() % 1000), {} });
     plan.steps.push_back(
         { timeAt(undisturbedPart), SoakStepKind::ZoneEvacuated, static_cast<std::uint32_t>(seed), length });
+    // Restored late enough to be the last disturbance, and early enough for the bounds to apply to those operations.
+    constexpr double lastRestorePart = 0.62;
+    if (seed % 2 == 0)
+        plan.steps.push_back({ timeAt(lastRestorePart), SoakStepKind::StoreRestored,
+            static_cast<std::uint32_t>(seed / 2), std::chrono::milliseconds(600) });
     std::ranges::stable_sort(plan.steps, {}, &SoakStep::at);
     return plan;
 }
--- a/Source/Soak/SoakSchedule.h
+++ b/Source/Soak/SoakSchedule.h
@@ -40,14 +40,16 @@
     ForeignEntries, // Invalid values in a server's entry and in keys that belong to no server, for the step's length.
     ZoneEvacuated, // The evacuation of a zone, revoked some seconds after the step's length.
     ZoneServersRestart, // All servers of a zone crash, and restart cold under their ids after the step's length.
+    StoreRestored, // Goes away, and comes back from a copy as old as the step's length. What it lost is written again.
 };
 
-inline constexpr std::size_t soakStepKindCount = 30;
+inline constexpr std::size_t soakStepKindCount = 31;
 // The first step kind of each group that has its own random generator. A separate generator keeps the other steps of a
 // seed unchanged when a group is added.
 inline constexpr std::size_t firstAddedStepKind = 23;
 inline constexpr std::size_t firstIdentityStepKind = 26;
 inline constexpr std::size_t firstZoneStepKind = 28;
+inline constexpr std::size_t firstRestoreStepKind = 30;
 
 std::string_view nameOf(SoakStepKind);
 
--- a/Source/Soak/SoakSteps.cpp
+++ b/Source/Soak/SoakSteps.cpp
@@ -19,6 +19,8 @@
     // A server's entry expires after three heartbeats.
     constexpr auto heartbeat = 700ms;
 
+    constexpr const char* evacuationOrder = "{}";
+
 }
 
 void SoakRun::performStep(const SoakStep& step, TimePoint now)
@@ -48,6 +50,8 @@
     case SoakStepKind::StoreEntriesExpire:
     case SoakStepKind::StoreStale:
         return performOnStore(step, now);
+    case SoakStepKind::StoreRestored:
+        return restoreStore(step, now);
     case SoakStepKind::ServerCrashes:
     case SoakStepKind::ServerDrains:
     case SoakStepKind::ServerReplacedInPlace:
@@ -181,6 +185,55 @@
     checker_.disturbStore(now + step.length + 1500ms);
 }
 
+// Versions written after the copy was made are lost, so that the store gives out their revisions again.
+void SoakRun::restoreStore(const SoakStep& step, TimePoint now)
+{
+    constexpr auto outage = 300ms;
+    constexpr auto rewriteDelay = 400ms;
+    constexpr int lostVersions = 6;
+    const auto waiting = step.target % 2 == 0 ? SoakStore::WaitingWatches::Cut : SoakStore::WaitingWatches::Kept;
+    for (int i = 1; i <= lostVersions; ++i)
+        scheduleAfter(step.length * i / (lostVersions + 1), now, [this] { writeNextVersion(); });
+    scheduleAfter(step.length, now, [this] { setStoreFault(SoakStore::Fault::Busy, outage, Clock::now()); });
+    scheduleAfter(
+        step.length + outage, now, [this, waiting, copy = store_->copy()] { store_->restore(copy, waiting); });
+    scheduleAfter(step.length + outage + rewriteDelay, now, [this] { rewriteStore(); });
+    // Entries of servers that ended meanwhile expire.
+    scheduleAfter(step.length + outage + 3 * heartbeat, now, [this] { removeEndedServers(); });
+    checker_.disturbStore(now + step.length + outage + 3 * heartbeat);
+}
+
+// Operators and servers write what the store does not hold, as after each of their checks.
+void SoakRun::rewriteStore()
+{
+    const auto rewrite = [this](const std::string& key, const std::string& value) {
+        if (!store_->holds(key, value))
+            store_->put(key, value);
+    };
+    rewrite(std::string(platform::configurationKey), platform::encodeConfiguration(configuration_));
+    for (const auto& server : servers_)
+        rewrite(platform::serverKeyOf(server->entry().id), platform::encodeServer(server->entry()));
+    for (std::size_t zone = 0; zone < options_.availabilityZones; ++zone) {
+        const std::string key = platform::evacuatedZoneKeyOf(zoneName(zone));
+        if (evacuatedZones_.contains(zoneName(zone)))
+            rewrite(key, evacuationOrder);
+        else
+            store_->remove(key);
+    }
+}
+
+void SoakRun::removeEndedServers()
+{
+    const SoakStore::Copy present = store_->copy();
+    for (const auto& [key, item] : present.items) {
+        const auto id = platform::serverIdOf(key);
+        const bool isLive
+            = id && std::ranges::any_of(servers_, [&](const auto& server) { return server->entry().id == *id; });
+        if (id && !isLive)
+            store_->remove(key);
+    }
+}
+
 void SoakRun::withServer(const std::string& id, const std::function<void(SoakServer&)>& action)
 {
     for (const auto& server : servers_) {
@@ -274,10 +327,12 @@
     constexpr auto timeBeyondBound = 4s;
     const std::string zone = zoneOf(step);
     const std::string key = platform::evacuatedZoneKeyOf(zone);
-    store_->put(key, "{}");
+    store_->put(key, evacuationOrder);
+    evacuatedZones_.insert(zone);
     checker_.noteZoneEvacuated(zone, now);
     scheduleAfter(step.length + timeBeyondBound, now, [this, zone, key] {
         checker_.noteEvacuationRevoked(zone);
+        evacuatedZones_.erase(zone);
         store_->remove(key);
     });
 }
@@ -302,14 +357,17 @@
     });
 }
 
+void SoakRun::writeNextVersion()
+{
+    configuration_.version += 1 + random_.next() % 5;
+    writeConfiguration();
+}
+
 void SoakRun::performOnConfiguration(const SoakStep& step, TimePoint now)
 {
     constexpr std::size_t minRoutes = 3;
     constexpr int versionsPerBurst = 8;
-    const auto write = [this] {
-        configuration_.version += 1 + random_.next() % 5;
-        writeConfiguration();
-    };
+    const auto write = [this] { writeNextVersion(); };
     switch (step.kind) {
     case SoakStepKind::RouteAdded:
         ++nextRoute_;
--- a/Source/Soak/SoakStore.cpp
+++ b/Source/Soak/SoakStore.cpp
@@ -3,6 +3,7 @@
 #include "platform/StoreCodec.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace wisteriadock {
 
@@ -14,10 +15,11 @@
     // The page size of the platform's store.
     constexpr std::size_t pageItems = 500;
 
-    HttpResponse responseOf(int status, std::string body = {})
+    HttpResponse responseOf(int status, std::uint64_t era, std::string body = {})
     {
         HttpResponse response;
         response.status = status;
+        response.headers.push_back({ platform::eraHeader, std::to_string(era) });
         response.body = std::move(body);
         return response;
     }
@@ -52,9 +54,35 @@
 
 void SoakStore::setStaleReads(bool isStale)
 {
-    staleSnapshot_.reset();
+    staleCopy_.reset();
     if (isStale)
-        staleSnapshot_ = Snapshot { items_, revision_ };
+        staleCopy_ = copy();
+}
+
+bool SoakStore::holds(const std::string& key, const std::string& value) const
+{
+    const auto found = items_.find(key);
+    return found != items_.end() && found->second.value == value;
+}
+
+void SoakStore::restore(const Copy& copy, WaitingWatches waiting)
+{
+    items_ = copy.items;
+    revision_ = copy.revision;
+    compactedRevision_ = std::min(compactedRevision_, revision_);
+    std::erase_if(history_, [this](const PlatformItem& item) { return item.revision > revision_; });
+    ++era_;
+    if (waiting == WaitingWatches::Kept)
+        return;
+    for (const auto& [number, pending] : std::exchange(pendingWatches_, {})) {
+        pending.timer->cancel();
+        respond(*pending.exchange, 503);
+    }
+}
+
+void SoakStore::respond(Http1Exchange& exchange, int status, std::string body) const
+{
+    exchange.respond(responseOf(status, era_, std::move(body)));
 }
 
 void SoakStore::handle(const std::shared_ptr<Http1Exchange>& exchange)
@@ -62,7 +90,7 @@
     ++calls_;
     switch (fault_) {
     case Fault::Busy:
-        exchange->respond(responseOf(503));
+        respond(*exchange, 503);
         return;
     case Fault::Unresponsive:
         unanswered_.push_back(exchange);
@@ -86,9 +114,10 @@
 {
     if (const auto list = platform::listCallOf(exchange->request())) {
         PlatformPage page;
-        const bool isStale = list->mayBeStale && staleSnapshot_;
-        page.revision = isStale ? staleSnapshot_->revision : revision_;
-        for (const auto& [key, item] : isStale ? staleSnapshot_->items : items_) {
+        const bool isStale = list->mayBeStale && staleCopy_;
+        page.revision = isStale ? staleCopy_->revision : revision_;
+        page.era = isStale ? staleCopy_->era : era_;
+        for (const auto& [key, item] : isStale ? staleCopy_->items : items_) {
             if (!key.starts_with(list->prefix) || key <= list->after)
                 continue;
             page.hasMore = page.items.size() == pageItems;
@@ -96,23 +125,23 @@
                 break;
             page.items.push_back(item);
         }
-        exchange->respond(responseOf(200, platform::encodePage(page)));
+        exchange->respond(responseOf(200, page.era, platform::encodePage(page)));
     } else if (const auto changes = platform::changesCallOf(exchange->request())) {
         watch(exchange, *changes);
     } else {
-        exchange->respond(responseOf(404));
+        respond(*exchange, 404);
     }
 }
 
 void SoakStore::watch(const std::shared_ptr<Http1Exchange>& exchange, const ChangesCall& call)
 {
-    if (call.revision < compactedRevision_) {
-        exchange->respond(responseOf(platform::historyGoneStatus));
+    if (call.revision < compactedRevision_ || call.revision > revision_) {
+        respond(*exchange, platform::historyGoneStatus);
         return;
     }
     const PlatformChanges changes = changesAfter(call);
     if (!changes.items.empty()) {
-        exchange->respond(responseOf(200, platform::encodeChanges(changes)));
+        respond(*exchange, 200, platform::encodeChanges(changes));
         return;
     }
     const std::uint64_t number = nextWatchId_++;
@@ -124,7 +153,7 @@
             return;
         const PendingWatch pending = std::move(found->second);
         pendingWatches_.erase(found);
-        pending.exchange->respond(responseOf(200, platform::encodeChanges(changesAfter(pending.call))));
+        respond(*pending.exchange, 200, platform::encodeChanges(changesAfter(pending.call)));
     });
 }
 
@@ -148,7 +177,7 @@
         if (changes.items.empty())
             return false;
         row.second.timer->cancel();
-        row.second.exchange->respond(responseOf(200, platform::encodeChanges(changes)));
+        respond(*row.second.exchange, 200, platform::encodeChanges(changes));
         return true;
     });
 }
--- a/Source/Soak/SoakStore.h
+++ b/Source/Soak/SoakStore.h
@@ -33,6 +33,20 @@
 
     void put(const std::string& key, std::string value);
     void remove(const std::string& key);
+    // Whether the key exists with this value.
+    bool holds(const std::string& key, const std::string& value) const;
+    // A copy of the items and the revision. After restore() revisions are given out again, and the era is higher.
+    struct Copy {
+        std::map<std::string, PlatformItem> items;
+        std::uint64_t revision = 0;
+        std::uint64_t era = 0;
+    };
+    enum class WaitingWatches {
+        Cut, // Answered with an error.
+        Kept, // Wait on for a revision above theirs.
+    };
+    Copy copy() const { return { items_, revision_, era_ }; }
+    void restore(const Copy&, WaitingWatches);
     // Watches from a revision before the current one fail from now on, as their history is gone.
     void compactHistory() { compactedRevision_ = revision_; }
     void setFault(Fault fault) { fault_ = fault; }
@@ -56,20 +70,18 @@
     void handle(const std::shared_ptr<Http1Exchange>&);
     void answer(const std::shared_ptr<Http1Exchange>&);
     void watch(const std::shared_ptr<Http1Exchange>&, const ChangesCall&);
+    void respond(Http1Exchange&, int status, std::string body = {}) const;
     PlatformChanges changesAfter(const ChangesCall&) const;
     void answerPendingWatches();
 
     boost::asio::io_context& context_;
     std::unique_ptr<Http1Server> server_;
-    struct Snapshot {
-        std::map<std::string, PlatformItem> items;
-        std::uint64_t revision = 0;
-    };
     std::map<std::string, PlatformItem> items_;
-    std::optional<Snapshot> staleSnapshot_;
+    std::optional<Copy> staleCopy_;
     std::vector<PlatformItem> history_;
     std::uint64_t revision_ = 1;
     std::uint64_t compactedRevision_ = 0;
+    std::uint64_t era_ = 1;
     std::uint64_t calls_ = 0;
     Fault fault_ = Fault::None;
     std::map<std::uint64_t, PendingWatch> pendingWatches_;
