TermReconciler: Begin epochs anew with each era of the store

What callers would see: work that must not repeat run twice. Cause: a restored store shows the record before the last one. A balancer that knows no later one gives the lost epoch to other holders, and as records are compared by epoch only, those who adopted the lost one keep it: two owners of one bucket. A revision that is given out again may also let a write through that expects another record. Epochs now begin above all of an earlier era, the record is read before the first write in an era, and its history counts as incomplete. The answers of the platform name the era in a header; stand-in and client know it.

--- a/Source/Balancer/TermControl.cpp
+++ b/Source/Balancer/TermControl.cpp
@@ -145,6 +145,7 @@
 void TermControl::finishWrite(const Result<std::uint64_t>& revision)
 {
     const TimePoint now = Clock::now();
+    reconciler_.learnEra(platform_.era());
     if (revision)
         reconciler_.writeEnded(TermWrite::Written, revision.value(), now);
     else if (revision.error().code == ErrorCode::Conflict)
@@ -168,6 +169,7 @@
 void TermControl::finishRead(const Result<PlatformEntry>& entry)
 {
     const TimePoint now = Clock::now();
+    reconciler_.learnEra(platform_.era());
     if (!entry && entry.error().code == ErrorCode::NotFound) {
         reconciler_.learnAbsent(now);
     } else if (!entry) {
--- a/Source/KeyValue/KeyValueClient.h
+++ b/Source/KeyValue/KeyValueClient.h
@@ -9,6 +9,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -57,11 +58,15 @@
             return;
         }
         request.value().authority = authority_;
-        auto onOutcome = [call = std::move(call), callback = std::move(callback)](
-                             const auto& outcome) { callback(Codec::decode(call, outcome)); };
+        auto onOutcome = [this, call = std::move(call), callback = std::move(callback)](const auto& outcome) {
+            noteEra(outcome);
+            callback(Codec::decode(call, outcome));
+        };
         http_.send(std::move(request).value(), deadline, std::move(onOutcome));
     }
 
+    // The highest era in an answer so far, for codecs that read it from every answer; 0 otherwise.
+    std::uint64_t era() const { return era_; }
     Http& http() { return http_; }
     const Http& http() const { return http_; }
 
@@ -85,7 +90,14 @@
             callback();
     }
 
+    template <typename Outcome> void noteEra(const Outcome& outcome)
+    {
+        if constexpr (requires { Codec::eraOf(outcome); })
+            era_ = std::max(era_, Codec::eraOf(outcome));
+    }
+
     boost::asio::io_context& context_;
+    std::uint64_t era_ = 0;
     std::string authority_;
     std::shared_ptr<UnsentCalls> unsentCalls_ = std::make_shared<UnsentCalls>();
     Http http_;
--- a/Source/KeyValue/PlatformClient.h
+++ b/Source/KeyValue/PlatformClient.h
@@ -40,6 +40,8 @@
     void keepAlive(std::uint64_t lease, TimePoint deadline, Callback<PlatformLease>);
     void listVms(TimePoint deadline, Callback<std::vector<Vm>>);
 
+    // The highest era in an answer so far; see PlatformCodec::eraOf().
+    std::uint64_t era() const { return client_.era(); }
     // Bytes sent and received, for the metrics of control traffic.
     std::uint64_t bytesTransferred() const { return client_.http().bytesTransferred(); }
 
--- a/Source/KeyValue/PlatformCodec.cpp
+++ b/Source/KeyValue/PlatformCodec.cpp
@@ -6,6 +6,7 @@
 
 #include <fmt/format.h>
 
+#include <charconv>
 #include <utility>
 
 namespace wisteriadock {
@@ -79,6 +80,16 @@
     return requestOf(PlatformCall::ListVms, Json::object());
 }
 
+std::uint64_t PlatformCodec::eraOf(const HttpOutcome& outcome)
+{
+    std::uint64_t era = 0;
+    if (!outcome)
+        return era;
+    const std::string_view text = outcome.value().header(platformEraHeader);
+    std::from_chars(text.data(), text.data() + text.size(), era);
+    return era;
+}
+
 Result<PlatformEntry> PlatformCodec::decode(const GetCall&, const HttpOutcome& outcome)
 {
     return readAnswer<PlatformEntry>(PlatformCall::Get, outcome, entryOfJson);
--- a/Source/Request/TermReconciler.cpp
+++ b/Source/Request/TermReconciler.cpp
@@ -5,6 +5,13 @@
 
 namespace wisteriadock {
 
+namespace {
+
+    // Epochs of one era of the store.
+    constexpr unsigned epochBits = 44;
+
+}
+
 TermReconciler::TermReconciler(std::string zone, BalancerId self, const TermTimes& times)
     : zone_(std::move(zone))
     , self_(self)
@@ -30,6 +37,15 @@
     actions_.emplace_back(AdoptTerm { term });
 }
 
+void TermReconciler::learnEra(std::uint64_t era)
+{
+    if (era <= era_)
+        return;
+    era_ = era;
+    // May stand for another record by now.
+    revision_.reset();
+}
+
 void TermReconciler::learnRecord(const ClaimTerm& term, std::uint64_t revision, TimePoint now)
 {
     isReading_ = false;
@@ -114,8 +130,19 @@
         return;
     if (!revision_)
         return read(now);
-    writing_ = next;
-    actions_.emplace_back(WriteTerm { *next, *revision_ });
+    writing_ = inEra(*next);
+    actions_.emplace_back(WriteTerm { *writing_, *revision_ });
+}
+
+// The holders of lost epochs are unknown, so the history is incomplete from then on.
+ClaimTerm TermReconciler::inEra(ClaimTerm next) const
+{
+    const std::uint64_t firstEpoch = era_ << epochBits;
+    if (next.epoch >= firstEpoch)
+        return next;
+    next.epoch = firstEpoch;
+    next.isHistoryComplete = false;
+    return next;
 }
 
 std::vector<TermAction> TermReconciler::takeActions() { return std::exchange(actions_, {}); }
--- a/Source/Request/TermReconciler.h
+++ b/Source/Request/TermReconciler.h
@@ -57,6 +57,10 @@
     TermReconciler(std::string zone, BalancerId self, const TermTimes& times);
 
     void learnMembers(const MembersView&, TimePoint now);
+    // Reports the era of the platform's store, which rises when the store is restored from an older copy. Records that
+    // were written since the copy was made are lost, and their epochs must not be given to other holders. So epochs
+    // begin anew with each era, above all earlier ones.
+    void learnEra(std::uint64_t era);
     // Reports the record that the platform holds now.
     void learnRecord(const ClaimTerm&, std::uint64_t revision, TimePoint now);
     void learnAbsent(TimePoint now);
@@ -73,6 +77,7 @@
 private:
     std::optional<ClaimTerm> desiredTerm(TimePoint now) const;
     std::size_t rankOf(const ClaimTerm& next) const;
+    ClaimTerm inEra(ClaimTerm next) const;
     void adopt(const ClaimTerm&, TimePoint now);
     void read(TimePoint now);
 
@@ -82,6 +87,7 @@
     MembersView view_;
     std::optional<ClaimTerm> term_;
     TimePoint adoptedAt_;
+    std::uint64_t era_ = 0;
     // Revision of the platform's record; unset when the record must be read first.
     std::optional<std::uint64_t> revision_;
     std::optional<ClaimTerm> writing_;
--- a/Source/StandIns/Platform/PlatformStandIn.cpp
+++ b/Source/StandIns/Platform/PlatformStandIn.cpp
@@ -109,7 +109,7 @@
 {
     ++faults_.callsFailed;
     if (faults_.outage == OutageMode::Unavailable)
-        exchange->respond(refusalOf({ ErrorCode::Unavailable, "the stand-in simulates an outage" }));
+        respond(exchange, refusalOf({ ErrorCode::Unavailable, "the stand-in simulates an outage" }));
     else if (faults_.outage == OutageMode::Refuse)
         exchange->refuse();
     // OutageMode::Reset: releasing the exchange without an answer resets its stream.
@@ -171,9 +171,15 @@
 void PlatformStandIn::answer(PlatformCall call, const Exchange& exchange, const Result<Json>& result)
 {
     if (!result)
-        exchange->respond(refusalOf(result.error()));
+        respond(exchange, refusalOf(result.error()));
     else if (!faults_.consumeLostAnswer(call))
-        exchange->respond({ 200, { { "content-type", "application/json" } }, result.value().dump() });
+        respond(exchange, { 200, { { "content-type", "application/json" } }, result.value().dump() });
+}
+
+void PlatformStandIn::respond(const Exchange& exchange, HttpResponse response) const
+{
+    response.headers.push_back({ platformEraHeader, std::to_string(store_.era()) });
+    exchange->respond(std::move(response));
 }
 
 void PlatformStandIn::answerEndedWatches()
--- a/Source/StandIns/Platform/PlatformStandIn.h
+++ b/Source/StandIns/Platform/PlatformStandIn.h
@@ -33,6 +33,7 @@
     Result<Json> execute(PlatformCall, const Json& arguments, TimePoint now);
     Result<Json> executeCompareAndSwap(const Json& arguments, TimePoint now);
     Result<void> startWatch(const Json& arguments, TimePoint now, const Exchange&);
+    void respond(const Exchange&, HttpResponse) const;
     void answer(PlatformCall, const Exchange&, const Result<Json>&);
     void answerEndedWatches();
     void armTimer();
--- a/Source/StandIns/Platform/PlatformStore.cpp
+++ b/Source/StandIns/Platform/PlatformStore.cpp
@@ -164,6 +164,7 @@
     deadlines_.clear();
     leases_.clear();
     revision_ = snapshot.revision;
+    ++era_;
     entries_ = snapshot.entries;
     for (const auto& [id, copy] : snapshot.leases) {
         leases_.emplace(id, Lease { copy.timeToLive, now + copy.remaining });
--- a/Source/StandIns/Platform/PlatformStore.h
+++ b/Source/StandIns/Platform/PlatformStore.h
@@ -65,6 +65,8 @@
     void restore(const Snapshot&, TimePoint now);
 
     std::uint64_t revision() const { return revision_; }
+    // The number of restores so far.
+    std::uint64_t era() const { return era_; }
     std::uint64_t callCount(PlatformCall call) const { return calls_.at(static_cast<std::size_t>(call)); }
     std::size_t waitingWatches() const { return watches_.size(); }
 
@@ -100,6 +102,7 @@
     void setDeadline(std::uint64_t id, TimePoint deadline) { deadlines_.emplace(deadline, id); }
 
     std::uint64_t revision_ = 0;
+    std::uint64_t era_ = 0;
     // Leases and watches share one sequence of ids.
     std::uint64_t lastId_ = 0;
     Entries entries_;
--- a/Tests/Request/TermReconcilerTest.cpp
+++ b/Tests/Request/TermReconcilerTest.cpp
@@ -90,6 +90,42 @@
     EXPECT_EQ(write[0].baseRevision, 12u);
 }
 
+// Guards against two owners of one bucket: the platform loses a record that a balancer has adopted, and another
+// balancer, which knows only the one before, gives its epoch to other holders.
+TEST_F(TermReconcilerTest, EpochOfALostRecordIsNotGivenOutAgain)
+{
+    const std::vector<BalancerInstance> holders { { balancerIdOf("a"), 1 }, { balancerIdOf("b"), 1 } };
+    const ClaimTerm lost { "walu", 5, holders, {}, true };
+    reconciler.learnRecord({ "walu", 4, holders, {}, true }, 12, clock.now());
+    reconciler.learnMembers(viewOf({ serving("a"), serving("b", 2) }), clock.now());
+    reconciler.learnEra(1);
+    advance(seconds(1));
+    {
+        SCOPED_TRACE("the revision of before may stand for another record, so it is read first");
+        ASSERT_EQ(take<ReadTerm>().size(), 1u);
+        reconciler.learnRecord({ "walu", 4, holders, {}, true }, 12, clock.now());
+        advance(seconds(1));
+    }
+    const auto write = take<WriteTerm>();
+    ASSERT_EQ(write.size(), 1u);
+    EXPECT_GT(write[0].term.epoch, lost.epoch);
+    EXPECT_FALSE(write[0].term.isHistoryComplete);
+    reconciler.writeEnded(TermWrite::Written, 13, clock.now());
+    {
+        SCOPED_TRACE("the balancer that had adopted the lost record takes this one");
+        TermReconciler other { "walu", balancerIdOf("b"), {} };
+        other.learnRecord(lost, 13, clock.now());
+        other.learnFromPeer(write[0].term, clock.now());
+        EXPECT_EQ(other.term(), write[0].term);
+    }
+    {
+        SCOPED_TRACE("later epochs follow it");
+        reconciler.learnMembers(viewOf({ serving("a"), serving("b", 3) }), clock.now());
+        advance(seconds(1));
+        EXPECT_EQ(take<WriteTerm>().at(0).term.epoch, write[0].term.epoch + 1);
+    }
+}
+
 TEST_F(TermReconcilerTest, IgnoresShortOutagesAndIsolation)
 {
     reconciler.learnRecord(
