--- a/Source/Membership/Member.h
+++ b/Source/Membership/Member.h
@@ -44,6 +44,8 @@
     // The bandwidth of its link in Mbit/s; 0 if unknown.
     std::uint32_t linkMegabits = 0;
 
+    bool isReachable() const { return state != MemberState::Dead; }
+
     bool operator==(const Member&) const = default;
 };
 
--- a/Source/StandIns/Platform/PlatformStandIn.cpp
+++ b/Source/StandIns/Platform/PlatformStandIn.cpp
@@ -1,5 +1,6 @@
 #include "StandIns/Platform/PlatformStandIn.h"
 
+#include "KeyValue/PlatformCodec.h"
 #include "KeyValue/PlatformOutcome.h"
 
 #include <fmt/format.h>
--- a/Source/StoreSync/StoreFeed.h
+++ b/Source/StoreSync/StoreFeed.h
@@ -218,6 +218,7 @@
         std::uint64_t revision = 0;
     };
 
+    static StoreUpdate updateOf(const PlatformItem&, std::uint64_t era);
     void awaitReaders(TimePoint now, StoreFeedActions&);
     void requestSample(StoreFeedActions&);
     bool needsSample(TimePoint now) const;
