Tests: Hold the cost of a restored store to the bound of the zone

197 balancers, 4000 servers; the restore loses two versions and 20 servers, all entries are written again 0.4 s later.

--- a/Tests/StoreSync/ServerSpreadTest.cpp
+++ b/Tests/StoreSync/ServerSpreadTest.cpp
@@ -71,6 +71,39 @@
         EXPECT_LT(fleet.takeMaxPeerBytes() / (servers / perSecond), maxPeerBytesPerSecond);
     }
 
+    // Guards against a restore of the store after which each balancer fetches everything, although it lost little.
+    TEST(ServerSpreadTest, RestoreOfTheStoreCostsWhatItLost)
+    {
+        constexpr std::size_t servers = 4000;
+        constexpr auto rewriteDelay = 400ms;
+        constexpr auto observed = 5s;
+        SlowLinkSimulation fleet(1, { { 10, 200 }, { 187, 20 } });
+        fleet.writeConfiguration(1, configurationText(1, 250, 0));
+        registerServers(fleet, servers, servers);
+        fleet.advance(5s);
+        const SlowLinkSimulation::StoreCopy copy = fleet.copyStore();
+        std::mt19937_64 random(2);
+        const auto writeLost = [&](std::uint64_t version) {
+            fleet.writeConfiguration(version, configurationText(version, 250, 1));
+            for (std::size_t number = 0; number < 20; ++number)
+                fleet.write(fmt::format("servers/i-{:010x}", number), entryText(number, random));
+        };
+        writeLost(2);
+        writeLost(3);
+        fleet.advance(2s);
+        fleet.takeMaxPeerBytes();
+        fleet.restoreStore(copy);
+        fleet.advance(rewriteDelay);
+        for (const auto& [key, item] : copy.items) {
+            if (key.starts_with("servers/"))
+                fleet.write(key, item.value);
+        }
+        writeLost(3);
+        fleet.advance(observed - rewriteDelay);
+        EXPECT_EQ(fleet.balancersBehind(), 0U);
+        EXPECT_LT(fleet.takeMaxPeerBytes() / static_cast<std::uint64_t>(observed / 1s), maxPeerBytesPerSecond);
+    }
+
     // Guards against a start of all balancers that waits until the store has sent each of them a listing of many pages.
     TEST(ServerSpreadTest, ThousandsOfServersAreKnownAgainSoonAfterAPowerFailure)
     {
--- a/Tests/StoreSync/SlowLinkSimulation.cpp
+++ b/Tests/StoreSync/SlowLinkSimulation.cpp
@@ -159,8 +159,9 @@
 
 std::size_t SlowLinkSimulation::balancersBehind() const
 {
-    return static_cast<std::size_t>(std::ranges::count_if(
-        balancers_, [this](const Balancer& balancer) { return balancer.sync->replica().completeTo() < revision_; }));
+    return static_cast<std::size_t>(std::ranges::count_if(balancers_, [this](const Balancer& balancer) {
+        return balancer.sync->replica().completeTo() < revisionInEra(era_, revision_);
+    }));
 }
 
 std::size_t SlowLinkSimulation::balancersWithoutOwnZone() const
@@ -259,6 +260,13 @@
             balancer.sync->handleAnswer(balancers_[*transfer.from].member.name, *transfer.delta, clock_.now()));
 }
 
+void SlowLinkSimulation::restoreStore(const StoreCopy& copy)
+{
+    items_ = copy.items;
+    revision_ = copy.revision;
+    ++era_;
+}
+
 void SlowLinkSimulation::deliverDatagrams()
 {
     std::vector<Datagram> due;
@@ -289,13 +297,13 @@
     for (Watch& watch : waiting) {
         if (watch.incarnation != balancers_[watch.balancer].incarnation)
             continue;
-        if (watch.call.call.revision < droppedTo_) {
+        if (watch.call.call.revision < droppedTo_ || watch.call.call.revision > revision_) {
             perform(watch.balancer,
                 balancers_[watch.balancer].feed->handleChanges(
                     watch.call.number, Error { ErrorCode::NotFound, "history dropped" }, clock_.now()));
             continue;
         }
-        PlatformChanges changes { {}, revision_ };
+        PlatformChanges changes { {}, revision_, era_ };
         for (const auto& [key, item] : items_) {
             if (item.revision > watch.call.call.revision)
                 changes.items.push_back(item);
@@ -372,7 +380,7 @@
 
 PlatformPage SlowLinkSimulation::pageAfter(const std::string& key) const
 {
-    PlatformPage page { {}, false, revision_ };
+    PlatformPage page { {}, false, revision_, era_ };
     for (auto row = items_.upper_bound(key); row != items_.end(); ++row) {
         if (page.items.size() == maxPageItems) {
             page.hasMore = true;
@@ -443,8 +451,8 @@
                 = std::chrono::duration<double>(balancer.queuedDatagramBytes / balancer.bytesPerSecond);
             const TimePoint at = clock_.now() + messageLatency + std::chrono::duration_cast<Duration>(queueDelay);
             datagrams_.push_back({ at, index, to, *push });
-        } else {
-            const auto& fetch = std::get<FetchDelta>(action);
+        } else if (const auto* wanted = std::get_if<FetchDelta>(&action)) {
+            const FetchDelta& fetch = *wanted;
             // The daemon has one fetch at a time: a new one cancels the former.
             std::erase_if(
                 transfers_, [&](const Transfer& transfer) { return transfer.isFetch && transfer.to == index; });
--- a/Tests/StoreSync/SlowLinkSimulation.h
+++ b/Tests/StoreSync/SlowLinkSimulation.h
@@ -35,6 +35,13 @@
     void setStoreMegabits(double megabitsPerSecond);
     // The store drops its history: watches of earlier revisions fail, and their balancers have to list it again.
     void dropHistory() { droppedTo_ = revision_; }
+    // A copy of the store, and the return to it with a higher era.
+    struct StoreCopy {
+        std::map<std::string, PlatformItem> items;
+        std::uint64_t revision = 0;
+    };
+    StoreCopy copyStore() const { return { items_, revision_ }; }
+    void restoreStore(const StoreCopy&);
     // How old the revisions are that membership tells of other balancers; zero at the start.
     void setGossipInterval(Duration interval) { gossipInterval_ = interval; }
     // Restarts all balancers at once with empty replicas.
@@ -138,6 +145,7 @@
     // By the revisions that a fetch asks for and gets, and its scope.
     std::map<std::tuple<std::uint64_t, std::uint64_t, FetchScope>, double> answerSizes_;
     std::uint64_t revision_ = 1;
+    std::uint64_t era_ = 0;
     // Watches of this and earlier revisions fail; none do at 0.
     std::uint64_t droppedTo_ = 0;
     Duration gossipInterval_ {};
