--- a/Tests/KeyValue/PlatformStandInTest.cpp
+++ b/Tests/KeyValue/PlatformStandInTest.cpp
@@ -36,7 +36,9 @@
         ASSERT_EQ(request("POST", "/admin/snapshot", R"({"name":"old"})").status, 200);
         ASSERT_TRUE(write("head", 1, "two"));
         ASSERT_EQ(request("POST", "/admin/restore", R"({"name":"old"})").status, 200);
+        EXPECT_EQ(client_->era(), 0U);
         EXPECT_EQ(get("head").value().value, "one");
+        EXPECT_EQ(client_->era(), 1U);
         EXPECT_EQ(counters()["revision"], 1);
     }
 
--- a/Tests/StoreSync/StoreFeedTest.cpp
+++ b/Tests/StoreSync/StoreFeedTest.cpp
@@ -137,6 +137,66 @@
         EXPECT_TRUE(only<DeltaReceived>(many)->delta.isInDoubt);
     }
 
+    // Guards against pages of two copies of the store in one listing.
+    TEST_F(StoreFeedTest, ListingInterruptedByARestoreStartsAnew)
+    {
+        feed.start(clock.now());
+        feed.update(0, true, std::nullopt, clock.now());
+        feed.handlePage(page(10, true), clock.now());
+        PlatformPage next = page(12);
+        next.era = 1;
+        const StoreFeedActions restarted = feed.handlePage(next, clock.now());
+        ASSERT_NE(only<SendList>(restarted), nullptr);
+        EXPECT_EQ(only<SendList>(restarted)->call.after, "");
+        EXPECT_FALSE(only<SendList>(restarted)->call.mayBeStale);
+        const StoreFeedActions listed = feed.handlePage(next, clock.now());
+        EXPECT_EQ(only<DeltaReceived>(listed)->delta.items.size(), 1U);
+        EXPECT_EQ(only<DeltaReceived>(listed)->delta.to, revisionInEra(1, 12));
+    }
+
+    // Guards against changes that are missed because the store has passed the revision of before when it is asked
+    // again.
+    TEST_F(StoreFeedTest, WatchAnsweredInAnotherEraLeadsToAListing)
+    {
+        const std::uint64_t number = startWatching();
+        PlatformChanges changes { page(14).items, 14 };
+        changes.era = 1;
+        const StoreFeedActions answered = feed.handleChanges(number, changes, clock.now());
+        EXPECT_EQ(only<DeltaReceived>(answered), nullptr);
+        EXPECT_EQ(only<StoreEraChanged>(answered)->era, 1U);
+        ASSERT_NE(only<SendList>(answered), nullptr);
+        PlatformPage listing = page(9);
+        listing.era = 1;
+        const StoreFeedActions listed = feed.handlePage(listing, clock.now());
+        {
+            SCOPED_TRACE("what is missing may be written again soon, and the store counts from its own revision");
+            EXPECT_TRUE(only<DeltaReceived>(listed)->delta.isInDoubt);
+            EXPECT_EQ(only<DeltaReceived>(listed)->delta.to, revisionInEra(1, 9));
+            EXPECT_EQ(only<SendWatch>(listed)->call.revision, 9U);
+        }
+    }
+
+    // Guards against a watch that waits on in an era that others have told of the end of.
+    TEST_F(StoreFeedTest, WatchIsReplacedWhenOthersTellOfAnotherEra)
+    {
+        const std::uint64_t number = startWatching();
+        const StoreFeedActions replaced = feed.update(revisionInEra(1, 4), true, std::nullopt, clock.now());
+        ASSERT_NE(only<SendWatch>(replaced), nullptr);
+        EXPECT_EQ(only<SendWatch>(replaced)->call.revision, 4U);
+        EXPECT_EQ(only<StoreUnreachable>(replaced), nullptr);
+        EXPECT_TRUE(feed.handleChanges(number, PlatformChanges { page(14).items, 14 }, clock.now()).empty());
+    }
+
+    // Guards against a loop of listings and refused watches while the store shows less than others have told.
+    TEST_F(StoreFeedTest, ListingThatShowsLessThanIsKnownIsFollowedByAPause)
+    {
+        const std::uint64_t number = startWatching();
+        feed.handleChanges(number, Error { ErrorCode::NotFound, "gone" }, clock.now());
+        const StoreFeedActions listed = feed.handlePage(page(7), clock.now());
+        EXPECT_EQ(only<SendWatch>(listed), nullptr);
+        EXPECT_GE(*feed.nextTick() - clock.now(), 500ms);
+    }
+
     // Guards against removals that stay in doubt because nothing else changes in the store.
     TEST_F(StoreFeedTest, RemovalsInDoubtAreConfirmedAfterTheReregistrationTime)
     {
--- a/Tests/StoreSync/StoreReplicaTest.cpp
+++ b/Tests/StoreSync/StoreReplicaTest.cpp
@@ -53,6 +53,102 @@
         EXPECT_EQ(replica.completeTo(), 22U);
     }
 
+    // The store was restored from a copy of before revision 9.
+    struct StoreReplicaEraTest : StoreReplicaTest {
+        StoreReplica other;
+
+        StoreReplicaEraTest()
+        {
+            for (StoreReplica* each : { &replica, &other })
+                each->merge(
+                    snapshot(inEra(1, 10), { item("a", "1", inEra(1, 4)), item("b", "1", inEra(1, 9)) }), clock.now());
+        }
+
+        static std::uint64_t inEra(std::uint64_t era, std::uint64_t revision) { return revisionInEra(era, revision); }
+
+        static StoreDelta restored()
+        {
+            return snapshot(inEra(2, 8), { item("a", "1", inEra(2, 4)), item("c", "1", inEra(2, 7)) });
+        }
+    };
+
+    TEST_F(StoreReplicaEraTest, RestoredStoreReplacesWhatItHasLost)
+    {
+        const auto changed = replica.merge(restored(), clock.now());
+        {
+            SCOPED_TRACE("what the store still holds is no update");
+            ASSERT_EQ(changed.size(), 2U);
+            EXPECT_EQ(changed[0].key, "c");
+            EXPECT_EQ(changed[1].key, "b");
+            EXPECT_TRUE(changed[1].isRemoved);
+        }
+        EXPECT_TRUE(replica.hasEnteredEra());
+        EXPECT_EQ(replica.completeTo(), inEra(2, 8));
+        {
+            SCOPED_TRACE("what is written again unchanged is no update either");
+            EXPECT_TRUE(
+                replica.merge(delta(inEra(2, 8), inEra(2, 9), { item("a", "1", inEra(2, 9)) }), clock.now()).empty());
+            EXPECT_EQ(replica.completeTo(), inEra(2, 9));
+        }
+    }
+
+    // Guards against what balancers of an earlier era still push or answer.
+    TEST_F(StoreReplicaEraTest, DeltasOfAnEarlierEraAreRefused)
+    {
+        replica.merge(restored(), clock.now());
+        EXPECT_TRUE(
+            replica.merge(delta(inEra(1, 10), inEra(1, 12), { item("a", "2", inEra(1, 12)) }), clock.now()).empty());
+        EXPECT_EQ(replica.refusal(), StoreReplica::Refusal::EarlierEra);
+        EXPECT_TRUE(replica.merge(snapshot(inEra(1, 99), { item("a", "2", inEra(1, 98)) }), clock.now()).empty());
+        EXPECT_EQ(replica.refusal(), StoreReplica::Refusal::EarlierEra);
+    }
+
+    TEST_F(StoreReplicaEraTest, BalancerWithTheSameContentNeedsOnlyWhatDiffers)
+    {
+        replica.merge(snapshot(inEra(2, 8), { item("a", "1", inEra(2, 4)), item("b", "2", inEra(2, 8)) }), clock.now());
+        const StoreDelta answer = replica.deltaSince(other.completeTo(), clock.now());
+        EXPECT_FALSE(answer.isSnapshot);
+        ASSERT_EQ(answer.items.size(), 1U);
+        EXPECT_EQ(other.merge(answer, clock.now()).size(), 1U);
+        EXPECT_EQ(other.completeTo(), replica.completeTo());
+        EXPECT_EQ(other.digest(), replica.digest());
+    }
+
+    // Guards against a balancer that keeps an update which only it had received before the restore.
+    TEST_F(StoreReplicaEraTest, BalancerWithOtherContentNeedsEverything)
+    {
+        other.merge(delta(inEra(1, 10), inEra(1, 11), { item("d", "lost", inEra(1, 11)) }), clock.now());
+        replica.merge(snapshot(inEra(2, 8), { item("a", "1", inEra(2, 4)), item("b", "2", inEra(2, 8)) }), clock.now());
+        EXPECT_TRUE(other.merge(replica.deltaSince(other.completeTo(), clock.now()), clock.now()).empty());
+        EXPECT_EQ(other.refusal(), StoreReplica::Refusal::OtherContent);
+        EXPECT_TRUE(other.needsSnapshot());
+        other.merge(replica.deltaSince(0, clock.now()), clock.now());
+        EXPECT_FALSE(other.needsSnapshot());
+        EXPECT_EQ(other.completeTo(), replica.completeTo());
+        EXPECT_EQ(other.digest(), replica.digest());
+    }
+
+    // Guards against a value that is patched although its base has the same number in another era.
+    TEST_F(StoreReplicaEraTest, PatchOfAnotherEraIsNotApplied)
+    {
+        StoreDelta patched = delta(inEra(2, 9), inEra(2, 12), {});
+        patched.patchedFrom = patched.from;
+        patched.patches.push_back({ "b", inEra(2, 9), inEra(2, 12), "bytes" });
+        EXPECT_TRUE(replica.merge(patched, clock.now()).empty());
+        EXPECT_TRUE(replica.lacksPatchBase());
+    }
+
+    // Guards against a balancer that lists early in an era and misses what another has carried over since.
+    TEST_F(StoreReplicaEraTest, CarriedOverValuesAreSentToThoseWhoEnteredTheEraEarlier)
+    {
+        StoreReplica early;
+        early.merge(snapshot(inEra(2, 3), { item("a", "0", inEra(2, 2)) }), clock.now());
+        replica.merge(restored(), clock.now());
+        early.merge(replica.deltaSince(early.completeTo(), clock.now()), clock.now());
+        EXPECT_EQ(early.completeTo(), replica.completeTo());
+        EXPECT_EQ(early.digest(), replica.digest());
+    }
+
     // Guards against fetching what has arrived already because datagrams overtook each other.
     TEST_F(StoreReplicaTest, DeltasInAnyOrderMakeItComplete)
     {
