--- a/Source/KeyValue/KeyValueClient.h
+++ b/Source/KeyValue/KeyValueClient.h
@@ -59,7 +59,7 @@
         }
         request.value().authority = authority_;
         auto onOutcome = [this, call = std::move(call), callback = std::move(callback)](const auto& outcome) {
-            noteEra(outcome);
+            this->noteEra(outcome);
             callback(Codec::decode(call, outcome));
         };
         http_.send(std::move(request).value(), deadline, std::move(onOutcome));
--- a/Source/Soak/SoakSteps.cpp
+++ b/Source/Soak/SoakSteps.cpp
@@ -19,6 +19,12 @@
     // A server's entry expires after three heartbeats.
     constexpr auto heartbeat = 700ms;
 
+    // Of a restore: how long the store is away, after which time what it lost is written again, and how many versions
+    // of the configuration it loses.
+    constexpr auto restoreOutage = 300ms;
+    constexpr auto rewriteDelay = 400ms;
+    constexpr int lostVersions = 6;
+
     constexpr const char* evacuationOrder = "{}";
 
 }
@@ -188,19 +194,16 @@
 // Versions written after the copy was made are lost, so that the store gives out their revisions again.
 void SoakRun::restoreStore(const SoakStep& step, TimePoint now)
 {
-    constexpr auto outage = 300ms;
-    constexpr auto rewriteDelay = 400ms;
-    constexpr int lostVersions = 6;
     const auto waiting = step.target % 2 == 0 ? SoakStore::WaitingWatches::Cut : SoakStore::WaitingWatches::Kept;
     for (int i = 1; i <= lostVersions; ++i)
         scheduleAfter(step.length * i / (lostVersions + 1), now, [this] { writeNextVersion(); });
-    scheduleAfter(step.length, now, [this] { setStoreFault(SoakStore::Fault::Busy, outage, Clock::now()); });
+    scheduleAfter(step.length, now, [this] { setStoreFault(SoakStore::Fault::Busy, restoreOutage, Clock::now()); });
     scheduleAfter(
-        step.length + outage, now, [this, waiting, copy = store_->copy()] { store_->restore(copy, waiting); });
-    scheduleAfter(step.length + outage + rewriteDelay, now, [this] { rewriteStore(); });
+        step.length + restoreOutage, now, [this, waiting, copy = store_->copy()] { store_->restore(copy, waiting); });
+    scheduleAfter(step.length + restoreOutage + rewriteDelay, now, [this] { rewriteStore(); });
     // Entries of servers that ended meanwhile expire.
-    scheduleAfter(step.length + outage + 3 * heartbeat, now, [this] { removeEndedServers(); });
-    checker_.disturbStore(now + step.length + outage + 3 * heartbeat);
+    scheduleAfter(step.length + restoreOutage + 3 * heartbeat, now, [this] { removeEndedServers(); });
+    checker_.disturbStore(now + step.length + restoreOutage + 3 * heartbeat);
 }
 
 // Operators and servers write what the store does not hold, as after each of their checks.
