Comments: Put back reasons and figures that maintainers need

The rewording had dropped them: what a slow link makes of large answers, plain text and restarted fetches, how routers notice a stop, how often callers pause and retransmit, and why groups of servers are judged together. Facts of the former comments only; no code changes.

--- a/Source/Forward/GroupLiveness.h
+++ b/Source/Forward/GroupLiveness.h
@@ -25,7 +25,8 @@
 
 // Detects that all servers of a service in one availability zone have failed together. A group is ejected when several
 // of its servers leave openings unanswered and none has answered since. It then gets one trial flow at a time until a
-// server answers. Judging each server alone would cost every balancer one lost opening per server. OpeningPolicy calls
+// server answers. Judging each server alone would cost every balancer one lost opening per server,
+// and callers that try again meet another balancer, which has lost none yet. OpeningPolicy calls
 // it for every new flow.
 class GroupLiveness {
 public:
--- a/Source/Forward/OpenFlowTable.h
+++ b/Source/Forward/OpenFlowTable.h
@@ -75,7 +75,7 @@
 public:
     // Bounds the memory. Flows beyond this number are routed but not tracked.
     static constexpr std::size_t maxFlows = 200000;
-    // An open flow without packets for this time no longer counts as load. Longer than callers usually pause.
+    // An open flow without packets for this time no longer counts as load. Callers usually pause for about a second.
     static constexpr std::chrono::milliseconds activeTimeout { 3000 };
     // A flow that does not open is dropped after this time, which is longer than callers repeat opening packets.
     static constexpr std::chrono::milliseconds openingLifetime { 2000 };
@@ -85,6 +85,7 @@
     static constexpr float failingThreshold = 0.3F;
     static constexpr float recoveryThreshold = 0.1F;
     // Old bytes that arrive within this time after new ones count as out of order, later ones as a retransmission.
+    // Callers retransmit after 200 ms.
     static constexpr std::chrono::milliseconds reorderingWindow { 100 };
 
     explicit OpenFlowTable(ServerDirectory& directory)
--- a/Source/Forwarder/ForwarderLifecycle.h
+++ b/Source/Forwarder/ForwarderLifecycle.h
@@ -13,6 +13,7 @@
     // The process exits this long before it would be killed.
     std::chrono::milliseconds margin { 500 };
     // After this time without a packet all routers have noticed that the forwarder is not ready, and a stop can end.
+    // Routers check twice a second and stop using a forwarder after two misses.
     std::chrono::milliseconds quietPeriod { 1500 };
 };
 
--- a/Source/Forwarder/ForwarderLog.h
+++ b/Source/Forwarder/ForwarderLog.h
@@ -29,7 +29,7 @@
 // logged as the addresses and ports of its two ends, "CALLER>ROUTE", so that it can be found in packet captures.
 class ForwarderLog {
 public:
-    // An answer that takes longer is logged.
+    // An answer that takes longer is logged. Callers want most answers within 250 to 500 ms.
     static constexpr std::chrono::milliseconds slowAnswerThreshold { 250 };
     // More transitions of one kind are logged in one line, since a listing of hundreds of servers would displace
     // others.
--- a/Source/Forwarder/ForwarderMetrics.cpp
+++ b/Source/Forwarder/ForwarderMetrics.cpp
@@ -16,7 +16,8 @@
 
 namespace {
 
-    // Upper bounds in seconds.
+    // Upper bounds in seconds. An answer within the zone opens a flow within milliseconds, and callers send a copy of
+    // an opening packet after 0.2 s.
     constexpr std::array openingBuckets { 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0 };
     constexpr std::array answerBuckets { 0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0 };
     constexpr std::array storeBuckets { 0.005, 0.01, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0 };
--- a/Source/Peers/ConfigurationWatchers.cpp
+++ b/Source/Peers/ConfigurationWatchers.cpp
@@ -21,7 +21,7 @@
     }
 
     // Members of lower rank watch first. Fast links rank lowest: every change of the configuration transfers all of it,
-    // which blocks readiness checks and heartbeats on a slow link.
+    // which blocks readiness checks and heartbeats on a slow link: for 2 s with 10,000 routes at 10 Mbit/s.
     std::tuple<int, std::uint64_t, BalancerId> rankOf(const Member& member)
     {
         return { -bandwidthClassOf(member.linkMegabits), hashPair(choiceSeed, member.id.value), member.id };
--- a/Source/StoreSync/ReplicaSync.h
+++ b/Source/StoreSync/ReplicaSync.h
@@ -31,7 +31,8 @@
     // How long a balancer with an empty replica waits for its listing of the store before it fetches from a peer.
     std::chrono::milliseconds listingTimeout { 1500 };
     // Replaces listingTimeout while a peer that is ahead has a link faster by at least fasterPeerClasses bandwidth
-    // classes (see Member.h).
+    // classes (see Member.h). Three classes are a factor of 4 at least. On a link of 10 Mbit/s the store's answer with
+    // 10,000 routes takes 2.3 s, and a peer's compressed one 0.2 s.
     std::chrono::milliseconds fasterPeerListingTimeout { 300 };
     int fasterPeerClasses = 3;
     // When all balancers start together, those of a zone with the fastest links, as many as have this rate together
@@ -55,7 +56,8 @@
     // Balancers with a slower link (Mbit/s) fetch their own zone first.
     std::uint32_t fastLinkMegabits = minFastLinkMegabits;
     // How long a fetch may go without receiving any bytes before another balancer is asked. Counted from the last
-    // bytes, since large answers over slow links take long and starting over delays them further.
+    // bytes, since large answers over slow links take long and starting over delays them further: counted from the
+    // request, the last of 71 balancers on links of 10 Mbit/s learned of a leaving server after 5.2 s instead of 1 s.
     std::chrono::milliseconds answerTimeout { 800 };
     // Replaces answerTimeout until the first bytes while a balancer that has just started can't serve. The one that it
     // asks may have ended unnoticed.
@@ -64,7 +66,7 @@
     // larger than this is fetched by the receiver.
     std::size_t maxPushBytes = 1100;
     // Most datagrams that a balancer sends for one delta. Above it only its revision is announced, and receivers fetch
-    // the delta.
+    // the delta. This many keep a link of 10 Mbit/s busy for 0.35 s.
     std::size_t maxPushes = 400;
     // Up to this many datagrams are sent to their receivers directly. More would take too much of one balancer's link,
     // so they are relayed: each balancer sends them to relayFanout others, which pass them on.
