Tests: Let each entry of the datagram test change in both rounds

servers/0 was written twice with the same value. An entry that is written again unchanged is no update any more, so the second round arrived as 299 updates of 300, deterministically. The values now differ between the rounds and the count that is asked for stays.

--- a/Tests/Forwarder/PeerSyncTest.cpp
+++ b/Tests/Forwarder/PeerSyncTest.cpp
@@ -175,8 +175,8 @@
             client.received.clear();
             StoreDelta delta { revision, revision + count, false, false, {} };
             for (std::size_t i = 0; i < count; ++i)
-                delta.items.push_back(
-                    { std::string("servers/") + std::to_string(i), std::string(150, 's'), ++revision });
+                delta.items.push_back({ std::string("servers/") + std::to_string(i),
+                    std::string(150, 's') + std::to_string(count), ++revision });
             server.peerSync->handleStoreDelta({ delta }, Clock::now());
             waitUntil([&] { return client.peerSync->replicaSync().replica().completeTo() == revision; }, pollBoth);
             EXPECT_EQ(client.received.size(), count);
