StoreReplica, docs: Say correctly what a carried over value may have seen

The comment held that such a value is not written again after the replica entered the era. It may be, unchanged, and need not be sent then.

--- a/Source/StoreSync/StoreReplica.cpp
+++ b/Source/StoreSync/StoreReplica.cpp
@@ -322,7 +322,8 @@
     return delta;
 }
 
-// A value that was carried over may have been written again since, but not after the replica entered the era.
+// A value that was carried over may have changed in the restored store until the replica entered the era. Later writes
+// of the same value need not be sent: who is complete up to the entry holds it.
 std::uint64_t StoreReplica::deltaRevisionOf(const Row& row) const
 {
     return isOfThisEra(row) ? row.item.revision : eraEntry_;
