--- a/review/standins.py
+++ b/review/standins.py
@@ -419,9 +419,9 @@
         world.loop.add(self.socket, self.receive)
 
     def entry(self):
-        return {"service": self.service, "address": f"{self.address[0]}:{self.address[1]}", "zone": self.zone,
-                "version": "v1", "maxConcurrency": 2, "state": self.state, "warmupLeftMs": 0, "sequence": 4,
-                "born": self.born}
+        entry = {"service": self.service, "address": f"{self.address[0]}:{self.address[1]}", "zone": self.zone,
+                 "version": "v1", "maxConcurrency": 2, "state": self.state, "warmupLeftMs": 0, "sequence": 4}
+        return dict(entry, born=self.born) if self.world.says_born else entry
 
     def register(self):
         return self.world.store.put(f"servers/{self.id}", self.entry())
@@ -433,6 +433,10 @@
 
     def end(self):
         self.world.store.delete(f"servers/{self.id}")
+        self.crash()
+
+    def crash(self):
+        """Ends in silence. Its entry stays until it expires."""
         self.is_alive = False
         self.world.loop.remove(self.socket)
         self.socket.close()
@@ -906,10 +910,12 @@
     idle_ms = 12_000
     stream_route = ("198.18.0.1", 8443)
     confirm_route = ("198.18.0.1", 8080)
+    scan_route = ("198.18.0.1", 8081)
 
-    def __init__(self, case_folder, zones, lags=(0.0,)):
+    def __init__(self, case_folder, zones, lags=(0.0,), says_born=True):
         random.seed(int(os.environ.get("SEED", "1")))
         self.zones = zones
+        self.says_born = says_born
         self.record = Record(os.path.join(case_folder, "record.txt"))
         self.loop = Loop()
         self.network, self.reservation = reserve_network()
@@ -951,7 +957,8 @@
                     "timeoutMs": 4000, "targetLatencyMs": 500, "priority": 2, "service": service, "maxAttempts": 2}
 
         routes = [route("r-stream", self.stream_route, "idempotent", "tryon"),
-                  route("r-confirm", self.confirm_route, "non_idempotent", "tryon")]
+                  route("r-confirm", self.confirm_route, "non_idempotent", "tryon"),
+                  route("r-scan", self.scan_route, "non_idempotent", "scanintake")]
         routes += [route(f"r-idle-{i}", ("198.18.0.2", 9000 + i), "idempotent", "scanintake")
                    for i in range(idle_routes)]
         services = [{"name": name, "healthPath": "/health", "maxConnections": 2000, "protocol": "h1", "tls": False}
