--- a/review/1/run.py
+++ b/review/1/run.py
@@ -11,6 +11,10 @@
 import standins  # noqa: E402
 
 HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+# ENTRY=own: the other writer overwrites the live host's own entry, which the host writes again with its next check-in.
+# ENTRY=bare: the same, with an entry that lacks `born` and names the installation's other service; checks ROUTE.
+ENTRY = os.environ.get("ENTRY", "new")
+CHECK_IN_S = 0.77
 
 
 def build(make):
@@ -28,8 +32,10 @@
     for zone in world.zones:
         world.keep_opening(zone, world.stream_route, "idempotent", 10, lambda: begin + 2, pause_s=0.6, requests=10_000)
         world.keep_opening(zone, world.confirm_route, "non_idempotent", 5, lambda: begin + 15)
+        if ENTRY == "bare":
+            world.keep_opening(zone, world.scan_route, "non_idempotent", 15, lambda: begin + 20)
     # All machines have run for longer than stableMs before the disruption.
-    world.loop.run_for(8)
+    world.loop.run_for(13 if ENTRY == "bare" else 8)
     world.require_service(begin)
 
     def open_flows(host):
@@ -41,8 +47,14 @@
     world.record.write("host", victim.id, "has", open_flows(victim), "open flows and lives on")
     if HAS_TROUBLE:
         key = f"servers/i-{random.getrandbits(60) | 1:x}"
+        if ENTRY != "new":
+            key = f"servers/{victim.id}"
+            world.loop.later(CHECK_IN_S, victim.register)
         # Valid in all fields but the service, which no configuration and no page names.
         entry = dict(victim.entry(), service="another-writers-service", born=int(time.time() * 1000), sequence=1)
+        if ENTRY == "bare":
+            entry["service"] = "scanintake"
+            del entry["born"]
         world.store.put(key, entry)
         world.record.write("another writer writes", key, entry)
     world.loop.run_for(7)
@@ -59,7 +71,9 @@
           f"{len(later)} flows opened at that host later; {world.corrupted} packets or answers changed")
     for at, flow, host in broken:
         world.record.write("FLOW broken:", world.name_of(flow.key), "was open at", host.id, at=at)
-    return standins.BROKEN if broken else standins.HELD
+    if ENTRY == "bare":
+        print(f"{len(world.foreign_runs)} requests were run by a service that their route never led to")
+    return standins.BROKEN if broken or world.foreign_runs else standins.HELD
 
 
 standins.run_case(CASE, build)
--- a/review/standins.py
+++ b/review/standins.py
@@ -702,9 +702,10 @@
 
 
 class Request:
-    def __init__(self, name, kind, sent, via):
+    def __init__(self, name, kind, route, sent, via):
         self.name = name
         self.kind = kind
+        self.route = route
         self.sent = sent
         self.via = via
         self.runs = []
@@ -812,7 +813,7 @@
         if body:
             head += f"Content-Length: {len(body)}\r\n"
         via = self.world.router_of(self.requesters.zone, self.key)
-        self.request = Request(name, self.kind, time.monotonic(), via.name)
+        self.request = Request(name, self.kind, self.route, time.monotonic(), via.name)
         self.world.requests[name] = self.request
         self.world.record.write("request", name, "sent on", self.world.name_of(self.key), "via", via.name)
         self.stream.write((head + "\r\n").encode() + body)
@@ -929,6 +930,7 @@
         self.requests = {}
         self.all_flows = []
         self.openings = []  # (time, host, flow, forwarder)
+        self.foreign_runs = []  # (time, request, host): requests run by a service that their route never led to
         self.system_resets = []  # of open flows: (time, flow, host or None)
         self.corrupted = 0
         with open(os.path.join(ROOT, "deploy/system.toml"), "rb") as file:
@@ -1002,8 +1004,11 @@
         self.record.write("request", name, "runs at", host.id, host.service)
         if request is None:
             self.corrupted += 1
-        else:
-            request.runs.append(host)
+            return
+        request.runs.append(host)
+        if host.service != ("scanintake" if request.route == self.scan_route else "tryon"):
+            self.foreign_runs.append((time.monotonic(), request, host))
+            self.record.write("ROUTE broken: request", name, "of route", request.route, "runs at", host.service)
 
     def note_reset(self, flow, is_own_reset):
         host = next((h for h in self.hosts if h.is_alive and flow.key in h.flows and h.flows[flow.key].is_open), None)
