--- a/review/3/run.py
+++ b/review/3/run.py
@@ -1,4 +1,4 @@
-"""Case 2: pages of a listing that may be old come from copies of different ages, and a restarted forwarder goes on
+"""Case 3: pages of a listing that may be old come from copies of different ages, and a restarted forwarder goes on
 sending to hosts that drain (DRAIN)."""
 
 import os
