--- a/review/standins.py
+++ b/review/standins.py
@@ -24,6 +24,7 @@
 import threading
 import time
 import tomllib
+import traceback
 import urllib.parse
 import zlib
 
@@ -1067,8 +1068,10 @@
     result = NOT_RUN
     try:
         result = build(make)
-    except (CouldNotRun, OSError) as problem:
+    except Exception as problem:  # A mistake of the script must not look like a broken rule.
         print("could not run:", problem)
+        if not isinstance(problem, (CouldNotRun, OSError)):
+            traceback.print_exc()
         for world in worlds:
             world.record.write("could not run:", problem)
     finally:
