Configuration: Read the priority of routes and the names of services

The forwarder decoded neither, so it could not tell urgent requests from others, nor an entry of a service that nobody configured.

--- a/Source/Forward/ForwardingConfiguration.h
+++ b/Source/Forward/ForwardingConfiguration.h
@@ -29,6 +29,8 @@
     std::vector<RouteShare> shares;
     // The answer time that callers expect; zero if operators configured none.
     std::chrono::milliseconds targetLatency { 0 };
+    // The urgency of the route's requests; 0 is the most urgent.
+    std::uint32_t priority = 0;
 
     bool operator==(const FlowRoute&) const = default;
 };
@@ -41,6 +43,8 @@
     std::chrono::milliseconds idleTimeout { 0 };
     // Services that are missing here have no limit.
     ColdStartLimits coldStartLimits {};
+    // The services that operators list. Routes may name others.
+    absl::flat_hash_set<std::string> services {};
 };
 
 // The difference between the configuration in use and a newer version, or a complete newer version.
@@ -49,6 +53,7 @@
     std::chrono::milliseconds idleTimeout { 0 };
     // Complete, also in a difference.
     ColdStartLimits coldStartLimits {};
+    absl::flat_hash_set<std::string> services {};
     // routes holds all routes of the version. Otherwise it holds only the new and changed ones.
     bool isWhole = false;
     std::vector<FlowRoute> routes;
--- a/Tests/PlatformAdapter/ConfigurationTextTest.cpp
+++ b/Tests/PlatformAdapter/ConfigurationTextTest.cpp
@@ -253,6 +253,36 @@
         }
     }
 
+    // Guards against routes of which nobody knows how urgent they are, and against losing the names of services.
+    TEST(ConfigurationTextTest, PrioritiesAndServicesOfNewestVersion)
+    {
+        const auto textOf = [](int version, const std::string& priority, const std::string& services) {
+            return R"({"version":)" + std::to_string(version)
+                + R"(,"routes":[{"name":"r-1","hostname":"198.18.0.1","prefix":"/443/","service":"streams")" + priority
+                + R"(}],"services":)" + services + "}";
+        };
+        ConfigurationReader reader;
+        auto read = reader.read(textOf(1, R"(,"priority":2)", R"([{"name":"streams"},{"name":"scans"},7])"));
+        ASSERT_TRUE(read);
+        EXPECT_EQ(read.value().routes.front().priority, 2U);
+        EXPECT_TRUE(read.value().services.contains("streams") && read.value().services.contains("scans"));
+        {
+            SCOPED_TRACE("a difference holds all services, also those of unchanged routes");
+            read = reader.read(textOf(2, R"(,"priority":2)", R"([{"name":"scans"}])"));
+            ASSERT_TRUE(read);
+            EXPECT_TRUE(read.value().routes.empty());
+            EXPECT_EQ(read.value().services.size(), 1U);
+        }
+        {
+            SCOPED_TRACE("a missing priority is the most urgent one, and a malformed one as well");
+            for (const char* priority : { "", R"(,"priority":"2")", R"(,"priority":-1)" }) {
+                read = reader.read(textOf(3, priority, "[]"));
+                ASSERT_TRUE(read);
+                EXPECT_EQ(read.value().routes.front().priority, 0U) << priority;
+            }
+        }
+    }
+
     // Guards against taking a list named "routes" in a nested object for the routes of the configuration.
     TEST(ConfigurationTextTest, NestedListNamedRoutes)
     {
