--- a/Source/Forward/TokenRouter.h
+++ b/Source/Forward/TokenRouter.h
@@ -7,6 +7,7 @@
 #include "Forward/OpeningAdmission.h"
 #include "Forward/OpeningPolicy.h"
 #include "Forward/ServerDirectory.h"
+#include "Forward/ServiceLoad.h"
 #include "Forward/TokenPacket.h"
 
 #include <cstdint>
@@ -117,6 +118,8 @@
     {
         policy_.setBalancers(self, std::move(ids), isSettled, now);
     }
+    // Sets what is known of the load of a service. Must be called a few times per second while anything is known.
+    void setServiceLoad(const std::string& service, ServiceLoad load) { serviceLoads_[service] = std::move(load); }
     // Handles timeouts. Must be called a few times per second.
     ServerDirectory::Transitions tick(TimePoint now);
 
@@ -160,6 +163,7 @@
     std::vector<FailingChange> failingChanges_;
     std::vector<ZoneEvacuationChange> evacuationChanges_;
     RouteTable routes_;
+    absl::flat_hash_map<std::string, ServiceLoad> serviceLoads_;
     std::uint64_t version_ = 0;
     bool havePacketsWaited_ = false;
 };
