StoreSync: Take the lowest revision of a listing's pages

The first listing of a process may be answered by copies of the store of different ages, but handlePage() gave the whole listing the revision of its first page. What an older page lacked was never learned, since every watch, push and fetch starts at that revision.

A listing is now complete up to the lowest revision of its pages; items of newer pages are merged by key. Listings that are not stale keep the revision of their first page, which is the lowest.

FleetSimulation has pages of 500 entries, served from given copies of the store in turn.

--- a/Source/StoreSync/StoreFeed.h
+++ b/Source/StoreSync/StoreFeed.h
@@ -123,7 +123,7 @@
     Duration took {};
     // False if the rest is left to peers.
     bool isComplete = true;
-    // The revision and the era of the store at the first page, and the revision that this balancer has.
+    // The lowest revision of the pages, the era of the store, and the revision that this balancer has.
     std::uint64_t revision = 0;
     std::uint64_t era = 0;
     std::uint64_t heldRevision = 0;
@@ -269,7 +269,7 @@
     TimePoint freshFrom_ = TimePoint::min();
     // When to ask the store whether entries whose removal is in doubt are registered again; none when there are none.
     std::optional<TimePoint> confirmAt_;
-    // Entries and revision of the listing in progress.
+    // Entries of the listing in progress, and the revision up to which its pages are complete.
     std::vector<StoreUpdate> listed_;
     std::optional<std::uint64_t> listRevision_;
     // Only the first listing may be stale: it can't replace anything newer.
--- a/Source/StoreSync/StoreFeedListing.cpp
+++ b/Source/StoreSync/StoreFeedListing.cpp
@@ -101,10 +101,11 @@
         restartListing(now, actions);
         return actions;
     }
-    // The pages are read one after the other. Changes made meanwhile have a higher revision than the first page, and
-    // the watch that starts there returns them.
-    if (!listRevision_)
-        listRevision_ = revisionInEra(page.value().era, page.value().revision);
+    // The pages are read one after the other. Pages that may be stale come from copies of different ages, so together
+    // they are complete only up to the lowest revision. Later pages of any other listing are never older than the first
+    // one. Changes after that revision are returned by the watch that starts there, or come from other balancers.
+    const std::uint64_t revision = revisionInEra(page.value().era, page.value().revision);
+    listRevision_ = std::min(listRevision_.value_or(revision), revision);
     ++pagesReceived_;
     for (const PlatformItem& item : page.value().items)
         listed_.push_back(updateOf(item, page.value().era));
--- a/Tests/StoreSync/FleetSimulation.cpp
+++ b/Tests/StoreSync/FleetSimulation.cpp
@@ -163,8 +163,7 @@
         if (const auto* received = std::get_if<DeltaReceived>(&action)) {
             perform(index, balancers_[index].sync->handleStoreDelta(received->delta, now(), received->isForOthers));
         } else if (const auto* list = std::get_if<SendList>(&action)) {
-            const bool mayBeStale = list->call.mayBeStale;
-            schedule(storeLatency, ifAlive([this, index, mayBeStale] { answerList(index, mayBeStale); }));
+            schedule(storeLatency, ifAlive([this, index, call = list->call] { answerList(index, call); }));
         } else if (const auto* watch = std::get_if<SendWatch>(&action)) {
             schedule(storeLatency, ifAlive([this, index, watch = *watch, until = now() + watch->call.wait] {
                 answerWatch(index, watch, until);
@@ -173,25 +172,36 @@
     }
 }
 
-void FleetSimulation::serveStaleListings(bool isStale) { stalePage_ = isStale ? std::optional(page()) : std::nullopt; }
+void FleetSimulation::serveStaleListings(bool isStale)
+{
+    serveListingsFrom(isStale ? std::vector { copyStore() } : std::vector<StoreCopy>());
+}
 
-PlatformPage FleetSimulation::page() const
+PlatformPage FleetSimulation::pageOf(const ListCall& call) const
 {
+    const auto position = static_cast<std::size_t>(std::distance(items_.begin(), items_.upper_bound(call.after)));
+    const bool isStale = call.mayBeStale && !listedCopies_.empty();
+    const StoreCopy* copy = isStale ? &listedCopies_[position / pageItems % listedCopies_.size()] : nullptr;
+    const auto& items = copy ? copy->items : items_;
     PlatformPage page;
-    page.revision = revision_;
-    page.era = era_;
-    for (const auto& [key, item] : items_)
-        page.items.push_back(item);
+    page.revision = copy ? copy->revision : revision_;
+    page.era = copy ? copy->era : era_;
+    for (auto item = items.upper_bound(call.after); item != items.end(); ++item) {
+        page.hasMore = page.items.size() == pageItems;
+        if (page.hasMore)
+            break;
+        page.items.push_back(item->second);
+    }
     return page;
 }
 
-void FleetSimulation::answerList(std::size_t index, bool mayBeStale)
+void FleetSimulation::answerList(std::size_t index, const ListCall& call)
 {
     Balancer& balancer = balancers_[index];
     ++storeCalls_;
     if (isStoreDown || balancer.isRejectedByStore)
         return perform(index, balancer.feed->handlePage(Error { ErrorCode::Unavailable, "status 503" }, now()));
-    perform(index, balancer.feed->handlePage(mayBeStale && stalePage_ ? *stalePage_ : page(), now()));
+    perform(index, balancer.feed->handlePage(pageOf(call), now()));
 }
 
 void FleetSimulation::answerWatch(std::size_t index, const SendWatch& watch, TimePoint until)
--- a/Tests/StoreSync/FleetSimulation.h
+++ b/Tests/StoreSync/FleetSimulation.h
@@ -21,6 +21,8 @@
 public:
     static constexpr std::size_t zones = 2;
     static constexpr std::size_t balancersPerZone = 3;
+    // Most entries in a page of a listing, as on the platform.
+    static constexpr std::size_t pageItems = 500;
     // The first ones of each zone watch the store.
     static constexpr std::size_t watchersPerZone = 2;
 
@@ -52,13 +54,17 @@
     struct StoreCopy {
         std::map<std::string, PlatformItem> items;
         std::uint64_t revision = 0;
+        std::uint64_t era = 0;
     };
-    StoreCopy copyStore() const { return { items_, revision_ }; }
+    StoreCopy copyStore() const { return { items_, revision_, era_ }; }
     void restoreStore(const StoreCopy&);
     // Number of calls that the store has answered or refused.
     std::uint64_t storeCalls() const { return storeCalls_; }
     // Freezes the content of listings that may be stale at the present state of the store, or ends that.
     void serveStaleListings(bool isStale);
+    // Serves the pages of listings that may be stale from these copies of the store in turn, the first page from the
+    // first copy; from the store itself if there are none.
+    void serveListingsFrom(std::vector<StoreCopy> copies) { listedCopies_ = std::move(copies); }
 
     // Starts a balancer, or restarts it with an empty replica.
     void start(std::size_t index);
@@ -88,8 +94,8 @@
     void perform(std::size_t, const StoreFeedActions&);
     void perform(std::size_t, const ReplicaSyncActions&);
     void apply(Balancer&, const ReplicaChanged&);
-    PlatformPage page() const;
-    void answerList(std::size_t, bool mayBeStale);
+    PlatformPage pageOf(const ListCall&) const;
+    void answerList(std::size_t, const ListCall&);
     void answerWatch(std::size_t, const SendWatch&, TimePoint until);
     void tickBalancers();
     bool isLost() { return std::uniform_real_distribution<>()(random_) < lossRate; }
@@ -106,8 +112,7 @@
     std::uint64_t era_ = 0;
     std::uint64_t storeCalls_ = 0;
     std::uint64_t serverWrites_ = 0;
-    // The answer to listings that may be stale; none when they show the current content.
-    std::optional<PlatformPage> stalePage_;
+    std::vector<StoreCopy> listedCopies_;
     std::uint64_t compactedRevision_ = 0;
     std::uint64_t regressions_ = 0;
     std::uint64_t appliedUpdates_ = 0;
--- a/Tests/StoreSync/StoreFeedTest.cpp
+++ b/Tests/StoreSync/StoreFeedTest.cpp
@@ -71,6 +71,50 @@
         }
     }
 
+    // Guards against pages from copies of different ages that count as complete up to a newer one of them.
+    TEST_F(StoreFeedTest, StaleListingIsCompleteUpToItsOldestPage)
+    {
+        const std::vector<std::vector<std::uint64_t>> listings { { 12, 10 }, { 10, 12 }, { 12, 10, 14 },
+            { 14, 12, 10 } };
+        for (const auto& revisions : listings) {
+            SCOPED_TRACE(testing::PrintToString(revisions));
+            StoreFeed listing { 1 };
+            listing.start(clock.now());
+            listing.update(0, true, std::nullopt, clock.now());
+            StoreFeedActions actions;
+            for (std::size_t i = 0; i < revisions.size(); ++i)
+                actions = listing.handlePage(page(revisions[i], i + 1 < revisions.size()), clock.now());
+            ASSERT_NE(only<DeltaReceived>(actions), nullptr);
+            EXPECT_EQ(only<DeltaReceived>(actions)->delta.to, 10U);
+            EXPECT_EQ(only<DeltaReceived>(actions)->delta.items.size(), revisions.size());
+            EXPECT_EQ(only<ListingEnded>(actions)->revision, 10U);
+            EXPECT_EQ(only<SendWatch>(actions)->call.revision, 10U);
+        }
+    }
+
+    // Guards against a listing that keeps the revision of a page from an earlier attempt.
+    TEST_F(StoreFeedTest, RepeatedListingForgetsThePagesOfTheFailedOne)
+    {
+        feed.start(clock.now());
+        feed.handlePage(page(5, true), clock.now());
+        feed.handlePage(Error { ErrorCode::Unavailable, "status 503" }, clock.now());
+        EXPECT_EQ(only<SendList>(advanceTo(feed.nextTick()))->call.after, "");
+        const StoreFeedActions listed = feed.handlePage(page(9), clock.now());
+        EXPECT_EQ(only<DeltaReceived>(listed)->delta.to, 9U);
+        EXPECT_EQ(only<DeltaReceived>(listed)->delta.items.size(), 1U);
+    }
+
+    // Guards against a check of a stale listing that begins at its newest page, so that it returns nothing.
+    TEST_F(StoreFeedTest, CheckOfAStaleListingBeginsAtItsOldestPage)
+    {
+        feed.start(clock.now());
+        feed.handlePage(page(14, true), clock.now());
+        feed.handlePage(page(10), clock.now());
+        const StoreFeedActions check = feed.noteContradiction(clock.now());
+        ASSERT_NE(only<SendWatch>(check), nullptr);
+        EXPECT_EQ(only<SendWatch>(check)->call.revision, 10U);
+    }
+
     TEST_F(StoreFeedTest, BalancerThatIsNoWatcherMakesNoFurtherCalls)
     {
         feed.start(clock.now());
@@ -154,6 +198,20 @@
         EXPECT_EQ(only<DeltaReceived>(listed)->delta.to, revisionInEra(1, 12));
     }
 
+    // Guards against a page from a copy of before the restore that counts as one of the restored store.
+    TEST_F(StoreFeedTest, PageOfAnEarlierEraStartsTheListingAnew)
+    {
+        feed.start(clock.now());
+        PlatformPage first = page(7, true);
+        first.era = 1;
+        feed.handlePage(first, clock.now());
+        const StoreFeedActions restarted = feed.handlePage(page(20), clock.now());
+        EXPECT_EQ(only<DeltaReceived>(restarted), nullptr);
+        ASSERT_NE(only<SendList>(restarted), nullptr);
+        EXPECT_EQ(only<SendList>(restarted)->call.after, "");
+        EXPECT_FALSE(only<SendList>(restarted)->call.mayBeStale);
+    }
+
     // Guards against changes that are missed because the store has passed the revision of before when it is asked
     // again.
     TEST_F(StoreFeedTest, WatchAnsweredInAnotherEraLeadsToAListing)
--- a/Tests/StoreSync/StoreReplicaTest.cpp
+++ b/Tests/StoreSync/StoreReplicaTest.cpp
@@ -184,6 +184,39 @@
         EXPECT_EQ(changed.front(), removal("b", 20));
     }
 
+    // Guards against a listing with an old page that removes a key which the page could not show yet.
+    TEST_F(StoreReplicaTest, ListingWithAnOldPageKeepsLaterKeys)
+    {
+        replica.merge(delta(95, 96, { item("z", "1", 96) }), clock.now());
+        replica.merge(snapshot(90, { item("a", "1", 98), item("b", "1", 50) }), clock.now());
+        EXPECT_EQ(replica.completeTo(), 90U);
+        EXPECT_EQ(replica.deltaSince(0, clock.now()).items.size(), 3U);
+        {
+            SCOPED_TRACE("what it lacks is merged without replacing the newer page");
+            replica.merge(delta(90, 98, { item("a", "0", 92), removal("b", 94), item("z", "1", 96) }), clock.now());
+            const StoreDelta held = replica.deltaSince(0, clock.now());
+            EXPECT_EQ(replica.completeTo(), 98U);
+            EXPECT_EQ(held.items.size(), 2U);
+            const auto a = std::ranges::find(held.items, "a", &StoreUpdate::key);
+            ASSERT_NE(a, held.items.end());
+            EXPECT_EQ(a->value, "1");
+        }
+    }
+
+    // Guards against an excerpt that makes its receiver complete, although it lacks the rest.
+    TEST_F(StoreReplicaTest, ExcerptMakesNothingComplete)
+    {
+        StoreReplica source;
+        source.merge(snapshot(10, { item("a", "1", 4), item("b", "1", 9) }), clock.now());
+        const StoreDelta part = source.excerpt([](const StoreUpdate& each) { return each.key == "a"; }, clock.now());
+        EXPECT_EQ(replica.merge(part, clock.now()).size(), 1U);
+        EXPECT_EQ(replica.completeTo(), 0U);
+        replica.merge(snapshot(8, { item("a", "1", 4) }), clock.now());
+        EXPECT_EQ(replica.completeTo(), 8U);
+        replica.merge(delta(8, 10, { item("b", "1", 9) }), clock.now());
+        EXPECT_EQ(replica.completeTo(), 10U);
+    }
+
     TEST_F(StoreReplicaTest, RequestOlderThanTheKeptRemovalsGetsASnapshot)
     {
         replica.merge(snapshot(10, { item("a", "1", 4), item("b", "1", 9) }), clock.now());
