Forward: Measure the load by service, priority and zone of servers

Cause: a balancer knew the requests in progress of single servers only, at the moment of asking. Reports of load need averages over an interval, by service, priority of the route and zone of the servers.

Change: RequestLoadMeter is told each change of a flow's request by OpenFlowTable and averages over time from these changes, so neither flows nor servers are visited. A flow keeps the priority of its route from when it was first seen. Off by default; nothing is measured then.

--- a/Source/Forward/OpenFlowTable.cpp
+++ b/Source/Forward/OpenFlowTable.cpp
@@ -1,6 +1,7 @@
 #include "Forward/OpenFlowTable.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace wisteriadock {
 
@@ -37,14 +38,17 @@
         return;
     const auto [entry, isNew] = flows_.try_emplace(ends);
     FlowRecord& flow = entry->second;
-    if (isNew)
+    if (isNew) {
         flow.openedAt = now;
-    else if (flow.token != server.token)
+        notePriority(flow, ends);
+    } else if (flow.token != server.token) {
         flow.previousTokens = { flow.token, flow.previousTokens[0] };
+    }
     if (flow.token != server.token) {
-        adjustCounters(flow.token, -1, flow.isBusy ? -1 : 0);
+        setBusy(flow, false, now);
+        adjustCounters(flow.token, -1, 0);
         adjustCounters(server.token, 1, 0);
-        flow.isBusy = false;
+        setLoadCell(flow, server, now);
     }
     flow.token = server.token;
     flow.isOpen = false;
@@ -56,7 +60,7 @@
 FlowProgress OpenFlowTable::noteTraffic(const TokenPacket& packet, KnownServer& server, TimePoint now)
 {
     FlowProgress progress;
-    FlowRecord* flow = findOrAddOpen(packet, server);
+    FlowRecord* flow = findOrAddOpen(packet, server, now);
     if (!flow)
         return progress;
     flow->lastSeen = now;
@@ -70,7 +74,7 @@
         // The caller ended the flow without waiting for the answer.
         if (flow->isBusy)
             noteOutcome(*flow, false, now);
-        uncount(*flow);
+        uncount(*flow, now);
         flows_.erase(packet.ends);
     }
     return progress;
@@ -78,7 +82,7 @@
 
 // Returns the flow's record, assigned to the packet's server even if another one got the latest opening packet. Returns
 // null for a flow that is not tracked.
-FlowRecord* OpenFlowTable::findOrAddOpen(const TokenPacket& packet, const KnownServer& server)
+FlowRecord* OpenFlowTable::findOrAddOpen(const TokenPacket& packet, const KnownServer& server, TimePoint now)
 {
     FlowRecord* flow = find(packet.ends);
     if (!flow) {
@@ -90,10 +94,13 @@
         flow->acknowledged = packet.acknowledgement;
         flow->sequenceEnd = packet.sequence;
         adjustCounters(server.token, 1, 0);
+        notePriority(*flow, packet.ends);
+        setLoadCell(*flow, server, now);
     }
     if (flow->token != server.token) {
         adjustCounters(flow->token, -1, flow->isBusy ? -1 : 0);
         adjustCounters(server.token, 1, flow->isBusy ? 1 : 0);
+        setLoadCell(*flow, server, now);
         flow->token = server.token;
     }
     return flow;
@@ -139,9 +146,16 @@
     }
 }
 
-void OpenFlowTable::forgetFlowsOf(std::uint32_t token)
+void OpenFlowTable::forgetFlowsOf(std::uint32_t token, TimePoint now)
 {
-    absl::erase_if(flows_, [&](const auto& row) { return row.second.token == token; });
+    absl::erase_if(flows_, [&](const auto& row) {
+        const FlowRecord& flow = row.second;
+        if (flow.token != token)
+            return false;
+        if (flow.isBusy && flow.loadCell != RequestLoadMeter::noCell)
+            loadMeter_.end(flow.loadCell, now);
+        return true;
+    });
 }
 
 std::vector<FailingChange> OpenFlowTable::tick(TimePoint now)
@@ -153,7 +167,7 @@
         const auto lifetime = flow.isOpen ? activeTimeout : openingLifetime;
         if (now - flow.lastSeen < lifetime)
             return false;
-        uncount(flow);
+        uncount(flow, now);
         return true;
     });
     return updateFailingServers(now);
@@ -192,8 +206,11 @@
         flow.busySince = now;
         flow.isOverdue = false;
     }
-    if (isBusy != flow.isBusy)
+    if (isBusy != flow.isBusy) {
         adjustCounters(flow.token, 0, isBusy ? 1 : -1);
+        if (flow.loadCell != RequestLoadMeter::noCell)
+            isBusy ? loadMeter_.begin(flow.loadCell, now) : loadMeter_.end(flow.loadCell, now);
+    }
     flow.isBusy = isBusy;
 }
 
@@ -204,11 +221,40 @@
     if (!server || flow.isOverdue)
         return;
     flow.isOverdue = !isAnswered;
+    countLoad(flow, isAnswered ? RequestOutcome::Served : RequestOutcome::Unanswered, now - flow.busySince);
     server->seen.outcomes.note(isAnswered, now);
     server->group->outcomes.note(isAnswered, now);
     observed_.insert(flow.token);
 }
 
-void OpenFlowTable::uncount(FlowRecord& flow) { adjustCounters(flow.token, -1, flow.isBusy ? -1 : 0); }
+void OpenFlowTable::uncount(FlowRecord& flow, TimePoint now)
+{
+    setBusy(flow, false, now);
+    adjustCounters(flow.token, -1, 0);
+}
+
+void OpenFlowTable::notePriority(FlowRecord& flow, const FlowEnds& ends) const
+{
+    const FlowRoute* route = routes_ ? routes_->find(ends.route) : nullptr;
+    flow.priority = route ? route->priority : 0;
+}
+
+void OpenFlowTable::setLoadCell(FlowRecord& flow, const KnownServer& server, TimePoint now)
+{
+    if (!routes_ || !server.group)
+        return;
+    const RequestLoadMeter::Cell former = std::exchange(flow.loadCell, loadMeter_.cellOf(*server.group, flow.priority));
+    if (!flow.isBusy || former == flow.loadCell)
+        return;
+    if (former != RequestLoadMeter::noCell)
+        loadMeter_.end(former, now);
+    loadMeter_.resume(flow.loadCell, now);
+}
+
+void OpenFlowTable::countLoad(const FlowRecord& flow, RequestOutcome outcome, Duration answerTime)
+{
+    if (flow.loadCell != RequestLoadMeter::noCell)
+        loadMeter_.count(flow.loadCell, outcome, answerTime);
+}
 
 }
--- a/Source/Forward/OpenFlowTable.h
+++ b/Source/Forward/OpenFlowTable.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "Core/Clock.h"
+#include "Forward/ForwardingConfiguration.h"
+#include "Forward/RequestLoadMeter.h"
 #include "Forward/ServerDirectory.h"
 #include "Forward/TokenPacket.h"
 
@@ -41,6 +43,10 @@
     std::array<std::uint32_t, 2> previousTokens {};
     // How many copies of the opening packet the caller had sent before the latest one.
     std::uint32_t copies = 0;
+    // The class of the flow's requests in the meter of their load; none while the load is not measured. By the priority
+    // of the flow's route when the flow was first seen.
+    RequestLoadMeter::Cell loadCell = RequestLoadMeter::noCell;
+    std::uint32_t priority = 0;
 };
 
 // What a packet of an open flow shows about its server; for the log, the metrics and the server's liveness.
@@ -93,6 +99,12 @@
     {
     }
 
+    // Starts to measure the load of the requests. Flows have the priority of their route, so the routes must outlive
+    // this table.
+    void measureLoad(const RouteTable& routes) { routes_ = &routes; }
+    // Returns the load since the last call; see RequestLoadMeter::take().
+    std::vector<ObservedLoad> takeObservedLoad(TimePoint now) { return loadMeter_.take(now); }
+
     // Returns null for a flow that is not tracked.
     FlowRecord* find(const FlowEnds&);
     // Records that an opening packet was sent to the server. copies: see FlowRecord.
@@ -100,24 +112,31 @@
     // Updates the flow and its server from a packet of an open flow that is forwarded to the server.
     FlowProgress noteTraffic(const TokenPacket&, KnownServer&, TimePoint now);
     // Drops all flows of a server whose process has ended, so that they are not counted for its successor.
-    void forgetFlowsOf(std::uint32_t token);
+    void forgetFlowsOf(std::uint32_t token, TimePoint now);
     // Drops flows without recent packets. Returns the servers that started or stopped failing.
     std::vector<FailingChange> tick(TimePoint now);
 
     std::size_t size() const { return flows_.size(); }
 
 private:
-    FlowRecord* findOrAddOpen(const TokenPacket&, const KnownServer&);
+    FlowRecord* findOrAddOpen(const TokenPacket&, const KnownServer&, TimePoint now);
     void trackAcknowledgement(FlowRecord&, const TokenPacket&, FlowProgress&, TimePoint now);
     void trackSentBytes(FlowRecord&, const TokenPacket&, FlowProgress&, TimePoint now);
     // Adds the differences to the counters of the token's server.
     void adjustCounters(std::uint32_t token, int flows, int busy);
     void setBusy(FlowRecord&, bool, TimePoint now);
     void noteOutcome(FlowRecord&, bool isAnswered, TimePoint now);
-    void uncount(FlowRecord&);
+    void uncount(FlowRecord&, TimePoint now);
+    void notePriority(FlowRecord&, const FlowEnds&) const;
+    // Assigns the flow to the server's class of requests. A request in progress moves with it.
+    void setLoadCell(FlowRecord&, const KnownServer&, TimePoint now);
+    void countLoad(const FlowRecord&, RequestOutcome, Duration answerTime = {});
     std::vector<FailingChange> updateFailingServers(TimePoint now);
 
     ServerDirectory& directory_;
+    // Null while the load is not measured.
+    const RouteTable* routes_ = nullptr;
+    RequestLoadMeter loadMeter_;
     absl::flat_hash_map<FlowEnds, FlowRecord> flows_;
     // Tokens of the servers whose outcomes were noted lately. Only these can start or stop failing.
     absl::flat_hash_set<std::uint32_t> observed_;
--- a/Source/Forward/TokenRouter.cpp
+++ b/Source/Forward/TokenRouter.cpp
@@ -54,6 +54,8 @@
     , directory_(settings_.directory)
     , flows_(directory_)
 {
+    if (settings_.measuresLoad)
+        flows_.measureLoad(routes_);
 }
 
 bool TokenRouter::applyConfiguration(const ForwardingConfiguration& configuration)
@@ -82,7 +84,7 @@
     ServerDirectory::Transitions transitions = directory_.put(entry, revision, now, age);
     for (const ServerTransition& transition : transitions) {
         if (transition.isRestart)
-            flows_.forgetFlowsOf(tokenOf(entry.number));
+            flows_.forgetFlowsOf(tokenOf(entry.number), now);
     }
     return transitions;
 }
--- a/Source/Forward/TokenRouter.h
+++ b/Source/Forward/TokenRouter.h
@@ -76,6 +76,8 @@
     DirectorySettings directory;
     // Number of a caller's last copy of an opening packet; the original has number 0. The caller gives up after it.
     std::uint32_t lastCopy = 2;
+    // Whether takeObservedLoad() shall return anything. Costs a look-up of the route for each flow.
+    bool measuresLoad = false;
 };
 
 // Decides for each packet of a flow whether and to which backend server it is forwarded: packets of open flows by their
@@ -120,6 +122,14 @@
     }
     // Sets what is known of the load of a service. Must be called a few times per second while anything is known.
     void setServiceLoad(const std::string& service, ServiceLoad load) { serviceLoads_[service] = std::move(load); }
+    // Returns null for a service whose load was never set.
+    const ServiceLoad* findServiceLoad(const std::string& service) const
+    {
+        const auto found = serviceLoads_.find(service);
+        return found == serviceLoads_.end() ? nullptr : &found->second;
+    }
+    // Returns the load that passed this balancer since the last call; see RequestLoadMeter::take().
+    std::vector<ObservedLoad> takeObservedLoad(TimePoint now) { return flows_.takeObservedLoad(now); }
     // Handles timeouts. Must be called a few times per second.
     ServerDirectory::Transitions tick(TimePoint now);
 
