LoadReports: Exchange the load between balancers

Cause: a balancer sees a tenth to a thirtieth of a service's requests, so its own view of the load says little.

Change: balancers report to the aggregator of their zone (kind 14), which sends the sum to its zone and to the aggregators of other zones (kind 15). Balancers of earlier versions drop both kinds. The order of watchers is exported as dutyRankOf(), since aggregators are chosen by it.

--- a/Source/Peers/ConfigurationWatchers.cpp
+++ b/Source/Peers/ConfigurationWatchers.cpp
@@ -20,13 +20,6 @@
         return member.state == MemberState::Serving || member.state == MemberState::Detached;
     }
 
-    // Members of lower rank watch first. Fast links rank lowest: every change of the configuration transfers all of it,
-    // which blocks readiness checks and heartbeats on a slow link: for 2 s with 10,000 routes at 10 Mbit/s.
-    std::tuple<int, std::uint64_t, BalancerId> rankOf(const Member& member)
-    {
-        return { -bandwidthClassOf(member.linkMegabits), hashPair(choiceSeed, member.id.value), member.id };
-    }
-
     std::size_t watchersPerZone(std::size_t availabilityZones, const WatcherCounts& counts)
     {
         const std::size_t share
@@ -36,6 +29,13 @@
 
 }
 
+// Fast links rank lowest: every change of the configuration transfers all of it, which blocks readiness checks and
+// heartbeats on a slow link: for 2 s with 10,000 routes at 10 Mbit/s.
+std::tuple<int, std::uint64_t, BalancerId> dutyRankOf(const Member& member)
+{
+    return { -bandwidthClassOf(member.linkMegabits), hashPair(choiceSeed, member.id.value), member.id };
+}
+
 bool isConfigurationWatcher(const MembersView& view, const WatcherCounts& counts)
 {
     const Member* self = view.findSelf();
@@ -51,7 +51,7 @@
         if (!mayWatch(member))
             continue;
         availabilityZones.insert(member.availabilityZone);
-        if (member.availabilityZone != self->availabilityZone || rankOf(member) >= rankOf(*self))
+        if (member.availabilityZone != self->availabilityZone || dutyRankOf(member) >= dutyRankOf(*self))
             continue;
         ++(member.state == MemberState::Serving ? servingAhead : detachedAhead);
     }
--- a/Source/Peers/ConfigurationWatchers.h
+++ b/Source/Peers/ConfigurationWatchers.h
@@ -3,6 +3,8 @@
 #include "Membership/Member.h"
 
 #include <cstddef>
+#include <cstdint>
+#include <tuple>
 
 namespace wisteriadock {
 
@@ -21,6 +23,10 @@
 // With fewer known balancers all of them watch: a balancer that knows so few may be cut off from the watchers.
 inline constexpr std::size_t minMembersToElectWatchers = 3;
 
+// The order in which balancers of a zone take duties for the others: those of lower rank first. Fast links rank lowest,
+// and equals are ordered by a hash of their ids.
+std::tuple<int, std::uint64_t, BalancerId> dutyRankOf(const Member&);
+
 // Whether the balancer that has this view shall watch the platform. All balancers with the same view agree: the
 // watchers of a zone are its serving members with the fastest links, chosen among equals by rendezvous hashing of their
 // ids. A detached watcher keeps trying, and its replacement stops watching once the platform answers it again.
--- a/Source/Wire/PeerMessage.cpp
+++ b/Source/Wire/PeerMessage.cpp
@@ -20,6 +20,8 @@
         { PeerMessageKind::CompressedReplicaSync, "compressed_news" },
         { PeerMessageKind::RelayedReplicaSync, "relayed_news" },
         { PeerMessageKind::RevisionRequest, "revision_request" },
+        { PeerMessageKind::LoadReport, "load_report" },
+        { PeerMessageKind::LoadDigest, "load_digest" },
     });
 
     bool isKnown(PeerMessageKind kind)
--- a/Source/Wire/PeerMessage.h
+++ b/Source/Wire/PeerMessage.h
@@ -37,10 +37,13 @@
     CompressedReplicaSync = 10, // The same, compressed. Balancers of earlier versions drop it and fetch the contents.
     RelayedReplicaSync = 11, // The same, to be passed on by the receiver. Earlier versions drop it, too.
     RevisionRequest = 12, // Asks the receiver to tell its revision of those contents once it has any. No payload.
+    LoadReport = 14, // What one balancer sees of the load, for the aggregator of its zone. Earlier versions drop it.
+    LoadDigest
+    = 15, // The load by the callers of whole zones; may be passed on by the receiver. Earlier versions drop it.
 };
 
 // One more than the highest kind; the size of arrays indexed by kind.
-inline constexpr std::size_t peerMessageKinds = 13;
+inline constexpr std::size_t peerMessageKinds = 16;
 
 std::string_view nameOf(PeerMessageKind);
 
