--- a/Source/Forwarder/Forwarder.h
+++ b/Source/Forwarder/Forwarder.h
@@ -8,6 +8,7 @@
 #include "Forwarder/ForwarderLog.h"
 #include "Forwarder/ForwarderMetrics.h"
 #include "Forwarder/ForwarderSettings.h"
+#include "Forwarder/LoadReporter.h"
 #include "Forwarder/LogFlusher.h"
 #include "Forwarder/PartSettings.h"
 #include "Forwarder/PeerSync.h"
@@ -105,6 +106,9 @@
                 [this](ReplicaChanged changed) { handleReplicaChange(std::move(changed)); },
                 [this](const StoreUpdate& update) { return applier_.isOfZone(settings_.availabilityZone, update); }));
         peerSync_ = std::move(peers);
+        if (settings_.loadReportInterval.count() > 0)
+            loadReporter_ = std::make_unique<LoadReporter>(balancerIdOf(settings_.vm), settings_.availabilityZone,
+                seed_, loadExchangeSettingsOf(settings_), *peerSync_, router_, log_, metrics_);
         packetPath_
             = std::make_unique<TokenPacketPath<Adapter>>(context_, std::move(socket), router_, peerSync_->replicaSync(),
                 lifecycle_, forwarderLog_, metrics_, [this](TimePoint now) { storeDriver_.noteContradiction(now); });
@@ -227,6 +231,8 @@
             balancerIdOf(settings_.vm).value, peerSync_->liveBalancersOfZone(), peerSync_->isSettled(now), now);
         forwarderLog_.transitions(router_.tick(now), replicaSync.replica().completeTo(), "time", now);
         forwarderLog_.changes(router_, now);
+        if (loadReporter_)
+            loadReporter_->tick(now);
     }
 
     std::chrono::milliseconds nextTickInterval() const
@@ -294,6 +300,8 @@
     boost::asio::signal_set signals_;
     boost::asio::steady_timer tickTimer_;
     std::unique_ptr<PeerSync> peerSync_;
+    // Null while load reports are switched off.
+    std::unique_ptr<LoadReporter> loadReporter_;
     StoreFeedDriver<Adapter> storeDriver_;
     std::unique_ptr<TokenPacketPath<Adapter>> packetPath_;
     std::unique_ptr<ForwarderHttpHandler<Adapter>> httpHandler_;
--- a/Source/Forwarder/ForwarderMetrics.h
+++ b/Source/Forwarder/ForwarderMetrics.h
@@ -7,6 +7,7 @@
 #include <array>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
 #include <utility>
@@ -35,6 +36,18 @@
     double sum_ = 0;
 };
 
+// What LoadReporter exchanges with other balancers.
+struct LoadReportMetrics {
+    std::uint64_t reports = 0;
+    std::uint64_t digests = 0;
+    std::uint64_t ignored = 0;
+    std::uint64_t refusedRows = 0;
+    bool isAggregator = false;
+    // Balancers of the zone that its newest digest covers (0: there is none), and those that are alive.
+    std::uint32_t covered = 0;
+    std::uint32_t alive = 0;
+};
+
 // Counts what the parts of the forwarder report, and formats all metrics for Prometheus when ForwarderHttpHandler is
 // asked for them. The module that formats them is loaded only then (see MetricsText/MetricsText.h).
 class ForwarderMetrics {
@@ -71,6 +84,8 @@
     // part of it that parsing and applying took here; packets wait meanwhile.
     void observeConfiguration(Duration age, Duration applyTime);
 
+    void setLoadReports(const LoadReportMetrics& values) { loadReports_ = values; }
+
     // Values that are read from the other parts just before the text is written.
     struct Snapshot {
         std::uint64_t configurationVersion = 0;
@@ -111,6 +126,8 @@
     std::map<std::string, std::uint64_t> fetches_;
     // By reason.
     std::map<std::string, std::uint64_t> refusedDeltas_;
+    // Empty while load reports are switched off.
+    std::optional<LoadReportMetrics> loadReports_;
     Histogram openingTime_;
     Histogram answerTime_;
     Histogram storeTime_;
--- a/Source/Forwarder/ForwarderSettings.cpp
+++ b/Source/Forwarder/ForwarderSettings.cpp
@@ -15,6 +15,9 @@
     constexpr double maxSlack = 1e9;
     constexpr double maxLinkMegabits = 1e9;
     constexpr std::chrono::milliseconds minTimeout { 1 };
+    // The timer that sends reports ticks every 250 ms, and what is received expires after 2 s.
+    constexpr std::chrono::milliseconds minLoadReportInterval { 250 };
+    constexpr std::chrono::milliseconds maxLoadReportInterval { 1000 };
     // A day effectively disables a timeout.
     constexpr std::chrono::milliseconds maxTimeout { 86'400'000 };
 
@@ -55,6 +58,15 @@
         section.milliseconds("zone_proof_milliseconds", opening.zoneLivenessTimeout, minTimeout, maxTimeout);
     }
 
+    void readLoad(SettingsReader& reader, ForwarderSettings& settings)
+    {
+        SectionReader& section = reader.section("load");
+        constexpr std::string_view key = "report_interval_milliseconds";
+        section.milliseconds(key, settings.loadReportInterval, std::chrono::milliseconds(0), maxLoadReportInterval);
+        if (settings.loadReportInterval.count() != 0 && settings.loadReportInterval < minLoadReportInterval)
+            section.addProblem(key, "0, or 250 to 1000");
+    }
+
     void readLog(SettingsReader& reader, ForwarderSettings& settings)
     {
         SectionReader& section = reader.section("log");
@@ -87,6 +99,7 @@
     limits.number("cold_overage", settings.coldStart.overage, 0, maxFactor);
     limits.number("cold_slack_flows", settings.coldStart.slack, 0, maxSlack);
     readOpening(reader, settings.opening);
+    readLoad(reader, settings);
     readLog(reader, settings);
     const SettingsProblems problems = reader.finish();
     if (!problems.isEmpty())
@@ -116,6 +129,7 @@
     compare(store == other.store, "store.address");
     compare(opening == other.opening, "opening");
     compare(coldStart == other.coldStart, "limits.cold_overage, limits.cold_slack_flows");
+    compare(loadReportInterval == other.loadReportInterval, "load.report_interval_milliseconds");
     compare(linkMegabits == other.linkMegabits, "limits.link_megabits_per_second");
     compare(longestFlow == other.longestFlow, "limits.longest_flow_seconds");
     return names;
--- a/Source/Forwarder/ForwarderSettings.h
+++ b/Source/Forwarder/ForwarderSettings.h
@@ -41,6 +41,9 @@
     OpeningSettings opening;
     ColdStartSettings coldStart;
 
+    // How often balancers report the load that they see; 0: never.
+    std::chrono::milliseconds loadReportInterval { 0 };
+
     LogLevel logLevel = LogLevel::Info;
     // Lines a second of each kind of event.
     std::uint32_t logBudget = 200;
--- a/Source/Forwarder/PartSettings.cpp
+++ b/Source/Forwarder/PartSettings.cpp
@@ -10,6 +10,7 @@
     router.coldStart = settings.coldStart;
     // Longer than a flow lasts, for packets that are still in flight.
     router.directory.retention = settings.longestFlow * 5 / 4;
+    router.measuresLoad = settings.loadReportInterval.count() > 0;
     return router;
 }
 
@@ -21,6 +22,13 @@
     return feed;
 }
 
+LoadExchangeSettings loadExchangeSettingsOf(const ForwarderSettings& settings)
+{
+    LoadExchangeSettings load;
+    load.interval = settings.loadReportInterval;
+    return load;
+}
+
 Member memberOf(const ForwarderSettings& settings, std::uint64_t incarnation)
 {
     Member member;
--- a/Source/Forwarder/PartSettings.h
+++ b/Source/Forwarder/PartSettings.h
@@ -2,6 +2,7 @@
 
 #include "Forward/TokenRouter.h"
 #include "Forwarder/ForwarderSettings.h"
+#include "LoadReports/LoadExchange.h"
 #include "Membership/Member.h"
 #include "StoreSync/StoreFeed.h"
 
@@ -13,6 +14,7 @@
 // The settings of the forwarder's parts, as its own settings determine them.
 RouterSettings routerSettingsOf(const ForwarderSettings&);
 StoreFeedSettings storeFeedSettingsOf(const ForwarderSettings&, std::string_view sampleStart);
+LoadExchangeSettings loadExchangeSettingsOf(const ForwarderSettings&);
 
 // This balancer as the others see it. The incarnation identifies the start of its process.
 Member memberOf(const ForwarderSettings&, std::uint64_t incarnation);
--- a/Source/Forwarder/PeerSync.cpp
+++ b/Source/Forwarder/PeerSync.cpp
@@ -181,11 +181,6 @@
 
 bool PeerSync::isWatcher(TimePoint now) const { return watcherRole_.isWatcher(membership_, now); }
 
-std::uint64_t PeerSync::bytesTransferred() const
-{
-    return link_->bytesTransferred() + server_->bytesTransferred() + finishedFetchBytes_;
-}
-
 std::vector<TrafficRow> PeerSync::traffic() const
 {
     const auto rowOf = [this](std::string_view cause, std::initializer_list<PeerMessageKind> kinds) {
@@ -195,7 +190,7 @@
         return TrafficRow { cause, sum.sent + sum.received, sum.sentBytes, sum.receivedBytes };
     };
     const std::uint64_t fetchBytes = finishedFetchBytes_ + (fetchClient_ ? fetchClient_->bytesTransferred() : 0);
-    return {
+    std::vector<TrafficRow> rows {
         rowOf(
             "membership", { PeerMessageKind::Heartbeat, PeerMessageKind::ProbeRequest, PeerMessageKind::ProbeResult }),
         rowOf("member_pages", { PeerMessageKind::MembersRequest, PeerMessageKind::MembersPage }),
@@ -205,6 +200,9 @@
         { "fetches_asked", fetchNumber_, 0, fetchBytes },
         { "fetches_served", fetchesServed_, server_->bytesTransferred(), 0 },
     };
+    if (loadHandler_)
+        rows.push_back(rowOf("load", { PeerMessageKind::LoadReport, PeerMessageKind::LoadDigest }));
+    return rows;
 }
 
 void PeerSync::receive(const PeerEnvelope& envelope, const Endpoint& sender)
@@ -222,6 +220,11 @@
     case PeerMessageKind::RevisionRequest:
         perform(replicaSync_.handleRevisionRequest(envelope.sender, sender), now);
         break;
+    case PeerMessageKind::LoadReport:
+    case PeerMessageKind::LoadDigest:
+        if (loadHandler_)
+            loadHandler_(envelope, now);
+        break;
     default:
         perform(membership_.handle(PeerMessageReceived { sender, envelope }, now), now);
         break;
--- a/Source/Forwarder/PeerSync.h
+++ b/Source/Forwarder/PeerSync.h
@@ -30,6 +30,7 @@
 class PeerSync {
 public:
     using Handler = std::function<void(ReplicaChanged)>;
+    using LoadHandler = std::function<void(const PeerEnvelope&, TimePoint)>;
 
     // Fails with Unavailable when the address can't be bound for datagrams or connections. The handler is called for
     // each change of the replica, whether it came from the store or from a balancer.
@@ -55,6 +56,13 @@
     void handleApplied(TimePoint now) { perform(replicaSync_.handleApplied(), now); }
     // See ReplicaSync::setFetchesImmediately().
     void setFetchesImmediately(bool fetchesImmediately) { replicaSync_.setFetchesImmediately(fetchesImmediately); }
+    // The handler is called with load reports and digests. Without one they are ignored.
+    void setLoadHandler(LoadHandler handler) { loadHandler_ = std::move(handler); }
+    void send(const Endpoint& to, PeerMessageKind kind, std::vector<std::uint8_t> payload)
+    {
+        link_->send(to, { membership_.view()->self, membership_.selfIncarnation(), kind, std::move(payload) });
+    }
+    std::shared_ptr<const MembersView> view() const { return membership_.view(); }
     // Whether this balancer is one of those that watch the store for the others.
     bool isWatcher(TimePoint now) const;
     const ReplicaSync& replicaSync() const { return replicaSync_; }
@@ -65,7 +73,10 @@
     // False while other balancers are still being discovered.
     bool isSettled(TimePoint now) const { return membership_.isSettled(now); }
     // Bytes of datagrams, of fetches served, and of fetches sent before the one in progress.
-    std::uint64_t bytesTransferred() const;
+    std::uint64_t bytesTransferred() const
+    {
+        return link_->bytesTransferred() + server_->bytesTransferred() + finishedFetchBytes_;
+    }
     // Messages and bytes by cause, those of the fetch in progress included.
     std::vector<TrafficRow> traffic() const;
 
@@ -94,6 +105,7 @@
     MembersLog membersLog_;
     ForwarderMetrics& metrics_;
     Handler handler_;
+    LoadHandler loadHandler_;
     Membership membership_;
     WatcherRole watcherRole_;
     ReplicaSync replicaSync_;
--- a/Tests/Forwarder/ForwarderMetricsTest.cpp
+++ b/Tests/Forwarder/ForwarderMetricsTest.cpp
@@ -74,6 +74,19 @@
         EXPECT_EQ(valueOf("wisteriadock_forwarder_news_lag_seconds_count"), "1");
     }
 
+    TEST_F(ForwarderMetricsTest, LoadReportsOnlyWhenSwitchedOn)
+    {
+        EXPECT_EQ(valueOf("wisteriadock_forwarder_load_balancers{of=\"covered\"}"), "");
+        LoadReportMetrics load;
+        load.reports = 3;
+        load.covered = 9;
+        load.isAggregator = true;
+        metrics.setLoadReports(load);
+        EXPECT_EQ(valueOf("wisteriadock_forwarder_load_messages_total{what=\"report\"}"), "3");
+        EXPECT_EQ(valueOf("wisteriadock_forwarder_load_balancers{of=\"covered\"}"), "9");
+        EXPECT_EQ(valueOf("wisteriadock_forwarder_load_balancers{of=\"aggregator\"}"), "1");
+    }
+
     TEST_F(ForwarderMetricsTest, ServersByStateAreCountedAtEachRead)
     {
         put(server(1));
--- a/Tests/Forwarder/ForwarderSettingsTest.cpp
+++ b/Tests/Forwarder/ForwarderSettingsTest.cpp
@@ -80,6 +80,25 @@
             before.differencesThatNeedRestart(after), (std::vector<std::string> { "forwarder.vm", "store.address" }));
     }
 
+    TEST(ForwarderSettingsTest, LoadReportsAreOffUnlessSwitchedOn)
+    {
+        const std::string text = completeText;
+        EXPECT_EQ(ForwarderSettings::parse("file", text).value().loadReportInterval.count(), 0);
+        const auto parse = [&](const std::string& value) {
+            return ForwarderSettings::parse("file", text + "\n[load]\nreport_interval_milliseconds = " + value + "\n");
+        };
+        ASSERT_TRUE(parse("500"));
+        EXPECT_EQ(parse("500").value().loadReportInterval.count(), 500);
+        EXPECT_TRUE(parse("0"));
+        for (const char* wrong : { "100", "1001", "-1", "often" }) {
+            SCOPED_TRACE(wrong);
+            ASSERT_FALSE(parse(wrong));
+            EXPECT_NE(parse(wrong).error().detail.find("report_interval_milliseconds"), std::string::npos);
+        }
+        EXPECT_EQ(parse("500").value().differencesThatNeedRestart(parse("250").value()),
+            std::vector<std::string> { "load.report_interval_milliseconds" });
+    }
+
     TEST(ForwarderSettingsTest, EachChangeOfTheFileIsDetectedOnce)
     {
         const std::filesystem::path path
