StoreSync: Bound the age of a view when the watchers are lost

A lost watcher is replaced only through membership, which probes at random where there are more than 8 others. When eight of ten balancers end at once, those left read the store too late, and nobody notices that no balancer of the zone reads it.

StoreFeed can ask once on behalf of the zone and tells when the store last answered; ReplicaSync fetches at once what an asked peer has. With a bound of 0, the default, nothing changes.

--- a/Source/StoreSync/ReplicaSync.cpp
+++ b/Source/StoreSync/ReplicaSync.cpp
@@ -119,6 +119,18 @@
     return actions;
 }
 
+ReplicaSyncActions ReplicaSync::handleRevision(BalancerId sender, std::uint64_t revision, bool isAnswer, TimePoint now)
+{
+    pushedRevisions_[sender] = std::max(pushedRevisions_[sender], revision);
+    if (isAnswer && revision > answeredRevision_) {
+        answeringPeer_ = sender;
+        answeredRevision_ = revision;
+    }
+    ReplicaSyncActions actions;
+    fetchIfBehind(now, actions);
+    return actions;
+}
+
 ReplicaSyncActions ReplicaSync::handleApplied()
 {
     hasUnappliedUpdates_ = false;
--- a/Source/StoreSync/ReplicaSync.h
+++ b/Source/StoreSync/ReplicaSync.h
@@ -72,6 +72,8 @@
     // so they are relayed: each balancer sends them to relayFanout others, which pass them on.
     std::size_t maxDirectPushes = 64;
     std::size_t relayFanout = 4;
+    // See ReplicaFreshnessSettings.
+    std::chrono::milliseconds maxStaleness { 0 };
 };
 
 // Send the piece to this balancer as one datagram. If there is a relay, the receiver passes it to handleRelay(),
@@ -160,6 +162,9 @@
     ReplicaSyncActions handlePush(BalancerId sender, const StoreDelta&, TimePoint now);
     // A delta that another balancer relayed. It is passed on to the range of the relay.
     ReplicaSyncActions handleRelay(const Relay&, const std::shared_ptr<const DeltaPiece>&, TimePoint now);
+    // Another balancer told that it is complete up to this revision. If it was asked, nobody will push what this one
+    // lacks, which is fetched from it at once.
+    ReplicaSyncActions handleRevision(BalancerId sender, std::uint64_t revision, bool isAnswer, TimePoint now);
     // The outcome of the fetch in progress; sender is the name of the balancer that answered.
     ReplicaSyncActions handleAnswer(const std::string& sender, StoreDelta, TimePoint now);
     ReplicaSyncActions handleFetchFailure(TimePoint now);
@@ -238,6 +243,9 @@
     std::optional<TimePoint> fetchDeadline_;
     TimePoint fetchStartedAt_;
     std::optional<BalancerId> lastSource_;
+    // A balancer that answered, and its revision; see handleRevision().
+    BalancerId answeringPeer_;
+    std::uint64_t answeredRevision_ = 0;
     // Of the fetch in progress, or the last one.
     FetchScope fetchScope_ = FetchScope::Everything;
     bool hasOwnZone_ = false;
--- a/Source/StoreSync/ReplicaSyncFetches.cpp
+++ b/Source/StoreSync/ReplicaSyncFetches.cpp
@@ -22,11 +22,15 @@
     const bool hasSourceInZone = !candidates.empty();
     if (!hasSourceInZone)
         candidates = sources(false);
-    const bool mustWait
-        = now - *behindSince_ < fetchDelay(hasSourceInZone) || (replica_.completeTo() == 0 && now < otherZonesFrom_);
+    const bool isTold = replica_.completeTo() > 0 && answeredRevision_ > replica_.completeTo();
+    const bool isTooEarly = now - *behindSince_ < fetchDelay(hasSourceInZone) && !isTold;
+    const bool mustWait = isTooEarly || (replica_.completeTo() == 0 && now < otherZonesFrom_);
     if (fetchDeadline_ || candidates.empty() || mustWait)
         return;
-    const Member* source = chooseSource(std::move(candidates));
+    const auto teller = std::ranges::find(candidates, answeringPeer_, &Member::id);
+    // One that has just answered lives. If the fetch from it fails, another one is asked.
+    const bool asksTeller = isTold && teller != candidates.end() && lastSource_ != answeringPeer_;
+    const Member* source = asksTeller ? *teller : chooseSource(std::move(candidates));
     fetchDeadline_ = now + (hasOwnZone() ? settings_.answerTimeout : settings_.startAnswerTimeout);
     fetchStartedAt_ = now;
     lastSource_ = source->id;
--- a/Source/StoreSync/StoreFeed.cpp
+++ b/Source/StoreSync/StoreFeed.cpp
@@ -30,6 +30,12 @@
 }
 
 void StoreFeed::watch(std::chrono::milliseconds wait, TimePoint now, StoreFeedActions& actions)
+{
+    watch(wait, wait + settings_.answerTimeout, now, actions);
+}
+
+void StoreFeed::watch(
+    std::chrono::milliseconds wait, std::chrono::milliseconds timeout, TimePoint now, StoreFeedActions& actions)
 {
     state_ = State::Watching;
     pauseUntil_.reset();
@@ -37,12 +43,13 @@
     watchedRevision_ = completeTo_;
     supersededSince_.reset();
     ++watchNumber_;
-    actions.emplace_back(
-        SendWatch { { "", storeRevisionOf(completeTo_), wait }, wait + settings_.answerTimeout, watchNumber_ });
+    actions.emplace_back(SendWatch { { "", storeRevisionOf(completeTo_), wait }, timeout, watchNumber_ });
 }
 
 std::chrono::milliseconds StoreFeed::nextWatchDuration(TimePoint now) const
 {
+    if (settings_.confirmsAtOnce && !followsAnswer_)
+        return settings_.minWatchDuration;
     if (!confirmAt_)
         return settings_.watchDuration;
     const auto remaining = std::chrono::ceil<std::chrono::milliseconds>(*confirmAt_ - now);
@@ -61,9 +68,17 @@
         list(now, actions);
         return actions;
     }
+    // Whoever asked for changes decides when to ask again. A balancer that does not watch would not notice the end of
+    // an outage.
+    if (!changes && isAsking_ && !isWatcher_) {
+        state_ = State::Idle;
+        reportOutcome(false, actions);
+        return actions;
+    }
     if (!changes) {
         noteFailure(changes.error(), now, actions);
         pause(State::PausingBeforeWatch, backoff_.next(), now);
+        reportOutcome(false, actions);
         return actions;
     }
     noteSuccess(now, actions);
@@ -76,12 +91,16 @@
     if (isConfirmation)
         confirmAt_.reset();
     StoreDelta delta = deltaOf(changes.value(), completeTo_, now);
-    delta.isFresh = now >= freshFrom_;
+    // A balancer that only asks does not know for how long the store has been reachable.
+    delta.isFresh = now >= freshFrom_ && !isAsking_;
     completeTo_ = delta.to;
+    answeredAt_ = now;
+    followsAnswer_ = isWatcher_;
     const bool hasChanges = !delta.items.empty();
     const bool isForOthers = !std::exchange(isCheckingListing_, false);
     if (hasChanges || delta.to > delta.from || isConfirmation)
         actions.emplace_back(DeltaReceived { std::move(delta), isForOthers });
+    reportOutcome(true, actions);
     if (!isWatcher_)
         state_ = State::Idle;
     else if (hasChanges)
@@ -94,12 +113,12 @@
 bool StoreFeed::isOfWatchedEra(const PlatformChanges& changes) const { return changes.era == eraOf(watchedRevision_); }
 
 // The revision after which the watch waited counts changes of another copy, so the answer may lack some. A balancer
-// that only checks its first listing leaves the new one to the watchers.
+// that only checks its first listing leaves the new one to the watchers; one that asks for its zone has heard of none.
 StoreFeedActions StoreFeed::handleRestoredStore(const PlatformChanges& changes, TimePoint now)
 {
     StoreFeedActions actions;
     isCheckingListing_ = false;
-    if (!isWatcher_)
+    if (!isWatcher_ && !isAsking_)
         state_ = State::Idle;
     else if (changes.era < eraOf(completeTo_))
         pause(State::PausingBeforeWatch, backoff_.next(), now);
@@ -154,6 +173,31 @@
     return actions;
 }
 
+StoreFeedActions StoreFeed::askForChanges(std::chrono::milliseconds timeout, TimePoint now)
+{
+    StoreFeedActions actions;
+    if (state_ != State::Idle || completeTo_ == 0)
+        return actions;
+    isAsking_ = true;
+    isCheckingListing_ = false;
+    // The whole zone waits for the answer, so the store does not wait for changes.
+    watch(std::chrono::milliseconds(1), timeout, now, actions);
+    return actions;
+}
+
+void StoreFeed::reportOutcome(bool isAnswered, StoreFeedActions& actions)
+{
+    if (std::exchange(isAsking_, false))
+        actions.emplace_back(StoreAsked { isAnswered });
+}
+
+// A dead connection looks like a store without changes until the watch times out.
+std::optional<TimePoint> StoreFeed::answeredAt(TimePoint now) const
+{
+    const bool isOpen = state_ == State::Watching && isWatcher_ && followsAnswer_ && !unreachableSince_;
+    return isOpen ? now : answeredAt_;
+}
+
 StoreFeedActions StoreFeed::update(
     std::uint64_t completeTo, bool isWatcher, std::optional<TimePoint> behindSince, TimePoint now)
 {
@@ -161,8 +205,10 @@
     completeTo_ = std::max(completeTo_, completeTo);
     isWatcher_ = isWatcher;
     knowsPeersAhead_ = behindSince.has_value();
-    if (state_ == State::Idle && isWatcher_ && completeTo_ > 0)
+    if (state_ == State::Idle && isWatcher_ && completeTo_ > 0) {
+        followsAnswer_ = false;
         watch(now, actions);
+    }
     // The watch waits for changes after a revision of an earlier era.
     if (state_ == State::Watching && eraOf(completeTo_) > eraOf(watchedRevision_))
         watch(now, actions);
@@ -229,6 +275,7 @@
 
 void StoreFeed::noteFailure(const Error& error, TimePoint now, StoreFeedActions& actions)
 {
+    followsAnswer_ = false;
     if (unreachableSince_)
         return;
     unreachableSince_ = now;
--- a/Source/StoreSync/StoreFeed.h
+++ b/Source/StoreSync/StoreFeed.h
@@ -79,6 +79,9 @@
     std::uint32_t maxCancelledListings = 3;
     // Bandwidth of this balancer's link in Mbit/s; 0 when unknown, which counts as fast.
     std::uint32_t linkMegabits = 0;
+    // A watch that follows no answer of the store, as the first one and the one after an outage, is answered at once,
+    // so that this balancer can tell others how old its view is.
+    bool confirmsAtOnce = false;
     // When at least this many entries are removed at once, the removals are in doubt: they may result from an outage
     // that this balancer did not notice.
     std::size_t massRemovalThreshold = 3;
@@ -138,6 +141,11 @@
     std::uint64_t heldRevision = 0;
 };
 
+// The outcome of StoreFeed::askForChanges(), after its DeltaReceived.
+struct StoreAsked {
+    bool isAnswered = false;
+};
+
 // The store stopped answering this balancer.
 struct StoreUnreachable {
     Error error;
@@ -149,7 +157,7 @@
 };
 
 using StoreFeedAction = std::variant<SendList, SendWatch, SendSample, CancelListing, DeltaReceived, ListingEnded,
-    StoreEraChanged, StoreUnreachable, StoreReachable>;
+    StoreEraChanged, StoreAsked, StoreUnreachable, StoreReachable>;
 using StoreFeedActions = std::vector<StoreFeedAction>;
 
 // Reads the platform's key-value store: lists it once at the start and then, on balancers that are watchers of their
@@ -182,6 +190,12 @@
     // again after a partition. Asks the store once for the changes since then. Has no effect when that was done, when
     // this balancer watches anyway, and when the listing is older than maxListingAge.
     StoreFeedActions noteContradiction(TimePoint now);
+    // Asks the store once for the changes since this balancer's revision, on behalf of its zone. Has no effect while a
+    // call is under way or due.
+    StoreFeedActions askForChanges(std::chrono::milliseconds timeout, TimePoint now);
+    // When the store last answered that this balancer has everything; now while a watch that follows such an answer is
+    // open. None before the first answer that can't be stale.
+    std::optional<TimePoint> answeredAt(TimePoint now) const;
     // When tick() should be called next; none when there is nothing to wait for.
     std::optional<TimePoint> nextTick() const { return pauseUntil_; }
 
@@ -234,6 +248,8 @@
     std::uint64_t linkBytes(Duration) const;
     void watch(TimePoint now, StoreFeedActions&);
     void watch(std::chrono::milliseconds wait, TimePoint now, StoreFeedActions&);
+    void watch(std::chrono::milliseconds wait, std::chrono::milliseconds timeout, TimePoint now, StoreFeedActions&);
+    void reportOutcome(bool isAnswered, StoreFeedActions&);
     bool isUnresponsive(std::optional<TimePoint> behindSince, TimePoint now) const;
     StoreDelta deltaOf(const PlatformChanges&, std::uint64_t from, TimePoint now);
     StoreFeedActions handleLateAnswer(std::uint64_t number, const Result<PlatformChanges>&, TimePoint now);
@@ -289,6 +305,11 @@
     std::optional<TimePoint> staleListingAt_;
     // The watch in progress checks that listing.
     bool isCheckingListing_ = false;
+    // The call in progress is that of askForChanges().
+    bool isAsking_ = false;
+    std::optional<TimePoint> answeredAt_;
+    // Whether the watch in progress, or the next one, follows an answer without a gap.
+    bool followsAnswer_ = false;
 };
 
 }
--- a/Source/StoreSync/StoreFeedListing.cpp
+++ b/Source/StoreSync/StoreFeedListing.cpp
@@ -93,6 +93,7 @@
         noteFailure(page.error(), now, actions);
         listRevision_.reset();
         pause(State::PausingBeforeList, backoff_.next(), now);
+        reportOutcome(false, actions);
         return actions;
     }
     noteSuccess(now, actions);
@@ -127,9 +128,15 @@
     listed_.clear();
     listRevision_.reset();
     staleListingAt_ = mayListStale_ ? std::optional(now) : std::nullopt;
+    const bool isFresh = !mayListStale_;
     mayListStale_ = false;
+    // Pages after the first may lack changes made meanwhile, which only the watch from the first page's revision
+    // returns.
+    if (isFresh)
+        answeredAt_ = listingStartedAt_;
     actions.emplace_back(DeltaReceived { std::move(delta) });
     actions.emplace_back(ended);
+    reportOutcome(isFresh, actions);
     watchAfterListing(hasListedLess, now, actions);
     return actions;
 }
--- a/Source/Wire/PeerMessage.cpp
+++ b/Source/Wire/PeerMessage.cpp
@@ -20,6 +20,7 @@
         { PeerMessageKind::CompressedReplicaSync, "compressed_news" },
         { PeerMessageKind::RelayedReplicaSync, "relayed_news" },
         { PeerMessageKind::RevisionRequest, "revision_request" },
+        { PeerMessageKind::WatcherHeartbeat, "watcher_heartbeat" },
     });
 
     bool isKnown(PeerMessageKind kind)
--- a/Source/Wire/PeerMessage.h
+++ b/Source/Wire/PeerMessage.h
@@ -36,11 +36,14 @@
     ReplicaSync = 9, // Contents of the platform's store, which balancers pass on to each other.
     CompressedReplicaSync = 10, // The same, compressed. Balancers of earlier versions drop it and fetch the contents.
     RelayedReplicaSync = 11, // The same, to be passed on by the receiver. Earlier versions drop it, too.
-    RevisionRequest = 12, // Asks the receiver to tell its revision of those contents once it has any. No payload.
+    // Asks the receiver to tell its revision of those contents once it has any. With a payload (StalenessRequest) the
+    // answer is a WatcherHeartbeat; balancers of earlier versions ignore the payload.
+    RevisionRequest = 12,
+    WatcherHeartbeat = 13, // How old the sender's contents are. Balancers of earlier versions drop it.
 };
 
 // One more than the highest kind; the size of arrays indexed by kind.
-inline constexpr std::size_t peerMessageKinds = 13;
+inline constexpr std::size_t peerMessageKinds = 14;
 
 std::string_view nameOf(PeerMessageKind);
 
--- a/Tests/StoreSync/ReplicaSyncTest.cpp
+++ b/Tests/StoreSync/ReplicaSyncTest.cpp
@@ -486,6 +486,25 @@
     }
 
     // Guards against balancers that wait for gossip, after a start of all, although others have read the store.
+    // Guards against a wait for a push that nobody will send, since the watchers of the zone are lost.
+    TEST_F(ReplicaSyncTest, WhatAnAskedPeerHasIsFetchedFromItAtOnce)
+    {
+        sync.handleStoreDelta({ 0, 5, true, false, {} }, clock.now());
+        EXPECT_TRUE(sync.handleRevision(balancerIdOf("walu-2"), 7, false, clock.now()).empty());
+        EXPECT_TRUE(sync.behindSince());
+        const auto fetches = all<FetchDelta>(sync.handleRevision(balancerIdOf("walu-1"), 8, true, clock.now()));
+        ASSERT_EQ(fetches.size(), 1U);
+        EXPECT_EQ(fetches.front().from, balancerIdOf("walu-1"));
+        EXPECT_EQ(fetches.front().after, 5U);
+        {
+            SCOPED_TRACE("another one is asked if the fetch fails");
+            setRevision("walu-2", 8);
+            const auto again = all<FetchDelta>(sync.handleFetchFailure(clock.now()));
+            ASSERT_EQ(again.size(), 1U);
+            EXPECT_EQ(again.front().from, balancerIdOf("walu-2"));
+        }
+    }
+
     TEST_F(ReplicaSyncTest, EmptyReplicaIsToldFromWhomItCanFetch)
     {
         ReplicaSync other("walu", 2);
--- a/Tests/StoreSync/StoreFeedTest.cpp
+++ b/Tests/StoreSync/StoreFeedTest.cpp
@@ -80,6 +80,95 @@
         EXPECT_NE(only<SendWatch>(feed.update(10, true, std::nullopt, clock.now())), nullptr);
     }
 
+    // Guards against a question for the zone that waits for changes, is not pushed, or counts as a watch.
+    TEST_F(StoreFeedTest, ABalancerThatIsNoWatcherAsksForItsZone)
+    {
+        feed.start(clock.now());
+        EXPECT_TRUE(feed.askForChanges(250ms, clock.now()).empty());
+        feed.handlePage(page(10), clock.now());
+        EXPECT_FALSE(feed.answeredAt(clock.now()));
+        const StoreFeedActions asked = feed.askForChanges(250ms, clock.now());
+        ASSERT_NE(only<SendWatch>(asked), nullptr);
+        EXPECT_EQ(only<SendWatch>(asked)->call.wait, 1ms);
+        EXPECT_EQ(only<SendWatch>(asked)->timeout, 250ms);
+        EXPECT_FALSE(feed.answeredAt(clock.now()));
+        EXPECT_TRUE(feed.askForChanges(250ms, clock.now()).empty());
+        const std::uint64_t number = only<SendWatch>(asked)->number;
+        const StoreFeedActions answered
+            = feed.handleChanges(number, PlatformChanges { { { "key", "v", 12, false } }, 12 }, clock.now());
+        ASSERT_NE(only<DeltaReceived>(answered), nullptr);
+        EXPECT_TRUE(only<DeltaReceived>(answered)->isForOthers);
+        EXPECT_FALSE(only<DeltaReceived>(answered)->delta.isFresh);
+        EXPECT_TRUE(only<StoreAsked>(answered)->isAnswered);
+        EXPECT_EQ(feed.answeredAt(clock.now() + 1s), clock.now());
+        EXPECT_FALSE(feed.isWatching());
+        {
+            SCOPED_TRACE("a failure is reported and leaves no outage behind, which nothing would end");
+            const StoreFeedActions again = feed.askForChanges(250ms, clock.now());
+            const StoreFeedActions failed = feed.handleChanges(
+                only<SendWatch>(again)->number, Error { ErrorCode::Unavailable, "status 503" }, clock.now());
+            EXPECT_FALSE(only<StoreAsked>(failed)->isAnswered);
+            EXPECT_FALSE(feed.isUnreachable());
+            EXPECT_FALSE(feed.nextTick());
+        }
+    }
+
+    // Guards against a question that the store answers with "gone" or from a restored copy, and that ends there
+    // although no watcher is heard.
+    TEST_F(StoreFeedTest, AQuestionLeadsToAListingWhereTheStoreLacksTheHistory)
+    {
+        feed.start(clock.now());
+        feed.handlePage(page(10), clock.now());
+        {
+            SCOPED_TRACE("history dropped");
+            const auto number = only<SendWatch>(feed.askForChanges(250ms, clock.now()))->number;
+            const StoreFeedActions gone
+                = feed.handleChanges(number, Error { ErrorCode::NotFound, "history" }, clock.now());
+            ASSERT_NE(only<SendList>(gone), nullptr);
+            EXPECT_FALSE(only<SendList>(gone)->call.mayBeStale);
+            const StoreFeedActions listed = feed.handlePage(page(20), clock.now());
+            EXPECT_EQ(only<DeltaReceived>(listed)->delta.to, 20U);
+            EXPECT_TRUE(only<StoreAsked>(listed)->isAnswered);
+        }
+        {
+            SCOPED_TRACE("another era");
+            const auto number = only<SendWatch>(feed.askForChanges(250ms, clock.now()))->number;
+            const StoreFeedActions restored = feed.handleChanges(number, PlatformChanges { {}, 15, 1 }, clock.now());
+            ASSERT_NE(only<SendList>(restored), nullptr);
+            PlatformPage restoredPage = page(15);
+            restoredPage.era = 1;
+            EXPECT_TRUE(only<StoreAsked>(feed.handlePage(restoredPage, clock.now()))->isAnswered);
+        }
+    }
+
+    // Guards against a watch on a connection that is dead, or that has begun from an old listing, that counts as a
+    // proof that the store has nothing newer.
+    TEST_F(StoreFeedTest, AnOpenWatchCountsAsAnAnswerOnlyAfterOne)
+    {
+        StoreFeedSettings settings;
+        settings.confirmsAtOnce = true;
+        StoreFeed watching { 1, settings };
+        watching.start(clock.now());
+        watching.update(0, true, std::nullopt, clock.now());
+        const StoreFeedActions listed = watching.handlePage(page(10), clock.now());
+        EXPECT_EQ(only<SendWatch>(listed)->call.wait, settings.minWatchDuration);
+        EXPECT_FALSE(watching.answeredAt(clock.now()));
+        const StoreFeedActions answered
+            = watching.handleChanges(only<SendWatch>(listed)->number, PlatformChanges { {}, 10 }, clock.now());
+        EXPECT_EQ(only<SendWatch>(answered)->call.wait, settings.watchDuration);
+        const TimePoint answeredAt = clock.now();
+        clock.advance(1s);
+        EXPECT_EQ(watching.answeredAt(clock.now()), clock.now());
+        watching.handleChanges(
+            only<SendWatch>(answered)->number, Error { ErrorCode::DeadlineExceeded, "timeout" }, clock.now());
+        EXPECT_EQ(watching.answeredAt(clock.now()), answeredAt);
+        const TimePoint retry = *watching.nextTick();
+        clock.advance(retry - clock.now());
+        const StoreFeedActions retried = watching.tick(retry);
+        EXPECT_EQ(only<SendWatch>(retried)->call.wait, settings.minWatchDuration);
+        EXPECT_EQ(watching.answeredAt(clock.now()), answeredAt);
+    }
+
     TEST_F(StoreFeedTest, SeriesOfChangesIsBatched)
     {
         const std::uint64_t number = startWatching();
