Forwarder: Read the bounds of the staleness and run ReplicaFreshness

The two settings max_replica_staleness_milliseconds and max_drain_staleness_milliseconds are filled in by the template, which can't compute a minimum; the smaller one counts, and 0 or none switches it off. PeerSync sends and receives heartbeats and logs replica.stale and replica.fresh, Forwarder ticks sooner while a deadline is near, and the metrics show replica_staleness_seconds.

ForwarderTests (33) pass, with new tests of the settings and of heartbeats and answers between two instances of PeerSync.

--- a/Source/FlowStory/FlowStory.cpp
+++ b/Source/FlowStory/FlowStory.cpp
@@ -31,8 +31,8 @@
         const bool namesServer = part == "server" && !line.text("server").empty();
         if (namesServer)
             return servers.contains(line.text("server"));
-        static constexpr std::array<std::string_view, 6> vmParts { "configuration", "store", "process", "settings",
-            "news", "server" };
+        static constexpr std::array<std::string_view, 7> vmParts { "configuration", "store", "process", "settings",
+            "news", "replica", "server" };
         return std::ranges::find(vmParts, part) != vmParts.end() && vms.contains(line.text("vm"));
     }
 
--- a/Source/Forwarder/Forwarder.h
+++ b/Source/Forwarder/Forwarder.h
@@ -24,6 +24,8 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
+#include <chrono>
 #include <csignal>
 #include <memory>
 #include <string>
@@ -61,6 +63,8 @@
 private:
     // As long as Membership allows, since each wakeup costs processor time. Log lines are flushed at each tick.
     static constexpr std::chrono::milliseconds tickInterval = MembershipSettings().maxTickPeriod();
+    // Ticks come sooner while a deadline of ReplicaFreshness is near.
+    static constexpr std::chrono::milliseconds minTickInterval { 5 };
     // Peers are contacted once packets are forwarded, or after this time. The store usually answers first, and callers
     // wait for it after a power failure.
     static constexpr std::chrono::milliseconds firstTickDelay { 60 };
@@ -103,7 +107,8 @@
             PeerSync::open(
                 context_, memberOf(settings_, incarnation_), settings_.seeds, seed_, log_, metrics_,
                 [this](ReplicaChanged changed) { handleReplicaChange(std::move(changed)); },
-                [this](const StoreUpdate& update) { return applier_.isOfZone(settings_.availabilityZone, update); }));
+                [this](const StoreUpdate& update) { return applier_.isOfZone(settings_.availabilityZone, update); },
+                replicaSyncSettingsOf(settings_)));
         peerSync_ = std::move(peers);
         packetPath_
             = std::make_unique<TokenPacketPath<Adapter>>(context_, std::move(socket), router_, peerSync_->replicaSync(),
@@ -173,6 +178,8 @@
             processLog_.listingEnded(*listing, now);
         } else if (const auto* restored = std::get_if<StoreEraChanged>(&action)) {
             processLog_.storeEraChanged(*restored, now);
+        } else if (const auto* asked = std::get_if<StoreAsked>(&action)) {
+            peerSync_->handleStoreAnswer(asked->isAnswered, now);
         } else if (const auto* lost = std::get_if<StoreUnreachable>(&action)) {
             peerSync_->noteStoreReachability(true, now);
             processLog_.storeUnreachable(*lost, now);
@@ -217,6 +224,9 @@
         const bool watches = peerSync_->isWatcher(now) && !lifecycle_.isStopping();
         storeDriver_.update(replicaSync.replica().completeTo(), watches, replicaSync.behindSince(), now);
         storeDriver_.tick(betterReaders(), now);
+        const StoreContact contact { storeDriver_.feed().answeredAt(now), storeDriver_.feed().isUnreachable() };
+        if (const auto question = peerSync_->tickFreshness(watches, contact, now))
+            storeDriver_.askForChanges(*question, now);
     }
 
     void tickRouter(TimePoint now)
@@ -231,8 +241,11 @@
 
     std::chrono::milliseconds nextTickInterval() const
     {
-        if (lifecycle_.hasSynced())
-            return tickInterval;
+        if (lifecycle_.hasSynced()) {
+            const auto due = peerSync_->freshness().nextTick();
+            const auto wait = due ? std::chrono::ceil<std::chrono::milliseconds>(*due - Clock::now()) : tickInterval;
+            return std::clamp(wait, minTickInterval, tickInterval);
+        }
         return storeDriver_.feed().isAwaitingReaders() ? awaitingReadersTickInterval : unsyncedTickInterval;
     }
 
--- a/Source/Forwarder/ForwarderHttpHandler.h
+++ b/Source/Forwarder/ForwarderHttpHandler.h
@@ -68,6 +68,7 @@
         snapshot.storeEra = store_.feed().era();
         if (const auto since = peerSync_.replicaSync().behindSince())
             snapshot.replicaLag = now - *since;
+        snapshot.replicaStaleness = peerSync_.freshness().age(now);
         snapshot.flows = router_.flows().size();
         snapshot.members = peerSync_.members();
         snapshot.isReady = lifecycle_.isReady();
--- a/Source/Forwarder/ForwarderMetrics.cpp
+++ b/Source/Forwarder/ForwarderMetrics.cpp
@@ -179,6 +179,8 @@
     addState("news_era", eraOf(snapshot.replicaRevision));
     addState("store_era", snapshot.storeEra);
     addState("news_behind_seconds", secondsOf(snapshot.replicaLag));
+    if (snapshot.replicaStaleness)
+        addState("replica_staleness_seconds", secondsOf(*snapshot.replicaStaleness));
     addState("flows", snapshot.flows);
     addState("members", snapshot.members);
     addState("ready", snapshot.isReady);
--- a/Source/Forwarder/ForwarderMetrics.h
+++ b/Source/Forwarder/ForwarderMetrics.h
@@ -7,6 +7,7 @@
 #include <array>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
 #include <utility>
@@ -79,6 +80,8 @@
         std::uint64_t storeEra = 0;
         // How long others have been known to have a newer revision; zero when none has.
         Duration replicaLag {};
+        // How old the view of the store is; none if that is not known.
+        std::optional<Duration> replicaStaleness;
         std::size_t flows = 0;
         std::size_t members = 0;
         bool isReady = false;
--- a/Source/Forwarder/ForwarderSettings.cpp
+++ b/Source/Forwarder/ForwarderSettings.cpp
@@ -3,6 +3,8 @@
 #include "Settings/SettingsFile.h"
 #include "Settings/SettingsReader.h"
 
+#include <algorithm>
+
 namespace wisteriadock {
 
 namespace {
@@ -15,6 +17,8 @@
     constexpr double maxSlack = 1e9;
     constexpr double maxLinkMegabits = 1e9;
     constexpr std::chrono::milliseconds minTimeout { 1 };
+    // A shorter bound leaves no time for the twelfth of it in which others have to answer.
+    constexpr std::chrono::milliseconds minStaleness { 1000 };
     // A day effectively disables a timeout.
     constexpr std::chrono::milliseconds maxTimeout { 86'400'000 };
 
@@ -37,6 +41,17 @@
         target = std::chrono::milliseconds(static_cast<std::int64_t>(seconds * 1000));
     }
 
+    // Reads a bound in milliseconds, which may have a fraction; 0 for none.
+    void readStaleness(SectionReader& section, std::string_view key, std::chrono::milliseconds& target)
+    {
+        auto milliseconds = static_cast<double>(target.count());
+        section.number(key, milliseconds, 0, static_cast<double>(maxTimeout.count()));
+        if (milliseconds > 0 && milliseconds < static_cast<double>(minStaleness.count()))
+            section.addProblem(key, "0, or a number from 1000 to 86400000");
+        else
+            target = std::chrono::milliseconds(static_cast<std::int64_t>(milliseconds));
+    }
+
     void readOpening(SettingsReader& reader, OpeningSettings& opening)
     {
         SectionReader& section = reader.section("opening");
@@ -84,6 +99,8 @@
     double linkMegabits = settings.linkMegabits;
     limits.number("link_megabits_per_second", linkMegabits, 0, maxLinkMegabits);
     settings.linkMegabits = static_cast<std::uint32_t>(linkMegabits);
+    readStaleness(limits, "max_replica_staleness_milliseconds", settings.maxReplicaStaleness);
+    readStaleness(limits, "max_drain_staleness_milliseconds", settings.maxDrainStaleness);
     limits.number("cold_overage", settings.coldStart.overage, 0, maxFactor);
     limits.number("cold_slack_flows", settings.coldStart.slack, 0, maxSlack);
     readOpening(reader, settings.opening);
@@ -100,6 +117,13 @@
     return parse(path, text);
 }
 
+std::chrono::milliseconds ForwarderSettings::stalenessBound() const
+{
+    const bool hasBoth = maxReplicaStaleness.count() > 0 && maxDrainStaleness.count() > 0;
+    return hasBoth ? std::min(maxReplicaStaleness, maxDrainStaleness)
+                   : std::max(maxReplicaStaleness, maxDrainStaleness);
+}
+
 std::vector<std::string> ForwarderSettings::differencesThatNeedRestart(const ForwarderSettings& other) const
 {
     std::vector<std::string> names;
@@ -117,6 +141,8 @@
     compare(opening == other.opening, "opening");
     compare(coldStart == other.coldStart, "limits.cold_overage, limits.cold_slack_flows");
     compare(linkMegabits == other.linkMegabits, "limits.link_megabits_per_second");
+    compare(stalenessBound() == other.stalenessBound(),
+        "limits.max_replica_staleness_milliseconds, limits.max_drain_staleness_milliseconds");
     compare(longestFlow == other.longestFlow, "limits.longest_flow_seconds");
     return names;
 }
--- a/Source/Forwarder/ForwarderSettings.h
+++ b/Source/Forwarder/ForwarderSettings.h
@@ -37,6 +37,13 @@
     // Bandwidth of the VM's link in Mbit/s; 0 when unknown. Balancers with fast links watch the store for the others.
     std::uint32_t linkMegabits = 0;
 
+    // How old this balancer's view of the store may become, as far as the configuration and draining servers are
+    // concerned. 0: no bound.
+    std::chrono::milliseconds maxReplicaStaleness { 0 };
+    std::chrono::milliseconds maxDrainStaleness { 0 };
+    // The smaller one of both; 0 without a bound.
+    std::chrono::milliseconds stalenessBound() const;
+
     // How servers are chosen for new flows.
     OpeningSettings opening;
     ColdStartSettings coldStart;
--- a/Source/Forwarder/PartSettings.cpp
+++ b/Source/Forwarder/PartSettings.cpp
@@ -18,9 +18,17 @@
     StoreFeedSettings feed;
     feed.linkMegabits = settings.linkMegabits;
     feed.sampleStart = sampleStart;
+    feed.confirmsAtOnce = settings.stalenessBound().count() > 0;
     return feed;
 }
 
+ReplicaSyncSettings replicaSyncSettingsOf(const ForwarderSettings& settings)
+{
+    ReplicaSyncSettings sync;
+    sync.maxStaleness = settings.stalenessBound();
+    return sync;
+}
+
 Member memberOf(const ForwarderSettings& settings, std::uint64_t incarnation)
 {
     Member member;
--- a/Source/Forwarder/PartSettings.h
+++ b/Source/Forwarder/PartSettings.h
@@ -3,6 +3,7 @@
 #include "Forward/TokenRouter.h"
 #include "Forwarder/ForwarderSettings.h"
 #include "Membership/Member.h"
+#include "StoreSync/ReplicaSync.h"
 #include "StoreSync/StoreFeed.h"
 
 #include <cstdint>
@@ -12,6 +13,7 @@
 
 // The settings of the forwarder's parts, as its own settings determine them.
 RouterSettings routerSettingsOf(const ForwarderSettings&);
+ReplicaSyncSettings replicaSyncSettingsOf(const ForwarderSettings&);
 StoreFeedSettings storeFeedSettingsOf(const ForwarderSettings&, std::string_view sampleStart);
 
 // This balancer as the others see it. The incarnation identifies the start of its process.
--- a/Source/Forwarder/PeerSync.cpp
+++ b/Source/Forwarder/PeerSync.cpp
@@ -14,8 +14,6 @@
     constexpr std::chrono::milliseconds connectTimeout { 800 };
     // Limit for a whole answer, even while its bytes keep arriving. ReplicaSync abandons a stalled one sooner.
     constexpr std::chrono::milliseconds fetchTimeout { 4000 };
-    // A longer lag behind other balancers is logged.
-    constexpr std::chrono::milliseconds lagWarningThreshold { 1000 };
 
     // One watcher per zone, since calls to the store are costly and other zones stand in for a lost watcher. At least
     // three in total, so that changes spread while one of them has failed.
@@ -67,6 +65,7 @@
     , membership_({}, self, seed, Clock::now())
     , watcherRole_({ .counts = watcherCounts })
     , replicaSync_(self.availabilityZone, seed, settings)
+    , freshness_(self.availabilityZone, seed + 1, { .maxStaleness = settings.maxStaleness })
     , fetchAnswers_(replicaSync_.replica(), std::move(isOfOwnZone))
 {
 }
@@ -131,26 +130,6 @@
     logLag(now);
 }
 
-void PeerSync::logLag(TimePoint now)
-{
-    const auto since = replicaSync_.behindSince();
-    if (!since || now - *since < lagWarningThreshold) {
-        hasLoggedLag_ = hasLoggedLag_ && since;
-        return;
-    }
-    if (std::exchange(hasLoggedLag_, true))
-        return;
-    log_.write(LogLevel::Warning, "news", "behind",
-        Event()
-            .add("revision", storeRevisionOf(replicaSync_.replica().completeTo()))
-            .add("newest", storeRevisionOf(replicaSync_.newestPeerRevision()))
-            .add("newest_era", eraOf(replicaSync_.newestPeerRevision()))
-            .add("behind_ms", now - *since)
-            .add("asking", fetchSource_)
-            .add("answer_bytes", fetchReceivedBytes_),
-        now);
-}
-
 void PeerSync::noteFetchProgress(TimePoint now)
 {
     const std::uint64_t bytes = fetchClient_ ? fetchClient_->bytesTransferred() : 0;
@@ -201,7 +180,7 @@
         rowOf("member_pages", { PeerMessageKind::MembersRequest, PeerMessageKind::MembersPage }),
         rowOf("pushes",
             { PeerMessageKind::ReplicaSync, PeerMessageKind::CompressedReplicaSync, PeerMessageKind::RelayedReplicaSync,
-                PeerMessageKind::RevisionRequest }),
+                PeerMessageKind::RevisionRequest, PeerMessageKind::WatcherHeartbeat }),
         { "fetches_asked", fetchNumber_, 0, fetchBytes },
         { "fetches_served", fetchesServed_, server_->bytesTransferred(), 0 },
     };
@@ -220,7 +199,10 @@
         receiveRelay(envelope, now);
         break;
     case PeerMessageKind::RevisionRequest:
-        perform(replicaSync_.handleRevisionRequest(envelope.sender, sender), now);
+        handleRevisionRequest(envelope, sender, now);
+        break;
+    case PeerMessageKind::WatcherHeartbeat:
+        receiveHeartbeat(envelope, now);
         break;
     default:
         perform(membership_.handle(PeerMessageReceived { sender, envelope }, now), now);
@@ -258,6 +240,7 @@
         }
         const auto& view = std::get<MembersViewChanged>(action).view;
         membersLog_.handleView(*view, membership_.isSettled(now), now);
+        freshness_.handleView(view);
         perform(replicaSync_.handleView(view, now), now);
     }
 }
@@ -285,33 +268,6 @@
     }
 }
 
-void PeerSync::logRefusal(const DeltaRefused& refused, TimePoint now)
-{
-    metrics_.countRefusedDelta(nameOf(refused.reason));
-    log_.write(LogLevel::Warning, "news", "delta_refused",
-        Event()
-            .add("reason", nameOf(refused.reason))
-            .add("source", refused.source)
-            .add("revision", storeRevisionOf(refused.revision))
-            .add("era", eraOf(refused.revision))
-            .add("held_revision", storeRevisionOf(refused.heldRevision))
-            .add("held_era", eraOf(refused.heldRevision)),
-        now);
-}
-
-void PeerSync::logEra(const EraEntered& entered, TimePoint now)
-{
-    log_.write(LogLevel::Warning, "news", "era_entered",
-        Event()
-            .add("source", entered.source)
-            .add("former_era", eraOf(entered.formerRevision))
-            .add("era", eraOf(entered.revision))
-            .add("former_revision", storeRevisionOf(entered.formerRevision))
-            .add("revision", storeRevisionOf(entered.revision))
-            .add("changed", std::uint64_t(entered.changes)),
-        now);
-}
-
 void PeerSync::push(const PushDelta& push)
 {
     const DeltaPiece& piece = *push.piece;
--- a/Source/Forwarder/PeerSync.h
+++ b/Source/Forwarder/PeerSync.h
@@ -10,6 +10,7 @@
 #include "Net/Http2Server.h"
 #include "Peers/PeerSocket.h"
 #include "Peers/WatcherRole.h"
+#include "StoreSync/ReplicaFreshness.h"
 #include "StoreSync/ReplicaSync.h"
 #include "StoreSync/StoreFeed.h"
 
@@ -18,6 +19,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -58,6 +60,10 @@
     // Whether this balancer is one of those that watch the store for the others.
     bool isWatcher(TimePoint now) const;
     const ReplicaSync& replicaSync() const { return replicaSync_; }
+    // See ReplicaFreshness::tick(). Returns a question for the store, whose outcome is passed to handleStoreAnswer().
+    std::optional<AskStore> tickFreshness(bool isWatcher, const StoreContact&, TimePoint now);
+    void handleStoreAnswer(bool isAnswered, TimePoint now);
+    const ReplicaFreshness& freshness() const { return freshness_; }
     // Number of balancers in the view, this one included.
     std::size_t members() const { return membership_.view()->members.size(); }
     // Ids of the live balancers of this balancer's availability zone, its own included.
@@ -75,9 +81,12 @@
 
     void receive(const PeerEnvelope&, const Endpoint& sender);
     void receiveRelay(const PeerEnvelope&, TimePoint now);
+    void handleRevisionRequest(const PeerEnvelope&, const Endpoint& sender, TimePoint now);
+    void receiveHeartbeat(const PeerEnvelope&, TimePoint now);
     void answerFetch(const std::shared_ptr<Http2Exchange>&);
     void perform(const MembershipActions&, TimePoint now);
     void perform(ReplicaSyncActions, TimePoint now);
+    void perform(const ReplicaFreshnessActions&, TimePoint now);
     void push(const PushDelta&);
     void fetch(const FetchDelta&);
     void handleFetchOutcome(const std::string& source, const HttpOutcome&);
@@ -97,6 +106,7 @@
     Membership membership_;
     WatcherRole watcherRole_;
     ReplicaSync replicaSync_;
+    ReplicaFreshness freshness_;
     FetchAnswers fetchAnswers_;
     std::unique_ptr<PeerSocket> link_;
     std::unique_ptr<Http2Server> server_;
--- a/Source/Forwarder/StoreFeedDriver.h
+++ b/Source/Forwarder/StoreFeedDriver.h
@@ -3,6 +3,7 @@
 #include "Forwarder/ForwarderMetrics.h"
 #include "KeyValue/KeyValueClient.h"
 #include "Net/Http1Client.h"
+#include "StoreSync/ReplicaFreshness.h"
 #include "StoreSync/StoreFeed.h"
 
 #include <boost/asio/io_context.hpp>
@@ -18,7 +19,7 @@
 template <typename Adapter> class StoreFeedDriver {
 public:
     // Called with the actions that StoreFeedDriver does not perform itself: DeltaReceived, ListingEnded,
-    // StoreEraChanged, StoreUnreachable and StoreReachable.
+    // StoreEraChanged, StoreAsked, StoreUnreachable and StoreReachable.
     using Handler = std::function<void(const StoreFeedAction&)>;
 
     StoreFeedDriver(boost::asio::io_context& context, Endpoint store, std::uint64_t seed,
@@ -35,6 +36,7 @@
     {
         perform(feed_.update(completeTo, shallWatch, behindSince, now));
     }
+    void askForChanges(const AskStore& question, TimePoint now) { perform(feed_.askForChanges(question.timeout, now)); }
     void noteContradiction(TimePoint now) { perform(feed_.noteContradiction(now)); }
     void tick(BetterReaders betterReaders, TimePoint now)
     {
--- a/Tests/Forwarder/ForwarderSettingsTest.cpp
+++ b/Tests/Forwarder/ForwarderSettingsTest.cpp
@@ -66,6 +66,35 @@
             EXPECT_NE(settings.error().detail.find(part), std::string::npos) << part << "\n" << settings.error().detail;
     }
 
+    // Guards against a bound that is too short to be kept, and against the longer of two bounds.
+    TEST(ForwarderSettingsTest, TheShorterBoundOfTheStalenessCounts)
+    {
+        const auto boundOf = [](const std::string& lines) {
+            std::string text = completeText;
+            text.replace(text.find("[limits]"), 8, "[limits]\n" + lines);
+            return ForwarderSettings::parse("file", text);
+        };
+        const std::string replica = "max_replica_staleness_milliseconds = ";
+        const std::string drain = "max_drain_staleness_milliseconds = ";
+        using std::chrono::milliseconds;
+        EXPECT_EQ(boundOf("").value().stalenessBound(), milliseconds(0));
+        EXPECT_EQ(boundOf(replica + "0").value().stalenessBound(), milliseconds(0));
+        EXPECT_EQ(boundOf(replica + "4000").value().stalenessBound(), milliseconds(4000));
+        EXPECT_EQ(boundOf(drain + "3000.0").value().stalenessBound(), milliseconds(3000));
+        EXPECT_EQ(boundOf(replica + "0\n" + drain + "3000").value().stalenessBound(), milliseconds(3000));
+        EXPECT_EQ(boundOf(replica + "4000\n" + drain + "3000").value().stalenessBound(), milliseconds(3000));
+        EXPECT_EQ(boundOf(replica + "3000\n" + drain + "4000").value().stalenessBound(), milliseconds(3000));
+        for (const char* wrong : { "999", "-1", "soon", "86400001" }) {
+            const auto settings = boundOf(replica + "4000\n" + drain + wrong);
+            ASSERT_FALSE(settings) << wrong;
+            EXPECT_NE(settings.error().detail.find(drain + wrong), std::string::npos) << settings.error().detail;
+        }
+        const ForwarderSettings before = boundOf(replica + "4000").value();
+        EXPECT_EQ(before.differencesThatNeedRestart(boundOf(replica + "4000\n" + drain + "3000").value()),
+            (std::vector<std::string> {
+                "limits.max_replica_staleness_milliseconds, limits.max_drain_staleness_milliseconds" }));
+    }
+
     TEST(ForwarderSettingsTest, DifferencesThatNeedARestart)
     {
         const ForwarderSettings before = ForwarderSettings::parse("file", completeText).value();
--- a/Tests/Forwarder/PeerSyncTest.cpp
+++ b/Tests/Forwarder/PeerSyncTest.cpp
@@ -89,9 +89,11 @@
         Balancer client;
         Balancer server;
 
-        explicit PeerSyncTest(std::size_t maxDirectPushes = ReplicaSyncSettings().maxDirectPushes)
+        explicit PeerSyncTest(std::size_t maxDirectPushes = ReplicaSyncSettings().maxDirectPushes,
+            std::chrono::milliseconds maxStaleness = 0ms)
         {
             settings.maxDirectPushes = maxDirectPushes;
+            settings.maxStaleness = maxStaleness;
             settings.pushTimeout = 0ms;
             settings.listingTimeout = 0ms;
             settings.answerTimeout = 40ms;
@@ -184,6 +186,57 @@
         EXPECT_EQ(client.fetches("asked"), 0U);
     }
 
+    // Guards against heartbeats and requests for the age of a view that the other one can't read.
+    struct FreshnessPeerSyncTest : PeerSyncTest {
+        FreshnessPeerSyncTest()
+            : PeerSyncTest(ReplicaSyncSettings().maxDirectPushes, 3s)
+        {
+            for (Balancer* balancer : { &client, &server })
+                balancer->peerSync->handleStoreDelta({ { 0, 5, true, false, {} } }, Clock::now());
+        }
+
+        // The time as of which the client's view is confirmed.
+        TimePoint clientConfirmedAt(TimePoint reference) const
+        {
+            return reference - client.peerSync->freshness().age(reference).value_or(Duration::zero());
+        }
+
+        void pollBoth()
+        {
+            server.poll();
+            client.poll();
+        }
+    };
+
+    TEST_F(FreshnessPeerSyncTest, AnswersAndHeartbeatsArrive)
+    {
+        const TimePoint began = Clock::now();
+        const TimePoint reference = began + 10h;
+        client.peerSync->tickFreshness(false, {}, began);
+        server.peerSync->tickFreshness(false, { began, false }, began);
+        EXPECT_EQ(clientConfirmedAt(reference), began);
+        {
+            SCOPED_TRACE("the client has heard nothing for an hour and asks the server, which has heard the store");
+            server.peerSync->tickFreshness(false, { began + 1h, false }, began);
+            client.peerSync->tickFreshness(false, {}, began + 1h);
+            waitUntil([&] { return clientConfirmedAt(reference) > began; }, [&] { pollBoth(); });
+        }
+        {
+            SCOPED_TRACE("the server watches the store and sends heartbeats");
+            const TimePoint before = clientConfirmedAt(reference);
+            waitUntil([&] { return clientConfirmedAt(reference) > before; },
+                [&] {
+                    server.peerSync->tickFreshness(true, { Clock::now(), false }, Clock::now());
+                    pollBoth();
+                });
+        }
+        {
+            SCOPED_TRACE("an answer of the store confirms the view");
+            client.peerSync->handleStoreAnswer(true, began + 2h);
+            EXPECT_EQ(clientConfirmedAt(reference), began + 2h);
+        }
+    }
+
     struct RelayingPeerSyncTest : PeerSyncTest {
         RelayingPeerSyncTest()
             : PeerSyncTest(0)
