--- a/Tests/StoreSync/ReplicaFreshnessTest.cpp
+++ b/Tests/StoreSync/ReplicaFreshnessTest.cpp
@@ -149,7 +149,9 @@
     struct ZoneOf200 : testing::Test {
         FreshnessSimulation fleet { 1, largeBound };
 
-        ZoneOf200()
+        ZoneOf200() { start(fleet); }
+
+        static void start(FreshnessSimulation& fleet)
         {
             addMany(fleet, "walu", 200);
             addMany(fleet, "nabua", 6);
@@ -159,16 +161,24 @@
     };
 
     // Guards against a zone in which each balancer asks the store at once.
-    TEST_F(ZoneOf200, FewAskTheStoreWhenAllWatchersAreLost)
+    TEST(ReplicaFreshnessTest, FewAskTheStoreWhenAllWatchersOfAZoneAreLost)
     {
-        const std::uint64_t before = fleet.questions();
-        ASSERT_FALSE(fleet.watchersOf("walu").empty());
-        killWatchers(fleet, "walu");
-        const std::uint64_t revision = fleet.write("servers/1", "draining");
-        EXPECT_LT(timeUntilAllHave(fleet, revision, 20s), Duration(largeBound));
-        EXPECT_LT(oldestViewDuring(fleet, 20s), Duration(largeBound));
-        EXPECT_LE(fleet.questions() - before, maxQuestionsOfAZone);
-        EXPECT_GE(fleet.questions() - before, 1U);
+        std::uint64_t most = 0;
+        for (const std::uint64_t seed : { 1U, 2U, 3U }) {
+            SCOPED_TRACE(seed);
+            FreshnessSimulation fleet(seed, largeBound);
+            ZoneOf200::start(fleet);
+            const std::uint64_t before = fleet.questions();
+            ASSERT_FALSE(fleet.watchersOf("walu").empty());
+            killWatchers(fleet, "walu");
+            const std::uint64_t revision = fleet.write("servers/1", "draining");
+            EXPECT_LT(timeUntilAllHave(fleet, revision, 20s), Duration(largeBound));
+            EXPECT_LT(oldestViewDuring(fleet, 20s), Duration(largeBound));
+            EXPECT_LE(fleet.questions() - before, maxQuestionsOfAZone);
+            EXPECT_GE(fleet.questions() - before, 1U);
+            most = std::max(most, fleet.questions() - before);
+        }
+        RecordProperty("questions", std::to_string(most));
     }
 
     // Guards against heartbeats that do not arrive through the relay tree, and against more of them than one in each
