--- a/Source/Forwarder/PartSettings.cpp
+++ b/Source/Forwarder/PartSettings.cpp
@@ -19,6 +19,7 @@
     StoreFeedSettings feed;
     feed.linkMegabits = settings.linkMegabits;
     feed.sampleStart = sampleStart;
+    feed.confirmsAtOnce = settings.stalenessBound().count() > 0;
     return feed;
 }
 
@@ -29,6 +30,13 @@
     return load;
 }
 
+ReplicaSyncSettings replicaSyncSettingsOf(const ForwarderSettings& settings)
+{
+    ReplicaSyncSettings sync;
+    sync.maxStaleness = settings.stalenessBound();
+    return sync;
+}
+
 Member memberOf(const ForwarderSettings& settings, std::uint64_t incarnation)
 {
     Member member;
--- a/Source/Forwarder/PartSettings.h
+++ b/Source/Forwarder/PartSettings.h
@@ -4,6 +4,7 @@
 #include "Forwarder/ForwarderSettings.h"
 #include "LoadReports/LoadExchange.h"
 #include "Membership/Member.h"
+#include "StoreSync/ReplicaSync.h"
 #include "StoreSync/StoreFeed.h"
 
 #include <cstdint>
@@ -13,6 +14,7 @@
 
 // The settings of the forwarder's parts, as its own settings determine them.
 RouterSettings routerSettingsOf(const ForwarderSettings&);
+ReplicaSyncSettings replicaSyncSettingsOf(const ForwarderSettings&);
 StoreFeedSettings storeFeedSettingsOf(const ForwarderSettings&, std::string_view sampleStart);
 LoadExchangeSettings loadExchangeSettingsOf(const ForwarderSettings&);
 
--- a/Source/Wire/PeerMessage.cpp
+++ b/Source/Wire/PeerMessage.cpp
@@ -22,6 +22,7 @@
         { PeerMessageKind::RevisionRequest, "revision_request" },
         { PeerMessageKind::LoadReport, "load_report" },
         { PeerMessageKind::LoadDigest, "load_digest" },
+        { PeerMessageKind::WatcherHeartbeat, "watcher_heartbeat" },
     });
 
     bool isKnown(PeerMessageKind kind)
