Forward: Recognise rejected requests by the sizes of answers

Cause: servers that are full reject requests after some 90 ms, which looks like a fast answer, so every rejected request counted as served.

Change: AnswerSizes tells the two apart for each route: rejections have one exact size, which recurs and is below half of what served answers have. OpenFlowTable notes how many bytes of each answer the caller acknowledges, only while the load is measured.

Before, no request counted as rejected.

--- a/Source/Forward/OpenFlowTable.cpp
+++ b/Source/Forward/OpenFlowTable.cpp
@@ -45,6 +45,7 @@
         flow.previousTokens = { flow.token, flow.previousTokens[0] };
     }
     if (flow.token != server.token) {
+        completeAnswer(flow, ends.route);
         setBusy(flow, false, now);
         adjustCounters(flow.token, -1, 0);
         adjustCounters(server.token, 1, 0);
@@ -74,6 +75,7 @@
         // The caller ended the flow without waiting for the answer.
         if (flow->isBusy)
             noteOutcome(*flow, false, now);
+        completeAnswer(*flow, packet.ends.route);
         uncount(*flow, now);
         flows_.erase(packet.ends);
     }
@@ -98,6 +100,7 @@
         setLoadCell(*flow, server, now);
     }
     if (flow->token != server.token) {
+        completeAnswer(*flow, packet.ends.route);
         adjustCounters(flow->token, -1, flow->isBusy ? -1 : 0);
         adjustCounters(server.token, 1, flow->isBusy ? 1 : 0);
         setLoadCell(*flow, server, now);
@@ -128,6 +131,8 @@
         noteOutcome(flow, true, now);
         setBusy(flow, false, now);
     }
+    if (flow.hasPartialAnswer)
+        trackAnswer(flow, packet.ends.route, now);
 }
 
 void OpenFlowTable::trackSentBytes(FlowRecord& flow, const TokenPacket& packet, FlowProgress& progress, TimePoint now)
@@ -137,6 +142,10 @@
         flow.sequenceEnd = end;
         flow.lastNewBytes = now;
         progress.beginsRequest = packet.payloadBytes > 0 && !flow.isBusy;
+        if (progress.beginsRequest) {
+            completeAnswer(flow, packet.ends.route);
+            flow.answerStart = flow.acknowledged;
+        }
         if (packet.payloadBytes > 0)
             setBusy(flow, true, now);
     } else if (packet.payloadBytes > 0) {
@@ -164,9 +173,12 @@
         FlowRecord& flow = row.second;
         if (flow.isBusy && now - flow.busySince > answerTimeout)
             noteOutcome(flow, false, now);
+        if (flow.hasPartialAnswer && now - flow.lastAnswerPart >= answerCompletionTime)
+            completeAnswer(flow, row.first.route);
         const auto lifetime = flow.isOpen ? activeTimeout : openingLifetime;
         if (now - flow.lastSeen < lifetime)
             return false;
+        completeAnswer(flow, row.first.route);
         uncount(flow, now);
         return true;
     });
@@ -221,7 +233,13 @@
     if (!server || flow.isOverdue)
         return;
     flow.isOverdue = !isAnswered;
-    countLoad(flow, isAnswered ? RequestOutcome::Served : RequestOutcome::Unanswered, now - flow.busySince);
+    if (!isAnswered) {
+        countLoad(flow, RequestOutcome::Unanswered);
+    } else if (routes_) {
+        flow.hasPartialAnswer = true;
+        flow.isOutcomeCounted = false;
+        flow.answerTime = now - flow.busySince;
+    }
     server->seen.outcomes.note(isAnswered, now);
     server->group->outcomes.note(isAnswered, now);
     observed_.insert(flow.token);
@@ -257,4 +275,22 @@
         loadMeter_.count(flow.loadCell, outcome, answerTime);
 }
 
+void OpenFlowTable::trackAnswer(FlowRecord& flow, Endpoint route, TimePoint now)
+{
+    flow.lastAnswerPart = now;
+    if (flow.isOutcomeCounted || !answerSizes_[route].isServed(flow.acknowledged - flow.answerStart))
+        return;
+    flow.isOutcomeCounted = true;
+    countLoad(flow, RequestOutcome::Served, flow.answerTime);
+}
+
+void OpenFlowTable::completeAnswer(FlowRecord& flow, Endpoint route)
+{
+    if (!std::exchange(flow.hasPartialAnswer, false))
+        return;
+    const bool isRejection = answerSizes_[route].note(flow.acknowledged - flow.answerStart);
+    if (!flow.isOutcomeCounted)
+        countLoad(flow, isRejection ? RequestOutcome::Rejected : RequestOutcome::Served, flow.answerTime);
+}
+
 }
--- a/Source/Forward/OpenFlowTable.h
+++ b/Source/Forward/OpenFlowTable.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Core/Clock.h"
+#include "Forward/AnswerSizes.h"
 #include "Forward/ForwardingConfiguration.h"
 #include "Forward/RequestLoadMeter.h"
 #include "Forward/ServerDirectory.h"
@@ -47,6 +48,14 @@
     // of the flow's route when the flow was first seen.
     RequestLoadMeter::Cell loadCell = RequestLoadMeter::noCell;
     std::uint32_t priority = 0;
+    // While the load is measured: a part of an answer was acknowledged, and more may follow.
+    bool hasPartialAnswer = false;
+    // The outcome of that answer has been counted.
+    bool isOutcomeCounted = false;
+    // The caller's acknowledgement before the answer.
+    std::uint32_t answerStart = 0;
+    Duration answerTime {};
+    TimePoint lastAnswerPart;
 };
 
 // What a packet of an open flow shows about its server; for the log, the metrics and the server's liveness.
@@ -94,6 +103,10 @@
     // Callers retransmit after 200 ms.
     static constexpr std::chrono::milliseconds reorderingWindow { 100 };
 
+    // An answer is complete if no further part of it is acknowledged within this time. Callers delay acknowledgements
+    // by up to 40 ms, and a lost part is sent again after 200 ms.
+    static constexpr std::chrono::milliseconds answerCompletionTime { 300 };
+
     explicit OpenFlowTable(ServerDirectory& directory)
         : directory_(directory)
     {
@@ -131,12 +144,18 @@
     // Assigns the flow to the server's class of requests. A request in progress moves with it.
     void setLoadCell(FlowRecord&, const KnownServer&, TimePoint now);
     void countLoad(const FlowRecord&, RequestOutcome, Duration answerTime = {});
+    // A part of the answer was acknowledged. Counts the request as served once the answer is too long for a rejection.
+    void trackAnswer(FlowRecord&, Endpoint route, TimePoint now);
+    // The answer is complete: tells by its size whether it served the request.
+    void completeAnswer(FlowRecord&, Endpoint route);
     std::vector<FailingChange> updateFailingServers(TimePoint now);
 
     ServerDirectory& directory_;
     // Null while the load is not measured.
     const RouteTable* routes_ = nullptr;
     RequestLoadMeter loadMeter_;
+    // By the address of the route.
+    absl::flat_hash_map<Endpoint, AnswerSizes> answerSizes_;
     absl::flat_hash_map<FlowEnds, FlowRecord> flows_;
     // Tokens of the servers whose outcomes were noted lately. Only these can start or stop failing.
     absl::flat_hash_set<std::uint32_t> observed_;
--- a/Tests/Forward/RequestLoadMeterTest.cpp
+++ b/Tests/Forward/RequestLoadMeterTest.cpp
@@ -132,6 +132,40 @@
         }
     }
 
+    // Guards against rejections that count as served, and against sums of outcomes that don't match the requests.
+    TEST_F(RequestLoadMeterTest, RejectionsAreRecognisedByTheAnswersThatCallersAcknowledge)
+    {
+        constexpr std::uint32_t requests = 60;
+        std::uint32_t rejected = 0;
+        for (std::uint32_t caller = 1; caller <= requests; ++caller) {
+            open(caller);
+            send(data(caller, tokenOf(7)));
+            clock.advance(90ms);
+            const bool isRejected = caller > 10 && caller % 2 == 0;
+            rejected += isRejected;
+            if (!isRejected) {
+                // The answer is acknowledged in two parts, the first of which is short.
+                send(data(caller, tokenOf(7), 1101, 5001 + 126, 0));
+                clock.advance(20ms);
+            }
+            TokenPacket last = data(caller, tokenOf(7), 1101, 5001 + (isRejected ? 126 : 700 + caller), 0);
+            // Every other caller ends its flow; the others leave it open.
+            last.finishes = caller % 4 < 2;
+            send(last);
+        }
+        clock.advance(OpenFlowTable::answerCompletionTime);
+        measuring.tick(clock.now());
+        const double seconds = requests * 0.092 + (requests - rejected) * 0.02 + 0.3;
+        const std::vector<ObservedLoad> loads = take();
+        ASSERT_EQ(loads.size(), 1U);
+        const RequestLoad& load = loads[0].load;
+        EXPECT_NEAR(load.begun * seconds, requests, 0.5);
+        EXPECT_NEAR((load.served + load.rejected) * seconds, requests, 0.5);
+        // The first ones are not known to recur yet.
+        EXPECT_NEAR(load.rejected * seconds, rejected - 3, 0.5);
+        EXPECT_EQ(load.unanswered, 0);
+    }
+
     TEST_F(RequestLoadMeterTest, NothingIsMeasuredWhenSwitchedOff)
     {
         const std::uint32_t token = openFlow(1);
