--- a/Source/Wire/PeerMessage.cpp
+++ b/Source/Wire/PeerMessage.cpp
@@ -20,9 +20,9 @@
         { PeerMessageKind::CompressedReplicaSync, "compressed_news" },
         { PeerMessageKind::RelayedReplicaSync, "relayed_news" },
         { PeerMessageKind::RevisionRequest, "revision_request" },
+        { PeerMessageKind::WatcherHeartbeat, "watcher_heartbeat" },
         { PeerMessageKind::LoadReport, "load_report" },
         { PeerMessageKind::LoadDigest, "load_digest" },
-        { PeerMessageKind::WatcherHeartbeat, "watcher_heartbeat" },
     });
 
     bool isKnown(PeerMessageKind kind)
