--- a/Tests/Forwarder/ForwarderMetricsTest.cpp
+++ b/Tests/Forwarder/ForwarderMetricsTest.cpp
@@ -15,12 +15,14 @@
 
     struct ForwarderMetricsTest : testing::Test, ForwardFixture {
         ForwarderMetrics metrics;
+        std::optional<Duration> replicaStaleness;
 
         ForwarderMetrics::Snapshot snapshot()
         {
             ForwarderMetrics::Snapshot snapshot;
             snapshot.directory = &router.directory();
             snapshot.evacuatedZones = &router.evacuatedZones();
+            snapshot.replicaStaleness = replicaStaleness;
             return snapshot;
         }
 
@@ -54,6 +56,15 @@
         EXPECT_EQ(valueOf("wisteriadock_forwarder_malformed_packets_total"), "1");
     }
 
+    // Guards against an age of 0 where none is known, which would look current.
+    TEST_F(ForwarderMetricsTest, AgeOfTheViewOnlyWhereItIsKnown)
+    {
+        const std::string metric = "wisteriadock_forwarder_state{of=\"replica_staleness_seconds\"}";
+        EXPECT_EQ(valueOf(metric), "");
+        replicaStaleness = 1500ms;
+        EXPECT_EQ(valueOf(metric), "1.5");
+    }
+
     TEST_F(ForwarderMetricsTest, HistogramsOfLatencies)
     {
         FlowProgress progress;
--- a/Tests/Forwarder/PeerSyncTest.cpp
+++ b/Tests/Forwarder/PeerSyncTest.cpp
@@ -232,8 +232,12 @@
         }
         {
             SCOPED_TRACE("an answer of the store confirms the view");
+            const std::uint64_t lines = client.log.buffer().lines();
+            client.peerSync->tickFreshness(false, {}, began + 2h);
+            EXPECT_EQ(client.log.buffer().lines(), lines + 1) << "replica.stale";
             client.peerSync->handleStoreAnswer(true, began + 2h);
             EXPECT_EQ(clientConfirmedAt(reference), began + 2h);
+            EXPECT_EQ(client.log.buffer().lines(), lines + 2) << "replica.fresh";
         }
     }
 
