StoreSync: Keep the pieces of a delta within its revision

A replica may hold updates beyond the revision that it is complete to, after a gap or from a newer page of a listing, and sends them along. A piece cut at such an update made its receiver complete beyond the delta's revision, without what lies in between.

Pieces end at the delta's revision at the latest. ReplicaSyncTest.DeltaWithLaterUpdatesIsCompleteOnlyToItsOwnRevision failed before and passed after this change alone.

--- a/Source/StoreSync/DeltaPieces.cpp
+++ b/Source/StoreSync/DeltaPieces.cpp
@@ -144,15 +144,18 @@
                 if (lastRevision && (isTooLarge || isFull)) {
                     // A piece with only some of the items of a revision must not make the receiver complete up to it.
                     const bool splitsRevision = *lastRevision == part.revision;
-                    cut.piece.to = part.revision - 1;
-                    cut.nextFrom = splitsRevision ? part.revision : part.revision - 1;
+                    cut.piece.to = std::min(part.revision - 1, delta_.to);
+                    cut.nextFrom = std::min(splitsRevision ? part.revision : part.revision - 1, delta_.to);
                     return cut;
                 }
-                // A receiver that does not support patches lacks the item.
-                if (isTooLarge || part.patch)
+                // A receiver that does not support patches lacks the item. The delta is complete up to its revision
+                // without items beyond it, which a replica has after a gap or from a newer page of a listing.
+                const bool isNeeded = part.revision <= delta_.to;
+                if (isNeeded && (isTooLarge || part.patch))
                     cut.piece.from = std::max(cut.piece.from, part.revision);
                 if (isTooLarge) {
-                    cut.piece.patchedFrom = cut.piece.from;
+                    if (isNeeded)
+                        cut.piece.patchedFrom = cut.piece.from;
                     continue;
                 }
                 size += part.size;
--- a/Source/StoreSync/StoreDelta.h
+++ b/Source/StoreSync/StoreDelta.h
@@ -34,7 +34,8 @@
 // If the revisions belong to different eras, the delta holds what differs from the sender's content of before the era,
 // so only a receiver that had the same content can use it. The digest tells.
 struct StoreDelta {
-    // The delta is complete for a receiver that has all changes up to `from`, and brings it to `to`.
+    // The delta is complete for a receiver that has all changes up to `from`, and brings it to `to`. It may hold some
+    // updates of later revisions, which replace older ones by key without making the receiver complete.
     std::uint64_t from = 0;
     std::uint64_t to = 0;
     // The delta holds the whole store: keys that it does not name do not exist.
--- a/Tests/StoreSync/ReplicaSyncTest.cpp
+++ b/Tests/StoreSync/ReplicaSyncTest.cpp
@@ -201,6 +201,31 @@
         EXPECT_EQ(receiver.replica().completeTo(), 6U);
     }
 
+    // Guards against receivers that count as complete beyond the revision of a fetched delta: the sender held some
+    // later updates of its own, after a gap or from a newer page of a listing, and the delta was split at them.
+    TEST_F(ReplicaSyncTest, DeltaWithLaterUpdatesIsCompleteOnlyToItsOwnRevision)
+    {
+        StoreDelta delta { 5, 30, false, false, {} };
+        for (std::uint64_t revision = 6; revision <= 60; revision += 2)
+            delta.items.push_back({ fmt::format("key{}", revision), incompressible(150), revision, false });
+        delta.items.push_back({ "large", incompressible(3000), 51, false });
+        sync.setRole(true, false);
+        sync.handleStoreDelta({ 0, 5, true, false, {} }, clock.now());
+        const auto pushes = all<PushDelta>(sync.handleAnswer("nabua-0", delta, clock.now()));
+        ASSERT_GT(pushes.size(), 4U);
+        EXPECT_EQ(sync.replica().completeTo(), 30U);
+        ReplicaSync receiver("walu", 2);
+        receiver.handleStoreDelta({ 0, 5, true, false, {} }, clock.now());
+        for (const PushDelta& push : pushes) {
+            EXPECT_LE(push.piece->delta.to, 30U);
+            if (push.to != pushes.front().to)
+                continue;
+            receiver.handlePush(balancerIdOf("walu-0"), push.piece->delta, clock.now());
+            EXPECT_LE(receiver.replica().completeTo(), 30U);
+        }
+        EXPECT_EQ(receiver.replica().completeTo(), 30U);
+    }
+
     TEST_F(ReplicaSyncTest, DeltaOfManySimilarUpdatesIsPushedCompressed)
     {
         StoreDelta delta { 5, 405, false, false, {} };
