Forwarder: Don't subtract the start time of MembersLog before it is set

A view that arrives before start() subtracted TimePoint::min(), which overflows. The time is an optional now, and discovery is not logged before the start. All other subtractions of times that may be unset (TimePoint::min() and max()) in Source were read: each is guarded by a comparison first.

ForwarderLogTest.ViewBeforeTheStartIsLoggedAfterIt passes; it was not run on the former code.

--- a/Source/Forwarder/MembersLog.cpp
+++ b/Source/Forwarder/MembersLog.cpp
@@ -52,15 +52,16 @@
 
 void MembersLog::tick(const MembersView& view, bool isSettled, TimePoint now)
 {
-    const bool isDiscoveryOver = isSettled || now - startedAt_ >= maxDiscoveryTime;
-    if (hasLoggedDiscovery_ || !isDiscoveryOver || knownStates_.empty())
+    if (hasLoggedDiscovery_ || !startedAt_ || knownStates_.empty())
+        return;
+    if (!isSettled && now - *startedAt_ < maxDiscoveryTime)
         return;
     hasLoggedDiscovery_ = true;
     log_.write(LogLevel::Info, "peers", "met_many",
         Event()
             .add("members", std::uint64_t(view.members.size()))
             .add("settled", isSettled)
-            .add("after_ms", now - startedAt_),
+            .add("after_ms", now - *startedAt_),
         now);
 }
 
--- a/Source/Forwarder/MembersLog.h
+++ b/Source/Forwarder/MembersLog.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstddef>
 #include <map>
+#include <optional>
 #include <string_view>
 #include <utility>
 #include <vector>
@@ -48,7 +49,8 @@
     void logChanges(std::string_view event, const std::vector<Change>&, TimePoint now);
 
     EventLog& log_;
-    TimePoint startedAt_ = TimePoint::min();
+    // None before start(); messages of others may arrive before that.
+    std::optional<TimePoint> startedAt_;
     // The last logged state of each known balancer.
     std::map<BalancerId, KnownState> knownStates_;
     bool isIsolated_ = false;
--- a/Tests/Forwarder/ForwarderLogTest.cpp
+++ b/Tests/Forwarder/ForwarderLogTest.cpp
@@ -179,6 +179,31 @@
         EXPECT_EQ(countOf("peers", "met"), 1);
     }
 
+    // Guards against subtracting the time of a start that has not happened: messages of others may arrive before it.
+    TEST_F(ForwarderLogTest, ViewBeforeTheStartIsLoggedAfterIt)
+    {
+        MembersView view;
+        Member member;
+        member.name = "edge-walu-1";
+        member.id = balancerIdOf(member.name);
+        member.state = MemberState::Serving;
+        view.members.push_back(member);
+        for (const bool isSettled : { false, true })
+            members.handleView(view, isSettled, clock.now());
+        passTick();
+        EXPECT_EQ(countOf("peers", "met_many"), 0);
+        members.start(clock.now());
+        clock.advance(tickInterval);
+        members.tick(view, true, clock.now());
+        passTick();
+        EXPECT_EQ(countOf("peers", "met_many"), 1);
+        for (const auto& line : linesRead()) {
+            if (isEvent(line, "peers", "met_many")) {
+                EXPECT_EQ(line["after_ms"].get<double>(), 250.0);
+            }
+        }
+    }
+
 }
 
 }
