Soak: Add foreign entries, the loss of most balancers and mixed listings

The soak's foreign entries never claimed a live server's address, it killed one balancer or all, and its stale listings had one age. New steps: a live server copied under another id, a live server's entry overwritten, listings of which every second page is old, and all balancers but two killed. New check: UNUSED, a server that takes no opening after it wrote its overwritten entry again.

--- a/Source/Soak/SoakChecker.cpp
+++ b/Source/Soak/SoakChecker.cpp
@@ -59,6 +59,13 @@
 void SoakChecker::noteServerDraining(const std::string& server, TimePoint now)
 {
     drainingSince_.try_emplace(server, now);
+    noteServerLeaving(server);
+}
+
+void SoakChecker::noteEntryRewritten(const std::string& server, const std::string& zone, TimePoint now)
+{
+    if (!drainingSince_.contains(server))
+        rewrittenEntries_[server] = { zone, now };
 }
 
 bool SoakChecker::allows(const ForwardingConfiguration& configuration, Endpoint route, const std::string& service) const
@@ -72,6 +79,9 @@
 void SoakChecker::noteOpening(const SoakOpening& opening, TimePoint now)
 {
     ++openings_;
+    const auto rewritten = rewrittenEntries_.find(opening.server);
+    if (rewritten != rewrittenEntries_.end() && opening.sent > rewritten->second.at)
+        rewrittenEntries_.erase(rewritten);
     const auto allowing = std::ranges::find_if(versions_.rbegin(), versions_.rend(),
         [&](const Version& version) { return allows(version.configuration, opening.route, opening.service); });
     if (allowing == versions_.rend()) {
@@ -113,7 +123,8 @@
 void SoakChecker::noteRequest(bool isServed, const std::string& balancer, Endpoint route, TimePoint sent, TimePoint now)
 {
     (isServed ? served_ : unserved_) += 1;
-    if (allRestartedAt_ != TimePoint::max() && sent > allRestartedAt_ + bounds_.recovery)
+    if (allRestartedAt_ != TimePoint::max() && sent > allRestartedAt_ + bounds_.recovery
+        && !switchedOff_.contains(balancer))
         (isServed ? recoveredServed_ : recoveredUnserved_) += 1;
     const bool isKnown = !versions_.empty()
         && std::ranges::any_of(
@@ -131,8 +142,13 @@
         addViolation(fmt::format("EXIT: {} exited with code {} after a planned stop", balancer, code));
 }
 
-void SoakChecker::finish()
+void SoakChecker::finish(TimePoint now)
 {
+    for (const auto& [server, rewritten] : rewrittenEntries_) {
+        if (now > rewritten.at + bounds_.rewrittenEntry && !evacuatedZones_.contains(rewritten.zone))
+            addViolation(fmt::format("UNUSED: {} took no opening in {} ms since it wrote its overwritten entry again",
+                server, millisecondsBetween(rewritten.at, now)));
+    }
     // A run with almost no traffic tests nothing.
     if (served_ < minRequests || openings_ < minRequests)
         addViolation(fmt::format("SERVICE: only {} requests were served and {} flows opened", served_, openings_));
--- a/Source/Soak/SoakChecker.h
+++ b/Source/Soak/SoakChecker.h
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -22,6 +23,10 @@
     std::chrono::milliseconds evacuation { 3000 };
     // The time from the restart of all balancers until requests must be served again.
     std::chrono::milliseconds recovery { 12000 };
+    // The time from a live server's write of its entry, which another writer had overwritten, until the server must
+    // have taken a new flow: the time for which an earlier entry may be held, a write interval, and a second in which
+    // callers open flows.
+    std::chrono::milliseconds rewrittenEntry { 11800 };
 };
 
 // A server accepted the opening packet that a caller sent through a balancer.
@@ -57,6 +62,11 @@
     // A new process registered as ready under the id of a draining server, so new flows may go there again.
     void noteServerRestarted(const std::string& server) { drainingSince_.erase(server); }
 
+    // A live server wrote its entry again after another writer had overwritten it.
+    void noteEntryRewritten(const std::string& server, const std::string& zone, TimePoint now);
+    // The server drains or ends, so it need not take openings any more.
+    void noteServerLeaving(const std::string& server) { rewrittenEntries_.erase(server); }
+
     // The store acknowledged the evacuation of a zone, or its revocation.
     void noteZoneEvacuated(const std::string& zone, TimePoint now) { evacuatedZones_.try_emplace(zone, now); }
     void noteEvacuationRevoked(const std::string& zone) { evacuatedZones_.erase(zone); }
@@ -75,9 +85,12 @@
     void noteFailedStep(const Error& error) { addViolation("STEP: " + error.toString()); }
     // The time at which all balancers are started again after all were killed.
     void noteAllRestarted(TimePoint now) { allRestartedAt_ = now; }
+    // The balancer's machine stays off until the end of the run, so that requests sent through it fail.
+    void noteSwitchedOff(const std::string& balancer) { switchedOff_.insert(balancer); }
 
-    // Checks the shares of served requests. To be called once, at the end.
-    void finish();
+    // Checks the shares of served requests, and the servers whose entries were overwritten. To be called once, at the
+    // end.
+    void finish(TimePoint now);
 
     const std::vector<std::string>& violations() const { return violations_; }
     std::uint64_t requests() const { return served_ + unserved_; }
@@ -102,6 +115,13 @@
     std::vector<Version> versions_;
     std::map<std::string, TimePoint> drainingSince_;
     std::map<std::string, TimePoint> evacuatedZones_;
+    struct RewrittenEntry {
+        std::string zone;
+        TimePoint at;
+    };
+    // Of servers that have taken no opening since.
+    std::map<std::string, RewrittenEntry> rewrittenEntries_;
+    std::set<std::string> switchedOff_;
     TimePoint allRestartedAt_ = TimePoint::max();
     std::uint64_t served_ = 0;
     std::uint64_t unserved_ = 0;
--- a/Source/Soak/SoakRun.cpp
+++ b/Source/Soak/SoakRun.cpp
@@ -83,7 +83,7 @@
         BOOST_OUTCOME_TRY(loop_.runUntil(Clock::now() + tickPeriod));
         tick(Clock::now());
     }
-    checker_.finish();
+    checker_.finish(Clock::now());
     saveLogs();
     return boost::outcome_v2::success();
 }
--- a/Source/Soak/SoakRun.h
+++ b/Source/Soak/SoakRun.h
@@ -110,6 +110,9 @@
     void removeEndedServers();
     void performOnServer(const SoakStep&, TimePoint now);
     void writeForeignEntries(const SoakStep&, TimePoint now);
+    void copyLiveServer(const SoakStep&, TimePoint now);
+    void overwriteLiveServer(const SoakStep&, TimePoint now);
+    void killMost(const SoakStep&, TimePoint now);
     void performOnConfiguration(const SoakStep&, TimePoint now);
     void writeNextVersion();
     static std::string zoneName(std::size_t zone);
--- a/Source/Soak/SoakSchedule.cpp
+++ b/Source/Soak/SoakSchedule.cpp
@@ -45,6 +45,10 @@
         { SoakStepKind::ZoneEvacuated, "zone_evacuated" },
         { SoakStepKind::ZoneServersRestart, "zone_silent" },
         { SoakStepKind::StoreRestored, "store_restored" },
+        { SoakStepKind::LiveServerCopied, "live_server_copied" },
+        { SoakStepKind::LiveServerOverwritten, "live_server_overwritten" },
+        { SoakStepKind::StoreMixed, "store_mixed" },
+        { SoakStepKind::KillMost, "kill_most" },
     });
     static_assert(stepNames.rows().size() == soakStepKindCount);
 
@@ -68,6 +72,36 @@
         return step;
     }
 
+    // One disturbance at a time at which the bounds apply to the balancers that it concerns, by seed. Seeds that
+    // restore the store late have none.
+    void addPlannedDisturbance(SoakPlan& plan, SeededRandom& random)
+    {
+        const auto total = static_cast<double>(plan.length.count());
+        const auto add
+            = [&](double part, std::chrono::milliseconds offset, SoakStepKind kind, std::chrono::milliseconds length) {
+                  const auto at = std::chrono::milliseconds(static_cast<int>(total * part)) + offset;
+                  plan.steps.push_back({ at, kind, static_cast<std::uint32_t>(random.next() % 1000), length });
+              };
+        switch (plan.seed % 4) {
+        case 1:
+            // All balancers list the store again while its copies differ by servers that drain.
+            add(faultPart, -1500ms, SoakStepKind::StoreMixed, 6s);
+            for (int i = 0; i < 3; ++i)
+                add(faultPart, -1000ms, SoakStepKind::ServerDrains, plan.length);
+            break;
+        case 3:
+            // The planned operations follow while only two balancers are left.
+            add(0.775, -killMostDelay, SoakStepKind::KillMost, plan.length);
+            break;
+        default:
+            break;
+        }
+        if (plan.seed % 2 == 1) {
+            add(0.62, 0ms, SoakStepKind::LiveServerOverwritten, {});
+            add(0.62, 0ms, SoakStepKind::LiveServerCopied, 3s);
+        }
+    }
+
 }
 
 std::string_view nameOf(SoakStepKind kind) { return stepNames.name(kind); }
@@ -108,7 +142,8 @@
     addKinds(0xADDED, firstAddedStepKind, firstIdentityStepKind);
     addKinds(0x1DE17, firstIdentityStepKind, firstZoneStepKind);
     addKinds(0x20E5, firstZoneStepKind, firstRestoreStepKind);
-    addKinds(0xE2A, firstRestoreStepKind, soakStepKindCount);
+    addKinds(0xE2A, firstRestoreStepKind, firstForeignStepKind);
+    addKinds(0xF02E, firstForeignStepKind, firstPlannedStepKind);
     plan.steps.push_back({ std::chrono::milliseconds(static_cast<int>(total * faultPart)), SoakStepKind::KillAll, 0,
         std::chrono::milliseconds(static_cast<int>(random.nextBetween(300, 1200))) });
     // Planned operations while nothing is disturbed, so that the bounds apply to every forwarder.
@@ -123,6 +158,7 @@
     if (seed % 2 == 0)
         plan.steps.push_back({ timeAt(lastRestorePart), SoakStepKind::StoreRestored,
             static_cast<std::uint32_t>(seed / 2), std::chrono::milliseconds(600) });
+    addPlannedDisturbance(plan, random);
     std::ranges::stable_sort(plan.steps, {}, &SoakStep::at);
     return plan;
 }
--- a/Source/Soak/SoakSchedule.h
+++ b/Source/Soak/SoakSchedule.h
@@ -41,15 +41,25 @@
     ZoneEvacuated, // The evacuation of a zone, revoked some seconds after the step's length.
     ZoneServersRestart, // All servers of a zone crash, and restart cold under their ids after the step's length.
     StoreRestored, // Goes away, and comes back from a copy as old as the step's length. What it lost is written again.
+    LiveServerCopied, // Another writer registers a live server's address under another id and service.
+    LiveServerOverwritten, // Another writer overwrites a live server's entry, until the server writes it again.
+    StoreMixed, // As StoreStale, but only every second page of a listing shows the state at the step's start.
+    KillMost, // Two balancers start anew, and after killMostDelay all others lose power for the step's length.
 };
 
-inline constexpr std::size_t soakStepKindCount = 31;
+inline constexpr std::size_t soakStepKindCount = 35;
 // The first step kind of each group that has its own random generator. A separate generator keeps the other steps of a
 // seed unchanged when a group is added.
 inline constexpr std::size_t firstAddedStepKind = 23;
 inline constexpr std::size_t firstIdentityStepKind = 26;
 inline constexpr std::size_t firstZoneStepKind = 28;
 inline constexpr std::size_t firstRestoreStepKind = 30;
+inline constexpr std::size_t firstForeignStepKind = 31;
+// From here on, kinds are not drawn at random but planned for some seeds.
+inline constexpr std::size_t firstPlannedStepKind = 34;
+
+// Longer than SoakBounds::settleTime, so that the bounds apply to the two balancers that are left.
+inline constexpr std::chrono::milliseconds killMostDelay { 4600 };
 
 std::string_view nameOf(SoakStepKind);
 
--- a/Source/Soak/SoakSteps.cpp
+++ b/Source/Soak/SoakSteps.cpp
@@ -19,14 +19,11 @@
     // A server's entry expires after three heartbeats.
     constexpr auto heartbeat = 700ms;
 
-    // Of a restore: how long the store is away, after which time what it lost is written again, and how many versions
-    // of the configuration it loses.
-    constexpr auto restoreOutage = 300ms;
-    constexpr auto rewriteDelay = 400ms;
-    constexpr int lostVersions = 6;
-
     constexpr const char* evacuationOrder = "{}";
 
+    // Of entries of another writer; no configuration names it.
+    constexpr const char* unnamedService = "elsewhere";
+
 }
 
 void SoakRun::performStep(const SoakStep& step, TimePoint now)
@@ -55,6 +52,7 @@
     case SoakStepKind::StoreHistoryCompacted:
     case SoakStepKind::StoreEntriesExpire:
     case SoakStepKind::StoreStale:
+    case SoakStepKind::StoreMixed:
         return performOnStore(step, now);
     case SoakStepKind::StoreRestored:
         return restoreStore(step, now);
@@ -68,6 +66,12 @@
         return performOnServer(step, now);
     case SoakStepKind::ForeignEntries:
         return writeForeignEntries(step, now);
+    case SoakStepKind::LiveServerCopied:
+        return copyLiveServer(step, now);
+    case SoakStepKind::LiveServerOverwritten:
+        return overwriteLiveServer(step, now);
+    case SoakStepKind::KillMost:
+        return killMost(step, now);
     case SoakStepKind::ZoneEvacuated:
         return evacuateZone(step, now);
     case SoakStepKind::ZoneServersRestart:
@@ -156,87 +160,6 @@
     });
 }
 
-void SoakRun::setStoreFault(SoakStore::Fault fault, std::chrono::milliseconds length, TimePoint now)
-{
-    checker_.disturbStore(now + length);
-    store_->setFault(fault);
-    scheduleAfter(length, now, [this] { store_->setFault(SoakStore::Fault::None); });
-}
-
-void SoakRun::performOnStore(const SoakStep& step, TimePoint now)
-{
-    switch (step.kind) {
-    case SoakStepKind::StoreBusy:
-        return setStoreFault(SoakStore::Fault::Busy, step.length, now);
-    case SoakStepKind::StoreUnresponsive:
-        return setStoreFault(SoakStore::Fault::Unresponsive, step.length, now);
-    case SoakStepKind::StoreSlow:
-        return setStoreFault(SoakStore::Fault::Slow, step.length, now);
-    case SoakStepKind::StoreHistoryCompacted:
-        store_->compactHistory();
-        return checker_.disturbStore(now);
-    case SoakStepKind::StoreStale:
-        // Stale listings are normal behaviour of the store and no disturbance: all bounds still apply.
-        store_->setStaleReads(true);
-        return scheduleAfter(step.length, now, [this] { store_->setStaleReads(false); });
-    default:
-        break;
-    }
-    setStoreFault(SoakStore::Fault::Busy, step.length, now);
-    for (std::size_t i = 0; i < servers_.size(); i += 3) {
-        const std::string id = servers_[i]->entry().id;
-        scheduleAfter(step.length / 2, now, [this, id] { store_->remove(platform::serverKeyOf(id)); });
-        scheduleAfter(step.length + 1500ms, now, [this, id] { withServer(id, [this](auto& it) { writeEntry(it); }); });
-    }
-    checker_.disturbStore(now + step.length + 1500ms);
-}
-
-// Versions written after the copy was made are lost, so that the store gives out their revisions again.
-void SoakRun::restoreStore(const SoakStep& step, TimePoint now)
-{
-    const auto waiting = step.target % 2 == 0 ? SoakStore::WaitingWatches::Cut : SoakStore::WaitingWatches::Kept;
-    for (int i = 1; i <= lostVersions; ++i)
-        scheduleAfter(step.length * i / (lostVersions + 1), now, [this] { writeNextVersion(); });
-    scheduleAfter(step.length, now, [this] { setStoreFault(SoakStore::Fault::Busy, restoreOutage, Clock::now()); });
-    scheduleAfter(
-        step.length + restoreOutage, now, [this, waiting, copy = store_->copy()] { store_->restore(copy, waiting); });
-    scheduleAfter(step.length + restoreOutage + rewriteDelay, now, [this] { rewriteStore(); });
-    // Entries of servers that ended meanwhile expire.
-    scheduleAfter(step.length + restoreOutage + 3 * heartbeat, now, [this] { removeEndedServers(); });
-    checker_.disturbStore(now + step.length + restoreOutage + 3 * heartbeat);
-}
-
-// Operators and servers write what the store does not hold, as after each of their checks.
-void SoakRun::rewriteStore()
-{
-    const auto rewrite = [this](const std::string& key, const std::string& value) {
-        if (!store_->holds(key, value))
-            store_->put(key, value);
-    };
-    rewrite(std::string(platform::configurationKey), platform::encodeConfiguration(configuration_));
-    for (const auto& server : servers_)
-        rewrite(platform::serverKeyOf(server->entry().id), platform::encodeServer(server->entry()));
-    for (std::size_t zone = 0; zone < options_.availabilityZones; ++zone) {
-        const std::string key = platform::evacuatedZoneKeyOf(zoneName(zone));
-        if (evacuatedZones_.contains(zoneName(zone)))
-            rewrite(key, evacuationOrder);
-        else
-            store_->remove(key);
-    }
-}
-
-void SoakRun::removeEndedServers()
-{
-    const SoakStore::Copy present = store_->copy();
-    for (const auto& [key, item] : present.items) {
-        const auto id = platform::serverIdOf(key);
-        const bool isLive
-            = id && std::ranges::any_of(servers_, [&](const auto& server) { return server->entry().id == *id; });
-        if (id && !isLive)
-            store_->remove(key);
-    }
-}
-
 void SoakRun::withServer(const std::string& id, const std::function<void(SoakServer&)>& action)
 {
     for (const auto& server : servers_) {
@@ -249,6 +172,7 @@
 {
     const std::string id = servers_[index]->entry().id;
     servers_.erase(servers_.begin() + static_cast<std::ptrdiff_t>(index));
+    checker_.noteServerLeaving(id);
     scheduleAfter(3 * heartbeat, now, [this, id] {
         store_->remove(platform::serverKeyOf(id));
         checker_.noteServerDraining(id, Clock::now());
@@ -277,6 +201,7 @@
         return scheduleAfter(
             step.length + 2s, now, [this, entry] { openServer(entry.service, entry.availabilityZone, entry.address); });
     case SoakStepKind::ServerRestarts: {
+        checker_.noteServerLeaving(entry.id);
         servers_.erase(servers_.begin() + static_cast<std::ptrdiff_t>(index));
         constexpr auto longestDown = 3 * heartbeat;
         return scheduleAfter(std::min<std::chrono::milliseconds>(step.length, longestDown), now, [this, entry] {
@@ -302,7 +227,7 @@
     writeEntry(server);
     checker_.noteServerDraining(entry.id, now);
     openServer(entry.service, entry.availabilityZone, { entry.address.address + 100, entry.address.port });
-    scheduleAfter(5s, now, [this, id = entry.id] {
+    scheduleAfter(std::max<std::chrono::milliseconds>(step.length, 5s), now, [this, id = entry.id] {
         std::erase_if(servers_, [&](const auto& other) { return other->entry().id == id; });
         store_->remove(platform::serverKeyOf(id));
     });
@@ -322,6 +247,60 @@
     scheduleAfter(step.length, now, [this, id] { withServer(id, [this](auto& it) { writeEntry(it); }); });
 }
 
+// Guards against entries that end or replace a live server although no configuration names their service.
+void SoakRun::copyLiveServer(const SoakStep& step, TimePoint now)
+{
+    RegisteredServer copied = servers_[step.target % servers_.size()]->entry();
+    copied.number = ++nextServerNumber_ * 0x9E3779B1;
+    copied.id = fmt::format("i-{:012x}", copied.number);
+    copied.startedAt = ++lastStartNumber_;
+    copied.service = unnamedService;
+    const std::string key = platform::serverKeyOf(copied.id);
+    store_->put(key, platform::encodeServer(copied));
+    scheduleAfter(step.length, now, [this, key] { store_->remove(key); });
+}
+
+// Guards against a server that stays out of use, or is used for another service, after another writer overwrote its
+// entry: with a later start and an unnamed service, or without a start and with another service of the configuration.
+void SoakRun::overwriteLiveServer(const SoakStep& step, TimePoint now)
+{
+    const RegisteredServer own = servers_[step.target % servers_.size()]->entry();
+    RegisteredServer foreign = own;
+    foreign.startedAt = step.target % 2 == 0 ? ++lastStartNumber_ : 0;
+    foreign.service = step.target % 2 == 0 ? unnamedService : services[own.service == services[0] ? 1 : 0];
+    store_->put(platform::serverKeyOf(own.id), platform::encodeServer(foreign));
+    scheduleAfter(heartbeat, now, [this, own] {
+        withServer(own.id, [&](const SoakServer& server) {
+            writeEntry(server);
+            // Another process may have the id by now.
+            if (server.entry().startedAt == own.startedAt)
+                checker_.noteEntryRewritten(own.id, own.availabilityZone, Clock::now());
+        });
+    });
+}
+
+// Guards against a fleet in which nobody reads the store any more: the two that are left were just added, and may not
+// watch the store yet.
+void SoakRun::killMost(const SoakStep& step, TimePoint now)
+{
+    constexpr auto restartDelay = 200ms;
+    const std::size_t first = step.target % balancers_.size();
+    const std::size_t second = (first + options_.balancersPerZone) % balancers_.size();
+    for (const std::size_t added : { first, second })
+        kill(balancers_[added], now + restartDelay);
+    scheduleAfter(killMostDelay, now, [this, first, second, length = step.length] {
+        const TimePoint restartAt = Clock::now() + length;
+        for (std::size_t i = 0; i < balancers_.size(); ++i) {
+            if (i == first || i == second)
+                continue;
+            checker_.disturb(balancers_[i].name, restartAt);
+            if (restartAt >= startedAt_ + plan_.length)
+                checker_.noteSwitchedOff(balancers_[i].name);
+            kill(balancers_[i], restartAt);
+        }
+    });
+}
+
 std::string SoakRun::zoneOf(const SoakStep& step) const { return zoneName(step.target % options_.availabilityZones); }
 
 // The evacuation lasts longer than its bound, so that the checker sees openings after the bound.
@@ -345,8 +324,10 @@
     std::vector<RegisteredServer> ended;
     std::erase_if(servers_, [&](const auto& server) {
         const bool isInZone = server->entry().availabilityZone == zoneOf(step);
-        if (isInZone)
+        if (isInZone) {
             ended.push_back(server->entry());
+            checker_.noteServerLeaving(server->entry().id);
+        }
         return isInZone;
     });
     scheduleAfter(step.length, now, [this, ended] {
--- a/Source/Soak/SoakStore.cpp
+++ b/Source/Soak/SoakStore.cpp
@@ -3,6 +3,7 @@
 #include "platform/StoreCodec.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace wisteriadock {
@@ -14,6 +15,8 @@
     constexpr auto slowResponseDelay = 300ms;
     // The page size of the platform's store.
     constexpr std::size_t pageItems = 500;
+    // Small enough for several pages of a run's entries, which are about a dozen.
+    constexpr std::size_t mixedPageItems = 4;
 
     HttpResponse responseOf(int status, std::uint64_t era, std::string body = {})
     {
@@ -52,10 +55,11 @@
     answerPendingWatches();
 }
 
-void SoakStore::setStaleReads(bool isStale)
+void SoakStore::setStaleReads(StaleReads staleReads)
 {
+    staleReads_ = staleReads;
     staleCopy_.reset();
-    if (isStale)
+    if (staleReads != StaleReads::None)
         staleCopy_ = copy();
 }
 
@@ -113,18 +117,7 @@
 void SoakStore::answer(const std::shared_ptr<Http1Exchange>& exchange)
 {
     if (const auto list = platform::listCallOf(exchange->request())) {
-        PlatformPage page;
-        const bool isStale = list->mayBeStale && staleCopy_;
-        page.revision = isStale ? staleCopy_->revision : revision_;
-        page.era = isStale ? staleCopy_->era : era_;
-        for (const auto& [key, item] : isStale ? staleCopy_->items : items_) {
-            if (!key.starts_with(list->prefix) || key <= list->after)
-                continue;
-            page.hasMore = page.items.size() == pageItems;
-            if (page.hasMore)
-                break;
-            page.items.push_back(item);
-        }
+        const PlatformPage page = pageOf(*list);
         exchange->respond(responseOf(200, page.era, platform::encodePage(page)));
     } else if (const auto changes = platform::changesCallOf(exchange->request())) {
         watch(exchange, *changes);
@@ -133,6 +126,26 @@
     }
 }
 
+PlatformPage SoakStore::pageOf(const ListCall& call) const
+{
+    const std::size_t maxItems = staleReads_ == StaleReads::SecondPages ? mixedPageItems : pageItems;
+    const auto position = static_cast<std::size_t>(std::distance(items_.begin(), items_.upper_bound(call.after)));
+    const bool isShownStale = staleReads_ != StaleReads::SecondPages || position / maxItems % 2 == 1;
+    const bool isStale = call.mayBeStale && staleCopy_ && isShownStale;
+    PlatformPage page;
+    page.revision = isStale ? staleCopy_->revision : revision_;
+    page.era = isStale ? staleCopy_->era : era_;
+    for (const auto& [key, item] : isStale ? staleCopy_->items : items_) {
+        if (!key.starts_with(call.prefix) || key <= call.after)
+            continue;
+        page.hasMore = page.items.size() == maxItems;
+        if (page.hasMore)
+            break;
+        page.items.push_back(item);
+    }
+    return page;
+}
+
 void SoakStore::watch(const std::shared_ptr<Http1Exchange>& exchange, const ChangesCall& call)
 {
     if (call.revision < compactedRevision_ || call.revision > revision_) {
--- a/Source/Soak/SoakStore.h
+++ b/Source/Soak/SoakStore.h
@@ -50,8 +50,13 @@
     // Watches from a revision before the current one fail from now on, as their history is gone.
     void compactHistory() { compactedRevision_ = revision_; }
     void setFault(Fault fault) { fault_ = fault; }
-    // While set, listings that may be stale show the items as of this call.
-    void setStaleReads(bool isStale);
+    enum class StaleReads {
+        None,
+        AllPages,
+        SecondPages, // Every second page. Pages are small, so that a listing has several.
+    };
+    // While set, these pages of listings that may be stale show the items as of this call.
+    void setStaleReads(StaleReads);
     std::uint64_t calls() const { return calls_; }
 
 private:
@@ -69,6 +74,7 @@
 
     void handle(const std::shared_ptr<Http1Exchange>&);
     void answer(const std::shared_ptr<Http1Exchange>&);
+    PlatformPage pageOf(const ListCall&) const;
     void watch(const std::shared_ptr<Http1Exchange>&, const ChangesCall&);
     void respond(Http1Exchange&, int status, std::string body = {}) const;
     PlatformChanges changesAfter(const ChangesCall&) const;
@@ -78,6 +84,7 @@
     std::unique_ptr<Http1Server> server_;
     std::map<std::string, PlatformItem> items_;
     std::optional<Copy> staleCopy_;
+    StaleReads staleReads_ = StaleReads::None;
     std::vector<PlatformItem> history_;
     std::uint64_t revision_ = 1;
     std::uint64_t compactedRevision_ = 0;
--- a/Tests/Soak/SoakCheckerTest.cpp
+++ b/Tests/Soak/SoakCheckerTest.cpp
@@ -46,7 +46,7 @@
 
     TEST_F(SoakCheckerTest, RunWithoutRequestsIsViolation)
     {
-        checker.finish();
+        checker.finish(clock.now());
         EXPECT_EQ(onlyViolation(), "SERVI");
     }
 
@@ -59,7 +59,7 @@
         checker.noteReset("flow", "vm", false, false, clock.now());
         checker.noteReset("flow", "vm", true, false, clock.now());
         checker.noteExit("vm", 0, true);
-        checker.finish();
+        checker.finish(clock.now());
         EXPECT_TRUE(checker.violations().empty());
     }
 
@@ -113,6 +113,60 @@
         EXPECT_EQ(onlyViolation(), "DRAIN");
     }
 
+    // Guards against a server that stays out of use after another writer overwrote its entry.
+    TEST_F(SoakCheckerTest, ServerUnusedSinceItsEntryWasRewrittenIsViolation)
+    {
+        const auto finish = [this](SoakChecker finished) {
+            for (int i = 0; i < 30; ++i) {
+                finished.noteOpening({ "i-9", "tryon", "zone-1", routeAddress, "vm", clock.now() }, clock.now());
+                finished.noteRequest(true, "vm", routeAddress, clock.now(), clock.now());
+            }
+            finished.finish(clock.now());
+            return finished.violations();
+        };
+        checker.noteEntryRewritten("i-1", "zone-1", clock.now());
+        clock.advance(11800ms);
+        EXPECT_TRUE(finish(checker).empty());
+        clock.advance(1ms);
+        const auto violations = finish(checker);
+        ASSERT_EQ(violations.size(), 1U);
+        EXPECT_EQ(violations.front().substr(0, 6), "UNUSED");
+        {
+            SCOPED_TRACE("a server that took an opening since, or that need not take any");
+            SoakChecker used = checker;
+            used.noteOpening({ "i-1", "tryon", "zone-1", routeAddress, "vm", clock.now() }, clock.now());
+            SoakChecker draining = checker;
+            draining.noteServerDraining("i-1", clock.now());
+            SoakChecker evacuated = checker;
+            evacuated.noteZoneEvacuated("zone-1", clock.now());
+            for (const SoakChecker& each : { used, draining, evacuated })
+                EXPECT_TRUE(finish(each).empty());
+        }
+    }
+
+    TEST_F(SoakCheckerTest, RequestsThroughASwitchedOffBalancerAreNotCountedAsRecovered)
+    {
+        checker.noteAllRestarted(clock.now());
+        clock.advance(13s);
+        for (int i = 0; i < 30; ++i) {
+            open();
+            checker.noteRequest(true, "vm", routeAddress, clock.now(), clock.now());
+        }
+        SoakChecker others = checker;
+        checker.noteSwitchedOff("off");
+        checker.disturb("off", clock.now() + 10s);
+        others.disturb("off", clock.now() + 10s);
+        for (int i = 0; i < 60; ++i) {
+            for (SoakChecker* each : { &checker, &others })
+                each->noteRequest(false, "off", routeAddress, clock.now(), clock.now());
+        }
+        checker.finish(clock.now());
+        others.finish(clock.now());
+        EXPECT_TRUE(checker.violations().empty());
+        ASSERT_EQ(others.violations().size(), 1U);
+        EXPECT_EQ(others.violations().front().substr(0, 7), "RECOVER");
+    }
+
     TEST_F(SoakCheckerTest, ResetOfOpenFlowAtRunningServerIsViolation)
     {
         checker.noteReset("flow", "vm", true, true, clock.now());
@@ -139,7 +193,7 @@
             open();
         for (int i = 0; i < 100; ++i)
             checker.noteRequest(i % 2 == 0, "vm", routeAddress, clock.now(), clock.now());
-        checker.finish();
+        checker.finish(clock.now());
         ASSERT_EQ(checker.violations().size(), 2U);
         EXPECT_EQ(checker.violations()[0].substr(0, 7), "SERVICE");
         EXPECT_EQ(checker.violations()[1].substr(0, 7), "RECOVER");
