--- a/Source/LoadReports/LoadExchange.cpp
+++ b/Source/LoadReports/LoadExchange.cpp
@@ -85,6 +85,7 @@
     liveInZone_ = std::max<std::uint32_t>(1, static_cast<std::uint32_t>(candidates.size()));
     std::ranges::sort(candidates, {}, [](const Member* member) { return dutyRankOf(*member); });
     std::vector<BalancerId> byRank;
+    byRank.reserve(candidates.size());
     for (const Member* member : candidates)
         byRank.push_back(member->id);
     choice_.setCandidates(std::move(byRank));
