Forward: Judge servers' entries before they replace, end or move a server

Cause: any readable entry was believed. A copy of a live server's entry with a later start time ended that server and reset its flows, also when it named a service of no configuration. An entry over the server's own key took it out of use, as its own entry then counted as a delayed write, or moved it to another service.

ServerDirectory keeps the entries that do not apply and judges them again at each tick and configuration. A server ends only when its own entry has been gone for 1 s and it has not answered for 2 s. Conflicts are logged (server.entry_conflict) and entries counted by outcome.

Replaced expectations: a later entry at an address ended its former server at once, although another writer may have written it; an entry without a start time was ignored where one is known, so requests could go by an entry that the store no longer holds; an entry with an earlier start was accepted 10 s after the server's last write, which the watch does not show if nothing else changed, rather than 10 s after it arrived; a restart with another service took effect before the former process was known to be silent. The tests now state when each takes effect, to the millisecond. noteStoreRestored() only extended the former hold time and is removed.

--- a/Source/Forward/ServerDirectory.cpp
+++ b/Source/Forward/ServerDirectory.cpp
@@ -3,6 +3,7 @@
 #include "Core/NameTable.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace wisteriadock {
 
@@ -29,48 +30,6 @@
 
 std::string_view nameOf(ServerState state) { return stateNames.name(state); }
 
-ServerDirectory::Transitions ServerDirectory::put(
-    const RegisteredServer& entry, std::uint64_t revision, TimePoint now, EntryAge age)
-{
-    Transitions transitions;
-    auto& slot = records_[entry.id];
-    const bool isNew = !slot;
-    if (!isNew && (isOfEarlierStart(*slot, entry, now) || isLateWrite(*slot, entry)))
-        return transitions;
-    if (isNew) {
-        slot = std::make_unique<KnownServer>();
-        slot->token = tokenOf(entry.number);
-        slot->stateSince = now;
-        slot->state = stateOf(entry);
-    }
-    KnownServer& record = *slot;
-    if (!isNew && record.entry.startedAt != entry.startedAt)
-        restart(record, entry, revision, now, transitions);
-    if (isNew) {
-        byAddress_[entry.address].push_back(&record);
-    } else if (record.entry.address != entry.address) {
-        std::erase(byAddress_[record.entry.address], &record);
-        byAddress_[entry.address].push_back(&record);
-    }
-    if (isNew || record.entry.address != entry.address) {
-        record.knownSince = now;
-        record.knownSinceRevision = age == EntryAge::Newest ? revision : 0;
-    }
-    record.entry = entry;
-    setGroup(record, groupOf(entry));
-    record.revision = revision;
-    record.writtenAt = now;
-    record.warmUntil = now + entry.warmupLeft;
-    if (isNew) {
-        claimToken(record);
-        transitions.push_back({ entry.id, entry.service, entry.availabilityZone, record.state, record.state, true });
-    }
-    record.isLeaving = record.isLeaving || entry.readiness == ServerReadiness::Draining;
-    enter(record, record.isLeaving ? ServerState::Draining : ServerState::Ready, now, transitions);
-    endFormerServersAt(entry.address, now, transitions);
-    return transitions;
-}
-
 ServerGroup* ServerDirectory::groupOf(const RegisteredServer& entry)
 {
     std::vector<ServerGroup*>& groups = groupsByService_[entry.service];
@@ -109,66 +68,43 @@
     record.group->awaited.erase(&record);
 }
 
-// Guards against a delayed write of a killed process: it can take effect after the server has restarted under its id
-// and registered, and then has the higher revision. A restored store may show the former process as well.
-bool ServerDirectory::isOfEarlierStart(const KnownServer& record, const RegisteredServer& entry, TimePoint now) const
-{
-    const TimePoint since = std::max(record.writtenAt, storeRestoredAt_);
-    return entry.startedAt < record.entry.startedAt && now - since < settings_.earlierStartTimeout;
-}
-
 // Resets the observation, which belongs to the former process.
 void ServerDirectory::restart(
-    KnownServer& record, const RegisteredServer& entry, std::uint64_t revision, TimePoint now, Transitions& transitions)
+    KnownServer& record, const RegisteredServer& entry, TimePoint now, Transitions& transitions)
 {
     const ServerState before = record.state;
     record.seen = {};
     record.isLeaving = false;
     setState(record, stateOf(entry), now);
-    record.knownSince = now;
-    record.knownSinceRevision = revision;
     record.hasChangedService = record.hasChangedService || record.entry.service != entry.service;
     transitions.push_back({ entry.id, entry.service, entry.availabilityZone, before, record.state, false, true });
 }
 
-ServerDirectory::Transitions ServerDirectory::invalidate(const std::string& id, std::uint64_t revision, TimePoint now)
-{
-    Transitions transitions = remove(id, false, now);
-    if (KnownServer* record = find(id))
-        record->revision = revision;
-    return transitions;
-}
-
-ServerDirectory::Transitions ServerDirectory::remove(const std::string& id, bool isUncertain, TimePoint now)
-{
-    Transitions transitions;
-    KnownServer* record = find(id);
-    if (!record || isTerminated(record->state))
-        return transitions;
-    const bool mayReturn = isUncertain && record->state != ServerState::Draining;
-    enter(*record, mayReturn ? ServerState::Doubtful : ServerState::Gone, now, transitions);
-    return transitions;
-}
-
 ServerDirectory::Transitions ServerDirectory::tick(TimePoint now)
 {
     Transitions transitions;
     const std::vector<KnownServer*> expiring(expiring_.begin(), expiring_.end());
     for (KnownServer* record : expiring) {
-        if (record->state == ServerState::Doubtful && isDoubtExpired(*record, now))
+        if (record->state == ServerState::Doubtful && isDoubtExpired(record->stateSince, now)) {
             enter(*record, ServerState::Gone, now, transitions);
+            withoutStartTime_.erase(record->entry.id);
+        }
         if (isTerminated(record->state) && now - record->stateSince >= settings_.retention)
             drop(*record);
     }
+    std::ranges::move(reviewEntries(now), std::back_inserter(transitions));
+    const std::vector<Endpoint> contested(contestedAddresses_.begin(), contestedAddresses_.end());
+    for (const Endpoint address : contested)
+        reviewAddress(address, now, transitions);
     return transitions;
 }
 
 // A zone that loses the store right after an outage of the store knows that all entries expired, but not that they
 // reappeared. Its servers must stay doubtful, since it would otherwise send all new flows to zones it cannot reach.
-bool ServerDirectory::isDoubtExpired(const KnownServer& record, TimePoint now) const
+bool ServerDirectory::isDoubtExpired(TimePoint since, TimePoint now) const
 {
-    const Duration age = now - record.stateSince;
-    const bool isConfirmed = lastStoreContact_ >= record.stateSince + settings_.storeConfirmationTime;
+    const Duration age = now - since;
+    const bool isConfirmed = lastStoreContact_ >= since + settings_.storeConfirmationTime;
     return age >= settings_.maxDoubtfulTime || (age >= settings_.minDoubtfulTime && isConfirmed);
 }
 
@@ -176,6 +112,9 @@
 {
     expiring_.erase(&record);
     removeFromGroup(record);
+    telling_ -= record.isCountedAsTelling;
+    if (!held_.contains(record.entry.id))
+        withoutStartTime_.erase(record.entry.id);
     const auto claimed = byToken_.find(record.token);
     if (claimed != byToken_.end() && claimed->second == &record)
         byToken_.erase(claimed);
@@ -248,41 +187,7 @@
         expiring_.erase(&record);
     else
         expiring_.insert(&record);
-}
-
-// An address is reused only after its former server has ended, so of two servers at an address the former one has ended
-// even if its entry has not expired yet. It must get no new flows, and its open flows must be reset.
-void ServerDirectory::endFormerServersAt(Endpoint address, TimePoint now, Transitions& transitions)
-{
-    const std::vector<KnownServer*>& sameAddress = byAddress_[address];
-    for (KnownServer* record : sameAddress) {
-        const bool hasEnded = std::ranges::any_of(sameAddress,
-            [&](const KnownServer* other) { return other != record && isReplacedBy(*record, *other, now); });
-        if (hasEnded)
-            enter(*record, ServerState::Ended, now, transitions);
-    }
-}
-
-// Start times decide if both are known. Neither the order of revisions nor the order of arrival suffices alone: a write
-// of an ended process may take effect seconds after its successor has registered, and updates arrive on several paths.
-// Taking a delayed write for a later process would reset open flows of a live one. So unless both orders agree, no
-// server is taken for ended, nor is one that has answered recently.
-bool ServerDirectory::isReplacedBy(const KnownServer& former, const KnownServer& other, TimePoint now) const
-{
-    const bool areStartTimesKnown = former.entry.startedAt != 0 && other.entry.startedAt != 0;
-    if (areStartTimesKnown)
-        return former.entry.startedAt < other.entry.startedAt;
-    const TimePoint lastProgress = former.seen.lastProgress;
-    const bool hasAnsweredRecently
-        = lastProgress != TimePoint::min() && now - lastProgress < settings_.addressReuseTime;
-    return former.knownSince < other.knownSince && former.knownSinceRevision < other.knownSinceRevision
-        && !hasAnsweredRecently;
-}
-
-bool ServerDirectory::isLateWrite(const KnownServer& record, const RegisteredServer& entry) const
-{
-    return record.state == ServerState::Ended && record.entry.startedAt == entry.startedAt
-        && record.entry.address == entry.address;
+    countStartTime(record);
 }
 
 // If two incarnations have the same token, every balancer assigns it to the one with the smaller id, and the other gets
--- a/Source/Forward/ServerDirectory.h
+++ b/Source/Forward/ServerDirectory.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Core/Clock.h"
+#include "Forward/EntryValidation.h"
 #include "Forward/RegisteredServer.h"
 #include "Forward/RequestOutcomes.h"
 
@@ -8,6 +9,7 @@
 #include <absl/container/flat_hash_set.h>
 
 #include <algorithm>
+#include <array>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -50,6 +52,9 @@
     bool isFailing = false;
 };
 
+struct ConfigurationChange;
+struct FlowRoute;
+struct ForwardingConfiguration;
 struct KnownServer;
 
 // The servers of a service in one availability zone and their joint liveness; see GroupLiveness.
@@ -87,10 +92,10 @@
     ServerState state = ServerState::Ready;
     // When the state was entered.
     TimePoint stateSince;
-    // When this balancer first saw this process at this address, and the store revision of that entry; 0 if the entry
-    // was of the past.
-    TimePoint knownSince;
-    std::uint64_t knownSinceRevision = 0;
+    // When this balancer first saw the id at its address, and the store revision of that entry; 0 if the entry was of
+    // the past. A restart at the same address does not change them.
+    TimePoint atAddressSince;
+    std::uint64_t atAddressRevision = 0;
     // When this balancer received the latest write of the entry.
     TimePoint writtenAt;
     // The process has announced that it leaves, and does not become ready again whatever its entry says.
@@ -98,6 +103,19 @@
     // An earlier process with the id belonged to another service; its flows must not reach this one.
     bool hasChangedService = false;
     TimePoint warmUntil;
+    // What the store holds under the server's key, and since when.
+    EntryPresence presence = EntryPresence::Present;
+    TimePoint presenceSince;
+    // The entry was removed while the store may lose entries of live servers.
+    bool isRemovalUncertain = false;
+    // When the entry arrived that first named the address. It may have been held until atAddressSince.
+    TimePoint claimedSince;
+    // Since when another server claims the address as well; TimePoint::max() if none does.
+    TimePoint contestedSince = TimePoint::max();
+    // Another server's entry has the same address, so this one gets no new flows for the time being.
+    bool isContested = false;
+    // The server counts among those that tell a start time.
+    bool isCountedAsTelling = false;
     // Another server has the same token, so this one gets no new flows.
     bool hasTokenConflict = false;
     ServerObservation seen;
@@ -106,7 +124,7 @@
 
     bool mayTakeFlows() const
     {
-        return (state == ServerState::Ready || state == ServerState::Doubtful) && !hasTokenConflict;
+        return (state == ServerState::Ready || state == ServerState::Doubtful) && !hasTokenConflict && !isContested;
     }
 };
 
@@ -121,13 +139,7 @@
     std::chrono::milliseconds maxDoubtfulTime { 10000 };
     // How long servers that are gone or ended can be found by their token. Longer than flows last.
     std::chrono::milliseconds retention { 75000 };
-    // An entry with an earlier start time is ignored as a delayed write if it arrives within this time after the latest
-    // write of the current entry, or after the store was restored from an older copy. Later, the server's clock is
-    // assumed to have been set back between two starts.
-    std::chrono::milliseconds earlierStartTimeout { 10000 };
-    // The platform reuses an address at the earliest this long after its server has ended. A server that answered
-    // within this time therefore still has its address.
-    std::chrono::milliseconds addressReuseTime { 2000 };
+    EntryTimes entries;
 };
 
 // Whether an entry is known to be the newest one of its server.
@@ -148,8 +160,20 @@
     bool isRestart = false;
 };
 
+// An entry that contradicts what is known; for the log.
+struct EntryConflict {
+    // The id in the entry's key, and the server that it contradicts. They differ if two entries have one address.
+    std::string id;
+    std::string server;
+    EntryReason reason = EntryReason::None;
+    EntryOutcome outcome = EntryOutcome::Held;
+    std::string service;
+    std::uint64_t revision = 0;
+};
+
 // The registered backend servers, found by id, service or token. TokenRouter passes it the changes of their entries in
-// the store. Servers whose entry vanished are kept for as long as they may have open flows.
+// the store. Servers whose entry vanished are kept for as long as they may have open flows. Entries that may come from
+// another writer, or too late, are judged by EntryValidation and kept aside until they apply or are overwritten.
 class ServerDirectory {
 public:
     using Transitions = std::vector<ServerTransition>;
@@ -166,8 +190,12 @@
     // Handles a vanished entry. If it is uncertain that the server has left, it becomes doubtful and keeps getting new
     // flows for a while, unless it is draining.
     Transitions remove(const std::string& id, bool isUncertain, TimePoint now);
-    // The store was restored from an older copy and may show entries of processes that have been replaced.
-    void noteStoreRestored(TimePoint now) { storeRestoredAt_ = now; }
+    // Adds to the services that entries may name. Before the first call they may name any. reviewEntries() applies the
+    // entries that were held until now.
+    void addServices(const ForwardingConfiguration&);
+    void addServices(const ConfigurationChange&);
+    // Judges again the entries that are not applied. tick() does so as well.
+    Transitions reviewEntries(TimePoint now);
     // Records that the balancer's view of the store was up to date at this time.
     void noteStoreContact(TimePoint at) { lastStoreContact_ = std::max(lastStoreContact_, at); }
     // Ends doubtful states and drops servers after DirectorySettings::retention.
@@ -182,6 +210,12 @@
     // The servers of a service that are neither gone nor ended, ordered by availability zone and id.
     std::vector<KnownServer*> serversOf(const std::string& service) const;
 
+    // Returns the conflicts since the last call, one for each key until its entry changes.
+    std::vector<EntryConflict> takeConflicts() { return std::exchange(conflicts_, {}); }
+    std::uint64_t countOf(EntryOutcome outcome) const { return outcomes_[static_cast<std::size_t>(outcome)]; }
+    // Number of entries that are valid or may become so, and are not applied.
+    std::size_t heldEntries() const { return held_.size(); }
+
     std::size_t size() const { return records_.size(); }
     std::size_t countOf(ServerState) const;
     // Number of servers reported as failing; see OpenFlowTable::tick().
@@ -193,15 +227,47 @@
     }
 
 private:
-    bool isOfEarlierStart(const KnownServer&, const RegisteredServer&, TimePoint now) const;
-    void restart(KnownServer&, const RegisteredServer&, std::uint64_t revision, TimePoint now, Transitions&);
+    // The newest entry of a key and the time when it arrived.
+    struct ReceivedEntry {
+        RegisteredServer entry;
+        std::uint64_t revision = 0;
+        EntryAge age = EntryAge::Newest;
+        TimePoint since;
+        // Why it is not applied.
+        EntryReason reason = EntryReason::None;
+    };
+    struct ReportedConflict {
+        RegisteredServer entry;
+        std::string server;
+        EntryReason reason = EntryReason::None;
+    };
+
+    void addServices(const absl::flat_hash_set<std::string>&, const std::vector<FlowRoute>&);
+    bool isNamed(const std::string& service) const { return services_.empty() || services_.contains(service); }
+    // Applies an entry, or holds it, as judgeEntry() decides.
+    void admit(ReceivedEntry&&, TimePoint now, Transitions&);
+    EntryFacts factsOf(const ReceivedEntry&, const KnownServer*, TimePoint now) const;
+    void apply(const ReceivedEntry&, bool isRestart, TimePoint now, Transitions&);
+    // The server gets no new flows and keeps its open ones until a valid entry arrives.
+    void suspend(KnownServer&, TimePoint now, Transitions&);
+    void setPresence(KnownServer&, EntryPresence, TimePoint now);
+    bool isEntryGone(const KnownServer&, TimePoint now) const;
+    void count(EntryOutcome outcome) { ++outcomes_[static_cast<std::size_t>(outcome)]; }
+    // Returns whether the conflict is new.
+    bool report(const ReceivedEntry&, const std::string& server, EntryReason, EntryOutcome);
+    bool areStartTimesUsual() const { return telling_ > withoutStartTime_.size(); }
+    void countStartTime(KnownServer&);
+    // Judges the entries without a start time again if most servers now tell one, or no longer do.
+    void reviewStartTimes(TimePoint now, Transitions&);
+    void restart(KnownServer&, const RegisteredServer&, TimePoint now, Transitions&);
     void enter(KnownServer&, ServerState, TimePoint now, Transitions&);
     void setState(KnownServer&, ServerState, TimePoint now);
-    bool isDoubtExpired(const KnownServer&, TimePoint now) const;
-    void endFormerServersAt(Endpoint, TimePoint now, Transitions&);
-    bool isReplacedBy(const KnownServer& former, const KnownServer& other, TimePoint now) const;
-    // Returns whether the entry is a delayed write of a process that has certainly ended.
-    bool isLateWrite(const KnownServer&, const RegisteredServer&) const;
+    bool isDoubtExpired(TimePoint since, TimePoint now) const;
+    // Decides which of the servers at an address have ended, and which of them may take new flows.
+    void reviewAddress(Endpoint, TimePoint now, Transitions&);
+    void endFormerServersAt(const std::vector<KnownServer*>&, TimePoint now, Transitions&);
+    bool isSucceeded(const KnownServer& former, const KnownServer& newer, TimePoint now) const;
+    AddressClaim claimOf(const KnownServer&, TimePoint now) const;
     void claimToken(KnownServer&);
     ServerGroup* groupOf(const RegisteredServer&);
     void setGroup(KnownServer&, ServerGroup*);
@@ -219,8 +285,20 @@
     std::vector<std::unique_ptr<ServerGroup>> groups_;
     // All known incarnations with the address, including ended ones.
     absl::flat_hash_map<Endpoint, std::vector<KnownServer*>> byAddress_;
+    // Those of them that several servers have which may live.
+    absl::flat_hash_set<Endpoint> contestedAddresses_;
     TimePoint lastStoreContact_ = TimePoint::min();
-    TimePoint storeRestoredAt_ = TimePoint::min();
+    // All services that a configuration has named.
+    absl::flat_hash_set<std::string> services_;
+    // By id. Newest entries that are not applied; those that can't be read are not kept.
+    absl::flat_hash_map<std::string, ReceivedEntry> held_;
+    absl::flat_hash_map<std::string, ReportedConflict> reported_;
+    std::vector<EntryConflict> conflicts_;
+    std::array<std::uint64_t, entryOutcomes> outcomes_ {};
+    // Number of servers that tell a start time, and the ids whose newest entry and server tell none.
+    std::size_t telling_ = 0;
+    absl::flat_hash_set<std::string> withoutStartTime_;
+    bool wereStartTimesUsual_ = false;
 };
 
 }
--- /dev/null
+++ b/Source/Forward/ServerDirectoryEntries.cpp
@@ -0,0 +1,388 @@
+#include "Forward/ServerDirectory.h"
+
+#include "Forward/ForwardingConfiguration.h"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+namespace wisteriadock {
+
+namespace {
+
+    bool isTerminated(ServerState state) { return state == ServerState::Gone || state == ServerState::Ended; }
+
+    // An entry that vanished in an outage of the store may reappear.
+    bool claimsAddress(const KnownServer& server)
+    {
+        return server.state != ServerState::Ended
+            && (server.presence == EntryPresence::Present || server.state == ServerState::Doubtful);
+    }
+
+    // The warm-up time counts down in each write of a server that has just started.
+    RegisteredServer withoutWarmup(RegisteredServer entry)
+    {
+        entry.warmupLeft = {};
+        return entry;
+    }
+
+}
+
+ServerDirectory::Transitions ServerDirectory::put(
+    const RegisteredServer& entry, std::uint64_t revision, TimePoint now, EntryAge age)
+{
+    Transitions transitions;
+    ReceivedEntry received { entry, revision, age, now };
+    // A server that starts writes other values into its entry each time.
+    const auto former = held_.find(entry.id);
+    if (former != held_.end() && isSameProcess(former->second.entry, entry)) {
+        received.since = former->second.since;
+        received.reason = former->second.reason;
+    }
+    if (former != held_.end())
+        held_.erase(former);
+    const KnownServer* known = find(entry.id);
+    if (entry.startedAt != 0 || !isNamed(entry.service))
+        withoutStartTime_.erase(entry.id);
+    else if (!known || known->entry.startedAt == 0)
+        withoutStartTime_.insert(entry.id);
+    admit(std::move(received), now, transitions);
+    reviewStartTimes(now, transitions);
+    return transitions;
+}
+
+void ServerDirectory::admit(ReceivedEntry&& received, TimePoint now, Transitions& transitions)
+{
+    const std::string id = received.entry.id;
+    KnownServer* known = find(id);
+    const EntryVerdict verdict = judgeEntry(received.entry, factsOf(received, known, now), settings_.entries);
+    const bool isApplied = verdict.outcome == EntryOutcome::Applied;
+    if (isApplied || received.reason != verdict.reason)
+        count(verdict.outcome);
+    if (isApplied) {
+        held_.erase(id);
+        const auto reported = reported_.find(id);
+        if (reported != reported_.end() && reported->second.entry != withoutWarmup(received.entry))
+            reported_.erase(reported);
+        return apply(received, verdict.action == EntryVerdict::Action::Restart, now, transitions);
+    }
+    const KnownServer* holder
+        = verdict.reason == EntryReason::NumberInUse ? findByToken(tokenOf(received.entry.number)) : known;
+    report(received, holder ? holder->entry.id : id, verdict.reason, verdict.outcome);
+    if (known && verdict.action == EntryVerdict::Action::Suspend)
+        suspend(*known, now, transitions);
+    // Each new value shows that the key is being written, perhaps by the living server.
+    if (known && known->presence == EntryPresence::Unusable)
+        known->presenceSince = received.since;
+    received.reason = verdict.reason;
+    held_.insert_or_assign(id, std::move(received));
+}
+
+EntryFacts ServerDirectory::factsOf(const ReceivedEntry& received, const KnownServer* known, TimePoint now) const
+{
+    EntryFacts facts;
+    facts.isServiceNamed = isNamed(received.entry.service);
+    facts.areStartTimesUsual = areStartTimesUsual();
+    const auto holder = byToken_.find(tokenOf(received.entry.number));
+    facts.isNumberTaken = holder != byToken_.end() && holder->second != known
+        && holder->second->entry.number == received.entry.number && holder->second->state != ServerState::Ended;
+    facts.heldFor = now - received.since;
+    facts.isConfirmed = lastStoreContact_ != TimePoint::min()
+        && lastStoreContact_ - received.since >= settings_.storeConfirmationTime;
+    if (!known)
+        return facts;
+    facts.known = &known->entry;
+    facts.hasEnded = known->state == ServerState::Ended;
+    if (known->seen.lastProgress != TimePoint::min())
+        facts.silentFor = now - known->seen.lastProgress;
+    return facts;
+}
+
+void ServerDirectory::apply(const ReceivedEntry& received, bool isRestart, TimePoint now, Transitions& transitions)
+{
+    const RegisteredServer& entry = received.entry;
+    auto& slot = records_[entry.id];
+    const bool isNew = !slot;
+    if (isNew) {
+        slot = std::make_unique<KnownServer>();
+        slot->token = tokenOf(entry.number);
+        slot->stateSince = now;
+        slot->state = entry.readiness == ServerReadiness::Ready ? ServerState::Ready : ServerState::Draining;
+    }
+    KnownServer& record = *slot;
+    if (!isNew && isRestart)
+        restart(record, entry, now, transitions);
+    std::optional<Endpoint> formerAddress;
+    if (isNew) {
+        byAddress_[entry.address].push_back(&record);
+    } else if (record.entry.address != entry.address) {
+        formerAddress = record.entry.address;
+        std::erase(byAddress_[record.entry.address], &record);
+        byAddress_[entry.address].push_back(&record);
+    }
+    if (isNew || formerAddress || record.presence == EntryPresence::Removed)
+        record.claimedSince = received.since;
+    if (isNew || formerAddress) {
+        record.atAddressSince = now;
+        record.atAddressRevision = received.age == EntryAge::Newest ? received.revision : 0;
+        record.contestedSince = TimePoint::max();
+    }
+    record.entry = entry;
+    setGroup(record, groupOf(entry));
+    countStartTime(record);
+    record.revision = received.revision;
+    record.writtenAt = now;
+    record.warmUntil = now + entry.warmupLeft;
+    setPresence(record, EntryPresence::Present, now);
+    if (isNew) {
+        claimToken(record);
+        transitions.push_back({ entry.id, entry.service, entry.availabilityZone, record.state, record.state, true });
+    }
+    record.isLeaving = record.isLeaving || entry.readiness == ServerReadiness::Draining;
+    enter(record, record.isLeaving ? ServerState::Draining : ServerState::Ready, now, transitions);
+    reviewAddress(entry.address, now, transitions);
+    if (formerAddress)
+        reviewAddress(*formerAddress, now, transitions);
+}
+
+ServerDirectory::Transitions ServerDirectory::invalidate(const std::string& id, std::uint64_t revision, TimePoint now)
+{
+    Transitions transitions;
+    held_.erase(id);
+    count(EntryOutcome::Rejected);
+    if (KnownServer* record = find(id)) {
+        suspend(*record, now, transitions);
+        record->presenceSince = now;
+        record->revision = revision;
+    }
+    return transitions;
+}
+
+void ServerDirectory::suspend(KnownServer& record, TimePoint now, Transitions& transitions)
+{
+    setPresence(record, EntryPresence::Unusable, now);
+    if (!isTerminated(record.state))
+        enter(record, ServerState::Gone, now, transitions);
+    reviewAddress(record.entry.address, now, transitions);
+}
+
+ServerDirectory::Transitions ServerDirectory::remove(const std::string& id, bool isUncertain, TimePoint now)
+{
+    Transitions transitions;
+    held_.erase(id);
+    reported_.erase(id);
+    KnownServer* record = find(id);
+    if (!isUncertain || !record)
+        withoutStartTime_.erase(id);
+    if (!record)
+        return transitions;
+    const bool wasRemoved = record->presence == EntryPresence::Removed;
+    record->isRemovalUncertain = isUncertain && (!wasRemoved || record->isRemovalUncertain);
+    setPresence(*record, EntryPresence::Removed, now);
+    if (!isTerminated(record->state)) {
+        const bool mayReturn = isUncertain && record->state != ServerState::Draining;
+        enter(*record, mayReturn ? ServerState::Doubtful : ServerState::Gone, now, transitions);
+    }
+    reviewAddress(record->entry.address, now, transitions);
+    return transitions;
+}
+
+void ServerDirectory::setPresence(KnownServer& record, EntryPresence presence, TimePoint now)
+{
+    if (record.presence == presence)
+        return;
+    record.presence = presence;
+    record.presenceSince = now;
+}
+
+bool ServerDirectory::isEntryGone(const KnownServer& record, TimePoint now) const
+{
+    return record.presence == EntryPresence::Removed
+        && now - record.presenceSince >= settings_.entries.removalConfirmationTime
+        && (!record.isRemovalUncertain || isDoubtExpired(record.presenceSince, now));
+}
+
+void ServerDirectory::addServices(const ForwardingConfiguration& configuration)
+{
+    addServices(configuration.services, configuration.routes);
+}
+
+void ServerDirectory::addServices(const ConfigurationChange& change) { addServices(change.services, change.routes); }
+
+// Servers of a service that is no longer named keep their open flows, so its name is kept as well.
+void ServerDirectory::addServices(
+    const absl::flat_hash_set<std::string>& services, const std::vector<FlowRoute>& routes)
+{
+    const bool isFirst = services_.empty();
+    services_.insert(services.begin(), services.end());
+    for (const FlowRoute& route : routes) {
+        for (const RouteShare& share : route.shares)
+            services_.insert(share.service);
+    }
+    if (!isFirst)
+        return;
+    // No packet was routed before the first configuration, so these have no flows.
+    std::vector<KnownServer*> unnamed;
+    forEach([&](KnownServer& record) {
+        if (!isNamed(record.entry.service))
+            unnamed.push_back(&record);
+    });
+    for (KnownServer* record : unnamed) {
+        if (record->presence == EntryPresence::Present) {
+            count(EntryOutcome::Held);
+            held_.insert_or_assign(record->entry.id,
+                ReceivedEntry { record->entry, record->revision, EntryAge::Newest, record->writtenAt,
+                    EntryReason::ServiceNotNamed });
+        }
+        withoutStartTime_.erase(record->entry.id);
+        drop(*record);
+    }
+}
+
+ServerDirectory::Transitions ServerDirectory::reviewEntries(TimePoint now)
+{
+    Transitions transitions;
+    std::vector<std::string> ids;
+    ids.reserve(held_.size());
+    for (const auto& [id, received] : held_)
+        ids.push_back(id);
+    std::ranges::sort(ids);
+    for (const std::string& id : ids) {
+        ReceivedEntry received = held_.at(id);
+        if (received.entry.startedAt == 0 && isNamed(received.entry.service) && !find(id))
+            withoutStartTime_.insert(id);
+        admit(std::move(received), now, transitions);
+    }
+    reviewStartTimes(now, transitions);
+    return transitions;
+}
+
+void ServerDirectory::countStartTime(KnownServer& record)
+{
+    const bool isTelling = !isTerminated(record.state) && record.entry.startedAt != 0;
+    if (isTelling && !record.isCountedAsTelling)
+        ++telling_;
+    else if (!isTelling && record.isCountedAsTelling)
+        --telling_;
+    record.isCountedAsTelling = isTelling;
+}
+
+void ServerDirectory::reviewStartTimes(TimePoint now, Transitions& transitions)
+{
+    if (areStartTimesUsual() == wereStartTimesUsual_)
+        return;
+    wereStartTimesUsual_ = areStartTimesUsual();
+    std::vector<std::string> ids(withoutStartTime_.begin(), withoutStartTime_.end());
+    std::ranges::sort(ids);
+    for (const std::string& id : ids) {
+        const auto held = held_.find(id);
+        const KnownServer* known = find(id);
+        if (held != held_.end())
+            admit(ReceivedEntry(held->second), now, transitions);
+        else if (known && known->presence == EntryPresence::Present)
+            admit({ known->entry, known->revision, EntryAge::Newest, now }, now, transitions);
+    }
+}
+
+bool ServerDirectory::report(
+    const ReceivedEntry& received, const std::string& server, EntryReason reason, EntryOutcome outcome)
+{
+    RegisteredServer entry = withoutWarmup(received.entry);
+    ReportedConflict& reported = reported_[entry.id];
+    if (reported.reason == reason && reported.server == server && reported.entry == entry)
+        return false;
+    conflicts_.push_back({ entry.id, server, reason, outcome, entry.service, received.revision });
+    reported = { std::move(entry), server, reason };
+    return true;
+}
+
+// An address is reused only after its former server has ended. But an entry of another writer can name the address of a
+// server that lives, so the former one ends only when its own entry is gone and it answers no more.
+void ServerDirectory::reviewAddress(Endpoint address, TimePoint now, Transitions& transitions)
+{
+    const auto found = byAddress_.find(address);
+    if (found == byAddress_.end()) {
+        contestedAddresses_.erase(address);
+        return;
+    }
+    const std::vector<KnownServer*>& servers = found->second;
+    endFormerServersAt(servers, now, transitions);
+    std::size_t possiblyAlive = 0;
+    for (KnownServer* record : servers) {
+        record->isContested = false;
+        possiblyAlive += record->state != ServerState::Ended;
+    }
+    if (possiblyAlive < 2)
+        contestedAddresses_.erase(address);
+    else
+        contestedAddresses_.insert(address);
+    for (KnownServer* former : servers) {
+        for (KnownServer* newer : servers) {
+            if (!isSucceeded(*former, *newer, now))
+                continue;
+            const AddressVerdict verdict
+                = judgeAddress(claimOf(*former, now), claimOf(*newer, now), now, settings_.entries);
+            former->isContested = former->isContested || !verdict.mayFormerTakeFlows;
+            newer->isContested = newer->isContested || !verdict.mayNewerTakeFlows;
+            if (verdict.mayNewerTakeFlows || isTerminated(former->state) || !claimsAddress(*newer))
+                continue;
+            const ReceivedEntry received { newer->entry, newer->revision, EntryAge::Newest, newer->writtenAt };
+            if (report(received, former->entry.id, EntryReason::AddressInUse, EntryOutcome::Contradicted))
+                count(EntryOutcome::Contradicted);
+        }
+    }
+}
+
+void ServerDirectory::endFormerServersAt(
+    const std::vector<KnownServer*>& servers, TimePoint now, Transitions& transitions)
+{
+    for (KnownServer* record : servers) {
+        TimePoint claimedSince = TimePoint::max();
+        for (const KnownServer* other : servers) {
+            if (other != record && claimsAddress(*other))
+                claimedSince = std::min(claimedSince, std::max(other->claimedSince, record->atAddressSince));
+        }
+        const bool isNewlyContested = record->contestedSince == TimePoint::max();
+        if (isNewlyContested || claimedSince == TimePoint::max())
+            record->contestedSince = claimedSince;
+    }
+    for (KnownServer* former : servers) {
+        for (KnownServer* newer : servers) {
+            if (!isSucceeded(*former, *newer, now) || newer->presence != EntryPresence::Present)
+                continue;
+            if (judgeAddress(claimOf(*former, now), claimOf(*newer, now), now, settings_.entries).hasFormerEnded)
+                enter(*former, ServerState::Ended, now, transitions);
+        }
+    }
+}
+
+// Whether a later server, which may live, has the address of a server that is not known to have ended.
+bool ServerDirectory::isSucceeded(const KnownServer& former, const KnownServer& newer, TimePoint now) const
+{
+    if (&former == &newer || former.state == ServerState::Ended || newer.state == ServerState::Ended)
+        return false;
+    const AddressClaim claim = claimOf(newer, now);
+    return mayLive(claim, now, settings_.entries) && isLaterClaim(claimOf(former, now), claim);
+}
+
+AddressClaim ServerDirectory::claimOf(const KnownServer& record, TimePoint now) const
+{
+    AddressClaim claim;
+    claim.service = record.entry.service;
+    claim.startedAt = record.entry.startedAt;
+    claim.atAddressSince = record.atAddressSince;
+    claim.atAddressRevision = record.atAddressRevision;
+    // A doubtful entry may reappear.
+    claim.presence = record.state == ServerState::Doubtful ? EntryPresence::Present : record.presence;
+    claim.presenceSince = record.presenceSince;
+    claim.isEntryGone = isEntryGone(record, now);
+    claim.lastProgress = record.seen.lastProgress;
+    claim.contestedSince = record.contestedSince;
+    // An ended server's entry is removed within three write intervals of 770 ms; the view must be of after that.
+    claim.isConfirmed = record.contestedSince != TimePoint::max() && lastStoreContact_ != TimePoint::min()
+        && lastStoreContact_ - record.contestedSince
+            >= settings_.entries.addressReuseTime + settings_.entries.removalConfirmationTime;
+    return claim;
+}
+
+}
--- a/Source/Forward/TokenRouter.cpp
+++ b/Source/Forward/TokenRouter.cpp
@@ -60,6 +60,7 @@
 {
     if (configuration.version <= version_)
         return false;
+    directory_.addServices(configuration);
     routes_.replace(configuration);
     policy_.setColdStartLimits(configuration.coldStartLimits);
     version_ = configuration.version;
@@ -71,6 +72,7 @@
     if (change.version <= version_)
         return false;
     version_ = change.version;
+    directory_.addServices(change);
     policy_.setColdStartLimits(std::move(change.coldStartLimits));
     routes_.apply(std::move(change));
     return true;
@@ -79,12 +81,22 @@
 ServerDirectory::Transitions TokenRouter::putServer(
     const RegisteredServer& entry, std::uint64_t revision, TimePoint now, EntryAge age)
 {
-    ServerDirectory::Transitions transitions = directory_.put(entry, revision, now, age);
+    return forgetFlowsOfFormerProcesses(directory_.put(entry, revision, now, age));
+}
+
+ServerDirectory::Transitions TokenRouter::reviewEntries(TimePoint now)
+{
+    return forgetFlowsOfFormerProcesses(directory_.reviewEntries(now));
+}
+
+ServerDirectory::Transitions TokenRouter::forgetFlowsOfFormerProcesses(ServerDirectory::Transitions&& transitions)
+{
     for (const ServerTransition& transition : transitions) {
-        if (transition.isRestart)
-            flows_.forgetFlowsOf(tokenOf(entry.number));
+        const KnownServer* server = transition.isRestart ? directory_.find(transition.id) : nullptr;
+        if (server)
+            flows_.forgetFlowsOf(server->token);
     }
-    return transitions;
+    return std::move(transitions);
 }
 
 ServerDirectory::Transitions TokenRouter::invalidateServer(const std::string& id, std::uint64_t revision, TimePoint now)
@@ -104,7 +116,7 @@
     for (ZoneEvacuationChange& change : evacuatedZones_.tick(now))
         evacuationChanges_.push_back(std::move(change));
     policy_.tick(now);
-    return directory_.tick(now);
+    return forgetFlowsOfFormerProcesses(directory_.tick(now));
 }
 
 PacketDecision TokenRouter::route(const TokenPacket& packet, TimePoint now)
--- a/Source/Forward/TokenRouter.h
+++ b/Source/Forward/TokenRouter.h
@@ -102,8 +102,8 @@
     {
         return evacuatedZones_.set(availabilityZone, isEvacuated, revision, now);
     }
-    // The store was restored from an older copy, and what the following updates show may be of the past.
-    void noteStoreRestored(TimePoint now) { directory_.noteStoreRestored(now); }
+    // Judges again the server entries that were held, as after a configuration that names their services.
+    ServerDirectory::Transitions reviewEntries(TimePoint now);
     // As setZoneEvacuation(), for an update that shows the content of a restored store: takes effect later, unless
     // another one arrives until then. See takeEvacuationChanges().
     void setZoneEvacuationInDoubt(
@@ -145,6 +145,8 @@
     std::size_t routes() const { return routes_.size(); }
 
 private:
+    // Flows of a former process are no longer tracked.
+    ServerDirectory::Transitions forgetFlowsOfFormerProcesses(ServerDirectory::Transitions&&);
     PacketDecision routeOpening(const TokenPacket&, TimePoint now);
     PacketDecision routeEstablished(const TokenPacket&, TimePoint now);
     PacketDecision refuse(const TokenPacket&, PacketReason) const;
--- a/Source/Forwarder/ForwarderLog.cpp
+++ b/Source/Forwarder/ForwarderLog.cpp
@@ -172,6 +172,23 @@
     log_.writeAdmitted(LogLevel::Error, "news", "refused", Event().add("key", key).add("error", error.toString()), now);
 }
 
+void ForwarderLog::entryConflicts(const std::vector<EntryConflict>& conflicts, TimePoint now)
+{
+    for (const EntryConflict& conflict : conflicts) {
+        if (!log_.admits("server", "entry_conflict", now))
+            return;
+        log_.writeAdmitted(LogLevel::Warning, "server", "entry_conflict",
+            Event()
+                .add("entry", conflict.id)
+                .add("server", conflict.server)
+                .add("reason", nameOf(conflict.reason))
+                .add("outcome", nameOf(conflict.outcome))
+                .add("service", conflict.service)
+                .add("revision", storeRevisionOf(conflict.revision)),
+            now);
+    }
+}
+
 void ForwarderLog::updates(const ReplicaChanged& changed, TimePoint now)
 {
     log_.write(LogLevel::Debug, "news", "taken",
@@ -203,6 +220,7 @@
 
 void ForwarderLog::changes(TokenRouter& router, TimePoint now)
 {
+    entryConflicts(router.directory().takeConflicts(), now);
     for (const FailingChange& change : router.takeFailingChanges())
         failingChange(change, now);
     for (const ZoneReachabilityChange& change : router.takeZoneChanges())
--- a/Source/Forwarder/ForwarderLog.h
+++ b/Source/Forwarder/ForwarderLog.h
@@ -53,6 +53,8 @@
     void configuration(const ReceivedConfiguration&, const ReplicaChanged&, TimePoint now);
     // The value at this key could not be read, and was ignored.
     void rejectedUpdate(const std::string& key, const Error&, TimePoint now);
+    // Entries of servers that contradict what is known, or may come from another writer.
+    void entryConflicts(const std::vector<EntryConflict>&, TimePoint now);
     void updates(const ReplicaChanged&, TimePoint now);
     void ejected(const KnownServer&, TimePoint now);
     void recovered(const KnownServer&, TimePoint now);
--- a/Source/Forwarder/ForwarderMetrics.cpp
+++ b/Source/Forwarder/ForwarderMetrics.cpp
@@ -204,6 +204,11 @@
         { ServerState::Ready, ServerState::Draining, ServerState::Doubtful, ServerState::Gone, ServerState::Ended })
         samples.gauge("wisteriadock_forwarder_servers", "Backend servers by what this balancer believes of them",
             static_cast<double>(snapshot.directory->countOf(serverState)), { { "state", nameOf(serverState).data() } });
+    for (const EntryOutcome outcome :
+        { EntryOutcome::Applied, EntryOutcome::Rejected, EntryOutcome::Held, EntryOutcome::Contradicted })
+        samples.count("wisteriadock_forwarder_server_entries_total", "Entries of servers by what became of them",
+            snapshot.directory->countOf(outcome), { { "outcome", nameOf(outcome).data() } });
+    addState("server_entries_held", snapshot.directory->heldEntries());
     samples.histogram(
         "wisteriadock_forwarder_opening_seconds", "From the opening packet to the caller's next one", openingTime_);
     samples.histogram("wisteriadock_forwarder_answer_seconds",
--- a/Source/Forwarder/StoreUpdateApplier.h
+++ b/Source/Forwarder/StoreUpdateApplier.h
@@ -29,18 +29,17 @@
     {
         metrics_.countUpdates(changed.source, changed.items.size());
         log_.updates(changed, now);
-        if (changed.entersEra)
-            router_.noteStoreRestored(now);
         ServerDirectory::Transitions transitions;
         for (const StoreUpdate& item : changed.items) {
             if (item.key == Adapter::configurationKey)
-                applyConfiguration(item, changed, now);
+                std::ranges::move(applyConfiguration(item, changed, now), std::back_inserter(transitions));
             else if (const auto zone = Adapter::evacuatedZoneOf(item.key))
                 applyZoneEvacuation(*zone, item, changed, now);
             else if (const auto id = Adapter::serverIdOf(item.key))
                 std::ranges::move(applyServer(*id, item, changed, now), std::back_inserter(transitions));
         }
         log_.transitions(transitions, changed.revision, changed.source, now);
+        log_.entryConflicts(router_.directory().takeConflicts(), now);
     }
 
     // Whether the balancers of the zone need the update to serve their callers: all but the entries of servers that are
@@ -53,17 +52,20 @@
     }
 
 private:
-    void applyConfiguration(const StoreUpdate& item, const ReplicaChanged& changed, TimePoint now)
+    // Returns the transitions of servers whose entries name a service that was not named before.
+    ServerDirectory::Transitions applyConfiguration(
+        const StoreUpdate& item, const ReplicaChanged& changed, TimePoint now)
     {
         // Operators replace the configuration and never remove it, and without one no packet could be routed.
         if (item.isRemoved)
-            return reject(item, { ErrorCode::NotFound, "the configuration was removed; the last one stays" }, now);
+            return rejectConfiguration(
+                item, { ErrorCode::NotFound, "the configuration was removed; the last one stays" }, now);
         // The replica has decompressed every value that can be decompressed.
         if (item.isCompressed)
-            return reject(item, plainValue(item).error(), now);
+            return rejectConfiguration(item, plainValue(item).error(), now);
         Result<ConfigurationChange> change = reader_.read(item.value);
         if (!change)
-            return reject(item, change.error(), now);
+            return rejectConfiguration(item, change.error(), now);
         ReceivedConfiguration received;
         received.version = change.value().version;
         received.routes = change.value().total;
@@ -77,6 +79,13 @@
         log_.configuration(received, changed, now);
         if (received.isApplied)
             metrics_.observeConfiguration(received.age + received.applyTime, received.applyTime);
+        return router_.reviewEntries(now);
+    }
+
+    ServerDirectory::Transitions rejectConfiguration(const StoreUpdate& item, const Error& error, TimePoint now)
+    {
+        reject(item, error, now);
+        return {};
     }
 
     // A zone is evacuated while its key exists. The value is ignored, so it need not be readable.
--- a/Tests/Forward/TokenRouterTest.cpp
+++ b/Tests/Forward/TokenRouterTest.cpp
@@ -239,6 +239,10 @@
         // The platform reuses an address two seconds after its server has ended.
         clock.advance(2s);
         put(next);
+        EXPECT_EQ(route(data(1, token, 1101, 5001, 0)).verdict, PacketVerdict::Forward);
+        router.removeServer(former.id, false, clock.now());
+        clock.advance(1s);
+        router.tick(clock.now());
         const PacketDecision decision = route(data(1, token, 1101));
         EXPECT_EQ(decision.verdict, PacketVerdict::Reset);
         EXPECT_EQ(decision.reason, PacketReason::ServerEnded);
@@ -267,6 +271,11 @@
             entry.startedAt = 3000;
             entry.service = "scanintake";
             put(entry);
+            EXPECT_FALSE(router.directory().find(entry.id)->mayTakeFlows());
+            clock.advance(2s);
+            router.noteStoreContact(clock.now());
+            router.tick(clock.now());
+            EXPECT_TRUE(router.directory().find(entry.id)->mayTakeFlows());
             const PacketDecision former = router.route(data(1, token), clock.now());
             EXPECT_EQ(former.verdict, PacketVerdict::Reset);
             EXPECT_EQ(former.reason, PacketReason::ServerEnded);
--- a/Tests/Forwarder/ForwarderMetricsTest.cpp
+++ b/Tests/Forwarder/ForwarderMetricsTest.cpp
@@ -86,6 +86,20 @@
         EXPECT_EQ(valueOf("wisteriadock_forwarder_state{of=\"servers_failing\"}"), "1");
     }
 
+    TEST_F(ForwarderMetricsTest, EntriesOfServersAreCountedByOutcome)
+    {
+        router.applyConfiguration(configuration(3));
+        put(server(1));
+        put(server(2));
+        put(server(3, "unnamed"));
+        router.invalidateServer(server(2).id, ++revision, clock.now());
+        EXPECT_EQ(valueOf("wisteriadock_forwarder_server_entries_total{outcome=\"applied\"}"), "2");
+        EXPECT_EQ(valueOf("wisteriadock_forwarder_server_entries_total{outcome=\"held\"}"), "1");
+        EXPECT_EQ(valueOf("wisteriadock_forwarder_server_entries_total{outcome=\"rejected\"}"), "1");
+        EXPECT_EQ(valueOf("wisteriadock_forwarder_server_entries_total{outcome=\"contradicted\"}"), "0");
+        EXPECT_EQ(valueOf("wisteriadock_forwarder_state{of=\"server_entries_held\"}"), "1");
+    }
+
 }
 
 }
--- a/Tests/Forwarder/StoreUpdateApplierTest.cpp
+++ b/Tests/Forwarder/StoreUpdateApplierTest.cpp
@@ -132,6 +132,11 @@
         again.startedAt += 60'000;
         apply(
             { entryOf(successor), entryOf(again), { platform::serverKeyOf(server(3).id), "half an entry", 0, false } });
+        EXPECT_EQ(route(data(1, tokenOf(replaced.number))).verdict, PacketVerdict::Forward);
+        EXPECT_EQ(usableServers(), 1U);
+        apply({ { platform::serverKeyOf(replaced.id), {}, 0, true } });
+        clock.advance(1s);
+        router.tick(clock.now());
         EXPECT_EQ(route(data(1, tokenOf(replaced.number))).reason, PacketReason::ServerEnded);
         EXPECT_EQ(usableServers(), 1U);
         {
@@ -144,6 +149,33 @@
             EXPECT_EQ(route(opening(caller)).server->entry.id, restarted.id);
     }
 
+    // Guards against a conflict that operators can't find, and against a held entry that a configuration does not free.
+    TEST_F(StoreUpdateApplierTest, ConflictsAreLoggedOnceAndHeldEntriesAppliedByTheConfiguration)
+    {
+        apply({ entryOf(server(1)), entryOf(server(2)) });
+        RegisteredServer copy = server(9, "later");
+        copy.address = server(1).address;
+        apply({ entryOf(copy) });
+        apply({ entryOf(copy) });
+        const auto logged = takeLinesWith("entry_conflict");
+        ASSERT_EQ(logged.size(), 1U);
+        EXPECT_NE(logged[0].find(copy.id), std::string::npos);
+        EXPECT_NE(logged[0].find("service_not_named"), std::string::npos);
+        EXPECT_EQ(usableServers(), 2U);
+        EXPECT_EQ(router.directory().find(copy.id), nullptr);
+
+        ForwardingConfiguration next = configuration(4);
+        next.routes.push_back({ "later", { 0xC6120003, 8443 }, { { "later", 1 } } });
+        clock.advance(3s);
+        apply({ { std::string(platform::configurationKey), platform::encodeConfiguration(next), 0, false } });
+        ASSERT_NE(router.directory().find(copy.id), nullptr);
+        EXPECT_FALSE(router.directory().find(copy.id)->mayTakeFlows());
+        const auto contested = takeLinesWith("entry_conflict");
+        ASSERT_EQ(contested.size(), 1U);
+        EXPECT_NE(contested[0].find(server(1).id), std::string::npos);
+        EXPECT_NE(contested[0].find("address_in_use"), std::string::npos);
+    }
+
 }
 
 }
--- a/Tests/StoreSync/FleetSimulation.cpp
+++ b/Tests/StoreSync/FleetSimulation.cpp
@@ -270,8 +270,6 @@
 
 void FleetSimulation::apply(Balancer& balancer, const ReplicaChanged& change)
 {
-    if (change.entersEra)
-        balancer.router->noteStoreRestored(now());
     for (const StoreUpdate& item : change.items) {
         ++appliedUpdates_;
         if (item.key == "configuration") {
