Forward: Place and admit new flows by the shared load

A balancer sees a tenth to a thirtieth of a service's load. Its own zone looked no fuller than others until answers were late, and in overload servers rejected urgent and less urgent requests alike.

ZoneSpillover sends a share of new flows to zones with room, and PriorityAdmission refuses the least urgent openings first while servers have no room. Both are off by default and decide nothing without a known load.

--- a/Source/Forward/ForwardingConfiguration.cpp
+++ b/Source/Forward/ForwardingConfiguration.cpp
@@ -18,6 +18,7 @@
 
 void RouteTable::replace(const ForwardingConfiguration& configuration)
 {
+    requirements_.clear();
     const auto former = std::exchange(routes_, {});
     routes_.reserve(configuration.routes.size());
     for (const FlowRoute& route : configuration.routes)
@@ -30,6 +31,7 @@
 {
     if (change.isWhole)
         return replace({ change.version, std::move(change.routes), change.idleTimeout });
+    requirements_.clear();
     for (FlowRoute& route : change.routes) {
         FlowRoute& held = routes_[route.address];
         const FlowRoute former = std::exchange(held, std::move(route));
@@ -67,6 +69,25 @@
     return found == routes_.end() ? nullptr : &found->second;
 }
 
+ServiceRequirements RouteTable::requirementsOf(const std::string& service) const
+{
+    if (requirements_.empty()) {
+        for (const auto& [address, route] : routes_) {
+            for (const RouteShare& share : route.shares) {
+                ServiceRequirements& requirements = requirements_[share.service];
+                const auto at = std::ranges::lower_bound(requirements.priorities, route.priority);
+                if (at == requirements.priorities.end() || *at != route.priority)
+                    requirements.priorities.insert(at, route.priority);
+                std::chrono::milliseconds& target = requirements.targetLatency;
+                if (route.targetLatency.count() > 0 && (target.count() == 0 || route.targetLatency < target))
+                    target = route.targetLatency;
+            }
+        }
+    }
+    const auto found = requirements_.find(service);
+    return found == requirements_.end() ? ServiceRequirements {} : found->second;
+}
+
 const std::string* serviceOf(const FlowRoute& route, const FlowEnds& ends)
 {
     std::uint64_t total = 0;
--- a/Source/Forward/ForwardingConfiguration.h
+++ b/Source/Forward/ForwardingConfiguration.h
@@ -62,6 +62,14 @@
     std::size_t total = 0;
 };
 
+// What the routes of one service require.
+struct ServiceRequirements {
+    // The different priorities of its routes, the most urgent first.
+    std::vector<std::uint32_t> priorities {};
+    // The shortest one of its routes; zero if none has one.
+    std::chrono::milliseconds targetLatency { 0 };
+};
+
 // The routes of the current configuration, keyed by address. TokenRouter looks up every opening packet in it.
 class RouteTable {
 public:
@@ -72,12 +80,16 @@
     const FlowRoute* find(Endpoint) const;
     // Returns whether the current or an earlier configuration sends new flows of this address to the service.
     bool hasRoutedTo(Endpoint address, const std::string& service) const;
+    // Returns nothing special for a service that no route names.
+    ServiceRequirements requirementsOf(const std::string& service) const;
     std::size_t size() const { return routes_.size(); }
 
 private:
     void addFormerServices(const FlowRoute& former);
 
     absl::flat_hash_map<Endpoint, FlowRoute> routes_;
+    // By service. Empty after a change of the routes, until it is needed.
+    mutable absl::flat_hash_map<std::string, ServiceRequirements> requirements_;
     // Services that got new flows of an address under an earlier configuration only; open flows stay there.
     absl::flat_hash_map<Endpoint, absl::flat_hash_set<std::string>> formerServices_;
 };
--- a/Source/Forward/OpeningAdmission.cpp
+++ b/Source/Forward/OpeningAdmission.cpp
@@ -35,13 +35,26 @@
     if (targetLatency <= std::chrono::milliseconds::zero() || found == services_.end())
         return admission;
     admission.answerTime = answerTimeOf(found->second, now);
-    const std::chrono::duration<double> time = admission.answerTime;
-    const double share = time / std::chrono::duration<double>(targetLatency);
-    const double refusedShare = (share - settings_.refuseFrom) / (settings_.refuseAllFrom - settings_.refuseFrom);
-    admission.isRefused = refusedShare > uniformHash(ends);
+    admission.isRefused = refusedShareAt(admission.answerTime, targetLatency) > uniformHash(ends);
     return admission;
 }
 
+double OpeningAdmission::refusedShareAt(Duration answerTime, std::chrono::milliseconds targetLatency) const
+{
+    const std::chrono::duration<double> time = answerTime;
+    const double share = time / std::chrono::duration<double>(targetLatency);
+    return (share - settings_.refuseFrom) / (settings_.refuseAllFrom - settings_.refuseFrom);
+}
+
+double OpeningAdmission::refusedShare(
+    const std::string& service, std::chrono::milliseconds targetLatency, TimePoint now) const
+{
+    const auto found = services_.find(service);
+    if (targetLatency <= std::chrono::milliseconds::zero() || found == services_.end())
+        return 0;
+    return std::clamp(refusedShareAt(answerTimeOf(found->second, now), targetLatency), 0.0, 1.0);
+}
+
 Duration OpeningAdmission::answerTimeOf(const RecentAnswers& recent, TimePoint now) const
 {
     std::array<Duration, maxAnswers> times {};
--- a/Source/Forward/OpeningAdmission.h
+++ b/Source/Forward/OpeningAdmission.h
@@ -32,6 +32,11 @@
 // The decision whether a new flow may be opened.
 struct Admission {
     bool isRefused = false;
+    // Refused by PriorityAdmission at this level of the service.
+    bool isShed = false;
+    float level = 0;
+    // The priority of the flow's route.
+    std::uint32_t priority = 0;
     // The service's answer time at AdmissionSettings::quantile; zero if there are too few recent answers.
     Duration answerTime {};
 };
@@ -54,6 +59,9 @@
     Admission admit(
         const std::string& service, std::chrono::milliseconds targetLatency, const FlowEnds&, TimePoint now) const;
 
+    // The share of new flows that admit() would refuse, 0 to 1.
+    double refusedShare(const std::string& service, std::chrono::milliseconds targetLatency, TimePoint now) const;
+
 private:
     static constexpr std::size_t maxAnswers = 16;
 
@@ -68,6 +76,8 @@
     };
 
     Duration answerTimeOf(const RecentAnswers&, TimePoint now) const;
+    // May be below 0 and above 1.
+    double refusedShareAt(Duration answerTime, std::chrono::milliseconds targetLatency) const;
 
     AdmissionSettings settings_;
     // By service name.
--- a/Source/Forward/OpeningPolicy.cpp
+++ b/Source/Forward/OpeningPolicy.cpp
@@ -76,7 +76,8 @@
         ++choice.eligible;
         const Rank rank = rankOf(*server, groupRank, comparison.previous, now);
         choice.unresponsive += rank == Rank::Unproven || rank == Rank::Unresponsive;
-        const Candidate candidate { server, cost_.costOf(*server, comparison.usualFailingShare, now),
+        const Candidate candidate { server,
+            cost_.costOf(*server, comparison.nearZone, comparison.usualFailingShare, now),
             tieBreakerOf(*server, comparison.flowHash) };
         Candidate& bestOfRank = comparison.best[static_cast<std::size_t>(rank)];
         if (candidate.isBetterThan(bestOfRank))
@@ -84,6 +85,25 @@
     }
 }
 
+std::vector<ZoneSlots> OpeningPolicy::usableSlots(
+    const std::vector<ServerGroup*>& groups, const EvacuatedZones& evacuated, TimePoint now) const
+{
+    std::vector<ZoneSlots> zones;
+    for (const ServerGroup* group : groups) {
+        if (evacuated.contains(group->availabilityZone) || reachability_.isEjected(group->availabilityZone, now)
+            || GroupLiveness::isEjected(*group, now))
+            continue;
+        ZoneSlots zone { group->availabilityZone, 0 };
+        for (const KnownServer* server : group->members) {
+            if (server->mayTakeFlows() && !ServerLiveness::isUnresponsive(*server, now))
+                zone.slots += static_cast<float>(server->entry.slots);
+        }
+        if (zone.slots > 0)
+            zones.push_back(std::move(zone));
+    }
+    return zones;
+}
+
 std::uint64_t OpeningPolicy::tieBreakerOf(const KnownServer& server, std::uint64_t flowHash) const
 {
     constexpr std::uint64_t preferred = std::uint64_t(1) << 63;
@@ -92,24 +112,23 @@
 }
 
 OpeningChoice OpeningPolicy::choose(const std::vector<ServerGroup*>& groups, const EvacuatedZones& evacuated,
-    const FlowEnds& ends, const FlowRecord* previous, TimePoint now)
+    const FlowEnds& ends, const FlowRecord* previous, TimePoint now, const std::string* nearZone)
 {
     OpeningChoice choice;
     if (groups.empty())
         return choice;
     Comparison comparison { previous, evacuated, coldStartLimitOf(groups.front()->service),
-        hashPair((std::uint64_t(ends.caller.address) << 16) | ends.caller.port, ends.route.address),
-        ServerCost::failingShareOf(groups, now), now };
+        nearZone ? *nearZone : availabilityZone_, hashOf(ends), ServerCost::failingShareOf(groups, now), now };
     reviewLiveness(groups, choice, now);
-    const auto isOwn = [this](const ServerGroup* group) { return group->availabilityZone == availabilityZone_; };
-    const auto own = std::ranges::find_if(groups, isOwn);
-    if (own != groups.end())
-        compare(**own, comparison, choice);
+    const auto isNear = [&](const ServerGroup* group) { return group->availabilityZone == comparison.nearZone; };
+    const auto nearGroup = std::ranges::find_if(groups, isNear);
+    if (nearGroup != groups.end())
+        compare(**nearGroup, comparison, choice);
     // Other zones hold most of the servers and are seldom needed, so they are compared only if they could win.
-    const Candidate& ownBest = comparison.best[static_cast<std::size_t>(Rank::Responsive)];
-    if (!ownBest.server || ownBest.cost >= cost_.minOtherZoneCost()) {
+    const Candidate& nearBest = comparison.best[static_cast<std::size_t>(Rank::Responsive)];
+    if (!nearBest.server || nearBest.cost >= cost_.minOtherZoneCost()) {
         for (const ServerGroup* group : groups) {
-            if (!isOwn(group))
+            if (!isNear(group))
                 compare(*group, comparison, choice);
         }
     }
--- a/Source/Forward/OpeningPolicy.h
+++ b/Source/Forward/OpeningPolicy.h
@@ -10,6 +10,7 @@
 #include "Forward/ServerDirectory.h"
 #include "Forward/ServerLiveness.h"
 #include "Forward/ServerSubset.h"
+#include "Forward/ServiceDemand.h"
 #include "Forward/ZoneReachability.h"
 
 #include <array>
@@ -53,7 +54,7 @@
     OpeningPolicy(const std::string& availabilityZone, const OpeningLatency& openingLatency,
         OpeningSettings settings = {}, ColdStartSettings cold = {})
         : availabilityZone_(availabilityZone)
-        , cost_(availabilityZone, settings)
+        , cost_(settings)
         , coldStartLimiter_(availabilityZone, cold)
         , serverLiveness_(settings)
         , groupLiveness_(settings, openingLatency)
@@ -62,9 +63,12 @@
     }
 
     // previous is the flow's record, or null. Servers that the flow tried before are avoided. Servers of evacuated
-    // zones and cold servers beyond their limit are never chosen, even if no other server is left.
+    // zones and cold servers beyond their limit are never chosen, even if no other server is left. nearZone: the zone
+    // that ZoneSpillover selected for the flow; null for the own zone.
     OpeningChoice choose(const std::vector<ServerGroup*>& groups, const EvacuatedZones&, const FlowEnds&,
-        const FlowRecord* previous, TimePoint now);
+        const FlowRecord* previous, TimePoint now, const std::string* nearZone = nullptr);
+    // Returns the slots of the servers that may get new flows, by zone. Evacuated and ejected ones are left out.
+    std::vector<ZoneSlots> usableSlots(const std::vector<ServerGroup*>&, const EvacuatedZones&, TimePoint now) const;
 
     void setColdStartLimits(ColdStartLimits coldStartLimits) { coldStartLimits_ = std::move(coldStartLimits); }
     // See ServerSubset and ColdStartLimiter.
@@ -124,6 +128,7 @@
         const FlowRecord* previous = nullptr;
         const EvacuatedZones& evacuated;
         const ColdStartLimit* coldStart = nullptr;
+        const std::string& nearZone;
         std::uint64_t flowHash = 0;
         float usualFailingShare = 0;
         TimePoint now;
--- /dev/null
+++ b/Source/Forward/OverloadControl.cpp
@@ -0,0 +1,54 @@
+#include "Forward/OverloadControl.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace wisteriadock {
+
+void OverloadControl::setLoad(const std::string& service, ServiceLoad load)
+{
+    if (!settings_.zoneSpillover && !settings_.priorityAdmission)
+        return;
+    KnownLoad& known = services_[service];
+    known.load = std::move(load);
+    known.isNew = true;
+}
+
+// Without the load of other zones' callers, their room is unknown, and only the own zone's servers can be judged.
+void OverloadControl::decide(const std::string& service, KnownLoad& known, TimePoint now)
+{
+    if (!known.load.includesOtherZones) {
+        const auto isOther = [&](const auto& row) { return row.serverZone != availabilityZone_; };
+        std::erase_if(known.load.rows, isOther);
+        std::erase_if(
+            known.inputs.zones, [&](const ZoneSlots& zone) { return zone.availabilityZone != availabilityZone_; });
+    }
+    const ServiceDemand demand(known.load, known.inputs.zones);
+    if (settings_.zoneSpillover && known.load.includesOtherZones)
+        spillover_.update(service, demand, known.inputs.zones, now);
+    else
+        spillover_.forget(service);
+    if (settings_.priorityAdmission && known.inputs.priorities.size() > 1 && demand.slots() > 0)
+        admission_.update(service, demand, known.inputs.priorities, known.inputs.lateShare, now);
+    else
+        admission_.forget(service);
+}
+
+std::vector<ServiceOverload> OverloadControl::overview() const
+{
+    std::vector<ServiceOverload> services;
+    for (const auto& [service, known] : services_) {
+        ServiceOverload row { service, admission_.levelOf(service), {}, {}, {}, spillover_.sharesOf(service) };
+        const ServiceDemand demand(known.load, known.inputs.zones);
+        for (const ZoneSlots& zone : known.inputs.zones) {
+            row.slots[zone.availabilityZone] = zone.slots;
+            const float needed = demand.ofCallers(zone.availabilityZone);
+            row.demand[zone.availabilityZone] = needed;
+            row.room[zone.availabilityZone] = std::max(0.0F, ZoneSpillover::fullFrom * zone.slots - needed);
+        }
+        services.push_back(std::move(row));
+    }
+    return services;
+}
+
+}
--- a/Source/Forward/ServerCost.cpp
+++ b/Source/Forward/ServerCost.cpp
@@ -14,12 +14,13 @@
 
 // The cost rises with the share of unanswered requests above the average of the service, so that a failing server gets
 // fewer new flows but still some. If all servers fail alike, the cause lies elsewhere, and the cost does not change.
-float ServerCost::costOf(const KnownServer& server, float usualFailingShare, TimePoint now) const
+float ServerCost::costOf(
+    const KnownServer& server, const std::string& nearZone, float usualFailingShare, TimePoint now) const
 {
     float cost = settings_.loadWeight * (loadOf(server) + 1.0F / static_cast<float>(std::max(1U, server.entry.slots)));
     if (server.warmUntil > now)
         cost *= settings_.coldFactor;
-    if (server.entry.availabilityZone != availabilityZone_)
+    if (server.entry.availabilityZone != nearZone)
         cost += settings_.zonePenalty;
     const float excess = server.seen.outcomes.failingShare(now) - usualFailingShare;
     return excess > settings_.failingTolerance ? cost + excess * settings_.failingPenalty : cost;
--- a/Source/Forward/ServerCost.h
+++ b/Source/Forward/ServerCost.h
@@ -5,7 +5,6 @@
 #include "Forward/ServerDirectory.h"
 
 #include <string>
-#include <utility>
 #include <vector>
 
 namespace wisteriadock {
@@ -14,23 +13,22 @@
 // whether the server is cold or in another zone, and its share of unanswered requests. OpeningPolicy calls it.
 class ServerCost {
 public:
-    ServerCost(std::string availabilityZone, OpeningSettings settings)
-        : availabilityZone_(std::move(availabilityZone))
-        , settings_(settings)
+    explicit ServerCost(OpeningSettings settings)
+        : settings_(settings)
     {
     }
 
+    // nearZone: the zone whose servers cost no zone penalty; the own zone, or the one that ZoneSpillover selected.
     // usualFailingShare is the result of failingShareOf() for the service.
-    float costOf(const KnownServer&, float usualFailingShare, TimePoint now) const;
+    float costOf(const KnownServer&, const std::string& nearZone, float usualFailingShare, TimePoint now) const;
     // Returns the load in requests per slot.
     float loadOf(const KnownServer&) const;
-    // A lower bound of the cost of any server of another zone.
+    // A lower bound of the cost of any server of another zone than the near one.
     float minOtherZoneCost() const { return settings_.zonePenalty; }
     // Returns the share of unanswered requests of all servers of these groups together, 0 to 1.
     static float failingShareOf(const std::vector<ServerGroup*>&, TimePoint now);
 
 private:
-    std::string availabilityZone_;
     OpeningSettings settings_;
 };
 
--- a/Source/Forward/TokenPacket.h
+++ b/Source/Forward/TokenPacket.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Core/Endpoint.h"
+#include "Core/Hash.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -22,6 +23,12 @@
     }
 };
 
+// Hashes a flow; all balancers compute the same value.
+inline std::uint64_t hashOf(const FlowEnds& ends)
+{
+    return hashPair((std::uint64_t(ends.caller.address) << 16) | ends.caller.port, ends.route.address);
+}
+
 // The decoded header of a packet of the token protocol. Each endpoint sends the token that it received last on the
 // flow. The balancer that forwards the opening packet writes the token of the chosen server, so any balancer can find
 // the server of later packets without state of its own.
--- a/Source/Forward/TokenRouter.cpp
+++ b/Source/Forward/TokenRouter.cpp
@@ -21,6 +21,7 @@
         { PacketReason::Established, "established" },
         { PacketReason::ServerEnded, "server_ended" },
         { PacketReason::Overloaded, "overloaded" },
+        { PacketReason::PriorityShed, "priority_shed" },
         { PacketReason::NoServer, "no_server" },
         { PacketReason::ColdServersFull, "cold_servers_full" },
         { PacketReason::ZonesEvacuated, "zones_evacuated" },
@@ -50,6 +51,7 @@
 TokenRouter::TokenRouter(RouterSettings settings)
     : settings_(std::move(settings))
     , admission_(settings_.admission)
+    , overload_(settings_.availabilityZone, settings_.overload, settings_.wallClockOffset)
     , policy_(settings_.availabilityZone, openingLatency_, settings_.opening, settings_.coldStart)
     , directory_(settings_.directory)
     , flows_(directory_)
@@ -104,7 +106,15 @@
     for (ZoneEvacuationChange& change : evacuatedZones_.tick(now))
         evacuationChanges_.push_back(std::move(change));
     policy_.tick(now);
-    return directory_.tick(now);
+    ServerDirectory::Transitions transitions = directory_.tick(now);
+    overload_.tick(
+        [&](const std::string& service) {
+            const ServiceRequirements requirements = routes_.requirementsOf(service);
+            return OverloadControl::Inputs { policy_.usableSlots(directory_.groupsOf(service), evacuatedZones_, now),
+                requirements.priorities, admission_.refusedShare(service, requirements.targetLatency, now) };
+        },
+        now);
+    return transitions;
 }
 
 PacketDecision TokenRouter::route(const TokenPacket& packet, TimePoint now)
@@ -132,10 +142,10 @@
     decision.copies = packet.acknowledgement;
     // Copies are never refused: the flow may already be open at a server that another balancer chose.
     if (!previous && packet.acknowledgement == 0) {
-        decision.admission = admission_.admit(*service, route->targetLatency, packet.ends, now);
+        decision.admission = admit(*route, *service, packet.ends, now);
         if (decision.admission.isRefused) {
             decision.verdict = PacketVerdict::Reset;
-            decision.reason = PacketReason::Overloaded;
+            decision.reason = decision.admission.isShed ? PacketReason::PriorityShed : PacketReason::Overloaded;
             return decision;
         }
     }
@@ -153,7 +163,9 @@
             && policy_.review(*previousServer, now))
             ejected = previousServer;
     }
-    decision.choice = policy_.choose(directory_.groupsOf(*service), evacuatedZones_, packet.ends, previous, now);
+    const std::string* nearZone = overload_.spillover().zoneOf(*service, hashOf(packet.ends));
+    decision.choice
+        = policy_.choose(directory_.groupsOf(*service), evacuatedZones_, packet.ends, previous, now, nearZone);
     if (ejected)
         decision.choice.ejected.push_back(ejected);
     if (!decision.choice.server)
@@ -166,6 +178,23 @@
     return decision;
 }
 
+// While PriorityAdmission knows the load of the service, it decides alone, and answer times only raise its level.
+// Otherwise urgent flows would be refused by their answer times before less urgent ones.
+Admission TokenRouter::admit(
+    const FlowRoute& route, const std::string& service, const FlowEnds& ends, TimePoint now) const
+{
+    Admission admission;
+    if (!overload_.admission().isKnown(service)) {
+        admission = admission_.admit(service, route.targetLatency, ends, now);
+    } else {
+        admission.level = overload_.admission().levelOf(service);
+        admission.isShed = overload_.admission().isRefused(service, route.priority, ends.caller, now);
+        admission.isRefused = admission.isShed;
+    }
+    admission.priority = route.priority;
+    return admission;
+}
+
 // If two servers answer one opening, the caller may combine the token of one with the sequence number of the other, and
 // the flow never works. So a copy goes to the same server if the flow is already open there or the server has answered
 // any packet since the previous attempt.
--- a/Source/Forward/TokenRouter.h
+++ b/Source/Forward/TokenRouter.h
@@ -6,6 +6,7 @@
 #include "Forward/OpenFlowTable.h"
 #include "Forward/OpeningAdmission.h"
 #include "Forward/OpeningPolicy.h"
+#include "Forward/OverloadControl.h"
 #include "Forward/ServerDirectory.h"
 #include "Forward/ServiceLoad.h"
 #include "Forward/TokenPacket.h"
@@ -35,6 +36,7 @@
     Established, // A packet of an open flow, found by its token.
     ServerEnded, // The process of the flow's server has certainly ended.
     Overloaded, // Admission control refused the new flow; see OpeningAdmission.
+    PriorityShed, // A less urgent new flow was refused, since the servers have no room; see PriorityAdmission.
     NoServer, // The route's service has no server that takes new flows.
     ColdServersFull, // All servers for the flow are cold, and this balancer may send them no more new flows now.
     ZonesEvacuated, // All servers for the flow are in evacuated zones.
@@ -46,7 +48,7 @@
 };
 
 inline constexpr std::size_t packetVerdicts = 3;
-inline constexpr std::size_t packetReasons = 14;
+inline constexpr std::size_t packetReasons = 15;
 
 std::string_view nameOf(PacketVerdict);
 std::string_view nameOf(PacketReason);
@@ -74,6 +76,9 @@
     ColdStartSettings coldStart;
     AdmissionSettings admission;
     DirectorySettings directory;
+    OverloadSettings overload;
+    // See PriorityAdmission.
+    Duration wallClockOffset {};
     // Number of a caller's last copy of an opening packet; the original has number 0. The caller gives up after it.
     std::uint32_t lastCopy = 2;
 };
@@ -119,7 +124,7 @@
         policy_.setBalancers(self, std::move(ids), isSettled, now);
     }
     // Sets what is known of the load of a service. Must be called a few times per second while anything is known.
-    void setServiceLoad(const std::string& service, ServiceLoad load) { serviceLoads_[service] = std::move(load); }
+    void setServiceLoad(const std::string& service, ServiceLoad load) { overload_.setLoad(service, std::move(load)); }
     // Handles timeouts. Must be called a few times per second.
     ServerDirectory::Transitions tick(TimePoint now);
 
@@ -136,6 +141,10 @@
     std::vector<ZoneEvacuationChange> takeEvacuationChanges() { return std::exchange(evacuationChanges_, {}); }
     // Returns the servers that started or stopped failing since the last call.
     std::vector<FailingChange> takeFailingChanges() { return std::exchange(failingChanges_, {}); }
+    // Return the changes of spillover and of admission by priority since the last call.
+    std::vector<SpilloverChange> takeSpilloverChanges() { return overload_.takeSpilloverChanges(); }
+    std::vector<ShedLevelChange> takeShedLevelChanges() { return overload_.takeShedLevelChanges(); }
+    const OverloadControl& overload() const { return overload_; }
     // 0 before the first configuration.
     std::uint64_t configurationVersion() const { return version_; }
     ServerDirectory& directory() { return directory_; }
@@ -147,6 +156,7 @@
 private:
     PacketDecision routeOpening(const TokenPacket&, TimePoint now);
     PacketDecision routeEstablished(const TokenPacket&, TimePoint now);
+    Admission admit(const FlowRoute&, const std::string& service, const FlowEnds&, TimePoint now) const;
     PacketDecision refuse(const TokenPacket&, PacketReason) const;
     PacketDecision refuseChoice(const TokenPacket&, const OpeningChoice&, const FlowRecord* previous) const;
     bool isOfFormerProcess(const TokenPacket&, const KnownServer&) const;
@@ -156,6 +166,7 @@
     RouterSettings settings_;
     OpeningLatency openingLatency_;
     OpeningAdmission admission_;
+    OverloadControl overload_;
     OpeningPolicy policy_;
     ServerDirectory directory_;
     EvacuatedZones evacuatedZones_;
@@ -163,7 +174,6 @@
     std::vector<FailingChange> failingChanges_;
     std::vector<ZoneEvacuationChange> evacuationChanges_;
     RouteTable routes_;
-    absl::flat_hash_map<std::string, ServiceLoad> serviceLoads_;
     std::uint64_t version_ = 0;
     bool havePacketsWaited_ = false;
 };
--- a/Source/Forward/ZoneReachability.h
+++ b/Source/Forward/ZoneReachability.h
@@ -40,6 +40,12 @@
     // Returns the state of a zone and ejects the zone if its trial flow has waited too long. A zone without recent
     // answers gets one flow at a time, and none while it is ejected.
     State stateOf(const std::string& availabilityZone, TimePoint now);
+    // Returns whether the zone is ejected, without reviewing its trial flow.
+    bool isEjected(const std::string& availabilityZone, TimePoint now) const
+    {
+        const auto found = otherZones_.find(availabilityZone);
+        return found != otherZones_.end() && found->second.ejectedUntil > now;
+    }
     // Records that an opening packet was sent to the server.
     void noteAttempt(const KnownServer&, TimePoint now);
     // Records that the server answered.
