Forwarder: Add settings, logs and metrics of spillover and admission

Logs overload.shed_level, overload.spillover and flow.priority_shed, gauges by service and zone, and openings by priority and outcome.

--- a/Source/Forwarder/ForwarderHttpHandler.h
+++ b/Source/Forwarder/ForwarderHttpHandler.h
@@ -63,6 +63,7 @@
     ForwarderMetrics::Snapshot snapshotAt(TimePoint now) const
     {
         ForwarderMetrics::Snapshot snapshot;
+        snapshot.overload = router_.overload().overview();
         snapshot.configurationVersion = router_.configurationVersion();
         snapshot.replicaRevision = peerSync_.replicaSync().replica().completeTo();
         snapshot.storeEra = store_.feed().era();
--- a/Source/Forwarder/ForwarderLog.cpp
+++ b/Source/Forwarder/ForwarderLog.cpp
@@ -55,8 +55,10 @@
         event.add("silent_ms", millisecondsSince(server->seen.lastProgress, now));
         event.add("flows", server->seen.flows).add("busy", server->seen.busy);
     }
-    if (decision.admission.isRefused)
+    if (decision.admission.isRefused && !decision.admission.isShed)
         event.add("answer_ms", decision.admission.answerTime);
+    if (decision.admission.isShed)
+        event.add("level", static_cast<double>(decision.admission.level)).add("priority", decision.admission.priority);
     if (decision.choice.evacuated > 0)
         event.add("evacuated", decision.choice.evacuated);
     if (decision.choice.server) {
@@ -211,6 +213,32 @@
         groupLiveness(change, now);
     for (const ZoneEvacuationChange& change : router.takeEvacuationChanges())
         zoneEvacuation(change, std::chrono::milliseconds(0), "time", now);
+    for (const SpilloverChange& change : router.takeSpilloverChanges())
+        spillover(change, now);
+    for (const ShedLevelChange& change : router.takeShedLevelChanges())
+        shedLevel(change, now);
+}
+
+void ForwarderLog::spillover(const SpilloverChange& change, TimePoint now)
+{
+    log_.write(change.share > 0 ? LogLevel::Warning : LogLevel::Info, "overload", "spillover",
+        Event()
+            .add("service", change.service)
+            .add("zone", change.availabilityZone)
+            .add("share", static_cast<double>(change.share))
+            .add("demand", static_cast<double>(change.demand)),
+        now);
+}
+
+void ForwarderLog::shedLevel(const ShedLevelChange& change, TimePoint now)
+{
+    log_.write(change.level > 0 ? LogLevel::Warning : LogLevel::Info, "overload", "shed_level",
+        Event()
+            .add("service", change.service)
+            .add("level", static_cast<double>(change.level))
+            .add("demand", static_cast<double>(change.demand))
+            .add("slots", static_cast<double>(change.slots)),
+        now);
 }
 
 void ForwarderLog::failingChange(const FailingChange& change, TimePoint now)
--- a/Source/Forwarder/ForwarderLog.h
+++ b/Source/Forwarder/ForwarderLog.h
@@ -66,6 +66,8 @@
 
 private:
     void failingChange(const FailingChange&, TimePoint now);
+    void spillover(const SpilloverChange&, TimePoint now);
+    void shedLevel(const ShedLevelChange&, TimePoint now);
     void zoneReachability(const ZoneReachabilityChange&, TimePoint now);
     void groupLiveness(const GroupLivenessChange&, TimePoint now);
     void transition(const ServerTransition&, std::uint64_t revision, const std::string& source, TimePoint now);
--- a/Source/Forwarder/ForwarderMetrics.cpp
+++ b/Source/Forwarder/ForwarderMetrics.cpp
@@ -46,6 +46,9 @@
             sample.bucketCounts = buckets.counts().data();
         }
 
+        // Keeps a label's text as long as the samples.
+        const char* keep(std::string text) { return texts_.emplace_back(std::move(text)).c_str(); }
+
         const std::vector<WisteriadockMetricSample>& all() const { return samples_; }
 
     private:
@@ -61,8 +64,28 @@
         std::vector<WisteriadockMetricSample> samples_;
         // A deque, since the samples point to the labels.
         std::deque<Labels> labels_;
+        std::deque<std::string> texts_;
     };
 
+    void addOverload(Samples& samples, const std::vector<ServiceOverload>& services)
+    {
+        for (const ServiceOverload& row : services) {
+            const char* service = row.service.c_str();
+            samples.gauge("wisteriadock_forwarder_shed_level",
+                "Number of a service's priorities whose openings are refused, the least urgent ones first",
+                static_cast<double>(row.level), { { "service", service } });
+            const auto addZones = [&](const char* name, const char* help, const std::map<std::string, float>& zones) {
+                for (const auto& [zone, value] : zones)
+                    samples.gauge(
+                        name, help, static_cast<double>(value), { { "service", service }, { "zone", zone.c_str() } });
+            };
+            addZones("wisteriadock_forwarder_zone_slots", "Slots that may get new flows", row.slots);
+            addZones("wisteriadock_forwarder_zone_demand", "Slots that the callers of a zone need", row.demand);
+            addZones("wisteriadock_forwarder_zone_room", "Slots that other zones' callers may use", row.room);
+            addZones("wisteriadock_forwarder_spillover_share", "Share of this zone's new flows to another", row.shares);
+        }
+    }
+
     // The module is in the directory of the program, which the program's RPATH names. A wrapper of dlopen(), as in the
     // address sanitizer, hides the caller and thereby its RPATH, hence the second attempt with a full path.
     void* openModule()
@@ -152,6 +175,9 @@
                     { "verdict", nameOf(static_cast<PacketVerdict>(verdict)).data() } });
         }
     }
+    for (const auto& [key, count] : openings_)
+        samples.count("wisteriadock_forwarder_openings_total", "First opening packets by priority and outcome", count,
+            { { "outcome", nameOf(key.second).data() }, { "priority", samples.keep(std::to_string(key.first)) } });
     samples.count(
         "wisteriadock_forwarder_malformed_packets_total", "Datagrams that were no packet, and dropped", malformed_);
     samples.count(
@@ -200,6 +226,7 @@
     for (const auto& [zone, since] : snapshot.evacuatedZones->all())
         samples.gauge("wisteriadock_forwarder_evacuated_zone", "1 for each zone that operators have evacuated", 1,
             { { "zone", zone.c_str() } });
+    addOverload(samples, snapshot.overload);
     for (const ServerState serverState :
         { ServerState::Ready, ServerState::Draining, ServerState::Doubtful, ServerState::Gone, ServerState::Ended })
         samples.gauge("wisteriadock_forwarder_servers", "Backend servers by what this balancer believes of them",
--- a/Source/Forwarder/ForwarderMetrics.h
+++ b/Source/Forwarder/ForwarderMetrics.h
@@ -45,6 +45,12 @@
     {
         ++packets_[static_cast<std::size_t>(reason)][static_cast<std::size_t>(verdict)];
     }
+    // First opening packets by the priority of their route, and whether they were refused.
+    void countOpening(const PacketDecision& decision)
+    {
+        if (decision.copies == 0 && (decision.reason == PacketReason::Opened || decision.admission.isRefused))
+            ++openings_[{ decision.admission.priority, decision.reason }];
+    }
     void countForwarded(std::size_t bytes)
     {
         ++forwarded_;
@@ -92,12 +98,15 @@
         std::uint64_t storeBytes = 0;
         const ServerDirectory* directory = nullptr;
         const EvacuatedZones* evacuatedZones = nullptr;
+        std::vector<ServiceOverload> overload;
     };
     // All metrics in the Prometheus text format. Fails with Unavailable when the formatting module can't be loaded.
     Result<std::string> text(const Snapshot&);
 
 private:
     std::array<std::array<std::uint64_t, packetVerdicts>, packetReasons> packets_ {};
+    // By priority and reason.
+    std::map<std::pair<std::uint32_t, PacketReason>, std::uint64_t> openings_;
     std::uint64_t forwarded_ = 0;
     std::uint64_t forwardedBytes_ = 0;
     std::uint64_t malformed_ = 0;
--- a/Source/Forwarder/ForwarderSettings.cpp
+++ b/Source/Forwarder/ForwarderSettings.cpp
@@ -87,6 +87,9 @@
     limits.number("cold_overage", settings.coldStart.overage, 0, maxFactor);
     limits.number("cold_slack_flows", settings.coldStart.slack, 0, maxSlack);
     readOpening(reader, settings.opening);
+    SectionReader& overload = reader.section("overload");
+    overload.boolean("priority_admission", settings.overload.priorityAdmission);
+    overload.boolean("zone_spillover", settings.overload.zoneSpillover);
     readLog(reader, settings);
     const SettingsProblems problems = reader.finish();
     if (!problems.isEmpty())
@@ -115,6 +118,7 @@
     compare(metrics == other.metrics, "listen.metrics");
     compare(store == other.store, "store.address");
     compare(opening == other.opening, "opening");
+    compare(overload == other.overload, "overload");
     compare(coldStart == other.coldStart, "limits.cold_overage, limits.cold_slack_flows");
     compare(linkMegabits == other.linkMegabits, "limits.link_megabits_per_second");
     compare(longestFlow == other.longestFlow, "limits.longest_flow_seconds");
--- a/Source/Forwarder/ForwarderSettings.h
+++ b/Source/Forwarder/ForwarderSettings.h
@@ -5,6 +5,7 @@
 #include "Core/Log.h"
 #include "Forward/ColdStartLimit.h"
 #include "Forward/OpeningSettings.h"
+#include "Forward/OverloadSettings.h"
 
 #include <chrono>
 #include <cstdint>
@@ -40,6 +41,7 @@
     // How servers are chosen for new flows.
     OpeningSettings opening;
     ColdStartSettings coldStart;
+    OverloadSettings overload;
 
     LogLevel logLevel = LogLevel::Info;
     // Lines a second of each kind of event.
--- a/Source/Forwarder/PartSettings.cpp
+++ b/Source/Forwarder/PartSettings.cpp
@@ -1,5 +1,7 @@
 #include "Forwarder/PartSettings.h"
 
+#include <chrono>
+
 namespace wisteriadock {
 
 RouterSettings routerSettingsOf(const ForwarderSettings& settings)
@@ -8,6 +10,9 @@
     router.availabilityZone = settings.availabilityZone;
     router.opening = settings.opening;
     router.coldStart = settings.coldStart;
+    router.overload = settings.overload;
+    router.wallClockOffset = std::chrono::duration_cast<Duration>(
+        std::chrono::system_clock::now().time_since_epoch() - Clock::now().time_since_epoch());
     // Longer than a flow lasts, for packets that are still in flight.
     router.directory.retention = settings.longestFlow * 5 / 4;
     return router;
--- a/Source/Forwarder/TokenPacketPath.h
+++ b/Source/Forwarder/TokenPacketPath.h
@@ -94,6 +94,8 @@
         lifecycle_.notePacket(now);
         const PacketDecision decision = router_.route(*packet, now);
         metrics_.countPacket(decision.reason, decision.verdict);
+        if (packet->opens)
+            metrics_.countOpening(decision);
         metrics_.observe(decision.progress);
         if (decision.reason == PacketReason::TokenUnknown || decision.reason == PacketReason::NoServer
             || decision.reason == PacketReason::ZonesEvacuated)
--- a/Tests/Forwarder/ForwarderLogTest.cpp
+++ b/Tests/Forwarder/ForwarderLogTest.cpp
@@ -162,6 +162,59 @@
         }
     }
 
+    // Guards against refusals and flows to other zones whose cause the log does not tell.
+    TEST_F(ForwarderLogTest, OverloadIsLoggedWhenItBeginsAndEnds)
+    {
+        RouterSettings settings;
+        settings.availabilityZone = "walu";
+        settings.overload = { true, true };
+        TokenRouter router(settings);
+        const Endpoint urgent { 0xC6120001, 8443 };
+        const Endpoint other { 0xC6120002, 8443 };
+        router.applyConfiguration(
+            { 1, { { "overlay", urgent, { { "tryon", 1 } }, 0ms, 0 }, { "scan", other, { { "tryon", 1 } }, 0ms, 1 } },
+                15s });
+        for (const std::uint64_t number : { 1, 2 }) {
+            RegisteredServer server;
+            server.id = fmt::format("i-{}", number);
+            server.number = number;
+            server.service = "tryon";
+            server.availabilityZone = number == 1 ? "walu" : "nabua";
+            server.slots = 2;
+            router.putServer(server, number, clock.now());
+        }
+        const auto know = [&](float demand) {
+            for (int i = 0; i < 20; ++i) {
+                clock.advance(tickInterval);
+                const float served = std::min(demand, 0.75F) * 50;
+                router.setServiceLoad("tryon",
+                    { { { "walu", "walu", 1, { demand * 2, demand * 50, served, demand * 50 - served, 0, 40ms } } },
+                        true });
+                router.tick(clock.now());
+                lines.changes(router, clock.now());
+            }
+        };
+        know(4);
+        TokenPacket packet;
+        packet.ends = { { 1, 1 }, other };
+        packet.opens = true;
+        PacketDecision refused;
+        for (; refused.verdict != PacketVerdict::Reset && packet.ends.caller.address < 1000;
+             ++packet.ends.caller.address)
+            refused = router.route(packet, clock.now());
+        lines.packet(packet, refused, "", 1, 1, clock.now());
+        know(0.1F);
+        passTick();
+        EXPECT_EQ(countOf("overload", "shed_level"), 2);
+        EXPECT_EQ(countOf("overload", "spillover"), 2);
+        const auto all = linesRead();
+        const auto line
+            = std::ranges::find_if(all, [](const auto& one) { return isEvent(one, "flow", "priority_shed"); });
+        ASSERT_NE(line, all.end());
+        EXPECT_EQ((*line)["priority"], 1);
+        EXPECT_GT((*line)["level"], 0);
+    }
+
     TEST_F(ForwarderLogTest, PeerDiscoveredLaterHasItsOwnLine)
     {
         meetPeers();
--- a/Tests/Forwarder/ForwarderMetricsTest.cpp
+++ b/Tests/Forwarder/ForwarderMetricsTest.cpp
@@ -54,6 +54,27 @@
         EXPECT_EQ(valueOf("wisteriadock_forwarder_malformed_packets_total"), "1");
     }
 
+    TEST_F(ForwarderMetricsTest, OpeningsByPriorityAndTheLoadOfServices)
+    {
+        PacketDecision decision;
+        decision.reason = PacketReason::PriorityShed;
+        decision.admission.isRefused = true;
+        decision.admission.priority = 2;
+        metrics.countOpening(decision);
+        decision.copies = 1;
+        metrics.countOpening(decision);
+        EXPECT_EQ(valueOf("wisteriadock_forwarder_openings_total{outcome=\"priority_shed\",priority=\"2\"}"), "1");
+
+        ForwarderMetrics::Snapshot values = snapshot();
+        values.overload.push_back(
+            { "tryon", 0.5F, { { "walu", 6 } }, { { "walu", 7 } }, { { "walu", 0 } }, { { "nabua", 0.25F } } });
+        const std::string text = metrics.text(values).value();
+        for (const char* line : { "shed_level{service=\"tryon\"} 0.5", "zone_slots{service=\"tryon\",zone=\"walu\"} 6",
+                 "zone_demand{service=\"tryon\",zone=\"walu\"} 7", "zone_room{service=\"tryon\",zone=\"walu\"} 0",
+                 "spillover_share{service=\"tryon\",zone=\"nabua\"} 0.25" })
+            EXPECT_NE(text.find(line), std::string::npos) << line;
+    }
+
     TEST_F(ForwarderMetricsTest, HistogramsOfLatencies)
     {
         FlowProgress progress;
--- a/Tests/Forwarder/ForwarderSettingsTest.cpp
+++ b/Tests/Forwarder/ForwarderSettingsTest.cpp
@@ -33,6 +33,9 @@
 cold_overage = 1.5
 cold_slack_flows = 5
 
+[overload]
+priority_admission = true
+
 [log]
 level = warning
 lines_per_second_and_kind = 50
@@ -50,6 +53,8 @@
         EXPECT_EQ(settings.value().linkMegabits, 200U);
         EXPECT_EQ(settings.value().coldStart.overage, 1.5);
         EXPECT_EQ(settings.value().coldStart.slack, 5.0);
+        EXPECT_TRUE(settings.value().overload.priorityAdmission);
+        EXPECT_FALSE(settings.value().overload.zoneSpillover) << "off unless it is set";
         EXPECT_EQ(settings.value().logLevel, LogLevel::Warning);
     }
 
@@ -60,9 +65,11 @@
         text.replace(text.find("[store]"), 7, "[stroe]");
         text.replace(text.find("level = warning"), 15, "level = loud");
         text.replace(text.find("grace_seconds = 6.5"), 19, "grace_seconds = -1");
+        text.replace(text.find("priority_admission = true"), 25, "priority_admission = maybe");
         const auto settings = ForwarderSettings::parse("file", text);
         ASSERT_FALSE(settings);
-        for (const char* part : { "flow = nowhere", "[store]", "[stroe]", "level = loud", "grace_seconds = -1" })
+        for (const char* part : { "flow = nowhere", "[store]", "[stroe]", "level = loud", "grace_seconds = -1",
+                 "priority_admission = maybe" })
             EXPECT_NE(settings.error().detail.find(part), std::string::npos) << part << "\n" << settings.error().detail;
     }
 
@@ -76,8 +83,9 @@
         EXPECT_TRUE(before.differencesThatNeedRestart(after).empty());
         after.store.port = 1;
         after.vm = "other";
-        EXPECT_EQ(
-            before.differencesThatNeedRestart(after), (std::vector<std::string> { "forwarder.vm", "store.address" }));
+        after.overload.zoneSpillover = true;
+        EXPECT_EQ(before.differencesThatNeedRestart(after),
+            (std::vector<std::string> { "forwarder.vm", "store.address", "overload" }));
     }
 
     TEST(ForwarderSettingsTest, EachChangeOfTheFileIsDetectedOnce)
