--- a/Source/Forwarder/ForwarderSettings.h
+++ b/Source/Forwarder/ForwarderSettings.h
@@ -5,6 +5,7 @@
 #include "Core/Log.h"
 #include "Forward/ColdStartLimit.h"
 #include "Forward/OpeningSettings.h"
+#include "Forward/OverloadSettings.h"
 
 #include <chrono>
 #include <cstdint>
@@ -47,6 +48,7 @@
     // How servers are chosen for new flows.
     OpeningSettings opening;
     ColdStartSettings coldStart;
+    OverloadSettings overload;
 
     // How often balancers report the load that they see; 0: never.
     std::chrono::milliseconds loadReportInterval { 0 };
--- a/Tests/Forwarder/LoadReporterTest.cpp
+++ b/Tests/Forwarder/LoadReporterTest.cpp
@@ -32,6 +32,7 @@
     {
         RouterSettings settings = ForwardFixture::settings();
         settings.measuresLoad = true;
+        settings.overload = { true, true };
         return settings;
     }
 
