Forward: End servers that crashed together by a later start time at their address

Servers that crash together vanish from the store in doubt, as in an outage, and the doubt lasted 2 s more. Where the start times of both are known, an entry that has been missing for 1 s and a later process at the address are proof enough: a delayed write of an ended process has an earlier start. Without start times the doubt stays, which the new test holds. The former check of 1.9 s of doubt with known start times becomes one of 0.9 s, which is longer than a living server takes to write its entry again.

--- a/Source/Forward/EntryValidation.cpp
+++ b/Source/Forward/EntryValidation.cpp
@@ -34,6 +34,11 @@
         return claim.lastProgress != TimePoint::min() && now - claim.lastProgress < limit;
     }
 
+    bool areStartTimesOrdered(const AddressClaim& one, const AddressClaim& other)
+    {
+        return one.startedAt != 0 && other.startedAt != 0 && one.startedAt != other.startedAt;
+    }
+
     bool isContestedFor(const AddressClaim& claim, Duration time, TimePoint now)
     {
         return claim.contestedSince != TimePoint::max() && now - claim.contestedSince >= time;
@@ -62,6 +67,13 @@
             && (hasAnswered || (former.isConfirmed && hasAddressLonger(former, newer, times)));
     }
 
+    // After an outage, a delayed write of an ended process may stand beside the missing entry of a living server. Start
+    // times tell such a write, so an entry that is missing needs no further proof where they are known.
+    bool isFormerGone(const AddressClaim& former, const AddressClaim& newer)
+    {
+        return former.isEntryGone || (former.isEntryMissing && areStartTimesOrdered(former, newer));
+    }
+
     // Requests of the newer entry's service must not reach a former server that lives, also if it is idle. So the newer
     // entry is used only if there is evidence against the former one, or if both are of one listing and service.
     bool mayNewerTakeFlows(
@@ -125,7 +137,7 @@
 
 bool isLaterClaim(const AddressClaim& former, const AddressClaim& newer)
 {
-    if (former.startedAt != 0 && newer.startedAt != 0 && former.startedAt != newer.startedAt)
+    if (areStartTimesOrdered(former, newer))
         return former.startedAt < newer.startedAt;
     return former.atAddressSince < newer.atAddressSince && former.atAddressRevision < newer.atAddressRevision;
 }
@@ -138,7 +150,7 @@
         verdict.mayFormerTakeFlows = hasAddressLonger(former, newer, times);
         return verdict;
     }
-    verdict.hasFormerEnded = former.isEntryGone && !hasAnsweredWithin(former, times.addressReuseTime, now);
+    verdict.hasFormerEnded = isFormerGone(former, newer) && !hasAnsweredWithin(former, times.addressReuseTime, now);
     verdict.mayNewerTakeFlows = verdict.hasFormerEnded || mayNewerTakeFlows(former, newer, now, times);
     verdict.mayFormerTakeFlows = !verdict.mayNewerTakeFlows && isFormerAlive(former, newer, now, times);
     return verdict;
--- a/Source/Forward/EntryValidation.h
+++ b/Source/Forward/EntryValidation.h
@@ -105,7 +105,9 @@
     std::uint64_t atAddressRevision = 0;
     EntryPresence presence = EntryPresence::Present;
     TimePoint presenceSince;
-    // The entry was removed, and no doubt is left that it stays so.
+    // The entry was removed for longer than a living server takes to write it again.
+    bool isEntryMissing = false;
+    // No doubt is left, either, that it stays so after an outage of the store.
     bool isEntryGone = false;
     // TimePoint::min() if the server never answered.
     TimePoint lastProgress = TimePoint::min();
--- a/Source/Forward/ServerDirectory.h
+++ b/Source/Forward/ServerDirectory.h
@@ -251,6 +251,7 @@
     // The server gets no new flows and keeps its open ones until a valid entry arrives.
     void suspend(KnownServer&, TimePoint now, Transitions&);
     void setPresence(KnownServer&, EntryPresence, TimePoint now);
+    bool isEntryMissing(const KnownServer&, TimePoint now) const;
     bool isEntryGone(const KnownServer&, TimePoint now) const;
     void count(EntryOutcome outcome) { ++outcomes_[static_cast<std::size_t>(outcome)]; }
     // Returns whether the conflict is new.
--- a/Source/Forward/ServerDirectoryEntries.cpp
+++ b/Source/Forward/ServerDirectoryEntries.cpp
@@ -195,11 +195,15 @@
     record.presenceSince = now;
 }
 
-bool ServerDirectory::isEntryGone(const KnownServer& record, TimePoint now) const
+bool ServerDirectory::isEntryMissing(const KnownServer& record, TimePoint now) const
 {
     return record.presence == EntryPresence::Removed
-        && now - record.presenceSince >= settings_.entries.removalConfirmationTime
-        && (!record.isRemovalUncertain || isDoubtExpired(record.presenceSince, now));
+        && now - record.presenceSince >= settings_.entries.removalConfirmationTime;
+}
+
+bool ServerDirectory::isEntryGone(const KnownServer& record, TimePoint now) const
+{
+    return isEntryMissing(record, now) && (!record.isRemovalUncertain || isDoubtExpired(record.presenceSince, now));
 }
 
 void ServerDirectory::addServices(const ForwardingConfiguration& configuration)
@@ -375,6 +379,7 @@
     // A doubtful entry may reappear.
     claim.presence = record.state == ServerState::Doubtful ? EntryPresence::Present : record.presence;
     claim.presenceSince = record.presenceSince;
+    claim.isEntryMissing = isEntryMissing(record, now);
     claim.isEntryGone = isEntryGone(record, now);
     claim.lastProgress = record.seen.lastProgress;
     claim.contestedSince = record.contestedSince;
--- a/Tests/Forward/ForeignEntryTest.cpp
+++ b/Tests/Forward/ForeignEntryTest.cpp
@@ -143,6 +143,34 @@
         EXPECT_TRUE(starting.directory().find(live.id)->mayTakeFlows());
     }
 
+    // Guards against callers who wait in vain at servers that crashed together, whose entries are removed in doubt.
+    TEST_F(ForeignEntryTest, ServersThatCrashTogetherEndSoonAfterTheirAddressesAreReused)
+    {
+        advance(2300ms, false);
+        router.removeServer(live.id, true, clock.now());
+        expectOpenFlow(PacketReason::Established, acknowledged);
+        put(copyUnderAnotherId());
+        advance(RouterSettings().directory.entries.removalConfirmationTime + 100ms, false);
+        expectOpenFlow(PacketReason::ServerEnded, acknowledged);
+        {
+            SCOPED_TRACE("without start times the removal must be beyond doubt");
+            RegisteredServer former = server(3);
+            RegisteredServer newer = server(4);
+            former.startedAt = newer.startedAt = 0;
+            ForwardFixture other;
+            other.router.applyConfiguration(configuration(3));
+            newer.address = former.address;
+            other.put(former);
+            other.route(other.opening(7));
+            other.clock.advance(3s);
+            other.router.removeServer(former.id, true, other.clock.now());
+            other.put(newer);
+            other.clock.advance(1900ms);
+            other.router.tick(other.clock.now());
+            EXPECT_EQ(other.router.directory().find(former.id)->state, ServerState::Doubtful);
+        }
+    }
+
     // Guards against an idle server that is taken for ended, and against requests of another service to its address.
     TEST_F(ForeignEntryTest, LaterEntryOfANamedServiceAtTheAddressIsUsedOnlyAfterTheFormerServerEnded)
     {
@@ -164,12 +192,12 @@
         newer.service = "scanintake";
         put(newer);
         {
-            SCOPED_TRACE("its own entry is unreadable or doubtful");
+            SCOPED_TRACE("its own entry is unreadable, or missing for less than the time in which it is written again");
             router.invalidateServer(live.id, ++revision, clock.now());
             advance(2500ms, false);
             expectOpenFlow(PacketReason::Established);
             router.removeServer(live.id, true, clock.now());
-            advance(1900ms, false);
+            advance(900ms, false);
             expectOpenFlow(PacketReason::Established);
             put(live);
         }
