--- a/Tests/Forward/LoadSimulation.cpp
+++ b/Tests/Forward/LoadSimulation.cpp
@@ -109,10 +109,11 @@
         request.zone = zone;
         request.priority = priority;
         request.following = std::max(0, requests - 1);
-        request.caller = static_cast<std::uint32_t>(zone) * callersPerZone + random_() % callersPerZone;
+        request.caller = static_cast<std::uint32_t>(
+            static_cast<std::uint64_t>(zone) * callersPerZone + random_() % callersPerZone);
         request.began = clock_.now();
         ++countOf(request).requests;
-        open(std::move(request));
+        open(request);
         arrive(zone, priority, requests);
     });
 }
@@ -154,9 +155,9 @@
     ++observed.load.begun;
     Server& server = servers_[request.server];
     if (server.busy < slots)
-        serve(std::move(request));
+        serve(request);
     else if (server.queue.size() < queueLimit)
-        server.queue.push_back(std::move(request));
+        server.queue.push_back(request);
     else
         after(0.086 + 0.079 * random(), [this, request] { answer(request, false); });
 }
@@ -169,9 +170,9 @@
         Server& server = servers_[request.server];
         --server.busy;
         if (!server.queue.empty()) {
-            Request next = std::move(server.queue.front());
+            Request next = server.queue.front();
             server.queue.pop_front();
-            serve(std::move(next));
+            serve(next);
         }
         answer(request, true);
     });
@@ -188,18 +189,18 @@
     brokenFlows += routers_[request.balancer]->route(request.packet, clock_.now()).verdict != PacketVerdict::Forward;
     if (!isServed) {
         ++countOf(request).rejected;
-        return retry(std::move(request));
+        return retry(request);
     }
     countOf(request).inTime += clock_.now() - request.began <= scenario_.targetLatency;
-    goOn(std::move(request));
+    goOn(request);
 }
 
 void LoadSimulation::retry(Request request)
 {
     if (request.attempts < 3)
-        return open(std::move(request));
+        return open(request);
     request.server = -1;
-    goOn(std::move(request));
+    goOn(request);
 }
 
 // The caller's next request after a pause, on the same flow if it is open.
@@ -214,7 +215,7 @@
         request.attempts = request.server < 0 ? 0 : 1;
         request.began = clock_.now();
         ++countOf(request).requests;
-        request.server < 0 ? open(std::move(request)) : send(std::move(request));
+        request.server < 0 ? open(request) : send(request);
     });
 }
 
--- a/Tests/Forwarder/ForwarderSettingsTest.cpp
+++ b/Tests/Forwarder/ForwarderSettingsTest.cpp
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include <fmt/format.h>
+
 #include <filesystem>
 #include <fstream>
 
@@ -95,9 +97,10 @@
         EXPECT_EQ(boundOf(replica + "4000\n" + drain + "3000").value().stalenessBound(), milliseconds(3000));
         EXPECT_EQ(boundOf(replica + "3000\n" + drain + "4000").value().stalenessBound(), milliseconds(3000));
         for (const char* wrong : { "999", "-1", "soon", "86400001" }) {
-            const auto settings = boundOf(replica + "4000\n" + drain + wrong);
+            const std::string line = drain + wrong;
+            const auto settings = boundOf(fmt::format("{}4000\n{}", replica, line));
             ASSERT_FALSE(settings) << wrong;
-            EXPECT_NE(settings.error().detail.find(drain + wrong), std::string::npos) << settings.error().detail;
+            EXPECT_NE(settings.error().detail.find(line), std::string::npos) << settings.error().detail;
         }
         const ForwarderSettings before = boundOf(replica + "4000").value();
         EXPECT_EQ(before.differencesThatNeedRestart(boundOf(replica + "4000\n" + drain + "3000").value()),
