--- a/Source/Forwarder/ProcessLog.cpp
+++ b/Source/Forwarder/ProcessLog.cpp
@@ -1,5 +1,6 @@
 #include "Forwarder/ProcessLog.h"
 
+#include "BuildInfo/BuildInfo.h"
 #include "KeyValue/StoreRevision.h"
 
 namespace wisteriadock {
@@ -9,6 +10,7 @@
     log_.write(LogLevel::Info, "process", "started",
         Event()
             .add("version", WISTERIADOCK_VERSION)
+            .add("sources", sourceDigest())
             .add("flow", settings.flow.toString())
             .add("peer", settings.peer.toString())
             .add("store", settings.store.toString())
