--- a/Tests/PlatformAdapter/StoredValuesTest.cpp
+++ b/Tests/PlatformAdapter/StoredValuesTest.cpp
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 #include <random>
@@ -113,6 +114,37 @@
             EXPECT_FALSE(decodeServer("i-1", bytes));
     }
 
+    // Guards against one entry of another writer that ends every process which reads it, also after each restart.
+    TEST(StoredValuesTest, DeeplyNestedFieldIsRefusedWithoutExhaustingTheStack)
+    {
+        // With its closing brackets, nearly the largest value that the store takes.
+        constexpr std::size_t depth = 520'000;
+        const std::string list = std::string(depth, '[') + std::string(depth, ']');
+        std::string object;
+        for (std::size_t i = 0; i < depth / 4; ++i)
+            object += R"({"a":)";
+        object += "1" + std::string(depth / 4, '}');
+        const auto withField = [](const nlohmann::json& valid, const std::string& field, const std::string& text) {
+            nlohmann::json rest = valid;
+            rest.erase(field);
+            return "{\"" + field + "\":" + text + "," + rest.dump().substr(1);
+        };
+        const auto entry = nlohmann::json::parse(entryText);
+        const auto configuration = nlohmann::json::parse(configurationText);
+        for (const char* field : { "service", "address", "zone", "version", "maxConcurrency", "state", "warmupLeftMs",
+                 "sequence", "born" }) {
+            SCOPED_TRACE(field);
+            const auto server = decodeServer("i-1", withField(entry, field, list));
+            ASSERT_FALSE(server);
+            EXPECT_NE(server.error().detail.find(fmt::format("'{}': found a list", field)), std::string::npos);
+            EXPECT_FALSE(decodeServer("i-1", withField(entry, field, object)));
+        }
+        EXPECT_FALSE(decodeServer("i-1", list));
+        EXPECT_FALSE(decodeConfiguration(withField(configuration, "version", list)));
+        EXPECT_FALSE(decodeConfiguration(withField(configuration, "routes", object)));
+        EXPECT_FALSE(decodeConfiguration(R"({"version":1,"routes":[{"name":"r","hostname":)" + list + "}]}"));
+    }
+
     TEST(StoredValuesTest, OptionalStartTime)
     {
         auto entry = nlohmann::json::parse(entryText);
