Forward: Forward open flows to servers whose service is no longer named

What callers saw, by a test in paused time: a configuration gives a route another service, and its former one is named no more. A balancer that starts after that drops all their packets as `token_unknown`, so a flow dies as soon as its packets take the way through that balancer.

Cause: since entries of unnamed services are held, such a server is not in the directory of a balancer that has not seen the configuration that named its service.

Packets of open flows are now forwarded by the token to the server of a held entry, too. Such a server gets no new flows. An entry of another writer does no harm there: no flow has its token, and a server ignores packets for another one. If a known server has the address, nothing is sent there.

ForeignEntryTest.StartingBalancerForwardsOpenFlowsOfAServiceThatIsNoLongerNamed failed before ("drop" for "forward") and passes, for a configuration that comes before the entries and after them.

--- a/Source/Forward/ServerDirectory.h
+++ b/Source/Forward/ServerDirectory.h
@@ -205,6 +205,10 @@
 
     // Returns null for an unknown token.
     KnownServer* findByToken(std::uint32_t token);
+    // Returns a server that is not in the directory because no configuration has named its service since this balancer
+    // started. It may have open flows, which the configuration that dropped the service leaves where they are. Returns
+    // null if there is none, or if a known server has its address.
+    const KnownServer* findUnnamed(std::uint32_t token) const;
     // Returns null for an unknown id.
     KnownServer* find(const std::string& id);
     // The groups of a service, ordered by availability zone. Some may be empty.
@@ -246,6 +250,9 @@
 
     void addServices(const absl::flat_hash_set<std::string>&, const std::vector<FlowRoute>&);
     bool isNamed(const std::string& service) const { return !hasServices_ || services_.contains(service); }
+    // Keeps an entry that is not applied, in place of the former one of its key.
+    void hold(ReceivedEntry&&);
+    void releaseHeld(const std::string& id);
     // Applies an entry, or holds it, as judgeEntry() decides.
     void admit(ReceivedEntry&&, TimePoint now, Transitions&);
     EntryFacts factsOf(const ReceivedEntry&, const KnownServer*, TimePoint now) const;
@@ -297,6 +304,8 @@
     bool hasServices_ = false;
     // By id. Newest entries that are not applied; those that can't be read are not kept.
     absl::flat_hash_map<std::string, ReceivedEntry> held_;
+    // By token. The servers of those held entries whose service is not named and whose id is unknown.
+    absl::flat_hash_map<std::uint32_t, std::unique_ptr<KnownServer>> unnamed_;
     // By id and reason, since an entry that is held and one that is in force may differ.
     std::map<std::pair<std::string, EntryReason>, ReportedConflicts> reported_;
     std::vector<EntryConflict> conflicts_;
--- a/Source/Forward/ServerDirectoryEntries.cpp
+++ b/Source/Forward/ServerDirectoryEntries.cpp
@@ -39,8 +39,7 @@
         received.since = former->second.since;
         received.reason = former->second.reason;
     }
-    if (former != held_.end())
-        held_.erase(former);
+    releaseHeld(entry.id);
     const KnownServer* known = find(entry.id);
     if (entry.startedAt != 0 || !isNamed(entry.service))
         withoutStartTime_.erase(entry.id);
@@ -60,7 +59,7 @@
     if (isApplied || received.reason != verdict.reason)
         count(verdict.outcome);
     if (isApplied) {
-        held_.erase(id);
+        releaseHeld(id);
         std::erase_if(reported_, [&](const auto& row) {
             return row.first.first == id && row.second.entry != withoutWarmup(received.entry);
         });
@@ -75,7 +74,42 @@
     if (known && known->presence == EntryPresence::Unusable)
         known->presenceSince = received.since;
     received.reason = verdict.reason;
-    held_.insert_or_assign(id, std::move(received));
+    hold(std::move(received));
+}
+
+void ServerDirectory::hold(ReceivedEntry&& received)
+{
+    const RegisteredServer& entry = received.entry;
+    releaseHeld(entry.id);
+    if (received.reason == EntryReason::ServiceNotNamed && !records_.contains(entry.id)) {
+        const std::uint32_t token = tokenOf(entry.number);
+        auto& server = unnamed_[token] = std::make_unique<KnownServer>();
+        server->entry = entry;
+        server->token = token;
+        server->revision = received.revision;
+        server->state = ServerState::Gone;
+        server->presence = EntryPresence::Unusable;
+    }
+    held_.insert_or_assign(entry.id, std::move(received));
+}
+
+void ServerDirectory::releaseHeld(const std::string& id)
+{
+    const auto held = held_.find(id);
+    if (held == held_.end())
+        return;
+    const auto unnamed = unnamed_.find(tokenOf(held->second.entry.number));
+    if (unnamed != unnamed_.end() && unnamed->second->entry.id == id)
+        unnamed_.erase(unnamed);
+    held_.erase(held);
+}
+
+const KnownServer* ServerDirectory::findUnnamed(std::uint32_t token) const
+{
+    const auto found = unnamed_.find(token);
+    if (found == unnamed_.end() || byAddress_.contains(found->second->entry.address))
+        return nullptr;
+    return found->second.get();
 }
 
 EntryFacts ServerDirectory::factsOf(const ReceivedEntry& received, const KnownServer* known, TimePoint now) const
@@ -148,7 +182,7 @@
 ServerDirectory::Transitions ServerDirectory::invalidate(const std::string& id, std::uint64_t revision, TimePoint now)
 {
     Transitions transitions;
-    held_.erase(id);
+    releaseHeld(id);
     count(EntryOutcome::Rejected);
     if (KnownServer* record = find(id)) {
         suspend(*record, now, transitions);
@@ -169,7 +203,7 @@
 ServerDirectory::Transitions ServerDirectory::remove(const std::string& id, bool isUncertain, TimePoint now)
 {
     Transitions transitions;
-    held_.erase(id);
+    releaseHeld(id);
     forgetReports(id);
     KnownServer* record = find(id);
     if (!isUncertain || !record)
@@ -225,22 +259,22 @@
     }
     if (!isFirst)
         return;
-    // No flow was opened here before the first configuration. Flows that other balancers opened are dropped with these
-    // servers.
+    // No flow was opened here before the first configuration.
     std::vector<KnownServer*> unnamed;
     forEach([&](KnownServer& record) {
         if (!isNamed(record.entry.service))
             unnamed.push_back(&record);
     });
     for (KnownServer* record : unnamed) {
-        if (record->presence == EntryPresence::Present) {
-            count(EntryOutcome::Held);
-            held_.insert_or_assign(record->entry.id,
-                ReceivedEntry { record->entry, record->revision, EntryAge::Newest, record->writtenAt,
-                    EntryReason::ServiceNotNamed });
-        }
+        const bool isHeld = record->presence == EntryPresence::Present;
+        ReceivedEntry received { record->entry, record->revision, EntryAge::Newest, record->writtenAt,
+            EntryReason::ServiceNotNamed };
         withoutStartTime_.erase(record->entry.id);
         drop(*record);
+        if (!isHeld)
+            continue;
+        count(EntryOutcome::Held);
+        hold(std::move(received));
     }
 }
 
--- a/Source/Forward/TokenRouter.cpp
+++ b/Source/Forward/TokenRouter.cpp
@@ -232,7 +232,7 @@
         return drop(PacketReason::TokenMissing);
     KnownServer* server = directory_.findByToken(packet.token);
     if (!server)
-        return drop(PacketReason::TokenUnknown);
+        return routeToUnnamed(packet);
     PacketDecision decision;
     decision.server = server;
     if (server->state == ServerState::Ended || isOfFormerProcess(packet, *server)) {
@@ -252,6 +252,19 @@
     return decision;
 }
 
+// A server ignores packets that are meant for another one, so an entry of another writer does no harm here.
+PacketDecision TokenRouter::routeToUnnamed(const TokenPacket& packet) const
+{
+    const KnownServer* server = directory_.findUnnamed(packet.token);
+    if (!server)
+        return drop(PacketReason::TokenUnknown);
+    PacketDecision decision;
+    decision.verdict = PacketVerdict::Forward;
+    decision.reason = PacketReason::Established;
+    decision.server = server;
+    return decision;
+}
+
 // If a server changed its service with a restart, flows of its previous process can be reset. They are recognised by
 // their route: flows of the new process use routes that send new flows to its service, or did so when they were opened.
 bool TokenRouter::isOfFormerProcess(const TokenPacket& packet, const KnownServer& server) const
--- a/Source/Forward/TokenRouter.h
+++ b/Source/Forward/TokenRouter.h
@@ -166,6 +166,8 @@
     ServerDirectory::Transitions forgetFlowsOfFormerProcesses(ServerDirectory::Transitions&&, TimePoint now);
     PacketDecision routeOpening(const TokenPacket&, TimePoint now);
     PacketDecision routeEstablished(const TokenPacket&, TimePoint now);
+    // Routes a packet of an open flow whose server is not in the directory.
+    PacketDecision routeToUnnamed(const TokenPacket&) const;
     Admission admit(const FlowRoute&, const std::string& service, const FlowEnds&, TimePoint now) const;
     PacketDecision refuse(const TokenPacket&, PacketReason) const;
     PacketDecision refuseChoice(const TokenPacket&, const OpeningChoice&, const FlowRecord* previous) const;
--- a/Tests/Forward/ForeignEntryTest.cpp
+++ b/Tests/Forward/ForeignEntryTest.cpp
@@ -315,6 +315,39 @@
         }
     }
 
+    // Guards against open flows whose packets are dropped by each balancer that has started after the last
+    // configuration that named their service.
+    TEST_F(ForeignEntryTest, StartingBalancerForwardsOpenFlowsOfAServiceThatIsNoLongerNamed)
+    {
+        RegisteredServer retired = server(7, "retired");
+        RegisteredServer foreign = server(8, "another");
+        foreign.address = live.address;
+        for (const bool isConfigurationFirst : { true, false }) {
+            SCOPED_TRACE(isConfigurationFirst);
+            TokenRouter starting(settings());
+            if (isConfigurationFirst)
+                starting.applyConfiguration(configuration(4));
+            for (const RegisteredServer& entry : { live, retired, foreign })
+                starting.putServer(entry, ++revision, clock.now());
+            if (!isConfigurationFirst)
+                starting.applyConfiguration(configuration(4));
+            const PacketDecision decision = starting.route(data(1, tokenOf(retired.number)), clock.now());
+            ASSERT_EQ(nameOf(decision.verdict), "forward");
+            EXPECT_EQ(decision.server->entry.address, retired.address);
+            for (std::uint32_t caller = 1000; caller < 1060; ++caller)
+                EXPECT_EQ(starting.route(opening(caller), clock.now()).server->entry.id, live.id);
+            {
+                SCOPED_TRACE("but not at the address of a server of a named service");
+                EXPECT_EQ(starting.route(data(1, tokenOf(foreign.number)), clock.now()).verdict, PacketVerdict::Drop);
+            }
+            {
+                SCOPED_TRACE("until its entry is removed");
+                starting.removeServer(retired.id, false, clock.now());
+                EXPECT_EQ(starting.route(data(1, tokenOf(retired.number)), clock.now()).verdict, PacketVerdict::Drop);
+            }
+        }
+    }
+
     // Guards against a log that fills with one entry that its writer repeats.
     TEST_F(ForeignEntryTest, ConflictIsReportedOnceUntilTheEntryChanges)
     {
