Forward: Let servers that answer decide whether entries must tell a start time

Cause: an entry without a start time lacks a field only where most known servers tell one, and that was counted by entries. With as many entries of another writer as there are servers they were taken for valid, and for later claims of the servers' addresses, so the servers got no new flows. One writer's word again stood against what is observed.

StartTimeUse now decides by the servers that have answered this balancer, with and without a start time. Only while neither are more it counts entries, and then as many without one as with one do not suffice. A server whose key is overwritten counts on, since it may live.

ForeignEntryFlowTest.EntriesWithoutAStartTimeForEachServerTakeNoneOutOfUse failed before: none of the six servers got new flows, for one, two and three entries a server. ForeignEntryRandomTest now writes such entries for all servers as well; it was not run on the code before. Limit: a balancer that no server has answered yet, with more entries without a start time than with one, uses them until the first answer.

--- a/Source/Forward/EntryValidation.cpp
+++ b/Source/Forward/EntryValidation.cpp
@@ -44,6 +44,12 @@
         return claim.contestedSince != TimePoint::max() && now - claim.contestedSince >= time;
     }
 
+    bool isStartTimeMissing(const RegisteredServer& entry, const EntryFacts& facts)
+    {
+        const bool hasAlwaysToldOne = facts.known && facts.known->startedAt != 0;
+        return entry.startedAt == 0 && (facts.isStartTimeExpected || hasAlwaysToldOne);
+    }
+
     // Longer than an entry of a living server can be held, which is applied at the tick after the hold time.
     bool isUnusableForLong(const AddressClaim& claim, TimePoint now, const EntryTimes& times)
     {
@@ -111,8 +117,7 @@
 {
     if (!facts.isServiceNamed)
         return { Action::Suspend, EntryOutcome::Held, EntryReason::ServiceNotNamed };
-    const bool isStartTimeExpected = facts.areStartTimesUsual || (facts.known && facts.known->startedAt != 0);
-    if (entry.startedAt == 0 && isStartTimeExpected)
+    if (isStartTimeMissing(entry, facts))
         return { Action::Suspend, EntryOutcome::Rejected, EntryReason::StartTimeMissing };
     if (facts.isNumberTaken)
         return { Action::Hold, EntryOutcome::Contradicted, EntryReason::NumberInUse };
--- a/Source/Forward/EntryValidation.h
+++ b/Source/Forward/EntryValidation.h
@@ -25,7 +25,7 @@
     None,
     Unreadable,
     ServiceNotNamed, // No configuration has named its service.
-    StartTimeMissing, // The server's earlier entry, or most servers, tell a start time.
+    StartTimeMissing, // The server's earlier entries, or the servers in general, tell a start time.
     EarlierStart, // Possibly a delayed write of a former process.
     FormerProcess, // A write of a process that has ended.
     OtherService, // A known server's key names another service, and its process may still run.
@@ -55,8 +55,8 @@
     // The known process has certainly ended.
     bool hasEnded = false;
     bool isServiceNamed = true;
-    // Most known servers tell a start time.
-    bool areStartTimesUsual = false;
+    // See StartTimeUse.
+    bool isStartTimeExpected = false;
     bool isNumberTaken = false;
     // How long the entry has been the newest one of its key.
     Duration heldFor {};
--- a/Source/Forward/ServerDirectory.cpp
+++ b/Source/Forward/ServerDirectory.cpp
@@ -87,7 +87,7 @@
     for (KnownServer* record : expiring) {
         if (record->state == ServerState::Doubtful && isDoubtExpired(record->stateSince, now)) {
             enter(*record, ServerState::Gone, now, transitions);
-            withoutStartTime_.erase(record->entry.id);
+            startTimes_.removeWithout(record->entry.id);
         }
         if (isTerminated(record->state) && now - record->stateSince >= settings_.retention)
             drop(*record);
@@ -112,9 +112,9 @@
 {
     expiring_.erase(&record);
     removeFromGroup(record);
-    telling_ -= record.isCountedAsTelling;
+    setStartTimeVote(record, StartTimeVote::None);
     if (!held_.contains(record.entry.id)) {
-        withoutStartTime_.erase(record.entry.id);
+        startTimes_.removeWithout(record.entry.id);
         forgetReports(record.entry.id);
     }
     const auto claimed = byToken_.find(record.token);
--- a/Source/Forward/ServerDirectory.h
+++ b/Source/Forward/ServerDirectory.h
@@ -4,6 +4,7 @@
 #include "Forward/EntryValidation.h"
 #include "Forward/RegisteredServer.h"
 #include "Forward/RequestOutcomes.h"
+#include "Forward/StartTimeUse.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
@@ -116,8 +117,8 @@
     TimePoint contestedSince = TimePoint::max();
     // Another server's entry has the same address, so this one gets no new flows for the time being.
     bool isContested = false;
-    // The server counts among those that tell a start time.
-    bool isCountedAsTelling = false;
+    // As StartTimeUse counts it.
+    StartTimeVote startTimeVote = StartTimeVote::None;
     // Another server has the same token, so this one gets no new flows.
     bool hasTokenConflict = false;
     ServerObservation seen;
@@ -198,6 +199,8 @@
     void addServices(const ConfigurationChange&);
     // Judges again the entries that are not applied. tick() does so as well.
     Transitions reviewEntries(TimePoint now);
+    // Records that a server of the directory has answered.
+    void noteAnswer(KnownServer& server) { countStartTime(server); }
     // Records that the balancer's view of the store was up to date at this time.
     void noteStoreContact(TimePoint at) { lastStoreContact_ = std::max(lastStoreContact_, at); }
     // Ends doubtful states and drops servers after DirectorySettings::retention.
@@ -266,9 +269,9 @@
     // Returns whether the conflict is new.
     bool report(const ReceivedEntry&, const std::string& server, EntryReason, EntryOutcome);
     void forgetReports(const std::string& id);
-    bool areStartTimesUsual() const { return telling_ > withoutStartTime_.size(); }
     void countStartTime(KnownServer&);
-    // Judges the entries without a start time again if most servers now tell one, or no longer do.
+    void setStartTimeVote(KnownServer&, StartTimeVote);
+    // Judges the entries without a start time again if one is now expected, or no longer is.
     void reviewStartTimes(TimePoint now, Transitions&);
     void restart(KnownServer&, const RegisteredServer&, TimePoint now, Transitions&);
     void enter(KnownServer&, ServerState, TimePoint now, Transitions&);
@@ -310,10 +313,7 @@
     std::map<std::pair<std::string, EntryReason>, ReportedConflicts> reported_;
     std::vector<EntryConflict> conflicts_;
     std::array<std::uint64_t, entryOutcomes> outcomes_ {};
-    // Number of servers that tell a start time, and the ids whose newest entry and server tell none.
-    std::size_t telling_ = 0;
-    absl::flat_hash_set<std::string> withoutStartTime_;
-    bool wereStartTimesUsual_ = false;
+    StartTimeUse startTimes_;
 };
 
 }
--- a/Source/Forward/ServerDirectoryEntries.cpp
+++ b/Source/Forward/ServerDirectoryEntries.cpp
@@ -42,9 +42,9 @@
     releaseHeld(entry.id);
     const KnownServer* known = find(entry.id);
     if (entry.startedAt != 0 || !isNamed(entry.service))
-        withoutStartTime_.erase(entry.id);
+        startTimes_.removeWithout(entry.id);
     else if (!known || known->entry.startedAt == 0)
-        withoutStartTime_.insert(entry.id);
+        startTimes_.addWithout(entry.id);
     admit(std::move(received), now, transitions);
     reviewStartTimes(now, transitions);
     return transitions;
@@ -116,7 +116,7 @@
 {
     EntryFacts facts;
     facts.isServiceNamed = isNamed(received.entry.service);
-    facts.areStartTimesUsual = areStartTimesUsual();
+    facts.isStartTimeExpected = startTimes_.isExpected();
     const auto holder = byToken_.find(tokenOf(received.entry.number));
     facts.isNumberTaken = holder != byToken_.end() && holder->second != known
         && holder->second->entry.number == received.entry.number && holder->second->state != ServerState::Ended;
@@ -207,7 +207,7 @@
     forgetReports(id);
     KnownServer* record = find(id);
     if (!isUncertain || !record)
-        withoutStartTime_.erase(id);
+        startTimes_.removeWithout(id);
     if (!record)
         return transitions;
     const bool wasRemoved = record->presence == EntryPresence::Removed;
@@ -227,6 +227,7 @@
         return;
     record.presence = presence;
     record.presenceSince = now;
+    countStartTime(record);
 }
 
 bool ServerDirectory::isEntryMissing(const KnownServer& record, TimePoint now) const
@@ -269,7 +270,7 @@
         const bool isHeld = record->presence == EntryPresence::Present;
         ReceivedEntry received { record->entry, record->revision, EntryAge::Newest, record->writtenAt,
             EntryReason::ServiceNotNamed };
-        withoutStartTime_.erase(record->entry.id);
+        startTimes_.removeWithout(record->entry.id);
         drop(*record);
         if (!isHeld)
             continue;
@@ -289,7 +290,7 @@
     for (const std::string& id : ids) {
         ReceivedEntry received = held_.at(id);
         if (received.entry.startedAt == 0 && isNamed(received.entry.service) && !find(id))
-            withoutStartTime_.insert(id);
+            startTimes_.addWithout(id);
         admit(std::move(received), now, transitions);
     }
     reviewStartTimes(now, transitions);
@@ -298,22 +299,30 @@
 
 void ServerDirectory::countStartTime(KnownServer& record)
 {
-    const bool isTelling = !isTerminated(record.state) && record.entry.startedAt != 0;
-    if (isTelling && !record.isCountedAsTelling)
-        ++telling_;
-    else if (!isTelling && record.isCountedAsTelling)
-        --telling_;
-    record.isCountedAsTelling = isTelling;
+    // A server whose key another writer has overwritten may live.
+    const bool mayLive = !isTerminated(record.state)
+        || (record.state == ServerState::Gone && record.presence == EntryPresence::Unusable);
+    const bool hasAnswered = record.seen.lastProgress != TimePoint::min();
+    const bool isTelling = record.entry.startedAt != 0;
+    if (!mayLive || (!isTelling && !hasAnswered))
+        setStartTimeVote(record, StartTimeVote::None);
+    else if (!isTelling)
+        setStartTimeVote(record, StartTimeVote::AnsweringWithout);
+    else
+        setStartTimeVote(record, hasAnswered ? StartTimeVote::AnsweringTelling : StartTimeVote::Telling);
+}
+
+void ServerDirectory::setStartTimeVote(KnownServer& record, StartTimeVote vote)
+{
+    startTimes_.change(record.startTimeVote, vote);
+    record.startTimeVote = vote;
 }
 
 void ServerDirectory::reviewStartTimes(TimePoint now, Transitions& transitions)
 {
-    if (areStartTimesUsual() == wereStartTimesUsual_)
+    if (!startTimes_.hasChanged())
         return;
-    wereStartTimesUsual_ = areStartTimesUsual();
-    std::vector<std::string> ids(withoutStartTime_.begin(), withoutStartTime_.end());
-    std::ranges::sort(ids);
-    for (const std::string& id : ids) {
+    for (const std::string& id : startTimes_.sortedIdsWithout()) {
         const auto held = held_.find(id);
         const KnownServer* known = find(id);
         if (held != held_.end())
--- a/Source/Forward/TokenRouter.cpp
+++ b/Source/Forward/TokenRouter.cpp
@@ -247,8 +247,10 @@
         openingLatency_.note(*decision.progress.openingTime);
     if (decision.progress.answerTime)
         admission_.noteAnswer(server->entry.service, *decision.progress.answerTime, now);
-    if (decision.progress.hasAnswered)
+    if (decision.progress.hasAnswered) {
         policy_.noteProgress(*server, now);
+        directory_.noteAnswer(*server);
+    }
     return decision;
 }
 
--- a/Tests/Forward/EntryValidationTest.cpp
+++ b/Tests/Forward/EntryValidationTest.cpp
@@ -52,7 +52,7 @@
         EXPECT_EQ(judge(entry), EntryVerdict {});
         facts.known = nullptr;
         EXPECT_EQ(judge(entry), EntryVerdict {});
-        facts.areStartTimesUsual = true;
+        facts.isStartTimeExpected = true;
         expect(entry, Action::Suspend, EntryReason::StartTimeMissing);
     }
 
--- a/Tests/Forward/ForeignEntryRandomTest.cpp
+++ b/Tests/Forward/ForeignEntryRandomTest.cpp
@@ -122,6 +122,8 @@
                 if (draw(4) == 0)
                     next.services.insert("later");
                 router.applyConfiguration(next);
+            } else if (kind == 3) {
+                writeForEachServer(services[draw(4)]);
             } else {
                 entry.service = services[draw(4)];
                 const std::uint64_t age = draw(4);
@@ -141,6 +143,20 @@
             }
         }
 
+        // One entry without a start time at the address of each server.
+        void writeForEachServer(const std::string& service)
+        {
+            for (const Live& live : servers) {
+                RegisteredServer entry = live.entry;
+                entry.number = ++foreignNumber;
+                entry.id = server(foreignNumber).id;
+                entry.startedAt = 0;
+                entry.service = service;
+                store[entry.id] = entry;
+                put(entry);
+            }
+        }
+
         void expectAllServersGetFlows()
         {
             for (const Live& live : servers) {
--- a/Tests/Forwarder/ForeignEntryFlowTest.cpp
+++ b/Tests/Forwarder/ForeignEntryFlowTest.cpp
@@ -140,6 +140,48 @@
         }
     }
 
+    // Guards against a service without new flows because entries of another writer, as many as there are servers or
+    // more, lack a field that makes them look like successors of the servers at their addresses.
+    TEST_F(ForeignEntryFlowTest, EntriesWithoutAStartTimeForEachServerTakeNoneOutOfUse)
+    {
+        for (const bool isOtherService : { false, true }) {
+            SCOPED_TRACE(isOtherService);
+            for (int round = 0; round < 3; ++round) {
+                SCOPED_TRACE(round);
+                for (const RegisteredServer& server : servers) {
+                    Json foreign = entryOf(server);
+                    foreign.erase("born");
+                    if (isOtherService)
+                        foreign["service"] = server.service == "tryon" ? "scanintake" : "tryon";
+                    write(foreignId(), foreign);
+                }
+                expectNoHarm();
+                advance(3s);
+                expectNoHarm();
+            }
+        }
+        advance(12s);
+        expectNoHarm();
+        {
+            SCOPED_TRACE("also at a balancer that meets one for each server at once");
+            TokenRouter starting(settings());
+            StoreUpdateApplier<platform::Adapter> startingApplier { starting, lines, metrics };
+            starting.applyConfiguration(configuration(3));
+            ReplicaChanged listing { {}, false, "store", {}, ++revision };
+            for (const RegisteredServer& server : servers) {
+                RegisteredServer foreign = server;
+                foreign.startedAt = 0;
+                listing.items.push_back({ platform::serverKeyOf(foreignId()), entryOf(foreign).dump(), 0, false });
+                listing.items.push_back({ platform::serverKeyOf(server.id), entryOf(server).dump(), 0, false });
+            }
+            startingApplier.apply(listing, clock.now());
+            std::set<std::string> ids;
+            for (std::uint32_t caller = 1000; caller < 1200; ++caller)
+                ids.insert(starting.route(opening(caller), clock.now()).server->entry.id);
+            EXPECT_EQ(ids, idsOf("tryon"));
+        }
+    }
+
 }
 
 }
