Forward: Let a server's own entry hold after a foreign one with a start time

What callers saw, by a test in paused time: where servers tell no start time, another writer's entry under a server's key that has one took the server out of use for good. Its own entry, written again 0.77 s later, lacked a field by the rule that a server which once told a start time tells one always.

Cause: the rule believed the latest entry that had been applied, also if the server's earlier entries told none.

A server that told no start time before may go on telling none; its own entry is then held as a possible delayed write, the server stays in use, and the entry is applied after the hold time. Such a server doesn't count as one that tells a start time either. Servers that always told one are judged as before.

ForeignEntryTest.OwnEntryWithoutAStartTimeHoldsAfterAForeignOneWithAStartTime failed before (out of use after 10 s, and after) and passes. ForeignEntryRandomTest draws such entries where servers tell no start time; it had none.

--- a/Source/Forward/EntryValidation.cpp
+++ b/Source/Forward/EntryValidation.cpp
@@ -46,7 +46,7 @@
 
     bool isStartTimeMissing(const RegisteredServer& entry, const EntryFacts& facts)
     {
-        const bool hasAlwaysToldOne = facts.known && facts.known->startedAt != 0;
+        const bool hasAlwaysToldOne = facts.known && facts.known->startedAt != 0 && !facts.hasToldNoStartTime;
         return entry.startedAt == 0 && (facts.isStartTimeExpected || hasAlwaysToldOne);
     }
 
--- a/Source/Forward/EntryValidation.h
+++ b/Source/Forward/EntryValidation.h
@@ -54,6 +54,8 @@
     const RegisteredServer* known = nullptr;
     // The known process has certainly ended.
     bool hasEnded = false;
+    // An entry without a start time was applied under this key earlier.
+    bool hasToldNoStartTime = false;
     bool isServiceNamed = true;
     // See StartTimeUse.
     bool isStartTimeExpected = false;
--- a/Source/Forward/ServerDirectory.h
+++ b/Source/Forward/ServerDirectory.h
@@ -117,6 +117,8 @@
     TimePoint contestedSince = TimePoint::max();
     // Another server's entry has the same address, so this one gets no new flows for the time being.
     bool isContested = false;
+    // An entry without a start time was applied earlier, so one with a start time may be of another writer.
+    bool hasToldNoStartTime = false;
     // As StartTimeUse counts it.
     StartTimeVote startTimeVote = StartTimeVote::None;
     // Another server has the same token, so this one gets no new flows.
--- a/Source/Forward/ServerDirectoryEntries.cpp
+++ b/Source/Forward/ServerDirectoryEntries.cpp
@@ -127,6 +127,7 @@
         return facts;
     facts.known = &known->entry;
     facts.hasEnded = known->state == ServerState::Ended;
+    facts.hasToldNoStartTime = known->hasToldNoStartTime;
     if (known->seen.lastProgress != TimePoint::min())
         facts.silentFor = now - known->seen.lastProgress;
     return facts;
@@ -162,6 +163,7 @@
         record.contestedSince = TimePoint::max();
     }
     record.entry = entry;
+    record.hasToldNoStartTime = record.hasToldNoStartTime || entry.startedAt == 0;
     setGroup(record, groupOf(entry));
     countStartTime(record);
     record.revision = received.revision;
@@ -303,7 +305,7 @@
     const bool mayLive = !isTerminated(record.state)
         || (record.state == ServerState::Gone && record.presence == EntryPresence::Unusable);
     const bool hasAnswered = record.seen.lastProgress != TimePoint::min();
-    const bool isTelling = record.entry.startedAt != 0;
+    const bool isTelling = !record.hasToldNoStartTime;
     if (!mayLive || (!isTelling && !hasAnswered))
         setStartTimeVote(record, StartTimeVote::None);
     else if (!isTelling)
--- a/Tests/Forward/EntryValidationTest.cpp
+++ b/Tests/Forward/EntryValidationTest.cpp
@@ -48,6 +48,19 @@
         entry.startedAt = 0;
         expect(entry, Action::Suspend, EntryReason::StartTimeMissing);
         EXPECT_EQ(judge(entry).outcome, EntryOutcome::Rejected);
+        {
+            SCOPED_TRACE(
+                "unless the server told none before; then the entry with a start time may be another writer's");
+            facts.hasToldNoStartTime = true;
+            expect(entry, Action::Hold, EntryReason::EarlierStart);
+            facts.heldFor = 10s;
+            expect(entry, Action::Restart, EntryReason::None);
+            facts.isStartTimeExpected = true;
+            expect(entry, Action::Suspend, EntryReason::StartTimeMissing);
+            facts.isStartTimeExpected = false;
+            facts.hasToldNoStartTime = false;
+            facts.heldFor = {};
+        }
         known.startedAt = 0;
         EXPECT_EQ(judge(entry), EntryVerdict {});
         facts.known = nullptr;
--- a/Tests/Forward/ForeignEntryRandomTest.cpp
+++ b/Tests/Forward/ForeignEntryRandomTest.cpp
@@ -129,6 +129,8 @@
                 const std::uint64_t age = draw(4);
                 if (victim.startedAt != 0)
                     entry.startedAt = age == 0 ? 0 : age == 1 ? victim.startedAt : victim.startedAt - 500 + draw(1000);
+                else if (age == 0)
+                    entry.startedAt = started + draw(1000);
                 if (draw(4) == 0)
                     entry.address = servers[draw(servers.size())].entry.address;
                 // A drain notice is final for the process whose start time it has.
