--- a/Source/Forward/ServerDirectory.cpp
+++ b/Source/Forward/ServerDirectory.cpp
@@ -17,8 +17,6 @@
         { ServerState::Ended, "ended" },
     });
 
-    bool isTerminated(ServerState state) { return state == ServerState::Gone || state == ServerState::Ended; }
-
     const std::string& idOf(const KnownServer* server) { return server->entry.id; }
 
     ServerState stateOf(const RegisteredServer& entry)
--- a/Source/Forward/ServerDirectory.h
+++ b/Source/Forward/ServerDirectory.h
@@ -33,6 +33,9 @@
 
 std::string_view nameOf(ServerState);
 
+// Whether servers in this state get no new flows for good, unless their entry comes back.
+inline bool isTerminated(ServerState state) { return state == ServerState::Gone || state == ServerState::Ended; }
+
 // What this balancer observes of a server. It sees only the packets from callers to servers; answers go to callers
 // directly, so they show in the callers' acknowledgements.
 struct ServerObservation {
