Forward: Weigh answers against the number of entries without a start time

By reading: where some servers tell one and others don't yet, a balancer that starts and hears a single answer first would give no new flows to all the others until one of them answers, and a service without open flows has none that could.

Entries are counted first; as many without as with one do not suffice, as before. More of them are outvoted only once half of the servers that tell one have answered (two at least), or eight, and none without one. If more of those that answered tell none, none is expected.

--- a/Source/Forward/ServerDirectoryEntries.cpp
+++ b/Source/Forward/ServerDirectoryEntries.cpp
@@ -70,18 +70,18 @@
 
 void ServerDirectory::hold(ReceivedEntry&& received)
 {
-    const RegisteredServer& entry = received.entry;
-    releaseHeld(entry.id);
-    if (received.reason == EntryReason::ServiceNotNamed && !records_.contains(entry.id)) {
-        const std::uint32_t token = tokenOf(entry.number);
+    const std::string id = received.entry.id;
+    releaseHeld(id);
+    if (received.reason == EntryReason::ServiceNotNamed && !records_.contains(id)) {
+        const std::uint32_t token = tokenOf(received.entry.number);
         auto& server = unnamed_[token] = std::make_unique<KnownServer>();
-        server->entry = entry;
+        server->entry = received.entry;
         server->token = token;
         server->revision = received.revision;
         server->state = ServerState::Gone;
         server->presence = EntryPresence::Unusable;
     }
-    held_.insert_or_assign(entry.id, std::move(received));
+    held_.insert_or_assign(id, std::move(received));
 }
 
 void ServerDirectory::releaseHeld(const std::string& id)
--- a/Source/Forward/StartTimeUse.h
+++ b/Source/Forward/StartTimeUse.h
@@ -19,9 +19,15 @@
 };
 
 // Whether the platform's servers tell a start time in their entries, so that an entry without one lacks a field. Either
-// all of them do or none does. Another writer may write any number of entries of either kind, but none that answers.
+// all of them do or none does. Another writer may write any number of entries of either kind, but it has no servers
+// that answer under its own ids.
 class StartTimeUse {
 public:
+    // So many servers that tell a start time must have answered, or half of them, and none without one, before they
+    // outweigh a greater number of entries without one.
+    static constexpr std::size_t minAnswering = 2;
+    static constexpr std::size_t enoughAnswering = 8;
+
     void change(StartTimeVote from, StartTimeVote to)
     {
         --count(from);
@@ -41,10 +47,10 @@
     {
         const std::size_t answeringTelling = count(StartTimeVote::AnsweringTelling);
         const std::size_t answeringWithout = count(StartTimeVote::AnsweringWithout);
-        if (answeringTelling != answeringWithout)
-            return answeringTelling > answeringWithout;
         const std::size_t telling = answeringTelling + count(StartTimeVote::Telling);
-        return telling > 0 && telling >= without_.size();
+        if (telling == 0 || answeringWithout > answeringTelling)
+            return false;
+        return telling >= without_.size() || (answeringWithout == 0 && isEnough(answeringTelling, telling));
     }
     // Returns whether the answer has changed since the last call.
     bool hasChanged()
@@ -55,6 +61,10 @@
     }
 
 private:
+    static bool isEnough(std::size_t answering, std::size_t telling)
+    {
+        return answering >= enoughAnswering || (answering >= minAnswering && 2 * answering >= telling);
+    }
     std::size_t& count(StartTimeVote vote) { return votes_[static_cast<std::size_t>(vote)]; }
     std::size_t count(StartTimeVote vote) const { return votes_[static_cast<std::size_t>(vote)]; }
 
--- a/Tests/Forward/StartTimeUseTest.cpp
+++ b/Tests/Forward/StartTimeUseTest.cpp
@@ -2,12 +2,15 @@
 
 #include <gtest/gtest.h>
 
+#include <cstddef>
+#include <string>
+
 namespace wisteriadock {
 
 namespace {
 
     // Guards against entries of another writer that outvote the servers about what an entry must hold.
-    TEST(StartTimeUseTest, ServersThatAnswerDecideBeforeTheNumberOfEntries)
+    TEST(StartTimeUseTest, EntriesThatNoServerAnswersForDoNotOutvoteServers)
     {
         StartTimeUse use;
         EXPECT_FALSE(use.isExpected());
@@ -24,18 +27,44 @@
             EXPECT_FALSE(use.isExpected());
         }
         {
-            SCOPED_TRACE("the server answers");
+            SCOPED_TRACE("one answer does not suffice against more entries, since few servers may have been asked yet");
+            use.change(StartTimeVote::Telling, StartTimeVote::AnsweringTelling);
+            EXPECT_FALSE(use.isExpected());
+        }
+        {
+            SCOPED_TRACE("half of the servers have answered, and none without a start time");
+            for (int i = 0; i < 3; ++i)
+                use.change(StartTimeVote::None, StartTimeVote::Telling);
+            for (int i = 0; i < 10; ++i)
+                use.addWithout("j-" + std::to_string(i));
+            EXPECT_FALSE(use.isExpected());
             use.change(StartTimeVote::Telling, StartTimeVote::AnsweringTelling);
             EXPECT_TRUE(use.isExpected());
         }
         {
-            SCOPED_TRACE("servers that tell none answer as well");
-            use.change(StartTimeVote::None, StartTimeVote::AnsweringWithout);
+            SCOPED_TRACE("among thousands, a few that have answered suffice");
+            for (int i = 0; i < 1000; ++i)
+                use.change(StartTimeVote::None, StartTimeVote::Telling);
+            for (int i = 0; i < 3000; ++i)
+                use.addWithout("k-" + std::to_string(i));
             EXPECT_FALSE(use.isExpected());
-            use.removeWithout("i-2");
+            for (std::size_t i = 2; i < StartTimeUse::enoughAnswering; ++i)
+                use.change(StartTimeVote::Telling, StartTimeVote::AnsweringTelling);
             EXPECT_TRUE(use.isExpected());
+        }
+        {
+            SCOPED_TRACE("a server without a start time answers: the number of entries decides");
             use.change(StartTimeVote::None, StartTimeVote::AnsweringWithout);
             EXPECT_FALSE(use.isExpected());
+            for (int i = 0; i < 3000; ++i)
+                use.removeWithout("k-" + std::to_string(i));
+            EXPECT_TRUE(use.isExpected());
+        }
+        {
+            SCOPED_TRACE("unless most that answer tell none");
+            for (std::size_t i = 0; i < StartTimeUse::enoughAnswering; ++i)
+                use.change(StartTimeVote::None, StartTimeVote::AnsweringWithout);
+            EXPECT_FALSE(use.isExpected());
         }
     }
 
