--- a/Tests/Forwarder/ForeignEntryFlowTest.cpp
+++ b/Tests/Forwarder/ForeignEntryFlowTest.cpp
@@ -23,7 +23,6 @@
     // Live servers with open flows, which write their entries into the store, and another writer beside them. From the
     // bytes of the entries to the decisions on packets.
     struct ForeignEntryFlowTest : testing::Test, ForwardFixture {
-        static constexpr auto writeInterval = 770ms;
         static constexpr auto step = 10ms;
         static constexpr std::uint64_t started = 1'770'000'000'000;
 
