--- a/Tests/Forward/ForeignEntryTest.cpp
+++ b/Tests/Forward/ForeignEntryTest.cpp
@@ -315,29 +315,6 @@
         }
     }
 
-    // Guards against a server that stays out of use for good where entries have no start times, after one entry under
-    // its key that has one.
-    TEST_F(ForeignEntryTest, OwnEntryWithoutAStartTimeHoldsAfterAForeignOneWithAStartTime)
-    {
-        ForwardFixture plain;
-        plain.router.applyConfiguration(configuration(3));
-        for (std::uint64_t number = 1; number <= 3; ++number)
-            plain.put(server(number));
-        RegisteredServer foreign = server(1);
-        foreign.startedAt = started;
-        plain.put(foreign);
-        plain.clock.advance(writeInterval);
-        plain.put(server(1));
-        EXPECT_TRUE(plain.router.directory().find(server(1).id)->mayTakeFlows());
-        for (Duration passed {}; passed <= EntryTimes().delayedWriteHoldTime; passed += 250ms) {
-            plain.clock.advance(250ms);
-            plain.router.noteStoreContact(plain.clock.now());
-            plain.router.tick(plain.clock.now());
-        }
-        EXPECT_TRUE(plain.router.directory().find(server(1).id)->mayTakeFlows());
-        EXPECT_EQ(plain.router.directory().find(server(1).id)->entry.startedAt, 0U);
-    }
-
     // Guards against open flows whose packets are dropped by each balancer that has started after the last
     // configuration that named their service.
     TEST_F(ForeignEntryTest, StartingBalancerForwardsOpenFlowsOfAServiceThatIsNoLongerNamed)
--- a/Tests/Forward/StartTimeUseTest.cpp
+++ b/Tests/Forward/StartTimeUseTest.cpp
@@ -1,5 +1,7 @@
 #include "Forward/StartTimeUse.h"
 
+#include "Forward/ForwardFixture.h"
+
 #include <gtest/gtest.h>
 
 #include <cstddef>
@@ -9,6 +11,8 @@
 
 namespace {
 
+    using namespace std::chrono_literals;
+
     // Guards against entries of another writer that outvote the servers about what an entry must hold.
     TEST(StartTimeUseTest, EntriesThatNoServerAnswersForDoNotOutvoteServers)
     {
@@ -68,6 +72,31 @@
         }
     }
 
+    // Guards against a server that stays out of use for good where entries have no start times, after one entry under
+    // its key that has one.
+    TEST(StartTimeUseTest, OwnEntryWithoutAStartTimeHoldsAfterAForeignOneWithAStartTime)
+    {
+        constexpr std::uint64_t started = 1'770'000'000'000;
+        constexpr auto writeInterval = 770ms;
+        ForwardFixture plain;
+        plain.router.applyConfiguration(ForwardFixture::configuration(3));
+        for (std::uint64_t number = 1; number <= 3; ++number)
+            plain.put(ForwardFixture::server(number));
+        RegisteredServer foreign = ForwardFixture::server(1);
+        foreign.startedAt = started;
+        plain.put(foreign);
+        plain.clock.advance(writeInterval);
+        plain.put(ForwardFixture::server(1));
+        EXPECT_TRUE(plain.router.directory().find(ForwardFixture::server(1).id)->mayTakeFlows());
+        for (Duration passed {}; passed <= EntryTimes().delayedWriteHoldTime; passed += 250ms) {
+            plain.clock.advance(250ms);
+            plain.router.noteStoreContact(plain.clock.now());
+            plain.router.tick(plain.clock.now());
+        }
+        EXPECT_TRUE(plain.router.directory().find(ForwardFixture::server(1).id)->mayTakeFlows());
+        EXPECT_EQ(plain.router.directory().find(ForwardFixture::server(1).id)->entry.startedAt, 0U);
+    }
+
 }
 
 }
