--- a/review/standins2.py
+++ b/review/standins2.py
@@ -5,6 +5,7 @@
 """
 import asyncio
 import base64
+import itertools
 import json
 import os
 import random
@@ -80,17 +81,29 @@
 
 # --- the platform's store ------------------------------------------------------------------------------------------
 class Store:
+    """The store. Reads that may be old (`allowStale`) are answered by its copies in turn; `lags_s` tells for each copy
+    how many seconds it is behind. It can listen at several addresses, such as one in each zone."""
+
     ANSWER_S = 0.004
 
-    def __init__(self, ip):
-        self.ip = ip
+    def __init__(self, *addresses):
+        self.ip = addresses[0]
+        self.addresses = addresses
         self.items, self.history, self.revision = {}, [], 100
         self.changed = asyncio.Event()
-        self.server = None
+        self.lags_s = (0,)
+        self.states = [(0.0, {}, self.revision)]
+        self.servers = []
+        self.note = lambda line: None
 
     async def start(self):
-        self.server = await asyncio.start_server(self.serve, self.ip, 0)
-        self.port = self.server.sockets[0].getsockname()[1]
+        self.port = None
+        for address in self.addresses:
+            turns = itertools.count()
+            server = await asyncio.start_server(
+                lambda reader, writer, turns=turns: self.serve(reader, writer, turns), address, self.port or 0)
+            self.port = server.sockets[0].getsockname()[1]
+            self.servers.append(server)
 
     def put(self, key, value):
         self.revision += 1
@@ -109,15 +122,16 @@
             self.wake()
 
     def wake(self):
+        self.states.append((time.monotonic(), dict(self.items), self.revision))
         self.changed.set()
         self.changed = asyncio.Event()
 
-    async def serve(self, reader, writer):
+    async def serve(self, reader, writer, turns):
         try:
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
                 target = head.split(b"\r\n")[0].split(b" ")[1].decode()
-                status, body = await self.answer(target)
+                status, body = await self.answer(target, turns)
                 raw = json.dumps(body, separators=(",", ":")).encode()
                 writer.write(b"HTTP/1.1 %d X\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n"
                              % (status, len(raw)) + raw)
@@ -127,15 +141,23 @@
         finally:
             writer.close()
 
-    async def answer(self, target):
+    def state(self, lag_s):
+        """The items and the revision of a copy that is so far behind."""
+        if lag_s == 0:
+            return self.items, self.revision
+        return [s for s in self.states if s[0] <= time.monotonic() - lag_s][-1][1:]
+
+    async def answer(self, target, turns):
         await asyncio.sleep(self.ANSWER_S)
         url = urllib.parse.urlsplit(target)
         query = {k: v[0] for k, v in urllib.parse.parse_qs(url.query, keep_blank_values=True).items()}
         prefix = query.get("prefix", "")
         if url.path == "/kv-range":
-            keys = sorted(k for k in self.items if k.startswith(prefix) and k > query.get("after", ""))
-            return 200, {"items": [self.items[k] for k in keys[:500]], "hasMore": len(keys) > 500,
-                         "currentRev": self.revision}
+            lag_s = self.lags_s[next(turns) % len(self.lags_s)] if query.get("allowStale") == "1" else 0
+            items, revision = self.state(lag_s)
+            self.note("store: a listing of revision %d, the newest is %d" % (revision, self.revision))
+            keys = sorted(k for k in items if k.startswith(prefix) and k > query.get("after", ""))
+            return 200, {"items": [items[k] for k in keys[:500]], "hasMore": len(keys) > 500, "currentRev": revision}
         if url.path == "/kv-watch":
             after, end = int(query["after"]), time.monotonic() + int(query["waitMs"]) / 1000
             while True:
@@ -443,8 +465,9 @@
 
 
 class Forwarder:
-    def __init__(self, world, name, zone, ip):
+    def __init__(self, world, name, zone, ip, store_ip=None):
         self.world, self.name, self.zone, self.ip = world, name, zone, ip
+        self.store_ip = store_ip or world.store.ip
         self.is_ready, self.misses, self.process = False, 2, None
         self.folder = os.path.join(world.folder, name)
         os.mkdir(self.folder)
@@ -459,7 +482,7 @@
                        "control": "%s:%d" % (self.ip, world.control_port)},
             "internalPorts": [world.peer_port, world.peer_port],
             "seeds": ["%s:%d" % (f.ip, world.control_port) for f in world.forwarders[:3]],
-            "platform": {"address": "%s:%d" % (world.store.ip, world.store.port)},
+            "platform": {"address": "%s:%d" % (self.store_ip, world.store.port)},
             "limits": {"linkMbps": 1000.0}, "bounds": world.bounds,
         }
         with open(os.path.join(world.root, "platform/settings.ini.in"), encoding="utf-8") as file:
