--- a/review/standins2.py
+++ b/review/standins2.py
@@ -73,7 +73,8 @@
         return time.monotonic() - self.started
 
     def write(self, line):
-        self.file.write("%8.3f  %s\n" % (self.now(), line))
+        if not self.file.closed:
+            self.file.write("%8.3f  %s\n" % (self.now(), line))
 
     def close(self):
         self.file.close()
@@ -85,6 +86,7 @@
     how many seconds it is behind. It can listen at several addresses, such as one in each zone."""
 
     ANSWER_S = 0.004
+    PAGE_CHARACTERS = 1400000  # 1 MB as base64 text.
 
     def __init__(self, *addresses):
         self.ip = addresses[0]
@@ -106,9 +108,12 @@
             self.servers.append(server)
 
     def put(self, key, value):
+        self.put_bytes(key, json.dumps(value).encode())
+
+    def put_bytes(self, key, value):
         self.revision += 1
         old = self.items.get(key)
-        item = {"key": key, "value": base64.b64encode(json.dumps(value).encode()).decode(), "revision": self.revision,
+        item = {"key": key, "value": base64.b64encode(value).decode(), "revision": self.revision,
                 "created": old["created"] if old else self.revision, "lease": 0}
         self.items[key] = item
         self.history.append(item)
@@ -157,7 +162,13 @@
             items, revision = self.state(lag_s)
             self.note("store: a listing of revision %d, the newest is %d" % (revision, self.revision))
             keys = sorted(k for k in items if k.startswith(prefix) and k > query.get("after", ""))
-            return 200, {"items": [items[k] for k in keys[:500]], "hasMore": len(keys) > 500, "currentRev": revision}
+            page, size = [], 0
+            for key in keys:
+                if len(page) == 500 or (page and size + len(items[key]["value"]) > self.PAGE_CHARACTERS):
+                    break
+                page.append(items[key])
+                size += len(items[key]["value"])
+            return 200, {"items": page, "hasMore": len(keys) > len(page), "currentRev": revision}
         if url.path == "/kv-watch":
             after, end = int(query["after"]), time.monotonic() + int(query["waitMs"]) / 1000
             while True:
