--- a/review/standins2.py
+++ b/review/standins2.py
@@ -570,7 +570,7 @@
             try:
                 for kind in (socket.SOCK_DGRAM, socket.SOCK_STREAM):
                     with socket.socket(socket.AF_INET, kind) as probe:
-                        probe.bind(("0.0.0.0", port))
+                        probe.bind((self.address(1, 1), port))
                 found.append(port)
             except OSError:
                 pass
